--- a/crates/coord/src/follower.rs
+++ b/crates/coord/src/follower.rs
@@ -53,11 +53,7 @@
         }
         self.generation = generation;
         self.document = Some(document);
-        if self
-            .ahead
-            .as_ref()
-            .is_some_and(|(ahead, _)| *ahead <= generation)
-        {
+        if self.ahead.as_ref().is_some_and(|(ahead, _)| *ahead <= generation) {
             self.ahead = None;
         }
         OfferOutcome::Applied
@@ -70,10 +66,7 @@
 
     /// Notes the generation a peer says it has.
     pub fn heard(&mut self, generation: Generation, peer: &BoxId) {
-        let known = self
-            .ahead
-            .as_ref()
-            .map_or(self.generation, |(ahead, _)| *ahead);
+        let known = self.ahead.as_ref().map_or(self.generation, |(ahead, _)| *ahead);
         if generation > known {
             self.ahead = Some((generation, peer.clone()));
         }
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -64,6 +64,17 @@
     },
 }
 
+/// How a read ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadOutcome {
+    /// The object as it is.
+    Found(LeaseSighting),
+    /// There is no such object.
+    Absent,
+    /// Nobody answered.
+    NoAnswer,
+}
+
 /// How a conditional write ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -94,11 +105,7 @@
 enum Pending {
     Nothing,
     Read,
-    Write {
-        token: FencingToken,
-        write: u64,
-        sent_at: Moment,
-    },
+    Write { token: FencingToken, write: u64, sent_at: Moment },
 }
 
 /// One box's claim on one lease.
@@ -114,6 +121,8 @@
     other: Option<LeaseRecord>,
     lost_write: Option<(FencingToken, u64, Moment)>,
     takeable: Option<(ObjectVersion, FencingToken)>,
+    /// Tokens up to this one have been seen in use, whatever the object says.
+    seen: FencingToken,
     next_at: Moment,
     pending: Pending,
     given_up: bool,
@@ -133,6 +142,7 @@
             other: None,
             lost_write: None,
             takeable: None,
+            seen: FencingToken::default(),
             next_at: Moment::START,
             pending: Pending::Nothing,
             given_up: false,
@@ -157,9 +167,41 @@
         self.other.as_ref()
     }
 
+    /// Notes a token seen in use; the next one taken is higher. A holder under a lower token
+    /// takes its own lease anew, above the one seen.
+    pub fn raise(&mut self, now: Moment, seen: FencingToken) {
+        self.seen = self.seen.max(seen);
+        let Some(held) = self.held.filter(|held| held.token < self.seen) else {
+            return;
+        };
+        if self.pending == Pending::Nothing {
+            self.held = None;
+            self.take_soon(now, held.version, self.seen.next());
+        }
+    }
+
+    /// Reads the object at the next poll instead of waiting for the next turn.
+    pub fn hurry(&mut self, now: Moment) {
+        if self.held.is_none() {
+            self.next_at = self.next_at.min(now);
+        }
+    }
+
+    /// Takes the lease from a holder that still renews it. Only for duties that stay safe
+    /// under two holders; the earlier one learns of it at its next renewal.
+    pub fn force(&mut self, now: Moment) {
+        let Some(record) = &self.other else { return };
+        let Some(watched) = self.watched else { return };
+        if self.held.is_none() && self.pending == Pending::Nothing {
+            let token = record.token.next();
+            self.take_soon(now, watched.version, token);
+        }
+    }
+
     /// When [`Self::poll`] next has something to do.
-    pub const fn next_at(&self) -> Moment {
-        self.next_at
+    pub fn next_at(&self) -> Moment {
+        let idle = self.pending == Pending::Nothing && !self.given_up;
+        if idle { self.next_at } else { Moment::NEVER }
     }
 
     /// The next action, if one is due.
@@ -174,20 +216,29 @@
             return Some(self.start_write(now, held.version, held.token, false));
         }
         if let Some((version, token)) = self.takeable.take() {
+            let token = token.max(self.seen.next());
             return Some(self.start_write(now, version, token, false));
         }
         Some(self.start_read())
     }
 
-    /// Takes the answer to a read: the object as found, or `None` when it is absent.
-    pub fn read_done(&mut self, now: Moment, found: Option<LeaseSighting>) {
+    /// Takes the answer to a read.
+    pub fn read_done(&mut self, now: Moment, outcome: ReadOutcome) {
         self.pending = Pending::Nothing;
-        let lost = self.lost_write.take();
-        let Some(sighting) = found else {
-            self.held = None;
-            self.take_soon(now, ObjectVersion::default(), FencingToken::new(1));
-            return;
+        let sighting = match outcome {
+            ReadOutcome::Found(sighting) => sighting,
+            ReadOutcome::Absent => {
+                self.lost_write = None;
+                self.held = None;
+                self.take_soon(now, ObjectVersion::default(), FencingToken::new(1));
+                return;
+            }
+            ReadOutcome::NoAnswer => {
+                self.next_at = now + self.term / READS_PER_TERM;
+                return;
+            }
         };
+        let lost = self.lost_write.take();
         if self.is_mine(&sighting.record) {
             self.adopt(now, &sighting, lost);
             return;
@@ -196,20 +247,9 @@
         self.watch(now, sighting);
     }
 
-    /// Notes that a read got no answer.
-    pub fn read_failed(&mut self, now: Moment) {
-        self.pending = Pending::Nothing;
-        self.next_at = now + self.term / READS_PER_TERM;
-    }
-
     /// Takes the outcome of a conditional write.
     pub fn write_done(&mut self, now: Moment, outcome: WriteOutcome) {
-        let Pending::Write {
-            token,
-            write,
-            sent_at,
-        } = self.pending
-        else {
+        let Pending::Write { token, write, sent_at } = self.pending else {
             return;
         };
         self.pending = Pending::Nothing;
@@ -248,11 +288,7 @@
         released: bool,
     ) -> LeaseAction {
         self.writes += 1;
-        self.pending = Pending::Write {
-            token,
-            write: self.writes,
-            sent_at: now,
-        };
+        self.pending = Pending::Write { token, write: self.writes, sent_at: now };
         let record = LeaseRecord {
             holder: self.me.clone(),
             incarnation: self.incarnation,
@@ -270,11 +306,7 @@
     }
 
     fn hold(&mut self, token: FencingToken, version: ObjectVersion, counted_from: Moment) {
-        self.held = Some(Held {
-            token,
-            version,
-            counted_from,
-        });
+        self.held = Some(Held { token, version, counted_from });
         self.watched = None;
         self.other = None;
         self.next_at = counted_from + self.term / RENEW_PARTS;
@@ -304,10 +336,7 @@
             Some(watched) if watched.version == sighting.version => watched.unchanged_since,
             _ => now,
         };
-        self.watched = Some(Watched {
-            version: sighting.version,
-            unchanged_since,
-        });
+        self.watched = Some(Watched { version: sighting.version, unchanged_since });
         let term = Duration::from_millis(sighting.record.term_ms);
         let token = sighting.record.token.next();
         if sighting.record.released || now.since(unchanged_since) >= term {
--- a/crates/coord/src/members.rs
+++ b/crates/coord/src/members.rs
@@ -116,12 +116,7 @@
 impl MemberTable {
     /// A table that knows only the box itself.
     pub const fn new(me: MemberRecord) -> Self {
-        Self {
-            me,
-            entries: BTreeMap::new(),
-            beats: 0,
-            next_beat: Moment::START,
-        }
+        Self { me, entries: BTreeMap::new(), beats: 0, next_beat: Moment::START }
     }
 
     /// The box's own record.
@@ -172,15 +167,9 @@
     /// What `id` is taken to be; `None` when it was never heard of.
     pub fn liveness(&self, now: Moment, id: &BoxId) -> Option<Liveness> {
         if *id == self.me.id {
-            return Some(if self.me.leaving {
-                Liveness::Leaving
-            } else {
-                Liveness::Live
-            });
+            return Some(if self.me.leaving { Liveness::Leaving } else { Liveness::Live });
         }
-        self.entries
-            .get(id)
-            .map(|entry| self.entry_liveness(now, entry))
+        self.entries.get(id).map(|entry| self.entry_liveness(now, entry))
     }
 
     /// The boxes of `domain` that may be given duties, this box included.
@@ -206,33 +195,21 @@
     pub fn ranked_here(&self, now: Moment, duty: &str, count: usize) -> Vec<BoxId> {
         let live = self.live_in(now, &self.me.domain);
         let ids = live.iter().map(|record| &record.id);
-        rendezvous::ranked(duty, ids, count)
-            .into_iter()
-            .cloned()
-            .collect()
+        rendezvous::ranked(duty, ids, count).into_iter().cloned().collect()
     }
 
     /// All boxes known, with what they are taken to be; this box first.
     pub fn all(&self, now: Moment) -> Vec<(&MemberRecord, Liveness)> {
-        let mine = if self.me.leaving {
-            Liveness::Leaving
-        } else {
-            Liveness::Live
-        };
-        let others = self
-            .entries
-            .values()
-            .map(|entry| (&entry.record, self.entry_liveness(now, entry)));
+        let mine = if self.me.leaving { Liveness::Leaving } else { Liveness::Live };
+        let others =
+            self.entries.values().map(|entry| (&entry.record, self.entry_liveness(now, entry)));
         std::iter::once((&self.me, mine)).chain(others).collect()
     }
 
     /// Failure domains known, with this one.
     pub fn domains(&self) -> Vec<DomainId> {
-        let mut all: Vec<DomainId> = self
-            .entries
-            .values()
-            .map(|entry| entry.record.domain.clone())
-            .collect();
+        let mut all: Vec<DomainId> =
+            self.entries.values().map(|entry| entry.record.domain.clone()).collect();
         all.push(self.me.domain.clone());
         all.sort();
         all.dedup();
@@ -249,22 +226,16 @@
         let beat = self.beat(now, generation, full);
         let mut out: Vec<OutgoingBeat> = self
             .neighbours()
-            .map(|entry| OutgoingBeat {
-                to: entry.record.address.clone(),
-                beat: beat.clone(),
-            })
+            .map(|entry| OutgoingBeat { to: entry.record.address.clone(), beat: beat.clone() })
             .collect();
         out.extend(self.delegate_beats(now, generation));
         self.beats += 1;
-        self.entries
-            .retain(|_, entry| now.since(entry.heard_at) < FORGET_AFTER);
+        self.entries.retain(|_, entry| now.since(entry.heard_at) < FORGET_AFTER);
         out
     }
 
     fn neighbours(&self) -> impl Iterator<Item = &Entry> {
-        self.entries
-            .values()
-            .filter(|entry| entry.record.domain == self.me.domain)
+        self.entries.values().filter(|entry| entry.record.domain == self.me.domain)
     }
 
     fn beat(&self, now: Moment, generation: Generation, full: bool) -> Heartbeat {
@@ -274,11 +245,7 @@
             leaving: self.me.leaving,
             generation,
             record: full.then(|| self.me.clone()),
-            told: if full {
-                self.contacts_to_tell(now)
-            } else {
-                Vec::new()
-            },
+            told: if full { self.contacts_to_tell(now) } else { Vec::new() },
         }
     }
 
@@ -305,11 +272,8 @@
         if !delegates.contains(&self.me.id) && !self.me.leaving {
             return Vec::new();
         }
-        let others: Vec<DomainId> = self
-            .domains()
-            .into_iter()
-            .filter(|domain| *domain != self.me.domain)
-            .collect();
+        let others: Vec<DomainId> =
+            self.domains().into_iter().filter(|domain| *domain != self.me.domain).collect();
         if others.is_empty() {
             return Vec::new();
         }
@@ -319,19 +283,13 @@
                 &others[turn.wrapping_mul(DOMAINS_PER_BEAT).wrapping_add(offset) % others.len()]
             })
             .filter_map(|domain| self.contact_in(domain, turn))
-            .map(|to| OutgoingBeat {
-                to,
-                beat: self.beat(now, generation, true),
-            })
+            .map(|to| OutgoingBeat { to, beat: self.beat(now, generation, true) })
             .collect()
     }
 
     fn contact_in(&self, domain: &DomainId, turn: usize) -> Option<String> {
-        let contacts: Vec<&Entry> = self
-            .entries
-            .values()
-            .filter(|entry| entry.record.domain == *domain)
-            .collect();
+        let contacts: Vec<&Entry> =
+            self.entries.values().filter(|entry| entry.record.domain == *domain).collect();
         let chosen = contacts.get(turn.checked_rem(contacts.len())?)?;
         Some(chosen.record.address.clone())
     }
@@ -346,8 +304,7 @@
             return;
         }
         let domain = record.domain.clone();
-        self.entries
-            .insert(record.id.clone(), Entry { record, heard_at });
+        self.entries.insert(record.id.clone(), Entry { record, heard_at });
         if foreign {
             self.drop_spare_contacts(&domain);
         }
@@ -355,17 +312,11 @@
 
     /// Keeps the contacts of another domain bounded, dropping the one heard longest ago.
     fn drop_spare_contacts(&mut self, domain: &DomainId) {
-        let contacts = || {
-            self.entries
-                .values()
-                .filter(|entry| entry.record.domain == *domain)
-        };
+        let contacts = || self.entries.values().filter(|entry| entry.record.domain == *domain);
         if contacts().count() <= CONTACTS_KEPT {
             return;
         }
-        let oldest = contacts()
-            .min_by_key(|entry| entry.heard_at)
-            .map(|e| e.record.id.clone());
+        let oldest = contacts().min_by_key(|entry| entry.heard_at).map(|e| e.record.id.clone());
         if let Some(id) = oldest {
             self.entries.remove(&id);
         }
--- a/crates/coord/src/rendezvous.rs
+++ b/crates/coord/src/rendezvous.rs
@@ -14,9 +14,7 @@
 
 /// The member that `key` belongs to, or `None` when there are no members.
 pub fn owner<'a>(key: &str, members: impl IntoIterator<Item = &'a BoxId>) -> Option<&'a BoxId> {
-    members
-        .into_iter()
-        .max_by_key(|member| (weight(key, member), Reverse(*member)))
+    members.into_iter().max_by_key(|member| (weight(key, member), Reverse(*member)))
 }
 
 /// The `count` members ranked highest for `key`, best first.
--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -21,11 +21,7 @@
     /// `float` retries.
     pub const fn new(thousandths: u64, float: u64) -> Self {
         let float = float * MILLI;
-        Self {
-            earned_per_attempt: thousandths,
-            float,
-            balance: float,
-        }
+        Self { earned_per_attempt: thousandths, float, balance: float }
     }
 
     /// Notes a first attempt.
@@ -58,9 +54,7 @@
 
     /// Delay before retry number `retry` (from zero); `random` is uniform over all of `u32`.
     pub fn delay(&self, retry: u32, random: u32) -> Duration {
-        let doubled = self
-            .first
-            .saturating_mul(1_u32.checked_shl(retry).unwrap_or(u32::MAX));
+        let doubled = self.first.saturating_mul(1_u32.checked_shl(retry).unwrap_or(u32::MAX));
         let ceiling = doubled.min(self.most);
         ceiling.mul_f64(f64::from(random) / f64::from(u32::MAX))
     }
--- /dev/null
+++ b/crates/demo/src/fleet.rs
@@ -0,0 +1,340 @@
+//! A deployment: the platform, engines, services and boxes of a few failure domains.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+use std::{fs, io};
+
+use client::{EntryClient, EntrySettings, TrainerClient};
+use ids::{ModelVersion, PoolName, TargetId, TrainerId};
+use pools::{Favours, PoolLimits, PoolSpec, SwapPolicy};
+use reqwest::{Client, Method};
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::time;
+
+use crate::process::{ChildProcess, Signal};
+
+/// The deployment key of the demo; at least 16 bytes.
+const KEY: &str = "demo-deployment-key-0123456789";
+/// Time between looks at whether something is so.
+const LOOK: Duration = Duration::from_millis(20);
+/// Most looks before something counts as never coming.
+const MOST_LOOKS: u32 = 1_500;
+
+/// What to start.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetPlan {
+    /// Failure domains.
+    pub domains: usize,
+    /// Boxes in each.
+    pub boxes_per_domain: usize,
+    /// Engines in each.
+    pub engines_per_domain: usize,
+    /// One decode step of an engine with one stream.
+    pub decode_step: Duration,
+    /// Time an engine takes to load a version.
+    pub load_time: Duration,
+    /// Term of leases.
+    pub lease_term: Duration,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            domains: 3,
+            boxes_per_domain: 2,
+            engines_per_domain: 2,
+            decode_step: Duration::from_millis(10),
+            load_time: Duration::from_millis(300),
+            lease_term: Duration::from_millis(1_500),
+        }
+    }
+}
+
+/// A running deployment; its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    plan: FleetPlan,
+    dir: PathBuf,
+    http: Client,
+    /// The platform stand-in.
+    pub platform: ChildProcess,
+    /// Boxes by id.
+    pub boxes: BTreeMap<String, ChildProcess>,
+    /// Engines by id.
+    pub engines: BTreeMap<String, ChildProcess>,
+    /// Plain services and scorers by id.
+    pub services: BTreeMap<String, ChildProcess>,
+}
+
+fn words(args: &[&str]) -> Vec<String> {
+    args.iter().map(|word| (*word).to_owned()).collect()
+}
+
+fn domain_of(index: usize) -> String {
+    format!("hall-{}", index + 1)
+}
+
+impl Fleet {
+    /// Starts all processes and waits until every box is ready. Logs go to files in `dir`.
+    pub async fn start(plan: FleetPlan, dir: PathBuf) -> io::Result<Self> {
+        // Logs of an earlier run would only confuse.
+        if dir.exists() {
+            fs::remove_dir_all(&dir)?;
+        }
+        fs::create_dir_all(&dir)?;
+        fs::write(dir.join("key"), KEY)?;
+        let log = Stdio::from(File::create(dir.join("platform.log"))?);
+        let platform = ChildProcess::start("standins", &words(&["platform"]), log).await?;
+        let mut fleet = Self {
+            plan,
+            dir,
+            http: Client::new(),
+            platform,
+            boxes: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+        };
+        fleet.start_targets().await?;
+        for domain in 0..plan.domains {
+            for index in 0..plan.boxes_per_domain {
+                fleet.start_box(domain, index).await?;
+            }
+        }
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn start_targets(&mut self) -> io::Result<()> {
+        for domain in 0..self.plan.domains {
+            for index in 0..self.plan.engines_per_domain {
+                self.start_engine(domain, index, ModelVersion::new(1), 1).await?;
+            }
+        }
+        // One scorer for each domain, and the plain service in the first two.
+        for domain in 0..self.plan.domains {
+            self.start_service(&format!("scorer-{}", domain + 1), domain, "scorer", "scorer").await?;
+        }
+        for domain in 0..self.plan.domains.min(2) {
+            self.start_service(&format!("orders-{}", domain + 1), domain, "plain", "orders").await?;
+        }
+        Ok(())
+    }
+
+    /// Starts an engine and lists it; a larger `incarnation` is a later life.
+    pub async fn start_engine(
+        &mut self,
+        domain: usize,
+        index: usize,
+        version: ModelVersion,
+        incarnation: u64,
+    ) -> io::Result<String> {
+        let id = format!("engine-{}-{}", domain + 1, index + 1);
+        let args = words(&[
+            "engine",
+            "--version",
+            &version.to_string(),
+            "--incarnation",
+            &incarnation.to_string(),
+            "--step-us",
+            &self.plan.decode_step.as_micros().to_string(),
+            "--load-ms",
+            &self.plan.load_time.as_millis().to_string(),
+        ]);
+        let child = ChildProcess::start("standins", &args, self.log(&id)?).await?;
+        let record = json!({
+            "id": id, "domain": domain_of(domain), "kind": "engine",
+            "address": format!("http://{}", child.address()), "checks_fencing": true,
+        });
+        self.list("target", &id, record).await?;
+        self.engines.insert(id.clone(), child);
+        Ok(id)
+    }
+
+    async fn start_service(
+        &mut self,
+        id: &str,
+        domain: usize,
+        kind: &str,
+        service: &str,
+    ) -> io::Result<()> {
+        let child = ChildProcess::start("standins", &words(&["plain"]), self.log(id)?).await?;
+        let record = json!({
+            "id": id, "domain": domain_of(domain), "kind": kind, "service": service,
+            "address": format!("http://{}", child.address()),
+        });
+        self.list("target", id, record).await?;
+        self.services.insert(id.to_owned(), child);
+        Ok(())
+    }
+
+    /// Starts a box and lists it.
+    pub async fn start_box(&mut self, domain: usize, index: usize) -> io::Result<String> {
+        let id = format!("box-{}-{}", domain + 1, index + 1);
+        let key_file = self.dir.join("key").display().to_string();
+        let platform = format!("http://{}", self.platform.address());
+        let term = self.plan.lease_term.as_millis().to_string();
+        let domain = domain_of(domain);
+        let mut args = words(&["--box-id", &id, "--domain", &domain]);
+        args.extend(words(&["--caller-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"]));
+        args.extend(words(&["--platform", &platform, "--key-file", &key_file]));
+        args.extend(words(&["--lease-term-ms", &term, "--drain-notice-ms", "300"]));
+        let child = ChildProcess::start("gannetwayd", &args, self.log(&id)?).await?;
+        let peers = child.addresses.get(2).cloned().unwrap_or_default();
+        self.list("box", &id, json!({ "id": id, "domain": domain, "address": peers })).await?;
+        self.boxes.insert(id.clone(), child);
+        Ok(id)
+    }
+
+    fn log(&self, id: &str) -> io::Result<Stdio> {
+        let path = self.dir.join(format!("{id}.log"));
+        Ok(Stdio::from(File::options().create(true).append(true).open(path)?))
+    }
+
+    /// Writes an entry of the platform's own lists.
+    pub async fn list(&self, kind: &str, name: &str, value: Value) -> io::Result<()> {
+        let url = format!("http://{}/v1/objects/{kind}/{name}", self.platform.address());
+        let current = self.http.get(&url).send().await.map_err(io::Error::other)?;
+        let version = match current.json::<Value>().await {
+            Ok(object) => object["version"].as_u64().unwrap_or_default(),
+            Err(_absent) => 0,
+        };
+        let put = self.http.put(&url).query(&[("if_version", version)]).json(&value);
+        put.send().await.and_then(reqwest::Response::error_for_status).map_err(io::Error::other)?;
+        Ok(())
+    }
+
+    /// Sets a stand-in's fault switches.
+    pub async fn faults(&self, address: &str, faults: &impl Serialize) -> io::Result<()> {
+        let url = format!("http://{address}/faults");
+        // A stand-in told to crash does not answer.
+        let _crashed = self.http.post(url).json(faults).send().await;
+        Ok(())
+    }
+
+    /// Reads JSON from a stand-in or a box, with the deployment's key.
+    pub async fn read(&self, address: &str, path: &str) -> io::Result<Value> {
+        let request = self.http.get(format!("http://{address}{path}")).bearer_auth(KEY);
+        let response = request.send().await.map_err(io::Error::other)?;
+        response.json().await.map_err(io::Error::other)
+    }
+
+    /// Waits until every box says that it is ready and sees all boxes.
+    pub async fn wait_until_ready(&self) -> io::Result<()> {
+        let all = self.boxes.len();
+        for (id, child) in &self.boxes {
+            self.wait_for(&format!("{id} ready"), async || {
+                let ready = self.read(child.address(), "/readyz").await;
+                let status = self.read(child.address(), "/v1/status").await;
+                let sees = status.map(|status| status["peers"].as_array().map_or(0, Vec::len));
+                ready.is_ok_and(|ready| ready["ready"] == true) && sees.is_ok_and(|sees| sees >= all)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a condition holds; an error after half a minute.
+    pub async fn wait_for(&self, what: &str, holds: impl AsyncFn() -> bool) -> io::Result<()> {
+        for _ in 0..MOST_LOOKS {
+            if holds().await {
+                return Ok(());
+            }
+            time::sleep(LOOK).await;
+        }
+        Err(io::Error::new(io::ErrorKind::TimedOut, format!("{what}: never came")))
+    }
+
+    /// Addresses of all boxes, for callers.
+    pub fn entries(&self) -> Vec<String> {
+        self.boxes.values().map(|child| format!("http://{}", child.address())).collect()
+    }
+
+    /// A client for operators.
+    pub fn operator(&self) -> EntryClient {
+        self.client(self.entries())
+    }
+
+    /// A client for a trainer that may use all boxes.
+    pub fn trainer(&self, pool: &PoolName, trainer: &TrainerId) -> TrainerClient {
+        let entry = Arc::new(self.client(self.entries()));
+        TrainerClient::new(entry, pool.clone(), trainer.clone())
+    }
+
+    fn client(&self, entries: Vec<String>) -> EntryClient {
+        EntryClient::new(EntrySettings {
+            entries,
+            key: Some(KEY.to_owned()),
+            patience: Duration::from_secs(60),
+        })
+    }
+
+    /// A pool over all engines and scorers.
+    pub fn pool(&self, name: &PoolName, trainer: &TrainerId, version: ModelVersion) -> PoolSpec {
+        let ids = |map: &BTreeMap<String, ChildProcess>, prefix: &str| -> Vec<TargetId> {
+            let named = map.keys().filter(|id| id.starts_with(prefix));
+            named.filter_map(|id| id.parse().ok()).collect()
+        };
+        PoolSpec {
+            name: name.clone(),
+            version,
+            staleness_bound: 1,
+            favours: Favours::Staleness,
+            trainers: vec![trainer.clone()],
+            engines: ids(&self.engines, "engine"),
+            scorers: ids(&self.services, "scorer"),
+            limits: PoolLimits::default(),
+            swap: SwapPolicy::Rolling { at_once: 1 },
+        }
+    }
+
+    /// Applies a pool and gives the generation accepted.
+    pub async fn apply(&self, spec: &PoolSpec) -> io::Result<u64> {
+        let path = format!("/v1/pools/{}", spec.name);
+        let applied: Value = self
+            .operator()
+            .repeat(&Method::PUT, &path, Some(spec), Duration::ZERO)
+            .await
+            .map_err(io::Error::other)?;
+        Ok(applied["generation"].as_u64().unwrap_or_default())
+    }
+
+    /// The box that keeps a trainer's step now, by its own word.
+    pub async fn keeper(&self, trainer: &TrainerId) -> Option<String> {
+        for (id, child) in &self.boxes {
+            // A frozen box does not answer, so it is not asked for long.
+            let asked = time::timeout(
+                Duration::from_millis(300),
+                self.read(child.address(), "/v1/status"),
+            );
+            let Ok(Ok(status)) = asked.await else { continue };
+            let kept = status["kept"].as_array().cloned().unwrap_or_default();
+            let keeps = |entry: &Value| {
+                entry["trainer"] == trainer.as_str()
+                    && entry["token"] != 0
+                    && entry["steps"].as_array().is_some_and(|steps| !steps.is_empty())
+            };
+            if kept.iter().any(keeps) {
+                return Some(id.clone());
+            }
+        }
+        None
+    }
+
+    /// Stops every box as planned and gives the exit codes.
+    pub async fn stop_boxes(&mut self) -> io::Result<Vec<Option<i32>>> {
+        for child in self.boxes.values() {
+            child.signal(Signal::Terminate).await?;
+        }
+        let mut codes = Vec::new();
+        for child in self.boxes.values_mut() {
+            codes.push(child.wait().await?.code());
+        }
+        self.boxes.clear();
+        Ok(codes)
+    }
+}
--- /dev/null
+++ b/crates/gannetctl/src/commands.rs
@@ -0,0 +1,232 @@
+//! What changes something.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use api::{
+    AppliedBody, DEADLINE_HEADER, ErrorBody, REPEATABLE_HEADER, REQUEST_ID_HEADER,
+};
+use client::{ClientError, EntryClient, IdleReport, TrainerClient};
+use ids::{AnswerDigest, ModelVersion};
+use ledger::{GroupSpec, Sample, SlotSet, StepSpec};
+use pools::parse_pool;
+use rand::Rng;
+use reqwest::Method;
+use serde::Serialize;
+
+use crate::cli::{ApplyArgs, CallArgs, Output, StepArgs};
+use crate::exit::CliError;
+use crate::output::{Table, print};
+
+/// Checks a pool document and applies it.
+pub async fn apply(entry: &EntryClient, args: ApplyArgs, output: Output) -> Result<(), CliError> {
+    let text = fs::read_to_string(&args.file).map_err(|error| {
+        CliError::BadInput(format!("{}: {error}; name a readable file", args.file.display()))
+    })?;
+    let spec = parse_pool(&text).map_err(|error| CliError::BadInput(error.to_string()))?;
+    if args.check {
+        println!("pool {} can be applied", spec.name);
+        return Ok(());
+    }
+    // Named here, so that trying again after a lost answer is harmless.
+    let write_id = format!("w{:032x}", rand::rng().random::<u128>());
+    let unless_changed =
+        args.if_generation.map(|generation| format!("&if_generation={generation}"));
+    let path = format!(
+        "/v1/pools/{}?write_id={write_id}{}",
+        spec.name,
+        unless_changed.unwrap_or_default()
+    );
+    let applied: AppliedBody =
+        entry.repeat(&Method::PUT, &path, Some(&spec), Duration::ZERO).await?;
+    print(output, &applied, || {
+        let mut table = Table::new(&["POOL", "VERSION", "GENERATION"]);
+        table.row([
+            spec.name.to_string(),
+            spec.version.to_string(),
+            applied.generation.to_string(),
+        ]);
+        table
+    });
+    Ok(())
+}
+
+/// What a step brought, for people and programs.
+#[derive(Debug, Serialize)]
+struct StepReport {
+    slots: usize,
+    delivered: usize,
+    doubled: usize,
+    missing: usize,
+    stale: usize,
+    /// Tokens by version.
+    versions: BTreeMap<ModelVersion, u64>,
+    /// Most versions that a sample lagged behind the one named when it was taken.
+    oldest_staleness: u64,
+    reopened: usize,
+    idle_ms: u64,
+    longest_gap_ms: u64,
+    idle_by_cause_ms: BTreeMap<String, u64>,
+    took_ms: u64,
+}
+
+/// Opens a step and pulls it until it is whole.
+pub async fn step(entry: EntryClient, args: StepArgs, output: Output) -> Result<(), CliError> {
+    let spec = step_spec(&args)?;
+    let started = Instant::now();
+    let trainer = TrainerClient::new(Arc::new(entry), args.pool, args.trainer);
+    let mut open = trainer.open(spec).await?;
+    let slots = open.intake().spec().slots();
+    let mut tally = StepTally::default();
+    while let Some(samples) = open.next().await? {
+        let named = open.intake().named();
+        for sample in &samples {
+            tally.count(sample, named);
+        }
+    }
+    let idle = open.close().await?;
+    let took_ms = millis(started.elapsed());
+    let report = tally.report(slots, &idle, took_ms);
+    print(output, &report, || step_table(&report));
+    if report.missing > 0 || tally.doubled > 0 {
+        return Err(CliError::NotWhole { missing: report.missing, doubled: tally.doubled });
+    }
+    Ok(())
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn step_spec(args: &StepArgs) -> Result<StepSpec, CliError> {
+    let group = u32::from(args.group);
+    if group == 0 || !args.samples.is_multiple_of(group) {
+        let fault = format!("--samples {} is no multiple of --group {group}", args.samples);
+        return Err(CliError::BadInput(format!("{fault}: make it one")));
+    }
+    let groups = (0..args.samples / group).map(|index| GroupSpec {
+        prompt: format!("{}/{} prompt {index}", args.trainer, args.step).into(),
+        samples: args.group,
+        max_tokens: args.max_tokens,
+    });
+    let spec = StepSpec { step: args.step, version: args.version, groups: groups.collect() };
+    spec.check().map_err(|error| CliError::BadInput(error.to_string()))?;
+    Ok(spec)
+}
+
+/// Counts what the client library gave, apart from the library's own record.
+#[derive(Debug, Default)]
+struct StepTally {
+    slots: SlotSet,
+    doubled: usize,
+    versions: BTreeMap<ModelVersion, u64>,
+    oldest_staleness: u64,
+}
+
+impl StepTally {
+    fn count(&mut self, sample: &Sample, named: ModelVersion) {
+        if !self.slots.insert(sample.slot) {
+            self.doubled += 1;
+        }
+        for span in &sample.spans {
+            *self.versions.entry(span.version).or_default() += u64::from(span.tokens.get());
+        }
+        let staleness = named.get().saturating_sub(sample.oldest().get());
+        self.oldest_staleness = self.oldest_staleness.max(staleness);
+    }
+
+    fn report(&self, slots: usize, idle: &IdleReport, took_ms: u64) -> StepReport {
+        StepReport {
+            slots,
+            delivered: self.slots.len(),
+            doubled: self.doubled,
+            missing: slots - self.slots.len(),
+            stale: idle.stale,
+            versions: self.versions.clone(),
+            oldest_staleness: self.oldest_staleness,
+            reopened: idle.reopened,
+            idle_ms: idle.by_cause_ms.values().sum(),
+            longest_gap_ms: idle.longest_gap_ms,
+            idle_by_cause_ms: idle.by_cause_ms.clone(),
+            took_ms,
+        }
+    }
+}
+
+fn step_table(report: &StepReport) -> Table {
+    let mut table = Table::new(&["STEP", ""]);
+    let mut row = |name: &str, value: String| table.row([name.to_owned(), value]);
+    row("slots", report.slots.to_string());
+    row("delivered", report.delivered.to_string());
+    row("doubled", report.doubled.to_string());
+    row("missing", report.missing.to_string());
+    let versions: Vec<String> =
+        report.versions.iter().map(|(version, tokens)| format!("{version} ({tokens} tokens)")).collect();
+    row("versions used", versions.join(", "));
+    row("oldest staleness", format!("{} version(s)", report.oldest_staleness));
+    row("dropped as stale", report.stale.to_string());
+    row("opened again", report.reopened.to_string());
+    row("trainer idle", format!("{} ms", report.idle_ms));
+    for (cause, ms) in &report.idle_by_cause_ms {
+        row(&format!("  {cause}"), format!("{ms} ms"));
+    }
+    row("longest gap", format!("{} ms", report.longest_gap_ms));
+    row("took", format!("{} ms", report.took_ms));
+    table
+}
+
+/// A service's answer.
+#[derive(Debug, Serialize)]
+struct CallReport {
+    status: u16,
+    request_id: String,
+    body: String,
+}
+
+/// Sends a plain request once; the boxes repeat it only if it was marked repeatable.
+pub async fn call(entries: &[String], args: CallArgs, output: Output) -> Result<(), CliError> {
+    let method = Method::from_bytes(args.method.as_bytes()).map_err(|_bad| {
+        CliError::BadInput(format!("--method {} is no HTTP method: use GET or POST", args.method))
+    })?;
+    let entry = entries.first().ok_or(ClientError::NoEntry)?;
+    let url = format!("{}/v1/call/{}{}", entry.trim_end_matches('/'), args.service, args.path);
+    let id = args.request_id.unwrap_or_else(|| format!("c{:032x}", rand::rng().random::<u128>()));
+    let sent = reqwest::Client::new()
+        .request(method, url)
+        .header(REPEATABLE_HEADER, args.repeatable.to_string())
+        .header(REQUEST_ID_HEADER, &id)
+        .header(DEADLINE_HEADER, args.deadline_ms.to_string())
+        .timeout(Duration::from_millis(args.deadline_ms) + Duration::from_secs(2))
+        .body(args.body)
+        .send()
+        .await;
+    let response = sent.map_err(|error| {
+        if error.is_connect() { ClientError::NoEntry } else { ClientError::Broken(error.to_string()) }
+    })?;
+    let status = response.status().as_u16();
+    let stated = response.headers().get(api::DIGEST_HEADER).and_then(|value| value.to_str().ok());
+    let stated: Option<AnswerDigest> = stated.and_then(|text| text.parse().ok());
+    let body = response.bytes().await.map_err(|error| ClientError::Broken(error.to_string()))?;
+    match stated {
+        Some(digest) if digest == AnswerDigest::of(&body) => {}
+        Some(_) => {
+            return Err(ClientError::Broken("the body does not match its digest".to_owned()).into());
+        }
+        // Only answers of services bear a digest; all else is a box's own refusal.
+        None => {
+            let refusal: ErrorBody = serde_json::from_slice(&body)
+                .map_err(|error| ClientError::Broken(error.to_string()))?;
+            return Err(ClientError::Refused(refusal).into());
+        }
+    }
+    let report =
+        CallReport { status, request_id: id, body: String::from_utf8_lossy(&body).into_owned() };
+    print(output, &report, || {
+        let mut table = Table::new(&["STATUS", "REQUEST", "BODY"]);
+        table.row([status.to_string(), report.request_id.clone(), report.body.clone()]);
+        table
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/gannetctl/src/main.rs
@@ -0,0 +1,42 @@
+//! The command-line tool of operators and trainers.
+
+mod cli;
+mod commands;
+mod exit;
+mod output;
+mod queries;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use mimalloc::MiMalloc;
+
+use crate::cli::{Cli, Command};
+use crate::exit::CliError;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    match run(Cli::parse()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("gannetctl: {error}");
+            error.exit_code()
+        }
+    }
+}
+
+async fn run(cli: Cli) -> Result<(), CliError> {
+    let entry = cli.entry_client()?;
+    let output = cli.output;
+    match cli.command {
+        Command::Apply(apply) => commands::apply(&entry, apply, output).await,
+        Command::Step(step) => commands::step(entry, step, output).await,
+        Command::Call(call) => commands::call(&cli.entry, call, output).await,
+        Command::Get(get) => queries::get(&entry, get, output).await,
+        Command::List => queries::list(&entry, output).await,
+        Command::Status => queries::status(&entry, output).await,
+    }
+}
--- /dev/null
+++ b/crates/gannetwayd/src/apply.rs
@@ -0,0 +1,106 @@
+//! Writes a change of configuration: accepted means confirmed.
+
+use std::time::Duration;
+
+use api::{ErrorBody, ErrorKind};
+use ids::{Generation, ObjectVersion};
+use objects::{ObjectKey, ObjectKind, ObjectStore, StoreError};
+use pools::{FleetConfig, PoolSpec};
+use rand::Rng;
+use tokio::time;
+
+use crate::documents::CONFIG_NAME;
+
+/// Tries before a change is given back as not accepted.
+const TRIES: u32 = 8;
+/// Most of the pause between tries, in milliseconds.
+const PAUSE_MS: u64 = 100;
+
+/// What came of a change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AppliedChange {
+    /// The configuration that holds it.
+    pub config: FleetConfig,
+}
+
+enum TryEnd {
+    Accepted(FleetConfig),
+    Again(StoreError),
+}
+
+/// Adds or replaces a pool. With `if_generation`, a pool changed after that generation is a
+/// conflict. `write_id` names the change; a repeat under the same id is harmless.
+pub async fn apply_pool(
+    store: &impl ObjectStore,
+    spec: PoolSpec,
+    if_generation: Option<Generation>,
+    write_id: &str,
+) -> Result<AppliedChange, ErrorBody> {
+    let mut last = StoreError::Unavailable;
+    let mut maybe_written = false;
+    for _ in 0..TRIES {
+        match try_apply(store, &spec, if_generation, write_id).await? {
+            TryEnd::Accepted(config) => return Ok(AppliedChange { config }),
+            TryEnd::Again(error) => {
+                maybe_written |= error == StoreError::Unknown;
+                last = error;
+            }
+        }
+        let pause = rand::rng().random_range(0..=PAUSE_MS);
+        time::sleep(Duration::from_millis(pause)).await;
+    }
+    let kind = if maybe_written { ErrorKind::Unknown } else { ErrorKind::NotRun };
+    let message = format!("the change was not confirmed ({last}): apply it again, which is harmless");
+    Err(ErrorBody::new(kind, message))
+}
+
+async fn try_apply(
+    store: &impl ObjectStore,
+    spec: &PoolSpec,
+    if_generation: Option<Generation>,
+    write_id: &str,
+) -> Result<TryEnd, ErrorBody> {
+    let key = ObjectKey::new(ObjectKind::Config, CONFIG_NAME);
+    let (version, current) = match read_config(store, &key).await {
+        Ok(read) => read,
+        Err(error @ StoreError::BadValue { .. }) => {
+            return Err(ErrorBody::new(ErrorKind::Conflict, error.to_string()));
+        }
+        Err(error) => return Ok(TryEnd::Again(error)),
+    };
+    if let Some(entry) = current.pools.get(&spec.name) {
+        // An earlier try took effect and its answer was lost.
+        if entry.write_id == write_id {
+            return Ok(TryEnd::Accepted(current));
+        }
+        if if_generation.is_some_and(|seen| entry.changed > seen) {
+            let message = format!(
+                "pool {} was changed in generation {} by somebody else (write {}): look at it, \
+                 then apply again",
+                spec.name, entry.changed, entry.write_id
+            );
+            return Err(ErrorBody::new(ErrorKind::Conflict, message));
+        }
+    }
+    let next = current.with_pool(spec.clone(), write_id.to_owned());
+    let value = serde_json::to_value(&next)
+        .map_err(|error| ErrorBody::new(ErrorKind::BadRequest, error.to_string()))?;
+    match store.write(&key, version, value).await {
+        Ok(_) => Ok(TryEnd::Accepted(next)),
+        Err(error) => Ok(TryEnd::Again(error)),
+    }
+}
+
+async fn read_config(
+    store: &impl ObjectStore,
+    key: &ObjectKey,
+) -> Result<(ObjectVersion, FleetConfig), StoreError> {
+    let Some(object) = store.read(key).await? else {
+        return Ok((ObjectVersion::default(), FleetConfig::default()));
+    };
+    let config = serde_json::from_value(object.value).map_err(|error| StoreError::BadValue {
+        key: key.to_string(),
+        fault: error.to_string(),
+    })?;
+    Ok((object.version, config))
+}
--- /dev/null
+++ b/crates/gannetwayd/src/daemon.rs
@@ -0,0 +1,212 @@
+//! Starts a box, runs it, and stops it without cutting requests.
+
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::members::{MemberRecord, MemberTable};
+use kameo::actor::ActorRef;
+use links::{LinkPool, LinkSettings, serve_links};
+use objects::HttpStore;
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, watch};
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use wire::peer::{Request, TakeOver, request};
+
+use crate::clock::{ProcessClock, incarnation_from_wall_clock};
+use crate::conductor::{ConductorActor, ReleaseRollouts, RolloutBoard};
+use crate::context::{BoxContext, BoxParts, Documents, Place, new_request_id};
+use crate::documents::DocumentActor;
+use crate::home::HomeRegistry;
+use crate::http::{self, HttpState};
+use crate::keeper::{GivenUp, HandOverSteps, KeeperHandle, KeeperKey, KeeperRegistry};
+use crate::members::{LeaveFleet, MemberActor};
+use crate::metrics::BoxMetrics;
+use crate::peer::{BoxHandler, serve_local};
+use crate::settings::Settings;
+use crate::trace::HopTracer;
+
+/// Time between looks at what a planned stop still waits for.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Share of the drain limit that attempts at samples may take, as one part in this many.
+const ATTEMPT_PARTS: u32 = 3;
+/// Longest wait for a successor's answer.
+const HAND_OVER_TIME: Duration = Duration::from_secs(3);
+
+/// A running box.
+#[derive(Debug)]
+pub struct RunningBox {
+    /// Its parts.
+    pub ctx: BoxContext,
+    /// Where callers come in.
+    pub caller_address: SocketAddr,
+    http: HttpState,
+    members: ActorRef<MemberActor>,
+    conductor: ActorRef<ConductorActor>,
+    stop_http: CancellationToken,
+}
+
+/// Binds the box's addresses and starts all its parts. Call it on the traffic runtime;
+/// `control` is the runtime of the control thread.
+pub async fn start_box(
+    settings: Settings,
+    tracer: HopTracer,
+    control: Handle,
+) -> io::Result<RunningBox> {
+    let callers = TcpListener::bind(settings.caller_listen).await?;
+    let peers = TcpListener::bind(settings.peer_listen).await?;
+    let caller_address = callers.local_addr()?;
+    let peer_address = settings.peer_advertise.unwrap_or(peers.local_addr()?);
+    let me = MemberRecord {
+        id: settings.box_id.clone(),
+        domain: settings.domain.clone(),
+        incarnation: incarnation_from_wall_clock(),
+        address: peer_address.to_string(),
+        leaving: false,
+    };
+    let stop = CancellationToken::new();
+    let (members_in, members_out) = watch::channel(Arc::new(MemberTable::new(me.clone())));
+    let (documents_in, documents_out) = watch::channel(Documents::default());
+    let (local, local_requests) = mpsc::unbounded_channel();
+    let link_settings = LinkSettings { me: me.id.clone(), key: settings.key.clone() };
+    let control_http = reqwest::Client::new();
+    let key = settings.key.clone();
+    let ctx: BoxContext = Arc::new(BoxParts {
+        store: HttpStore::new(&settings.platform, control_http.clone()),
+        settings,
+        me,
+        clock: ProcessClock::start(),
+        links: LinkPool::new(link_settings, stop.child_token()),
+        control_http,
+        traffic_http: reqwest::Client::new(),
+        members: members_out,
+        documents: documents_out,
+        homes: HomeRegistry::default(),
+        keepers: KeeperRegistry::default(),
+        rollouts: RolloutBoard::default(),
+        metrics: BoxMetrics::default(),
+        tracer,
+        control,
+        traffic: Handle::current(),
+        local,
+        leaving: CancellationToken::new(),
+        stop: stop.clone(),
+    });
+    let members = MemberActor::start(&ctx, members_in);
+    let documents = DocumentActor::start(&ctx, documents_in);
+    let conductor = ConductorActor::start(&ctx);
+    let handler = BoxHandler {
+        ctx: Arc::clone(&ctx),
+        members: members.clone(),
+        documents: documents.clone(),
+    };
+    tokio::spawn(serve_local(handler.clone(), local_requests));
+    tokio::spawn(serve_links(peers, key, handler, stop.child_token()));
+    let http = HttpState::new(Arc::clone(&ctx), documents);
+    let stop_http = CancellationToken::new();
+    let served = axum::serve(callers, http::router(http.clone()))
+        .with_graceful_shutdown(stop_http.clone().cancelled_owned());
+    tokio::spawn(async move { served.await });
+    log::info!(target: "box", id:% = ctx.me.id, callers:% = caller_address, peers:% = ctx.me.address; "serving");
+    announce(&ctx, caller_address)?;
+    Ok(RunningBox { ctx, caller_address, http, members, conductor, stop_http })
+}
+
+/// One line on standard output, for whoever started the box on free ports.
+fn announce(ctx: &BoxContext, callers: SocketAddr) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "listening {callers} peers {}", ctx.me.address)?;
+    out.flush()
+}
+
+impl RunningBox {
+    /// Stops the box as planned: says so, hands its duties over, finishes what is in flight.
+    /// Gives the number of requests cut, which is zero unless the limit ran out.
+    pub async fn stop(self) -> usize {
+        let ctx = &self.ctx;
+        let limit = time::Instant::now() + ctx.settings.drain_notice + ctx.settings.drain_limit;
+        log::info!(target: "box", id:% = ctx.me.id; "leaving");
+        ctx.leaving.cancel();
+        // Actors are gone only when the box has stopped.
+        let _gone = self.members.tell(LeaveFleet).await;
+        let _gone = self.conductor.tell(ReleaseRollouts).await;
+        let attempts_until =
+            time::Instant::now() + ctx.settings.drain_limit / ATTEMPT_PARTS;
+        let notice = time::sleep(ctx.settings.drain_notice);
+        tokio::join!(notice, self.hand_over_all(attempts_until));
+        self.stop_http.cancel();
+        let cut = self.wait_for_requests(limit).await;
+        ctx.stop.cancel();
+        ctx.tracer.finish();
+        log::info!(target: "box", id:% = ctx.me.id, requests_cut = cut; "stopped");
+        cut
+    }
+
+    async fn hand_over_all(&self, attempts_until: time::Instant) {
+        let all = self.ctx.keepers.all();
+        let each = all.iter().map(|(key, handle)| self.hand_over(key, handle, attempts_until));
+        futures::future::join_all(each).await;
+    }
+
+    /// Waits for attempts under way, then gives the steps to a successor.
+    async fn hand_over(&self, key: &KeeperKey, handle: &KeeperHandle, until: time::Instant) {
+        let adopt = loop {
+            let force = time::Instant::now() >= until;
+            match handle.actor.ask(HandOverSteps { force }).await {
+                Ok(GivenUp::Steps(adopt)) => break adopt,
+                Ok(GivenUp::Busy) => time::sleep(DRAIN_LOOK).await,
+                Ok(GivenUp::Nothing) | Err(_) => return,
+            }
+        };
+        let ctx = &self.ctx;
+        let successor = {
+            let members = ctx.members.borrow();
+            let lease = key.lease().to_string();
+            members.owner_in(ctx.clock.now(), &ctx.me.domain, &lease).map(|record| ctx.place_of(record))
+        };
+        let Some(place) = successor.filter(|place| *place != Place::Here) else {
+            log::warn!(target: "keeper", trainer:% = key; "no successor, the trainer opens its steps again");
+            return;
+        };
+        let snapshots = adopt.snapshots.iter().filter_map(|snapshot| serde_json::to_vec(snapshot).ok());
+        let take = TakeOver {
+            pool: key.pool.to_string(),
+            trainer: key.trainer.to_string(),
+            token: adopt.token.get(),
+            snapshots: snapshots.collect(),
+        };
+        let request = Request {
+            request_id: new_request_id().to_string(),
+            time_left_ms: u64::try_from(HAND_OVER_TIME.as_millis()).unwrap_or(u64::MAX),
+            body: Some(request::Body::TakeOver(take)),
+            ..Request::default()
+        };
+        let taken = match ctx.call(&place, request).await {
+            Ok(mut stream) => stream.next(HAND_OVER_TIME).await.map(|_end| ()),
+            Err(error) => Err(error),
+        };
+        match taken {
+            Ok(()) => log::info!(target: "keeper", trainer:% = key, to:? = place; "steps handed over"),
+            Err(error) => log::warn!(target: "keeper", trainer:% = key, error:% = error; "hand-over failed, the trainer opens its steps again"),
+        }
+    }
+
+    async fn wait_for_requests(&self, limit: time::Instant) -> usize {
+        loop {
+            let left = self.http.in_flight();
+            if left == 0 || time::Instant::now() >= limit {
+                return left;
+            }
+            time::sleep(DRAIN_LOOK).await;
+        }
+    }
+}
+
+/// A seed for parts that need chance.
+pub fn random_seed() -> u64 {
+    rand::rng().random()
+}
--- /dev/null
+++ b/crates/gannetwayd/src/http/commands.rs
@@ -0,0 +1,236 @@
+//! Requests that change something.
+
+use std::time::Duration;
+
+use api::{AdvanceBody, AppliedBody, ErrorBody, ErrorKind, HeldBody, OpenBody, PullAnswer, PullBody};
+use axum::body::Bytes;
+use axum::extract::{Path, Query, State};
+use axum::http::HeaderMap;
+use axum::response::Response;
+use ids::{FencingToken, Generation, ModelVersion, SlotIndex, StepNumber, TokenCount};
+use ledger::{Progress, Sample, VersionSpan, WaitCause};
+use pools::PoolSpec;
+use serde::Deserialize;
+use wire::peer::{
+    self, AdvanceStep, CloseStep, Group, OpenStep, PullStep, Request, SampleItem, StepRef, request,
+};
+
+use crate::apply;
+use crate::context::new_request_id;
+use crate::documents::OfferConfig;
+use crate::http::HttpState;
+use crate::http::answer::{Failure, http_span, read_json, read_value, require_key, whole_json};
+use crate::keeper::KeeperKey;
+use crate::route::StepAnswer;
+
+/// Time for a request about a step, beside a pull's own wait. Finding a new keeper takes at
+/// most the lease's term and a little.
+const STEP_TIME: Duration = Duration::from_secs(10);
+/// Longest wait of a pull, in milliseconds.
+const MOST_WAIT_MS: u64 = 30_000;
+
+type Answer = Result<Response, Failure>;
+
+/// A step as named by the path.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StepPath {
+    pool: String,
+    trainer: String,
+    step: String,
+}
+
+impl StepPath {
+    fn key(&self) -> Result<KeeperKey, Failure> {
+        Ok(KeeperKey { pool: read_value(&self.pool)?, trainer: read_value(&self.trainer)? })
+    }
+
+    fn step(&self) -> Result<StepNumber, Failure> {
+        read_value(&self.step)
+    }
+
+    fn step_ref(&self, seen: FencingToken) -> Result<StepRef, Failure> {
+        Ok(StepRef {
+            pool: self.pool.clone(),
+            trainer: self.trainer.clone(),
+            step: self.step()?.get(),
+            seen: seen.get(),
+            claim: false,
+        })
+    }
+}
+
+/// Opens a step.
+pub async fn open_step(
+    State(state): State<HttpState>,
+    Path(path): Path<StepPath>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Answer {
+    let open: OpenBody = read_json(&body)?;
+    let spec = open.spec(path.step()?);
+    spec.check().map_err(|error| ErrorBody::new(ErrorKind::BadRequest, error.to_string()))?;
+    let groups = spec.groups.iter().map(|group| Group {
+        prompt: group.prompt.to_string(),
+        samples: u32::from(group.samples),
+        max_tokens: group.max_tokens.get(),
+    });
+    let body = request::Body::OpenStep(OpenStep {
+        step: Some(path.step_ref(open.seen)?),
+        version: open.version.get(),
+        groups: groups.collect(),
+        held: open.held.as_bytes().to_vec(),
+    });
+    let answer = call_keeper(&state, &path, &headers, body, Duration::ZERO).await?;
+    whole_json(&step_state(answer.state)?)
+}
+
+/// Pulls samples.
+pub async fn pull_step(
+    State(state): State<HttpState>,
+    Path(path): Path<StepPath>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Answer {
+    let pull: PullBody = read_json(&body)?;
+    let wait_ms = pull.wait_ms.min(MOST_WAIT_MS);
+    let body = request::Body::PullStep(PullStep {
+        step: Some(path.step_ref(pull.seen)?),
+        held: pull.held.as_bytes().to_vec(),
+        most: pull.most,
+        wait_ms,
+    });
+    let wait = Duration::from_millis(wait_ms);
+    let answer = call_keeper(&state, &path, &headers, body, wait).await?;
+    let samples: Result<Vec<Sample>, Failure> = answer.samples.into_iter().map(sample).collect();
+    whole_json(&PullAnswer { samples: samples?, state: step_state(answer.state)? })
+}
+
+/// Names a newer version.
+pub async fn advance_step(
+    State(state): State<HttpState>,
+    Path(path): Path<StepPath>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Answer {
+    let advance: AdvanceBody = read_json(&body)?;
+    let body = request::Body::AdvanceStep(AdvanceStep {
+        step: Some(path.step_ref(advance.seen)?),
+        version: advance.version.get(),
+    });
+    let answer = call_keeper(&state, &path, &headers, body, Duration::ZERO).await?;
+    whole_json(&step_state(answer.state)?)
+}
+
+/// Closes a step.
+pub async fn close_step(
+    State(state): State<HttpState>,
+    Path(path): Path<StepPath>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Answer {
+    let held: HeldBody = read_json(&body)?;
+    let step = path.step_ref(held.seen)?;
+    let body = request::Body::CloseStep(CloseStep { step: Some(step) });
+    call_keeper(&state, &path, &headers, body, Duration::ZERO).await?;
+    whole_json(&serde_json::json!({ "closed": path.step()? }))
+}
+
+/// Tells a step's state; a query, but found by the same way.
+pub async fn step_status(state: &HttpState, path: &StepPath, headers: &HeaderMap) -> Answer {
+    let step = path.step_ref(FencingToken::default())?;
+    let body = request::Body::StepStatus(peer::StepStatus { step: Some(step) });
+    let answer = call_keeper(state, path, headers, body, Duration::ZERO).await?;
+    whole_json(&step_state(answer.state)?)
+}
+
+/// What an operator may state along with a pool.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+pub struct ApplyQuery {
+    /// The generation the operator looked at; a later change of the pool is a conflict.
+    if_generation: Option<Generation>,
+    /// Names the change, so that a repeat is harmless.
+    write_id: Option<String>,
+}
+
+/// Adds or replaces a pool.
+pub async fn apply_pool(
+    State(state): State<HttpState>,
+    Path(pool): Path<String>,
+    Query(query): Query<ApplyQuery>,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Answer {
+    require_key(&state.ctx, &headers)?;
+    let spec: PoolSpec = read_json(&body)?;
+    spec.check().map_err(|error| ErrorBody::new(ErrorKind::BadRequest, error.to_string()))?;
+    if spec.name.as_str() != pool {
+        let message = format!("the path names pool {pool} and the body {}: name one", spec.name);
+        return Err(ErrorBody::new(ErrorKind::BadRequest, message).into());
+    }
+    let write_id = query.write_id.unwrap_or_else(|| new_request_id().to_string());
+    let applied =
+        apply::apply_pool(&state.ctx.store, spec, query.if_generation, &write_id).await?;
+    let generation = applied.config.generation;
+    log::info!(target: "config", pool:% = pool, generation:% = generation, write:% = write_id; "change accepted");
+    // The actor is gone only when the box stops; the platform has the change by now.
+    let _stopped = state.documents.tell(OfferConfig(applied.config)).await;
+    whole_json(&AppliedBody { generation })
+}
+
+async fn call_keeper(
+    state: &HttpState,
+    path: &StepPath,
+    headers: &HeaderMap,
+    body: request::Body,
+    wait: Duration,
+) -> Result<StepAnswer, Failure> {
+    let key = path.key()?;
+    let span = http_span(&state.ctx, "http.step", headers);
+    let request = Request {
+        request_id: new_request_id().to_string(),
+        traceparent: span.traceparent().to_owned(),
+        time_left_ms: 0,
+        body: Some(body),
+    };
+    let deadline = state.ctx.clock.now() + wait + STEP_TIME;
+    Ok(state.directory.call(&state.ctx, &key, request, deadline).await?)
+}
+
+fn broken(message: &str) -> Failure {
+    Failure(ErrorBody::new(ErrorKind::Unknown, message))
+}
+
+fn step_state(state: Option<peer::StepState>) -> Result<api::StepState, Failure> {
+    let state = state.ok_or_else(|| broken("the keeper told no state: ask again"))?;
+    let count = |number: u64| usize::try_from(number).unwrap_or(usize::MAX);
+    Ok(api::StepState {
+        token: FencingToken::new(state.token),
+        named: ModelVersion::new(state.named),
+        bound: state.bound,
+        progress: Progress {
+            slots: count(state.slots),
+            held: count(state.held),
+            ready: count(state.ready),
+            running: count(state.running),
+            wanted: count(state.wanted),
+            discarded: state.discarded,
+            cause: WaitCause::from_name(&state.cause),
+        },
+        keeper: state.keeper,
+    })
+}
+
+fn sample(item: SampleItem) -> Result<Sample, Failure> {
+    let spans = item.spans.iter().map(|span| VersionSpan {
+        version: ModelVersion::new(span.version),
+        tokens: TokenCount::new(span.tokens),
+    });
+    Ok(Sample {
+        slot: SlotIndex::new(item.slot),
+        spans: spans.collect(),
+        text: item.text,
+        score: item.score,
+        engine: read_value(&item.engine)?,
+    })
+}
--- /dev/null
+++ b/crates/gannetwayd/src/http/plain.rs
@@ -0,0 +1,243 @@
+//! Plain requests: to one of a service's targets, and again elsewhere only where that is safe.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use api::{DEADLINE_HEADER, DIGEST_HEADER, ErrorBody, ErrorKind, REPEATABLE_HEADER, REQUEST_ID_HEADER};
+use axum::body::Bytes;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, Method, StatusCode, Uri};
+use axum::response::{IntoResponse, Response};
+use coord::retry::{Backoff, RetryBudget};
+use ids::{AnswerDigest, ModelVersion, Moment, RequestId, ServiceName, TargetId};
+use links::CallError;
+use placement::{NotRun, TargetChooser};
+use rand::Rng;
+use tokio::time;
+use wire::peer::{PlainCall, PlainPart, Request, item, request};
+
+use crate::context::{BoxContext, new_request_id};
+use crate::http::HttpState;
+use crate::http::answer::{Failure, http_span, read_value};
+use crate::metrics::{CallLabel, CallLabels};
+use crate::refuse::wire_not_run;
+use crate::route::call_home;
+
+/// Time a caller allows unless it says otherwise.
+const DEFAULT_TIME: Duration = Duration::from_secs(10);
+/// Longest time a caller may allow.
+const MOST_TIME: Duration = Duration::from_mins(10);
+/// Retries earned by each first attempt, in thousandths.
+const RETRY_THOUSANDTHS: u64 = 100;
+/// Retries held for quiet times.
+const RETRY_FLOAT: u64 = 10;
+/// Backoff between attempts.
+const BACKOFF: Backoff = Backoff::new(Duration::from_millis(10), Duration::from_millis(500));
+/// What a caller is told to wait when every target of a service is full or resting.
+const BUSY_RETRY: Duration = Duration::from_millis(500);
+/// Slack beyond the request's own time before a home counts as silent.
+const SILENCE_SLACK: Duration = Duration::from_millis(250);
+
+/// Chooses targets of plain services, by what came of earlier requests.
+#[derive(Debug)]
+pub struct PlainRouter {
+    chooser: Mutex<TargetChooser>,
+    budget: Mutex<RetryBudget>,
+}
+
+impl Default for PlainRouter {
+    fn default() -> Self {
+        Self {
+            chooser: Mutex::default(),
+            budget: Mutex::new(RetryBudget::new(RETRY_THOUSANDTHS, RETRY_FLOAT)),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A plain request as it came in.
+struct PlainRun<'a> {
+    state: &'a HttpState,
+    request_id: RequestId,
+    traceparent: String,
+    repeatable: bool,
+    deadline: Moment,
+    call: PlainCall,
+}
+
+/// Passes a request to a service.
+pub async fn call_service(
+    State(state): State<HttpState>,
+    Path((service, path)): Path<(String, String)>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let started = state.ctx.clock.now();
+    let answered = serve_call(&state, &service, &path, &method, &uri, (&headers, body)).await;
+    let label = match &answered {
+        Ok(_) => CallLabel::Answered,
+        Err(Failure(error)) => match error.kind {
+            ErrorKind::Unknown => CallLabel::Unknown,
+            ErrorKind::NotRun => CallLabel::NotRun,
+            _ => CallLabel::BadRequest,
+        },
+    };
+    let metrics = &state.ctx.metrics;
+    metrics.calls.get_or_create(&CallLabels { end: label }).inc();
+    metrics.call_seconds.observe(state.ctx.clock.now().since(started).as_secs_f64());
+    answered.into_response()
+}
+
+async fn serve_call(
+    state: &HttpState,
+    service: &str,
+    path: &str,
+    method: &Method,
+    uri: &Uri,
+    (headers, body): (&HeaderMap, Bytes),
+) -> Result<Response, Failure> {
+    let service: ServiceName = read_value(service)?;
+    let span = http_span(&state.ctx, "http.call", headers);
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let request_id = match text(REQUEST_ID_HEADER) {
+        Some(id) => read_value(id)?,
+        None => new_request_id(),
+    };
+    let repeatable = match text(REPEATABLE_HEADER) {
+        Some(flag) => read_value(flag)?,
+        // Methods that HTTP calls safe change nothing, so asking again is harmless.
+        None => method.is_safe(),
+    };
+    let time = match text(DEADLINE_HEADER) {
+        Some(ms) => Duration::from_millis(read_value(ms)?).min(MOST_TIME),
+        None => DEFAULT_TIME,
+    };
+    let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    let run = PlainRun {
+        state,
+        request_id: request_id.clone(),
+        traceparent: span.traceparent().to_owned(),
+        repeatable,
+        deadline: state.ctx.clock.now() + time,
+        call: PlainCall {
+            target: String::new(),
+            method: method.to_string(),
+            path: format!("/{path}{query}"),
+            body,
+            repeatable,
+            passed_on: false,
+        },
+    };
+    let part = run.to_its_end(&service).await?;
+    answer(&part, &request_id)
+}
+
+fn answer(part: &PlainPart, request_id: &RequestId) -> Result<Response, Failure> {
+    let status = u16::try_from(part.status).ok().and_then(|code| StatusCode::from_u16(code).ok());
+    let status = status.ok_or_else(|| {
+        Failure(ErrorBody::new(ErrorKind::Unknown, "the service answered with no HTTP status"))
+    })?;
+    let headers = [
+        ("content-type", part.content_type.clone()),
+        (DIGEST_HEADER, AnswerDigest::of(&part.body).to_string()),
+        (REQUEST_ID_HEADER, request_id.to_string()),
+    ];
+    Ok((status, headers, part.body.clone()).into_response())
+}
+
+impl PlainRun<'_> {
+    /// Tries targets until one answers, the work may have run, or nothing more is allowed.
+    async fn to_its_end(&self, service: &ServiceName) -> Result<PlainPart, Failure> {
+        lock(&self.state.plain.budget).attempt();
+        let mut retry = 0;
+        loop {
+            let target = self.choose(service)?;
+            let tried = self.try_one(&target).await;
+            let error = match tried {
+                Ok(part) => return Ok(part),
+                Err(error) => error,
+            };
+            let safe = self.repeatable || error.surely_not_run();
+            let pause = BACKOFF.delay(retry, rand::rng().random());
+            let in_time = self.ctx().clock.now() + pause < self.deadline;
+            if !safe || !in_time || !lock(&self.state.plain.budget).try_retry() {
+                return Err(error.into());
+            }
+            self.ctx().metrics.retries.inc();
+            retry += 1;
+            time::sleep(pause).await;
+        }
+    }
+
+    fn ctx(&self) -> &BoxContext {
+        &self.state.ctx
+    }
+
+    fn choose(&self, service: &ServiceName) -> Result<TargetId, Failure> {
+        let documents = self.ctx().documents.borrow().clone();
+        let targets: Vec<TargetId> =
+            documents.targets.of_service(service).map(|record| record.id.clone()).collect();
+        if targets.is_empty() {
+            let error = wire_not_run(NotRun::Unknown, BUSY_RETRY);
+            return Err(CallError::Refused(Box::new(error)).into());
+        }
+        let now = self.ctx().clock.now();
+        let mut chooser = lock(&self.state.plain.chooser);
+        let chosen = chooser
+            .choose(now, &targets, ModelVersion::default(), &mut rand::rng())
+            .map(|candidate| candidate.id.clone());
+        let Some(id) = chosen else {
+            let error = wire_not_run(NotRun::Overloaded, BUSY_RETRY);
+            return Err(CallError::Refused(Box::new(error)).into());
+        };
+        chooser.placed(&id);
+        Ok(id)
+    }
+
+    async fn try_one(&self, target: &TargetId) -> Result<PlainPart, CallError> {
+        let placed = PlacedCall { router: &self.state.plain, target };
+        let left = self.deadline.since(self.ctx().clock.now());
+        let request = Request {
+            request_id: self.request_id.to_string(),
+            traceparent: self.traceparent.clone(),
+            time_left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            body: Some(request::Body::PlainCall(PlainCall {
+                target: target.to_string(),
+                ..self.call.clone()
+            })),
+        };
+        let called = call_home(self.ctx(), target, request).await;
+        let answer = match called {
+            Ok(stream) => stream.single(left + SILENCE_SLACK).await,
+            Err(error) => Err(error),
+        };
+        match answer.map(|item| item.body) {
+            Ok(Some(item::Body::PlainPart(part))) => {
+                lock(&placed.router.chooser).succeeded(target);
+                Ok(part)
+            }
+            Ok(_) => Err(CallError::Broken { why: "an answer that is no plain answer" }),
+            Err(error) => {
+                lock(&placed.router.chooser).failed(self.ctx().clock.now(), target);
+                Err(error)
+            }
+        }
+    }
+}
+
+/// A request placed at a target; taken off its count when dropped.
+struct PlacedCall<'a> {
+    router: &'a PlainRouter,
+    target: &'a TargetId,
+}
+
+impl Drop for PlacedCall<'_> {
+    fn drop(&mut self) {
+        lock(&self.router.chooser).ended(self.target);
+    }
+}
--- /dev/null
+++ b/crates/gannetwayd/src/http/queries.rs
@@ -0,0 +1,150 @@
+//! Requests that only look.
+
+use std::sync::Arc;
+
+use api::{BoxStatus, ErrorBody, ErrorKind, KeptStatus, PeerStatus, PoolsBody};
+use axum::Json;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use coord::members::Liveness;
+use ids::PoolName;
+
+use crate::context::BoxContext;
+use crate::home::QueryHome;
+use crate::http::HttpState;
+use crate::http::answer::{Failure, read_value, require_key, whole_json};
+use crate::http::commands::{StepPath, step_status};
+use crate::keeper::QueryKeeper;
+
+/// The process answers.
+pub async fn health() -> &'static str {
+    "ok"
+}
+
+/// Whether the balancer may send requests, and what is missing if not.
+pub async fn ready(State(state): State<HttpState>) -> Response {
+    let waits_for = waits_for(&state.ctx);
+    let status =
+        if waits_for.is_empty() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let body = serde_json::json!({ "ready": waits_for.is_empty(), "waits_for": waits_for });
+    (status, Json(body)).into_response()
+}
+
+/// The metrics.
+pub async fn metrics(State(state): State<HttpState>) -> Response {
+    let media = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    ([("content-type", media)], state.ctx.metrics.encode()).into_response()
+}
+
+/// A step's state.
+pub async fn step(
+    State(state): State<HttpState>,
+    Path(path): Path<StepPath>,
+    headers: HeaderMap,
+) -> Result<Response, Failure> {
+    step_status(&state, &path, &headers).await
+}
+
+/// All pools in force here.
+pub async fn pools(
+    State(state): State<HttpState>,
+    headers: HeaderMap,
+) -> Result<Response, Failure> {
+    require_key(&state.ctx, &headers)?;
+    let config = Arc::clone(&state.ctx.documents.borrow().config);
+    let pools = config.pools.values().cloned().collect();
+    whole_json(&PoolsBody { generation: config.generation, pools })
+}
+
+/// One pool in force here.
+pub async fn pool(
+    State(state): State<HttpState>,
+    Path(pool): Path<String>,
+    headers: HeaderMap,
+) -> Result<Response, Failure> {
+    require_key(&state.ctx, &headers)?;
+    let name: PoolName = read_value(&pool)?;
+    let config = Arc::clone(&state.ctx.documents.borrow().config);
+    let Some(entry) = config.pools.get(&name) else {
+        let message = format!("no pool {name} in generation {}: apply it first", config.generation);
+        return Err(ErrorBody::new(ErrorKind::NotOpen, message).into());
+    };
+    whole_json(&PoolsBody { generation: config.generation, pools: vec![entry.clone()] })
+}
+
+/// The box as it sees itself.
+pub async fn status(
+    State(state): State<HttpState>,
+    headers: HeaderMap,
+) -> Result<Response, Failure> {
+    require_key(&state.ctx, &headers)?;
+    let ctx = &state.ctx;
+    let generation = ctx.documents.borrow().config.generation;
+    whole_json(&BoxStatus {
+        id: ctx.me.id.clone(),
+        domain: ctx.me.domain.clone(),
+        incarnation: ctx.me.incarnation,
+        generation,
+        waits_for: waits_for(ctx),
+        peers: peers(ctx),
+        kept: kept(ctx).await,
+        homes: homes(ctx).await,
+        rollouts: ctx.rollouts.all(),
+    })
+}
+
+fn waits_for(ctx: &BoxContext) -> Vec<String> {
+    let mut waits = Vec::new();
+    if !ctx.documents.borrow().ready {
+        waits.push("configuration and target list, from the platform or a peer".to_owned());
+    }
+    if ctx.is_leaving() {
+        waits.push("nothing: the box is stopping".to_owned());
+    }
+    waits
+}
+
+fn peers(ctx: &BoxContext) -> Vec<PeerStatus> {
+    let now = ctx.clock.now();
+    let members = ctx.members.borrow();
+    let all = members.all(now).into_iter().map(|(record, liveness)| PeerStatus {
+        id: record.id.clone(),
+        domain: record.domain.clone(),
+        liveness: liveness_name(liveness).to_owned(),
+    });
+    all.collect()
+}
+
+const fn liveness_name(liveness: Liveness) -> &'static str {
+    match liveness {
+        Liveness::Live => "live",
+        Liveness::Suspect => "suspect",
+        Liveness::Leaving => "leaving",
+        Liveness::Dead => "dead",
+    }
+}
+
+async fn kept(ctx: &BoxContext) -> Vec<KeptStatus> {
+    let mut kept = Vec::new();
+    for (key, handle) in ctx.keepers.all() {
+        let Ok(view) = handle.actor.ask(QueryKeeper).await else { continue };
+        kept.push(KeptStatus {
+            pool: key.pool,
+            trainer: key.trainer.to_string(),
+            token: view.acting.unwrap_or_default(),
+            steps: view.steps.iter().map(|step| step.get()).collect(),
+        });
+    }
+    kept
+}
+
+async fn homes(ctx: &BoxContext) -> Vec<api::HomeStatus> {
+    let mut homes = Vec::new();
+    for handle in ctx.homes.all() {
+        if let Ok(view) = handle.actor.ask(QueryHome).await {
+            homes.push(view.status);
+        }
+    }
+    homes
+}
--- /dev/null
+++ b/crates/gannetwayd/src/keeper/actor.rs
@@ -0,0 +1,451 @@
+//! The actor that runs a [`StepKeeper`] and does its I/O.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use coord::lease::{LeaseAction, LeaseRecord, LeaseSighting, ReadOutcome, WriteOutcome};
+use ids::{FencingToken, ModelVersion, Moment, ObjectVersion, StepNumber};
+use kameo::prelude::*;
+use keeping::{
+    AttemptEnd, KeeperAction, KeeperRefusal, KeeperSettings, KeptState, Placement, StepKeeper,
+};
+use ledger::{Freshness, HandOut, Pull, Settled, SlotSet, StepSnapshot, StepSpec};
+use objects::{ObjectStore, StoreError, StoredObject};
+use placement::TargetHint;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::context::BoxContext;
+use crate::keeper::attempt::run_attempt;
+use crate::keeper::{KeeperHandle, KeeperKey};
+use crate::metrics::{AttemptLabel, AttemptLabels};
+
+/// Owns one trainer's steps.
+#[derive(Debug, Actor)]
+pub struct KeeperActor {
+    ctx: BoxContext,
+    key: KeeperKey,
+    keeper: StepKeeper<ChaCha8Rng>,
+    floors: HashMap<StepNumber, watch::Sender<Freshness>>,
+    changes: watch::Sender<u64>,
+    wake: watch::Sender<Moment>,
+    acting: Option<FencingToken>,
+}
+
+/// Opens a step.
+#[derive(Debug)]
+pub struct OpenStep {
+    /// The step.
+    pub spec: StepSpec,
+    /// Slots the trainer holds.
+    pub held: SlotSet,
+    /// Highest token the trainer has seen.
+    pub seen: FencingToken,
+}
+
+/// Pulls samples.
+#[derive(Debug)]
+pub struct PullStep {
+    /// The step.
+    pub step: StepNumber,
+    /// The pull.
+    pub pull: Pull,
+}
+
+/// The answer to a pull.
+#[derive(Debug)]
+pub struct Pulled {
+    /// The samples.
+    pub out: HandOut,
+    /// The step's state.
+    pub state: KeptState,
+    /// Whether the pull should be answered now rather than wait for news.
+    pub answer_now: bool,
+}
+
+/// Names a newer version.
+#[derive(Debug)]
+pub struct AdvanceStep {
+    /// The step.
+    pub step: StepNumber,
+    /// The version now named.
+    pub version: ModelVersion,
+    /// Highest token the trainer has seen.
+    pub seen: FencingToken,
+}
+
+/// Closes a step.
+#[derive(Debug)]
+pub struct CloseStep {
+    /// The step.
+    pub step: StepNumber,
+    /// Highest token the trainer has seen.
+    pub seen: FencingToken,
+}
+
+/// Asks for a step's state.
+#[derive(Debug)]
+pub struct StepStateQuery(pub StepNumber);
+
+/// Takes a predecessor's steps.
+#[derive(Debug)]
+pub struct AdoptSteps {
+    /// The steps.
+    pub snapshots: Vec<StepSnapshot>,
+    /// The predecessor's token.
+    pub token: FencingToken,
+}
+
+/// Gives the steps up for a successor.
+#[derive(Debug)]
+pub struct HandOverSteps {
+    /// Gives up even with attempts under way.
+    pub force: bool,
+}
+
+/// The answer to [`HandOverSteps`].
+#[derive(Debug, Reply)]
+pub enum GivenUp {
+    /// Attempts are under way: ask again, or force it.
+    Busy,
+    /// There was nothing to give.
+    Nothing,
+    /// For the successor.
+    Steps(AdoptSteps),
+}
+
+/// Asks what the keeper is doing.
+#[derive(Debug)]
+pub struct QueryKeeper;
+
+/// The answer to [`QueryKeeper`].
+#[derive(Debug, Reply)]
+pub struct KeeperView {
+    /// The token it acts under.
+    pub acting: Option<FencingToken>,
+    /// Open steps.
+    pub steps: Vec<StepNumber>,
+}
+
+#[derive(Debug)]
+struct AttemptDone {
+    placement: Placement,
+    end: AttemptEnd,
+    hint: Option<TargetHint>,
+}
+
+#[derive(Debug)]
+struct LeaseReadDone(ReadOutcome);
+
+#[derive(Debug)]
+struct LeaseWriteDone(WriteOutcome);
+
+#[derive(Debug)]
+struct KeeperTick;
+
+impl KeeperActor {
+    /// Starts a keeper on the control thread.
+    pub fn start(ctx: &BoxContext, key: KeeperKey) -> KeeperHandle {
+        let _on_control = ctx.control.enter();
+        let now = ctx.clock.now();
+        let settings = KeeperSettings {
+            me: ctx.me.id.clone(),
+            incarnation: ctx.me.incarnation,
+            address: ctx.me.address.clone(),
+            term: ctx.settings.lease_term,
+            pool: key.pool.clone(),
+            trainer: key.trainer.clone(),
+        };
+        let keeper = StepKeeper::new(now, settings, ChaCha8Rng::from_os_rng());
+        let (changes, changes_out) = watch::channel(0);
+        let (wake, wake_out) = watch::channel(now);
+        log::info!(target: "keeper", trainer:% = key; "claiming");
+        let mut actor = Self {
+            ctx: Arc::clone(ctx),
+            key,
+            keeper,
+            floors: HashMap::new(),
+            changes,
+            wake,
+            acting: None,
+        };
+        actor.follow_pool();
+        let actor = Self::spawn(actor);
+        tokio::spawn(tick(Arc::clone(ctx), actor.clone(), wake_out));
+        KeeperHandle { actor, changes: changes_out }
+    }
+
+    fn follow_pool(&mut self) {
+        let config = Arc::clone(&self.ctx.documents.borrow().config);
+        self.keeper.pool_changed(config.pool(&self.key.pool).cloned());
+    }
+
+    /// Carries out what the keeper wants done now, and tells those who wait.
+    fn drive(&mut self, me: &ActorRef<Self>) {
+        let now = self.ctx.clock.now();
+        for action in self.keeper.poll(now) {
+            match action {
+                KeeperAction::Lease(action) => self.do_lease(action, me),
+                KeeperAction::Start(placement) => self.start_attempt(placement, me),
+            }
+        }
+        self.tell_floors();
+        self.note_acting();
+        self.changes.send_modify(|count| *count += 1);
+        self.wake.send_replace(self.keeper.next_at(now));
+    }
+
+    fn note_acting(&mut self) {
+        let acting = self.keeper.acting();
+        if acting == self.acting {
+            return;
+        }
+        self.acting = acting;
+        self.ctx.metrics.lease_changes.inc();
+        match acting {
+            Some(token) => log::info!(target: "keeper", trainer:% = self.key, token:% = token; "keeping"),
+            None => log::info!(target: "keeper", trainer:% = self.key; "stepped down"),
+        }
+    }
+
+    /// Lets running attempts see that they have become too old.
+    fn tell_floors(&mut self) {
+        self.floors.retain(|step, floor| match self.keeper.freshness(*step) {
+            Some(freshness) => {
+                floor.send_if_modified(|known| {
+                    let changed = *known != freshness;
+                    *known = freshness;
+                    changed
+                });
+                true
+            }
+            None => false,
+        });
+    }
+
+    fn do_lease(&self, action: LeaseAction, me: &ActorRef<Self>) {
+        let (ctx, key, me) = (Arc::clone(&self.ctx), self.key.lease(), me.clone());
+        self.ctx.control.spawn(async move {
+            // The actor is gone only when the box stops.
+            let _stopped = match action {
+                LeaseAction::Read => {
+                    let read = ctx.store.read(&key).await;
+                    me.tell(LeaseReadDone(read_outcome(read))).await.ok()
+                }
+                LeaseAction::Write { expect, record } => {
+                    let value = serde_json::to_value(record).unwrap_or_default();
+                    let written = ctx.store.write(&key, expect, value).await;
+                    me.tell(LeaseWriteDone(write_outcome(&written))).await.ok()
+                }
+            };
+        });
+    }
+
+    fn start_attempt(&mut self, placement: Placement, me: &ActorRef<Self>) {
+        let Some(freshness) = self.keeper.freshness(placement.step) else { return };
+        let floor = self
+            .floors
+            .entry(placement.step)
+            .or_insert_with(|| watch::Sender::new(freshness))
+            .subscribe();
+        let (ctx, key, me) = (Arc::clone(&self.ctx), self.key.clone(), me.clone());
+        self.ctx.traffic.spawn(async move {
+            let (end, hint) = run_attempt(&ctx, &key, &placement, floor).await;
+            // The actor is gone only when the box stops.
+            let _stopped = me.tell(AttemptDone { placement, end, hint }).await;
+        });
+    }
+}
+
+/// A lease as read; a value that is no lease counts as no answer, so nothing is overwritten.
+pub fn read_outcome(read: Result<Option<StoredObject>, StoreError>) -> ReadOutcome {
+    let object = match read {
+        Ok(Some(object)) => object,
+        Ok(None) => return ReadOutcome::Absent,
+        Err(_) => return ReadOutcome::NoAnswer,
+    };
+    match serde_json::from_value::<LeaseRecord>(object.value) {
+        Ok(record) => ReadOutcome::Found(LeaseSighting { version: object.version, record }),
+        Err(error) => {
+            log::error!(target: "keeper", name:% = object.name, error:% = error; "lease cannot be read");
+            ReadOutcome::NoAnswer
+        }
+    }
+}
+
+/// How a conditional write ended, for the lease.
+pub fn write_outcome(written: &Result<ObjectVersion, StoreError>) -> WriteOutcome {
+    match written {
+        Ok(version) => WriteOutcome::Applied(*version),
+        Err(StoreError::Conflict { .. }) => WriteOutcome::Conflict,
+        Err(StoreError::Unavailable) => WriteOutcome::NotApplied,
+        Err(StoreError::Unknown | StoreError::BadValue { .. }) => WriteOutcome::Unknown,
+    }
+}
+
+impl Message<OpenStep> for KeeperActor {
+    type Reply = Result<KeptState, KeeperRefusal>;
+
+    async fn handle(&mut self, msg: OpenStep, ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.ctx.clock.now();
+        let opened = self.keeper.open(now, msg.spec, &msg.held, msg.seen);
+        self.drive(&ctx.actor_ref());
+        opened
+    }
+}
+
+impl Message<PullStep> for KeeperActor {
+    type Reply = Result<Pulled, KeeperRefusal>;
+
+    async fn handle(&mut self, msg: PullStep, ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.ctx.clock.now();
+        let pulled = self.keeper.pull(now, msg.step, &msg.pull);
+        if pulled.is_err() {
+            self.drive(&ctx.actor_ref());
+        }
+        let (out, state) = pulled?;
+        let complete = state.progress.held == state.progress.slots;
+        let answer_now = complete || !out.samples.is_empty();
+        self.ctx.metrics.handed_out.inc_by(out.samples.len() as u64);
+        Ok(Pulled { out, state, answer_now })
+    }
+}
+
+impl Message<AdvanceStep> for KeeperActor {
+    type Reply = Result<KeptState, KeeperRefusal>;
+
+    async fn handle(&mut self, msg: AdvanceStep, ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.ctx.clock.now();
+        let advanced = self.keeper.advance(now, msg.step, msg.version, msg.seen);
+        self.drive(&ctx.actor_ref());
+        advanced
+    }
+}
+
+impl Message<CloseStep> for KeeperActor {
+    type Reply = Result<(), KeeperRefusal>;
+
+    async fn handle(&mut self, msg: CloseStep, ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let closed = self.keeper.close(self.ctx.clock.now(), msg.step, msg.seen);
+        self.drive(&ctx.actor_ref());
+        closed
+    }
+}
+
+impl Message<StepStateQuery> for KeeperActor {
+    type Reply = Result<KeptState, KeeperRefusal>;
+
+    async fn handle(&mut self, msg: StepStateQuery, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.keeper.state(msg.0)
+    }
+}
+
+impl Message<AdoptSteps> for KeeperActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: AdoptSteps, ctx: &mut Context<Self, ()>) {
+        self.keeper.adopt(self.ctx.clock.now(), msg.snapshots, msg.token);
+        self.drive(&ctx.actor_ref());
+    }
+}
+
+impl Message<HandOverSteps> for KeeperActor {
+    type Reply = GivenUp;
+
+    async fn handle(&mut self, msg: HandOverSteps, ctx: &mut Context<Self, GivenUp>) -> GivenUp {
+        self.keeper.prepare_hand_over();
+        let Some(token) = self.keeper.acting() else { return GivenUp::Nothing };
+        if self.keeper.in_flight() > 0 && !msg.force {
+            return GivenUp::Busy;
+        }
+        let (snapshots, release) = self.keeper.hand_over(self.ctx.clock.now());
+        if let Some(action) = release {
+            self.do_lease(action, &ctx.actor_ref());
+        }
+        self.drive(&ctx.actor_ref());
+        GivenUp::Steps(AdoptSteps { snapshots, token })
+    }
+}
+
+impl Message<QueryKeeper> for KeeperActor {
+    type Reply = KeeperView;
+
+    async fn handle(&mut self, _: QueryKeeper, _: &mut Context<Self, KeeperView>) -> KeeperView {
+        KeeperView { acting: self.keeper.acting(), steps: self.keeper.open_steps().collect() }
+    }
+}
+
+impl Message<AttemptDone> for KeeperActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: AttemptDone, ctx: &mut Context<Self, ()>) {
+        let now = self.ctx.clock.now();
+        let label = match &msg.end {
+            AttemptEnd::Made(_) => AttemptLabel::Made,
+            AttemptEnd::NotRun { .. } => AttemptLabel::NotRun,
+            AttemptEnd::Unusable => AttemptLabel::Unusable,
+            AttemptEnd::TooOld => AttemptLabel::TooOld,
+        };
+        let settled = self.keeper.attempt_ended(now, &msg.placement, msg.end, msg.hint);
+        let label = match settled {
+            Some(Settled::Superseded) => AttemptLabel::Superseded,
+            Some(Settled::TooOld) => AttemptLabel::TooOld,
+            Some(Settled::Kept) | None => label,
+        };
+        self.ctx.metrics.attempts.get_or_create(&AttemptLabels { end: label }).inc();
+        self.drive(&ctx.actor_ref());
+    }
+}
+
+impl Message<LeaseReadDone> for KeeperActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: LeaseReadDone, ctx: &mut Context<Self, ()>) {
+        self.keeper.lease_read(self.ctx.clock.now(), msg.0);
+        self.drive(&ctx.actor_ref());
+    }
+}
+
+impl Message<LeaseWriteDone> for KeeperActor {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: LeaseWriteDone, ctx: &mut Context<Self, ()>) {
+        self.keeper.lease_written(self.ctx.clock.now(), msg.0);
+        self.drive(&ctx.actor_ref());
+    }
+}
+
+impl Message<KeeperTick> for KeeperActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: KeeperTick, ctx: &mut Context<Self, ()>) {
+        self.follow_pool();
+        self.drive(&ctx.actor_ref());
+    }
+}
+
+/// Wakes the keeper when it asked for it and when the documents change.
+async fn tick(ctx: BoxContext, actor: ActorRef<KeeperActor>, mut wake: watch::Receiver<Moment>) {
+    let mut documents = ctx.documents.clone();
+    loop {
+        let at = ctx.clock.instant(*wake.borrow_and_update());
+        tokio::select! {
+            () = ctx.stop.cancelled() => return,
+            () = time::sleep_until(at) => {}
+            changed = wake.changed() => match changed {
+                Ok(()) => continue,
+                Err(_closed) => return,
+            },
+            changed = documents.changed() => if changed.is_err() { return },
+        }
+        if actor.tell(KeeperTick).await.is_err() {
+            return;
+        }
+        // The actor sets the next wake in its answer to the tick; wait for that.
+        if wake.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gannetwayd/src/keeper/attempt.rs
@@ -0,0 +1,214 @@
+//! One attempt at a sample: sent to the target's home, gathered, checked, judged.
+
+use std::time::Duration;
+
+use ids::{AnswerDigest, Incarnation, ModelVersion, TargetId, TokenCount};
+use keeping::{AttemptEnd, Placement};
+use ledger::{ChunkStamp, Freshness, Sample, StampTrail};
+use links::{AnswerStream, CallError};
+use opentelemetry::trace::SpanKind;
+use placement::{NotRun, TargetHint};
+use tokio::sync::watch;
+use tokio::time;
+use wire::peer::{Chunk, Generate, Request, Score, TargetLoad, item, request};
+
+use crate::context::{BoxContext, new_request_id};
+use crate::keeper::KeeperKey;
+use crate::refuse::not_run_of;
+use crate::route::call_home;
+use crate::trace::HopSpan;
+
+/// How long an attempt may wait at its target's home before it is placed elsewhere.
+const QUEUE_WAIT: Duration = Duration::from_secs(5);
+/// Longest silence before the home has admitted the attempt.
+const FIRST_SILENCE: Duration = Duration::from_secs(7);
+/// Longest silence within the stream; longer than the home's own patience with the engine.
+const STREAM_SILENCE: Duration = Duration::from_secs(6);
+/// Time for one scorer to answer.
+const SCORE_TIME: Duration = Duration::from_secs(5);
+/// Rounds over all scorers before a sample is given up.
+const SCORE_ROUNDS: u32 = 20;
+/// Pause between rounds over the scorers.
+const SCORE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Runs an attempt to its end.
+pub async fn run_attempt(
+    ctx: &BoxContext,
+    key: &KeeperKey,
+    placement: &Placement,
+    floor: watch::Receiver<Freshness>,
+) -> (AttemptEnd, Option<TargetHint>) {
+    let span = ctx.tracer.hop("attempt", SpanKind::Client, "");
+    span.note("slot", i64::from(placement.assignment.slot.get()));
+    span.note("target", placement.target.to_string());
+    let mut run = AttemptRun { ctx, key, placement, floor, hint: None, span };
+    let end = match run.generate().await {
+        Ok((spans, text)) => run.judge(spans, text).await,
+        Err(end) => end,
+    };
+    (end, run.hint)
+}
+
+struct AttemptRun<'a> {
+    ctx: &'a BoxContext,
+    key: &'a KeeperKey,
+    placement: &'a Placement,
+    floor: watch::Receiver<Freshness>,
+    hint: Option<TargetHint>,
+    span: HopSpan,
+}
+
+type Generated = (Vec<ledger::VersionSpan>, String);
+
+impl AttemptRun<'_> {
+    async fn generate(&mut self) -> Result<Generated, AttemptEnd> {
+        let assignment = &self.placement.assignment;
+        let body = request::Body::Generate(Generate {
+            target: self.placement.target.to_string(),
+            trainer: self.key.trainer.to_string(),
+            prompt: assignment.prompt.to_string(),
+            max_tokens: assignment.max_tokens.get(),
+            seed: self.seed(),
+            floor: assignment.floor.get(),
+            passed_on: false,
+        });
+        let request = self.request(body, QUEUE_WAIT);
+        let called = call_home(self.ctx, &self.placement.target, request).await;
+        let mut stream = called.map_err(|error| self.failed(&error))?;
+        self.gather(&mut stream).await
+    }
+
+    async fn gather(&mut self, stream: &mut AnswerStream) -> Result<Generated, AttemptEnd> {
+        let mut trail = StampTrail::default();
+        let mut silence = FIRST_SILENCE;
+        while let Some(item) = stream.next(silence).await.map_err(|error| self.failed(&error))? {
+            silence = STREAM_SILENCE;
+            match item.body {
+                Some(item::Body::Load(load)) => self.hint = Some(hint_of(&load)),
+                Some(item::Body::Chunk(chunk)) => {
+                    let taken = trail.chunk(stamp_of(&chunk), &chunk.text);
+                    taken.map_err(|error| self.unusable(&error))?;
+                    let floor = self.floor.borrow().floor;
+                    if trail.oldest().is_some_and(|oldest| oldest < floor) {
+                        return Err(AttemptEnd::TooOld);
+                    }
+                }
+                _ => return Err(AttemptEnd::Unusable),
+            }
+        }
+        let Some(end) = stream.end() else { return Err(AttemptEnd::Unusable) };
+        let finished =
+            trail.finish(TokenCount::new(end.tokens), AnswerDigest::new(end.text_digest));
+        finished.map_err(|error| self.unusable(&error))
+    }
+
+    async fn judge(&self, spans: Vec<ledger::VersionSpan>, text: String) -> AttemptEnd {
+        let scorers = {
+            let documents = self.ctx.documents.borrow();
+            documents.config.pool(&self.key.pool).map(|pool| pool.scorers.clone())
+        };
+        let scorers = scorers.unwrap_or_default();
+        let score = if scorers.is_empty() { None } else { self.score(&scorers, &text).await };
+        if score.is_none() && !scorers.is_empty() {
+            log::warn!(target: "keeper", trainer:% = self.key; "no scorer answered, sample made again");
+            return AttemptEnd::Unusable;
+        }
+        self.ctx.metrics.tokens.inc_by(spans.iter().map(|span| u64::from(span.tokens.get())).sum());
+        AttemptEnd::Made(Sample {
+            slot: self.placement.assignment.slot,
+            spans,
+            text,
+            score,
+            engine: self.placement.target.clone(),
+        })
+    }
+
+    /// Asks the scorers in turn; judging twice is harmless.
+    async fn score(&self, scorers: &[TargetId], text: &str) -> Option<f64> {
+        for _ in 0..SCORE_ROUNDS {
+            for scorer in scorers {
+                match self.score_once(scorer, text).await {
+                    Ok(score) => return Some(score),
+                    Err(error) => {
+                        log::debug!(target: "keeper", scorer:% = scorer, error:% = error; "no score");
+                    }
+                }
+            }
+            time::sleep(SCORE_PAUSE).await;
+        }
+        None
+    }
+
+    async fn score_once(&self, scorer: &TargetId, text: &str) -> Result<f64, CallError> {
+        let body = request::Body::Score(Score {
+            target: scorer.to_string(),
+            prompt: self.placement.assignment.prompt.to_string(),
+            text: text.to_owned(),
+            passed_on: false,
+        });
+        let stream = call_home(self.ctx, scorer, self.request(body, SCORE_TIME)).await?;
+        match stream.single(SCORE_TIME).await?.body {
+            Some(item::Body::Scored(answer)) => Ok(answer.score),
+            _ => Err(CallError::Broken { why: "an answer that is no score" }),
+        }
+    }
+
+    fn request(&self, body: request::Body, time_left: Duration) -> Request {
+        Request {
+            request_id: new_request_id().to_string(),
+            traceparent: self.span.traceparent().to_owned(),
+            time_left_ms: u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX),
+            body: Some(body),
+        }
+    }
+
+    /// The same for the same try, another for each further try.
+    fn seed(&self) -> u64 {
+        let assignment = &self.placement.assignment;
+        let name = format!(
+            "{}/{}/{}/{}",
+            self.key, self.placement.step, assignment.slot, assignment.attempt
+        );
+        AnswerDigest::of(name.as_bytes()).get()
+    }
+
+    fn unusable(&self, error: &ledger::TrailError) -> AttemptEnd {
+        log::warn!(target: "keeper", trainer:% = self.key, at:% = self.placement.target, error:% = error; "sample unusable");
+        AttemptEnd::Unusable
+    }
+
+    fn failed(&mut self, error: &CallError) -> AttemptEnd {
+        log::debug!(target: "keeper", trainer:% = self.key, at:% = self.placement.target, error:% = error; "attempt failed");
+        match error {
+            CallError::NotSent { .. } => {
+                AttemptEnd::NotRun { reason: NotRun::Unreachable, retry_after: Duration::ZERO }
+            }
+            CallError::Broken { .. } => AttemptEnd::Unusable,
+            CallError::Refused(refused) => {
+                self.hint = refused.load.as_ref().map(hint_of).or(self.hint);
+                match not_run_of(refused) {
+                    Some((reason, retry_after)) => AttemptEnd::NotRun { reason, retry_after },
+                    None => AttemptEnd::Unusable,
+                }
+            }
+        }
+    }
+}
+
+fn hint_of(load: &TargetLoad) -> TargetHint {
+    TargetHint {
+        running: load.running,
+        waiting: load.waiting,
+        limit: load.limit,
+        version: load.version.map(ModelVersion::new),
+    }
+}
+
+fn stamp_of(chunk: &Chunk) -> ChunkStamp {
+    ChunkStamp {
+        index: chunk.index,
+        tokens: TokenCount::new(chunk.tokens),
+        version: chunk.version.map(ModelVersion::new),
+        incarnation: Incarnation::new(chunk.incarnation),
+    }
+}
--- a/crates/ids/src/digest.rs
+++ b/crates/ids/src/digest.rs
@@ -40,9 +40,7 @@
     type Err = NumberError;
 
     fn from_str(text: &str) -> Result<Self, NumberError> {
-        u64::from_str_radix(text, 16)
-            .map(Self)
-            .map_err(|_parse| NumberError::digest(text))
+        u64::from_str_radix(text, 16).map(Self).map_err(|_parse| NumberError::digest(text))
     }
 }
 
@@ -78,8 +76,6 @@
 
 impl fmt::Debug for DigestWriter {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("DigestWriter")
-            .field("len", &self.len)
-            .finish_non_exhaustive()
+        f.debug_struct("DigestWriter").field("len", &self.len).finish_non_exhaustive()
     }
 }
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -15,4 +15,4 @@
     FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion, SlotIndex,
     StepNumber, TokenCount,
 };
-pub use text::{BoxId, DomainId, IdError, PoolName, RequestId, TargetId, TrainerId};
+pub use text::{BoxId, DomainId, IdError, PoolName, RequestId, ServiceName, TargetId, TrainerId};
--- a/crates/ids/src/moment.rs
+++ b/crates/ids/src/moment.rs
@@ -12,6 +12,9 @@
     /// The start of the process.
     pub const START: Self = Self(0);
 
+    /// Later than any other moment.
+    pub const NEVER: Self = Self(u64::MAX);
+
     /// A moment this long after the start.
     pub fn after_start(elapsed: Duration) -> Self {
         Self(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
@@ -32,10 +35,7 @@
     type Output = Self;
 
     fn add(self, rhs: Duration) -> Self {
-        Self(
-            self.0
-                .saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)),
-        )
+        Self(self.0.saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
@@ -43,10 +43,7 @@
     type Output = Self;
 
     fn sub(self, rhs: Duration) -> Self {
-        Self(
-            self.0
-                .saturating_sub(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)),
-        )
+        Self(self.0.saturating_sub(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -15,10 +15,7 @@
 
 impl NumberError {
     pub(crate) fn digest(text: &str) -> Self {
-        Self {
-            kind: "digest in hexadecimal",
-            text: text.chars().take(32).collect(),
-        }
+        Self { kind: "digest in hexadecimal", text: text.chars().take(32).collect() }
     }
 }
 
--- a/crates/ids/src/text.rs
+++ b/crates/ids/src/text.rs
@@ -88,6 +88,10 @@
     /// One target: a model engine, a plain service or a scorer.
     TargetId, "target id"
 }
+text_id! {
+    /// One plain service or scorer: a name for targets that answer alike.
+    ServiceName, "service name"
+}
 text_id! {
     /// One rollout pool.
     PoolName, "pool name"
--- /dev/null
+++ b/crates/keeping/src/keeper.rs
@@ -0,0 +1,462 @@
+//! The keeper's state machine.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coord::lease::{LeaseAction, LeaseClaim, ReadOutcome, WriteOutcome};
+use ids::{
+    BoxId, FencingToken, Incarnation, ModelVersion, Moment, PoolName, StepNumber, TargetId,
+    TrainerId,
+};
+use ledger::{
+    Freshness, HandOut, LedgerError, Pull, Settled, SlotSet, StepLedger, StepSnapshot, StepSpec,
+};
+use placement::{NotRun, TargetChooser};
+use pools::PoolSpec;
+use rand::Rng;
+
+use crate::messages::EndHint;
+use crate::{AttemptEnd, KeeperAction, KeeperRefusal, KeptState, Placement};
+
+/// Most steps open at once for one trainer: the one it trains on, the next, and one to spare.
+const MOST_STEPS: usize = 3;
+/// Terms without any answer of the platform after which a keeper starts without a lease.
+const DETACH_TERMS: u32 = 2;
+/// Terms of vain asking after which a keeper takes a lease that its holder still renews, for
+/// that holder is cut off from the trainer.
+const FORCE_TERMS: u32 = 3;
+/// Pause before targets are tried again when none could be chosen and none is known to rest.
+const STARVED_RETRY: Duration = Duration::from_millis(100);
+/// Fencing token under which a detached keeper starts when the trainer has seen none.
+const FIRST_TOKEN: FencingToken = FencingToken::new(1);
+
+/// Who keeps, and for whom.
+#[derive(Debug, Clone)]
+pub struct KeeperSettings {
+    /// This box.
+    pub me: BoxId,
+    /// Which life of it.
+    pub incarnation: Incarnation,
+    /// Where peers reach it.
+    pub address: String,
+    /// The lease's term.
+    pub term: Duration,
+    /// The pool.
+    pub pool: PoolName,
+    /// The trainer.
+    pub trainer: TrainerId,
+}
+
+/// Keeps one trainer's steps.
+#[derive(Debug)]
+pub struct StepKeeper<R> {
+    settings: KeeperSettings,
+    rng: R,
+    claim: LeaseClaim,
+    acting: Option<FencingToken>,
+    /// Highest token the trainer has shown.
+    seen: FencingToken,
+    pool: Option<PoolSpec>,
+    steps: BTreeMap<StepNumber, StepLedger>,
+    adopted: Vec<StepSnapshot>,
+    chooser: TargetChooser,
+    in_flight: u32,
+    started_at: Moment,
+    platform_heard: Option<Moment>,
+    /// Since when trainers have asked in vain here.
+    asked_since: Option<Moment>,
+    handing_over: bool,
+    starved_until: Option<Moment>,
+}
+
+impl<R: Rng> StepKeeper<R> {
+    /// A keeper that begins to claim its lease.
+    pub fn new(now: Moment, settings: KeeperSettings, rng: R) -> Self {
+        let claim = LeaseClaim::new(
+            settings.me.clone(),
+            settings.incarnation,
+            settings.address.clone(),
+            settings.term,
+        );
+        Self {
+            settings,
+            rng,
+            claim,
+            acting: None,
+            seen: FencingToken::default(),
+            pool: None,
+            steps: BTreeMap::new(),
+            adopted: Vec::new(),
+            chooser: TargetChooser::default(),
+            in_flight: 0,
+            started_at: now,
+            platform_heard: None,
+            asked_since: None,
+            handing_over: false,
+            starved_until: None,
+        }
+    }
+
+    /// The token it acts under; `None` while it does not keep.
+    pub const fn acting(&self) -> Option<FencingToken> {
+        self.acting
+    }
+
+    /// Open steps.
+    pub fn open_steps(&self) -> impl Iterator<Item = StepNumber> {
+        self.steps.keys().copied()
+    }
+
+    /// Attempts under way.
+    pub const fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Versions that samples of a step may now be made of.
+    pub fn freshness(&self, step: StepNumber) -> Option<Freshness> {
+        self.steps.get(&step).map(StepLedger::freshness)
+    }
+
+    /// Whether a step has a sample to hand out or nothing more to deliver.
+    pub fn has_news(&self, step: StepNumber) -> bool {
+        let ledger = self.steps.get(&step);
+        ledger.is_none_or(|ledger| ledger.has_deliverable() || ledger.is_complete())
+    }
+
+    /// Takes the pool's configuration; `None` when the pool is gone.
+    pub fn pool_changed(&mut self, pool: Option<PoolSpec>) {
+        if let Some(pool) = &pool {
+            // The pool's version is the named one as soon as its configuration is in force.
+            for ledger in self.steps.values_mut() {
+                ledger.advance(pool.version);
+            }
+        }
+        self.pool = pool;
+        self.starved_until = None;
+    }
+
+    /// Opens a step, or opens it again.
+    pub fn open(
+        &mut self,
+        now: Moment,
+        spec: StepSpec,
+        held: &SlotSet,
+        seen: FencingToken,
+    ) -> Result<KeptState, KeeperRefusal> {
+        let token = self.act(now, seen)?;
+        let trainer = &self.settings.trainer;
+        let pool = self.pool.as_ref().filter(|pool| pool.trainers.contains(trainer));
+        let Some((bound, version)) = pool.map(|pool| (pool.staleness_bound, pool.version)) else {
+            return Err(KeeperRefusal::NotInPool {
+                pool: self.settings.pool.clone(),
+                trainer: trainer.clone(),
+            });
+        };
+        let step = spec.step;
+        if let Some(ledger) = self.steps.get(&step) {
+            ledger.reopen(&spec)?;
+            return self.state(step);
+        }
+        let mut ledger = match self.take_adopted(&spec)? {
+            Some(snapshot) => StepLedger::resume(snapshot, token, bound)?,
+            None => StepLedger::open(spec, token, bound)?,
+        };
+        ledger.advance(version);
+        // A pull of nothing notes what the trainer holds.
+        ledger.pull(&Pull { held: held.clone(), seen, most: 0 })?;
+        if self.steps.len() >= MOST_STEPS {
+            return Err(KeeperRefusal::TooManySteps { open: self.steps.len() });
+        }
+        self.steps.insert(step, ledger);
+        self.starved_until = None;
+        self.state(step)
+    }
+
+    /// Answers a pull.
+    pub fn pull(
+        &mut self,
+        now: Moment,
+        step: StepNumber,
+        pull: &Pull,
+    ) -> Result<(HandOut, KeptState), KeeperRefusal> {
+        self.act(now, pull.seen)?;
+        let ledger = self.ledger(step)?;
+        let out = ledger.pull(pull)?;
+        let state = self.state(step)?;
+        Ok((out, state))
+    }
+
+    /// Names a newer version for a step.
+    pub fn advance(
+        &mut self,
+        now: Moment,
+        step: StepNumber,
+        version: ModelVersion,
+        seen: FencingToken,
+    ) -> Result<KeptState, KeeperRefusal> {
+        self.act(now, seen)?;
+        self.ledger(step)?.advance(version);
+        self.state(step)
+    }
+
+    /// Closes a step; closing one that is not open is no error.
+    pub fn close(
+        &mut self,
+        now: Moment,
+        step: StepNumber,
+        seen: FencingToken,
+    ) -> Result<(), KeeperRefusal> {
+        self.act(now, seen)?;
+        self.steps.remove(&step);
+        Ok(())
+    }
+
+    /// A step's state.
+    pub fn state(&self, step: StepNumber) -> Result<KeptState, KeeperRefusal> {
+        let ledger = self.steps.get(&step).ok_or(KeeperRefusal::NotOpen { step })?;
+        let freshness = ledger.freshness();
+        Ok(KeptState {
+            token: ledger.token(),
+            named: freshness.named,
+            bound: self.pool.as_ref().map_or(0, |pool| pool.staleness_bound),
+            progress: ledger.progress(),
+        })
+    }
+
+    /// Takes the end of an attempt, with what the target's home said along with it.
+    pub fn attempt_ended(
+        &mut self,
+        now: Moment,
+        placement: &Placement,
+        end: AttemptEnd,
+        hint: EndHint,
+    ) -> Option<Settled> {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.starved_until = None;
+        let target = &placement.target;
+        self.chooser.ended(target);
+        if let Some(hint) = hint {
+            self.chooser.hinted(target, &hint);
+        }
+        self.note_target(now, target, &end);
+        let ledger = self.steps.get_mut(&placement.step)?;
+        let (slot, attempt) = (placement.assignment.slot, placement.assignment.attempt);
+        match end {
+            AttemptEnd::Made(sample) => return Some(ledger.finished(attempt, sample)),
+            AttemptEnd::NotRun { .. } => ledger.failed(slot, attempt, false),
+            AttemptEnd::Unusable | AttemptEnd::TooOld => ledger.failed(slot, attempt, true),
+        }
+        None
+    }
+
+    /// Takes the answer to a lease read.
+    pub fn lease_read(&mut self, now: Moment, outcome: ReadOutcome) {
+        if outcome != ReadOutcome::NoAnswer {
+            self.platform_heard = Some(now);
+        }
+        self.claim.read_done(now, outcome);
+        self.follow_claim(now);
+    }
+
+    /// Takes the outcome of a lease write.
+    pub fn lease_written(&mut self, now: Moment, outcome: WriteOutcome) {
+        if matches!(outcome, WriteOutcome::Applied(_) | WriteOutcome::Conflict) {
+            self.platform_heard = Some(now);
+        }
+        self.claim.write_done(now, outcome);
+        self.follow_claim(now);
+    }
+
+    /// The actions due at `now`.
+    pub fn poll(&mut self, now: Moment) -> Vec<KeeperAction> {
+        self.follow_claim(now);
+        self.maybe_detach(now);
+        self.maybe_force(now);
+        let mut actions: Vec<KeeperAction> =
+            self.claim.poll(now).map(KeeperAction::Lease).into_iter().collect();
+        self.place_work(now, &mut actions);
+        actions
+    }
+
+    /// When [`Self::poll`] next has something to do, if nothing else happens first.
+    pub fn next_at(&self, now: Moment) -> Moment {
+        let lease = self.claim.next_at();
+        let work = self.starved_until.filter(|_| self.acting.is_some());
+        work.map_or(lease, |work| work.min(lease)).max(now)
+    }
+
+    /// Begins a planned stop: no new work is placed.
+    pub const fn prepare_hand_over(&mut self) {
+        self.handing_over = true;
+    }
+
+    /// Ends a planned stop: gives the open steps for a successor, and the lease action that
+    /// frees the lease for it.
+    pub fn hand_over(&mut self, now: Moment) -> (Vec<StepSnapshot>, Option<LeaseAction>) {
+        let snapshots = self.steps.values().map(StepLedger::snapshot).collect();
+        self.steps.clear();
+        self.acting = None;
+        (snapshots, self.claim.release(now))
+    }
+
+    /// Takes a predecessor's steps; they are resumed once this box holds the lease.
+    pub fn adopt(&mut self, now: Moment, snapshots: Vec<StepSnapshot>, token: FencingToken) {
+        self.seen = self.seen.max(token);
+        self.claim.raise(now, self.seen);
+        self.claim.hurry(now);
+        self.adopted = snapshots;
+        self.follow_claim(now);
+    }
+
+    fn ledger(&mut self, step: StepNumber) -> Result<&mut StepLedger, KeeperRefusal> {
+        self.steps.get_mut(&step).ok_or(KeeperRefusal::NotOpen { step })
+    }
+
+    /// The token to act under, unless the trainer has seen a higher one.
+    fn act(&mut self, now: Moment, seen: FencingToken) -> Result<FencingToken, KeeperRefusal> {
+        self.seen = self.seen.max(seen);
+        self.claim.raise(now, self.seen);
+        match self.acting {
+            Some(token) if seen > token => {
+                self.step_down();
+                Err(LedgerError::Superseded { mine: token, seen }.into())
+            }
+            Some(token) => Ok(token),
+            None => {
+                self.asked_since.get_or_insert(now);
+                Err(self.not_keeping())
+            }
+        }
+    }
+
+    fn not_keeping(&self) -> KeeperRefusal {
+        let holder = self.claim.other_holder().filter(|record| !record.released);
+        KeeperRefusal::NotKeeping {
+            pool: self.settings.pool.clone(),
+            trainer: self.settings.trainer.clone(),
+            holder: holder.map(|record| record.address.clone()),
+            claiming: !self.handing_over,
+        }
+    }
+
+    /// Follows what the claim learnt: acts under a new token, or stops for another holder.
+    fn follow_claim(&mut self, now: Moment) {
+        if let Some(token) = self.claim.held(now) {
+            self.asked_since = None;
+            if self.acting != Some(token) && !self.handing_over {
+                self.start_acting(token);
+            }
+            return;
+        }
+        // Without the platform the last token stays good; another holder ends it.
+        let superseded = self
+            .claim
+            .other_holder()
+            .is_some_and(|record| self.acting.is_some_and(|mine| record.token >= mine));
+        if superseded {
+            self.step_down();
+        }
+    }
+
+    fn start_acting(&mut self, token: FencingToken) {
+        // Ledgers kept under an earlier token go on under the new one.
+        let mut snapshots: Vec<StepSnapshot> =
+            self.steps.values().map(StepLedger::snapshot).collect();
+        snapshots.append(&mut self.adopted);
+        self.steps.clear();
+        self.acting = Some(token);
+        let bound = self.pool.as_ref().map(|pool| pool.staleness_bound);
+        for snapshot in snapshots {
+            let step = snapshot.spec.step;
+            let resumed = bound.map(|bound| StepLedger::resume(snapshot.clone(), token, bound));
+            match resumed {
+                Some(Ok(ledger)) => {
+                    self.steps.entry(step).or_insert(ledger);
+                }
+                // Kept until the trainer opens the step again.
+                _ => self.adopted.push(snapshot),
+            }
+        }
+        if let Some(version) = self.pool.as_ref().map(|pool| pool.version) {
+            self.steps.values_mut().for_each(|ledger| ledger.advance(version));
+        }
+        self.starved_until = None;
+    }
+
+    fn step_down(&mut self) {
+        self.acting = None;
+        self.steps.clear();
+        self.adopted.clear();
+    }
+
+    fn take_adopted(&mut self, spec: &StepSpec) -> Result<Option<StepSnapshot>, LedgerError> {
+        let found = self.adopted.iter().position(|snapshot| snapshot.spec.step == spec.step);
+        let Some(at) = found else { return Ok(None) };
+        if self.adopted[at].spec.digest() != spec.digest() {
+            return Err(LedgerError::OtherBody { step: spec.step });
+        }
+        Ok(Some(self.adopted.remove(at)))
+    }
+
+    /// With the platform away for long, keeping goes on without a lease.
+    fn maybe_detach(&mut self, now: Moment) {
+        if self.acting.is_some() || self.asked_since.is_none() || self.handing_over {
+            return;
+        }
+        let silent_since = self.platform_heard.unwrap_or(self.started_at);
+        if now.since(silent_since) >= self.settings.term * DETACH_TERMS {
+            self.start_acting(self.seen.next().max(FIRST_TOKEN));
+        }
+    }
+
+    /// A holder that renews but cannot be reached from here gives way to the trainer's need.
+    fn maybe_force(&mut self, now: Moment) {
+        if self.acting.is_some() || self.handing_over {
+            return;
+        }
+        let vain = self.asked_since.map_or(Duration::ZERO, |since| now.since(since));
+        if vain >= self.settings.term * FORCE_TERMS {
+            self.claim.force(now);
+        }
+    }
+
+    fn place_work(&mut self, now: Moment, actions: &mut Vec<KeeperAction>) {
+        let starved = self.starved_until.is_some_and(|until| now < until);
+        let Some(pool) = &self.pool else { return };
+        if self.acting.is_none() || self.handing_over || starved {
+            return;
+        }
+        self.starved_until = None;
+        for (step, ledger) in &mut self.steps {
+            while self.in_flight < pool.limits.per_trainer && ledger.has_wanted() {
+                let floor = ledger.freshness().floor;
+                let chosen = self.chooser.choose(now, &pool.engines, floor, &mut self.rng);
+                let Some(target) = chosen.map(|candidate| candidate.id.clone()) else {
+                    let rest_end = self.chooser.next_rest_end(now);
+                    let retry = now + STARVED_RETRY;
+                    self.starved_until = Some(rest_end.map_or(retry, |end| end.min(retry)));
+                    return;
+                };
+                let Some(assignment) = ledger.assign() else {
+                    break;
+                };
+                self.chooser.placed(&target);
+                self.in_flight += 1;
+                actions.push(KeeperAction::Start(Placement { step: *step, assignment, target }));
+            }
+        }
+    }
+
+    fn note_target(&mut self, now: Moment, target: &TargetId, end: &AttemptEnd) {
+        match end {
+            AttemptEnd::Made(_) | AttemptEnd::TooOld => self.chooser.succeeded(target),
+            AttemptEnd::Unusable => self.chooser.failed(now, target),
+            AttemptEnd::NotRun { reason: NotRun::Unreachable, .. } => {
+                self.chooser.failed(now, target);
+            }
+            AttemptEnd::NotRun { retry_after, .. } => {
+                self.chooser.refused(now, target, *retry_after);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/intake.rs
@@ -0,0 +1,108 @@
+//! The trainer's end of a step: takes each sample once, and only if it is fresh.
+//!
+//! This is the arbiter behind single delivery. Whatever boxes do, a slot is taken once; an
+//! answer under a lower fencing token than one seen is refused whole; and freshness is checked
+//! again against the version the trainer itself knows.
+
+use ids::{FencingToken, ModelVersion};
+
+use crate::{Sample, SlotSet, StepSpec};
+
+/// What an answer to a pull brought.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Intake {
+    /// Samples taken, to train on.
+    pub taken: Vec<Sample>,
+    /// Samples of slots held already, dropped.
+    pub doubled: usize,
+    /// Samples too old by now, dropped; they are asked for again.
+    pub stale: usize,
+    /// Samples of slots that the step does not have, dropped.
+    pub foreign: usize,
+}
+
+/// Why a whole answer was refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the answer bears token {token}, and {seen} has been seen: pull again")]
+pub struct OldToken {
+    token: FencingToken,
+    seen: FencingToken,
+}
+
+/// The trainer's record of one step.
+#[derive(Debug, Clone)]
+pub struct StepIntake {
+    spec: StepSpec,
+    slots: usize,
+    held: SlotSet,
+    seen: FencingToken,
+    named: ModelVersion,
+}
+
+impl StepIntake {
+    /// The record of a step that holds nothing yet.
+    pub fn new(spec: StepSpec) -> Self {
+        let (slots, named) = (spec.slots(), spec.version);
+        Self { spec, slots, held: SlotSet::default(), seen: FencingToken::default(), named }
+    }
+
+    /// The step.
+    pub const fn spec(&self) -> &StepSpec {
+        &self.spec
+    }
+
+    /// Slots held.
+    pub const fn held(&self) -> &SlotSet {
+        &self.held
+    }
+
+    /// Highest fencing token seen.
+    pub const fn seen(&self) -> FencingToken {
+        self.seen
+    }
+
+    /// The version now named.
+    pub const fn named(&self) -> ModelVersion {
+        self.named
+    }
+
+    /// Whether every slot is held.
+    pub fn is_complete(&self) -> bool {
+        self.held.len() == self.slots
+    }
+
+    /// Names a newer version; answers made of older ones are refused from now on.
+    pub fn advance(&mut self, version: ModelVersion) {
+        self.named = self.named.max(version);
+    }
+
+    /// Takes a keeper's word of its token and named version, and the samples of an answer.
+    pub fn take(
+        &mut self,
+        token: FencingToken,
+        named: ModelVersion,
+        bound: u32,
+        samples: Vec<Sample>,
+    ) -> Result<Intake, OldToken> {
+        if token < self.seen {
+            return Err(OldToken { token, seen: self.seen });
+        }
+        self.seen = token;
+        self.advance(named);
+        let floor = self.named.floor(bound);
+        let mut intake = Intake::default();
+        for sample in samples {
+            if sample.slot.as_usize() >= self.slots {
+                intake.foreign += 1;
+            } else if self.held.contains(sample.slot) {
+                intake.doubled += 1;
+            } else if sample.spans.is_empty() || sample.oldest() < floor {
+                intake.stale += 1;
+            } else {
+                self.held.insert(sample.slot);
+                intake.taken.push(sample);
+            }
+        }
+        Ok(intake)
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,12 +9,14 @@
 //! token it has seen. The ledger never makes a held slot again, and a ledger under a lower
 //! token refuses to answer.
 
+mod intake;
 mod sample;
 mod slots;
 mod spec;
 mod step;
 mod trail;
 
+pub use intake::{Intake, OldToken, StepIntake};
 pub use sample::{Sample, VersionSpan};
 pub use slots::{SlotSet, SlotSetError};
 pub use spec::{GroupSpec, SpecError, StepSpec};
--- a/crates/ledger/src/sample.rs
+++ b/crates/ledger/src/sample.rs
@@ -30,20 +30,12 @@
 impl Sample {
     /// The oldest version in it; decides its staleness.
     pub fn oldest(&self) -> ModelVersion {
-        self.spans
-            .iter()
-            .map(|span| span.version)
-            .min()
-            .unwrap_or_default()
+        self.spans.iter().map(|span| span.version).min().unwrap_or_default()
     }
 
     /// The newest version in it.
     pub fn newest(&self) -> ModelVersion {
-        self.spans
-            .iter()
-            .map(|span| span.version)
-            .max()
-            .unwrap_or_default()
+        self.spans.iter().map(|span| span.version).max().unwrap_or_default()
     }
 
     /// Tokens in it.
--- a/crates/ledger/src/slots.rs
+++ b/crates/ledger/src/slots.rs
@@ -55,10 +55,7 @@
 
     /// Number of slots in the set.
     pub fn len(&self) -> usize {
-        self.bits
-            .iter()
-            .map(|bits| bits.count_ones() as usize)
-            .sum()
+        self.bits.iter().map(|bits| bits.count_ones() as usize).sum()
     }
 
     /// Whether the set is empty.
@@ -69,9 +66,7 @@
     /// The slots in the set, lowest first.
     pub fn iter(&self) -> impl Iterator<Item = SlotIndex> {
         let all = u32::try_from(self.bits.len() * BITS).unwrap_or(u32::MAX);
-        (0..all)
-            .map(SlotIndex::new)
-            .filter(|slot| self.contains(*slot))
+        (0..all).map(SlotIndex::new).filter(|slot| self.contains(*slot))
     }
 
     fn trim(&mut self) {
@@ -97,9 +92,7 @@
 
 impl fmt::Display for SlotSet {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.bits
-            .iter()
-            .try_for_each(|bits| write!(f, "{bits:02x}"))
+        self.bits.iter().try_for_each(|bits| write!(f, "{bits:02x}"))
     }
 }
 
@@ -112,8 +105,7 @@
         }
         let byte = |at: usize| u8::from_str_radix(&text[at..at + 2], 16);
         let bits: Result<Vec<u8>, _> = (0..text.len()).step_by(2).map(byte).collect();
-        bits.map(Self::from_bytes)
-            .map_err(|_parse| SlotSetError::NotHex)
+        bits.map(Self::from_bytes).map_err(|_parse| SlotSetError::NotHex)
     }
 }
 
--- a/crates/ledger/src/spec.rs
+++ b/crates/ledger/src/spec.rs
@@ -57,10 +57,7 @@
 impl StepSpec {
     /// Number of slots.
     pub fn slots(&self) -> usize {
-        self.groups
-            .iter()
-            .map(|group| usize::from(group.samples))
-            .sum()
+        self.groups.iter().map(|group| usize::from(group.samples)).sum()
     }
 
     /// Refuses a step that could never be filled.
@@ -73,8 +70,7 @@
             return Err(SpecError::TooLarge { asked });
         }
         for (group, spec) in self.groups.iter().enumerate() {
-            spec.check()
-                .map_err(|fault| SpecError::BadGroup { group, fault })?;
+            spec.check().map_err(|fault| SpecError::BadGroup { group, fault })?;
         }
         Ok(())
     }
--- a/crates/ledger/src/step.rs
+++ b/crates/ledger/src/step.rs
@@ -83,6 +83,27 @@
     AheadOfNamed,
 }
 
+impl WaitCause {
+    const ALL: [(&'static str, Self); 5] = [
+        ("nothing", Self::Nothing),
+        ("ready_to_pull", Self::ReadyToPull),
+        ("generating", Self::Generating),
+        ("waiting_for_engine", Self::WaitingForEngine),
+        ("ahead_of_named", Self::AheadOfNamed),
+    ];
+
+    /// Its stable short name.
+    pub fn name(self) -> &'static str {
+        Self::ALL.iter().find(|(_, cause)| *cause == self).map_or("nothing", |(name, _)| name)
+    }
+
+    /// The cause of a short name; an unknown one, from a newer box, counts as generating.
+    pub fn from_name(name: &str) -> Self {
+        let known = Self::ALL.iter().find(|(known, _)| *known == name);
+        known.map_or(Self::Generating, |(_, cause)| *cause)
+    }
+}
+
 impl fmt::Display for WaitCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -254,17 +275,12 @@
         if spec.digest() == self.spec.digest() {
             return Ok(());
         }
-        Err(LedgerError::OtherBody {
-            step: self.spec.step,
-        })
+        Err(LedgerError::OtherBody { step: self.spec.step })
     }
 
     /// The versions a sample may now be made of.
     pub const fn freshness(&self) -> Freshness {
-        Freshness {
-            floor: self.named.floor(self.bound),
-            named: self.named,
-        }
+        Freshness { floor: self.named.floor(self.bound), named: self.named }
     }
 
     /// The next slot to fill, if any is wanted.
@@ -325,10 +341,7 @@
             .deliverable
             .iter()
             .copied()
-            .filter(|slot| {
-                self.sample(*slot)
-                    .is_some_and(|sample| sample.oldest() < floor)
-            })
+            .filter(|slot| self.sample(*slot).is_some_and(|sample| sample.oldest() < floor))
             .collect();
         for slot in stale {
             self.deliverable.remove(&slot);
@@ -341,10 +354,7 @@
     /// Takes a pull: notes what the trainer holds, then hands out fresh samples.
     pub fn pull(&mut self, pull: &Pull) -> Result<HandOut, LedgerError> {
         if pull.seen > self.token {
-            return Err(LedgerError::Superseded {
-                mine: self.token,
-                seen: pull.seen,
-            });
+            return Err(LedgerError::Superseded { mine: self.token, seen: pull.seen });
         }
         self.hold(&pull.held)?;
         let named = self.named;
@@ -352,21 +362,16 @@
             .deliverable
             .iter()
             .copied()
-            .filter(|slot| {
-                self.sample(*slot)
-                    .is_some_and(|sample| sample.newest() <= named)
-            })
+            .filter(|slot| self.sample(*slot).is_some_and(|sample| sample.newest() <= named))
             .take(pull.most)
             .collect();
-        let samples = out
-            .into_iter()
-            .filter_map(|slot| self.freeze(slot))
-            .collect();
-        Ok(HandOut {
-            samples,
-            named,
-            progress: self.progress(),
-        })
+        let samples = out.into_iter().filter_map(|slot| self.freeze(slot)).collect();
+        Ok(HandOut { samples, named, progress: self.progress() })
+    }
+
+    /// Whether a slot wants an attempt.
+    pub fn has_wanted(&self) -> bool {
+        self.wanted.iter().any(|slot| matches!(self.slots[slot.as_usize()], Slot::Wanted))
     }
 
     /// Whether the trainer holds every slot.
@@ -377,10 +382,9 @@
     /// Whether a pull would get a sample now.
     pub fn has_deliverable(&self) -> bool {
         let named = self.named;
-        self.deliverable.iter().any(|slot| {
-            self.sample(*slot)
-                .is_some_and(|sample| sample.newest() <= named)
-        })
+        self.deliverable
+            .iter()
+            .any(|slot| self.sample(*slot).is_some_and(|sample| sample.newest() <= named))
     }
 
     /// Counts of the step's slots and why the trainer waits.
@@ -402,18 +406,9 @@
     pub fn snapshot(&self) -> StepSnapshot {
         let held = self.filter_slots(|slot| matches!(slot, Slot::Held));
         let frozen = self.filter_slots(|slot| matches!(slot, Slot::Frozen(_)));
-        let samples = self
-            .deliverable
-            .iter()
-            .filter_map(|slot| self.sample(*slot).cloned())
-            .collect();
-        StepSnapshot {
-            spec: self.spec.clone(),
-            named: self.named,
-            held,
-            samples,
-            frozen,
-        }
+        let samples =
+            self.deliverable.iter().filter_map(|slot| self.sample(*slot).cloned()).collect();
+        StepSnapshot { spec: self.spec.clone(), named: self.named, held, samples, frozen }
     }
 
     /// Bytes the ledger keeps for a slot beside its sample.
@@ -440,9 +435,7 @@
 
     fn filter_slots(&self, keep: impl Fn(&Slot) -> bool) -> SlotSet {
         let slots = self.spec.slot_indexes();
-        slots
-            .filter(|slot| keep(&self.slots[slot.as_usize()]))
-            .collect()
+        slots.filter(|slot| keep(&self.slots[slot.as_usize()])).collect()
     }
 
     /// Skips queue entries whose slot was filled or held since.
@@ -519,11 +512,7 @@
             return;
         }
         let sample = Arc::new(sample);
-        *entry = if frozen {
-            Slot::Frozen(sample)
-        } else {
-            Slot::Ready(sample)
-        };
+        *entry = if frozen { Slot::Frozen(sample) } else { Slot::Ready(sample) };
         self.deliverable.insert(slot);
     }
 }
--- a/crates/ledger/src/trail.rs
+++ b/crates/ledger/src/trail.rs
@@ -70,18 +70,12 @@
     /// Takes the next chunk.
     pub fn chunk(&mut self, stamp: ChunkStamp, text: &str) -> Result<(), TrailError> {
         if stamp.index != self.next_index {
-            return Err(TrailError::OutOfOrder {
-                expected: self.next_index,
-                found: stamp.index,
-            });
+            return Err(TrailError::OutOfOrder { expected: self.next_index, found: stamp.index });
         }
         let Some(version) = stamp.version else {
             return Err(TrailError::MissingStamp { index: stamp.index });
         };
-        if self
-            .incarnation
-            .is_some_and(|first| first != stamp.incarnation)
-        {
+        if self.incarnation.is_some_and(|first| first != stamp.incarnation) {
             return Err(TrailError::MixedLives);
         }
         self.incarnation = Some(stamp.incarnation);
--- /dev/null
+++ b/crates/links/src/error.rs
@@ -0,0 +1,34 @@
+//! How a call to a peer failed.
+
+use wire::peer::{Refused, RefusedKind};
+
+/// Why a call got no whole answer.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum CallError {
+    /// No connection: nothing was sent.
+    #[error("the box at {address} cannot be reached, nothing was sent: ask another box")]
+    NotSent {
+        /// The box's address.
+        address: String,
+    },
+    /// The request was sent, and the answer broke off: it may have run.
+    #[error("the answer broke off ({why}): the work may have run")]
+    Broken {
+        /// What happened.
+        why: &'static str,
+    },
+    /// The peer refused, and says whether the work ran.
+    #[error("{}", .0.message)]
+    Refused(Box<Refused>),
+}
+
+impl CallError {
+    /// Whether the work surely did not run.
+    pub fn surely_not_run(&self) -> bool {
+        match self {
+            Self::NotSent { .. } => true,
+            Self::Broken { .. } => false,
+            Self::Refused(refused) => refused.kind() != RefusedKind::Unknown,
+        }
+    }
+}
--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -29,10 +29,7 @@
 impl HttpStore {
     /// The platform at `base`, such as `http://10.0.0.1:7000`.
     pub fn new(base: &str, client: Client) -> Self {
-        Self {
-            base: base.trim_end_matches('/').to_owned(),
-            client,
-        }
+        Self { base: base.trim_end_matches('/').to_owned(), client }
     }
 
     fn object(&self, key: &ObjectKey) -> String {
@@ -46,19 +43,11 @@
 
 /// A failed connection means that nothing was sent; anything later may have taken effect.
 fn send_error(error: &reqwest::Error) -> StoreError {
-    if error.is_connect() {
-        StoreError::Unavailable
-    } else {
-        StoreError::Unknown
-    }
+    if error.is_connect() { StoreError::Unavailable } else { StoreError::Unknown }
 }
 
 async fn send(request: RequestBuilder, timeout: Duration) -> Result<Response, StoreError> {
-    let response = request
-        .timeout(timeout)
-        .send()
-        .await
-        .map_err(|error| send_error(&error))?;
+    let response = request.timeout(timeout).send().await.map_err(|error| send_error(&error))?;
     if response.status() == StatusCode::SERVICE_UNAVAILABLE
         || response.status() == StatusCode::TOO_MANY_REQUESTS
     {
@@ -73,11 +62,7 @@
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        response
-            .json()
-            .await
-            .map(Some)
-            .map_err(|error| bad_value(key, &error))
+        response.json().await.map(Some).map_err(|error| bad_value(key, &error))
     }
 
     async fn write(
@@ -86,16 +71,11 @@
         expect: ObjectVersion,
         value: Value,
     ) -> Result<ObjectVersion, StoreError> {
-        let request = self
-            .client
-            .put(self.object(key))
-            .query(&[("if_version", expect.get())])
-            .json(&value);
+        let request =
+            self.client.put(self.object(key)).query(&[("if_version", expect.get())]).json(&value);
         let response = send(request, CALL_TIMEOUT).await?;
         if response.status() == StatusCode::CONFLICT {
-            return Err(StoreError::Conflict {
-                key: key.to_string(),
-            });
+            return Err(StoreError::Conflict { key: key.to_string() });
         }
         if !response.status().is_success() {
             return Err(StoreError::Unknown);
@@ -116,10 +96,8 @@
         wait: Duration,
     ) -> Result<ListedObjects, StoreError> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let request = self
-            .client
-            .get(self.kind(kind))
-            .query(&[("after", after), ("wait_ms", wait_ms)]);
+        let request =
+            self.client.get(self.kind(kind)).query(&[("after", after), ("wait_ms", wait_ms)]);
         let response = send(request, wait + WATCH_SLACK).await?;
         response.json().await.map_err(|_lost| StoreError::Unknown)
     }
@@ -127,10 +105,7 @@
 
 fn bad_value(key: &ObjectKey, error: &reqwest::Error) -> StoreError {
     if error.is_decode() {
-        return StoreError::BadValue {
-            key: key.to_string(),
-            fault: error.to_string(),
-        };
+        return StoreError::BadValue { key: key.to_string(), fault: error.to_string() };
     }
     StoreError::Unknown
 }
--- a/crates/objects/src/store.rs
+++ b/crates/objects/src/store.rs
@@ -44,10 +44,7 @@
 impl ObjectKey {
     /// The key of `name` within `kind`.
     pub fn new(kind: ObjectKind, name: impl Into<String>) -> Self {
-        Self {
-            kind,
-            name: name.into(),
-        }
+        Self { kind, name: name.into() }
     }
 }
 
--- a/crates/placement/src/chooser.rs
+++ b/crates/placement/src/chooser.rs
@@ -73,29 +73,18 @@
         rng: &mut impl Rng,
     ) -> Option<Candidate<'a>> {
         let count = pool.len().min(CANDIDATES);
-        let start = if pool.is_empty() {
-            0
-        } else {
-            rng.random_range(0..pool.len())
-        };
+        let start = if pool.is_empty() { 0 } else { rng.random_range(0..pool.len()) };
         // A run from a random start: no shuffle, no allocation, and all of a small pool.
         (0..count)
             .map(|offset| (start + offset * stride(pool.len())) % pool.len())
-            .map(|index| Candidate {
-                index,
-                id: &pool[index],
-            })
+            .map(|index| Candidate { index, id: &pool[index] })
             .filter(|candidate| self.is_usable(now, candidate.id, floor))
             .min_by_key(|candidate| self.load(candidate.id))
     }
 
     /// When a resting target of the pool may be tried again.
     pub fn next_rest_end(&self, now: Moment) -> Option<Moment> {
-        self.views
-            .values()
-            .map(|view| view.rest_until)
-            .filter(|until| *until > now)
-            .min()
+        self.views.values().map(|view| view.rest_until).filter(|until| *until > now).min()
     }
 
     /// Notes a sample placed at a target.
@@ -169,9 +158,5 @@
 fn stride(len: usize) -> usize {
     /// Prime, and larger than any pool's common factors are likely to matter.
     const STRIDE: usize = 7_919;
-    if len.is_multiple_of(STRIDE) {
-        1
-    } else {
-        STRIDE
-    }
+    if len.is_multiple_of(STRIDE) { 1 } else { STRIDE }
 }
--- a/crates/placement/src/fair.rs
+++ b/crates/placement/src/fair.rs
@@ -16,10 +16,7 @@
 impl FairShare {
     /// Notes that `trainer` wants service, beside those `present`.
     pub fn join<'a>(&mut self, trainer: &TrainerId, present: impl Iterator<Item = &'a TrainerId>) {
-        let least = present
-            .filter_map(|other| self.served.get(other))
-            .min()
-            .copied();
+        let least = present.filter_map(|other| self.served.get(other)).min().copied();
         let served = self.served.entry(trainer.clone()).or_default();
         *served = (*served).max(least.unwrap_or_default());
     }
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -130,12 +130,8 @@
         }
         self.next_ticket += 1;
         if let Some(trainer) = &ask.trainer {
-            let present = self
-                .waiting
-                .iter()
-                .filter_map(|waiting| waiting.ask.trainer.as_ref());
-            self.shares
-                .join(trainer, present.chain(self.running.values().flatten()));
+            let present = self.waiting.iter().filter_map(|waiting| waiting.ask.trainer.as_ref());
+            self.shares.join(trainer, present.chain(self.running.values().flatten()));
         }
         self.waiting.push_back(Waiting { ticket, ask });
         Admission::Wait(ticket)
@@ -166,10 +162,7 @@
 
     /// When the next waiting ask expires.
     pub fn next_deadline(&self) -> Option<Moment> {
-        self.waiting
-            .iter()
-            .map(|waiting| waiting.ask.deadline)
-            .min()
+        self.waiting.iter().map(|waiting| waiting.ask.deadline).min()
     }
 
     /// Takes a reading whose request was sent at `asked_at`.
@@ -187,6 +180,14 @@
         self.replica.told_leaving();
     }
 
+    /// Notes that the platform's list no longer says that the target is leaving. An engine is
+    /// believed only in a new life; others have no life to tell, so the list decides.
+    pub fn told_staying(&mut self) {
+        if self.kind != TargetKind::Engine && self.replica.status() == ReplicaStatus::Leaving {
+            self.replica = ReplicaState::default();
+        }
+    }
+
     /// Notes that an order went out.
     pub const fn ordered(&mut self, version: ModelVersion, deadline: Moment) {
         self.replica.ordered(version, deadline);
@@ -259,17 +260,9 @@
     /// The waiting ask whose trainer was served least; the oldest of equals.
     fn next_to_start(&mut self) -> Option<Waiting> {
         let served = |waiting: &Waiting| {
-            waiting
-                .ask
-                .trainer
-                .as_ref()
-                .map_or(0, |trainer| self.share_of(trainer))
+            waiting.ask.trainer.as_ref().map_or(0, |trainer| self.share_of(trainer))
         };
-        let startable = self
-            .waiting
-            .iter()
-            .enumerate()
-            .filter(|(_, w)| self.can_start(&w.ask));
+        let startable = self.waiting.iter().enumerate().filter(|(_, w)| self.can_start(&w.ask));
         let (at, _) = startable.min_by_key(|(at, waiting)| (served(waiting), *at))?;
         self.waiting.remove(at)
     }
@@ -279,12 +272,7 @@
     fn share_of(&self, trainer: &TrainerId) -> u64 {
         /// Tokens a running ask is taken to use until it ends.
         const RUNNING_TOKENS: u64 = 256;
-        let running = self
-            .running
-            .values()
-            .flatten()
-            .filter(|other| *other == trainer)
-            .count();
+        let running = self.running.values().flatten().filter(|other| *other == trainer).count();
         self.shares.served(trainer) + RUNNING_TOKENS * running as u64
     }
 }
--- a/crates/placement/src/refusal.rs
+++ b/crates/placement/src/refusal.rs
@@ -61,10 +61,7 @@
 impl Refusal {
     /// A "not run" refusal.
     pub const fn not_run(reason: NotRun, retry_after: Duration) -> Self {
-        Self::NotRun {
-            reason,
-            retry_after,
-        }
+        Self::NotRun { reason, retry_after }
     }
 
     /// Whether the work surely did not run.
--- a/crates/placement/src/replica.rs
+++ b/crates/placement/src/replica.rs
@@ -151,15 +151,10 @@
 
     /// Takes a reading whose request was sent at `asked_at`.
     pub fn read(&mut self, asked_at: Moment, reading: &ReplicaReading) {
-        if self
-            .incarnation
-            .is_some_and(|known| reading.incarnation < known)
-        {
+        if self.incarnation.is_some_and(|known| reading.incarnation < known) {
             return;
         }
-        let new_life = self
-            .incarnation
-            .is_some_and(|known| reading.incarnation > known);
+        let new_life = self.incarnation.is_some_and(|known| reading.incarnation > known);
         if reading.leaving {
             self.incarnation = Some(reading.incarnation);
             self.status = ReplicaStatus::Leaving;
--- a/crates/pools/src/check.rs
+++ b/crates/pools/src/check.rs
@@ -39,18 +39,9 @@
                 faults.push(fault.to_owned());
             }
         };
-        require(
-            self.version.get() > 0,
-            "`version` is 0: name the first version, 1 or later",
-        );
-        require(
-            !self.trainers.is_empty(),
-            "`trainers` is empty: name at least one trainer",
-        );
-        require(
-            !self.engines.is_empty(),
-            "`engines` is empty: name at least one engine",
-        );
+        require(self.version.get() > 0, "`version` is 0: name the first version, 1 or later");
+        require(!self.trainers.is_empty(), "`trainers` is empty: name at least one trainer");
+        require(!self.engines.is_empty(), "`engines` is empty: name at least one engine");
         require(
             self.staleness_bound <= MAX_BOUND,
             "`staleness_bound` is over 1000: give the number of versions a sample may lag",
@@ -70,11 +61,7 @@
         faults.extend(doubles("trainers", &self.trainers));
         faults.extend(doubles("engines", &self.engines));
         faults.extend(doubles("scorers", &self.scorers));
-        if faults.is_empty() {
-            Ok(())
-        } else {
-            Err(PoolError::Faults(faults))
-        }
+        if faults.is_empty() { Ok(()) } else { Err(PoolError::Faults(faults)) }
     }
 }
 
--- a/crates/pools/src/fleet.rs
+++ b/crates/pools/src/fleet.rs
@@ -47,10 +47,7 @@
 
 impl Default for PoolLimits {
     fn default() -> Self {
-        Self {
-            per_engine: 16,
-            per_trainer: 512,
-        }
+        Self { per_engine: 16, per_trainer: 512 }
     }
 }
 
@@ -88,34 +85,45 @@
     1
 }
 
+/// A pool as accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolEntry {
+    /// The pool.
+    pub spec: PoolSpec,
+    /// The generation that last changed it.
+    pub changed: Generation,
+    /// Names the write that last changed it, so that a lost answer is resolved by reading back.
+    pub write_id: String,
+}
+
 /// Every pool, under one generation.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetConfig {
     /// Grows with every accepted change.
     pub generation: Generation,
-    /// Names the write, so that a lost answer is resolved by reading back.
-    pub write_id: String,
     /// The pools by name.
-    pub pools: BTreeMap<PoolName, PoolSpec>,
+    pub pools: BTreeMap<PoolName, PoolEntry>,
 }
 
 impl FleetConfig {
-    /// The next generation, with `pool` added or replaced.
+    /// The next generation, with `spec` added or replaced by the write `write_id`.
     #[must_use]
-    pub fn with_pool(&self, pool: PoolSpec, write_id: String) -> Self {
+    pub fn with_pool(&self, spec: PoolSpec, write_id: String) -> Self {
+        let generation = self.generation.next();
         let mut pools = self.pools.clone();
-        pools.insert(pool.name.clone(), pool);
-        Self {
-            generation: self.generation.next(),
-            write_id,
-            pools,
-        }
+        let name = spec.name.clone();
+        pools.insert(name, PoolEntry { spec, changed: generation, write_id });
+        Self { generation, pools }
+    }
+
+    /// One pool.
+    pub fn pool(&self, name: &PoolName) -> Option<&PoolSpec> {
+        self.pools.get(name).map(|entry| &entry.spec)
     }
 
-    /// The pools that use an engine.
-    pub fn pools_of<'a>(&'a self, engine: &'a TargetId) -> impl Iterator<Item = &'a PoolSpec> {
-        self.pools
-            .values()
-            .filter(move |pool| pool.engines.contains(engine))
+    /// The most that any pool lets run at an engine; `None` when no pool uses it.
+    pub fn engine_limit(&self, engine: &TargetId) -> Option<u32> {
+        let users = self.pools.values().filter(|entry| entry.spec.engines.contains(engine));
+        users.map(|entry| entry.spec.limits.per_engine).max()
     }
 }
--- a/crates/pools/src/lib.rs
+++ b/crates/pools/src/lib.rs
@@ -10,5 +10,5 @@
 mod targets;
 
 pub use check::{PoolError, parse_pool};
-pub use fleet::{Favours, FleetConfig, PoolLimits, PoolSpec, SwapPolicy};
+pub use fleet::{Favours, FleetConfig, PoolEntry, PoolLimits, PoolSpec, SwapPolicy};
 pub use targets::{TargetKind, TargetList, TargetRecord};
--- a/crates/pools/src/targets.rs
+++ b/crates/pools/src/targets.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use ids::{DomainId, Generation, TargetId};
+use ids::{DomainId, Generation, ServiceName, TargetId};
 use serde::{Deserialize, Serialize};
 
 /// What a target is.
@@ -55,6 +55,9 @@
     pub domain: DomainId,
     /// What it is.
     pub kind: TargetKind,
+    /// The service it answers for; none for engines.
+    #[serde(default)]
+    pub service: Option<ServiceName>,
     /// Where it is reached, as `http://ip:port`.
     pub address: String,
     /// Whether it refuses orders with an old fencing token; unknown counts as not.
@@ -75,6 +78,15 @@
 }
 
 impl TargetList {
+    /// The targets that answer for a service and are not leaving.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a TargetRecord> {
+        let answers = |record: &&TargetRecord| record.service.as_ref() == Some(service);
+        self.targets.iter().filter(answers).filter(|record| !record.leaving)
+    }
+
     /// The record of one target.
     pub fn find(&self, id: &TargetId) -> Option<&TargetRecord> {
         self.targets.iter().find(|record| record.id == *id)
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -86,14 +86,7 @@
             faults: EngineFaults::default(),
             streams: BTreeMap::new(),
             by_request: BTreeMap::new(),
-            report: (
-                Moment::START,
-                LoadReport {
-                    running: 0,
-                    waiting: 0,
-                    age_ms: 0,
-                },
-            ),
+            report: (Moment::START, LoadReport { running: 0, waiting: 0, age_ms: 0 }),
         };
         let standin = Self {
             inner: Arc::new(Mutex::new(inner)),
@@ -204,27 +197,14 @@
     {
         let mut inner = standin.lock();
         if inner.faults.leaving {
-            let refused = (
-                StatusCode::SERVICE_UNAVAILABLE,
-                [(NOT_RUN_HEADER, "leaving")],
-                "leaving",
-            );
+            let refused =
+                (StatusCode::SERVICE_UNAVAILABLE, [(NOT_RUN_HEADER, "leaving")], "leaving");
             return refused.into_response();
         }
         let prompt = AnswerDigest::of(request.prompt.as_bytes()).get();
-        let id = inner
-            .model
-            .start(now, prompt, request.seed, request.max_tokens.get());
+        let id = inner.model.start(now, prompt, request.seed, request.max_tokens.get());
         let digest = DigestWriter::default();
-        inner.streams.insert(
-            id,
-            StreamOut {
-                lines,
-                seed: request.seed,
-                digest,
-                tokens: 0,
-            },
-        );
+        inner.streams.insert(id, StreamOut { lines, seed: request.seed, digest, tokens: 0 });
         inner.by_request.insert(request.request_id.to_string(), id);
     }
     standin.work.notify_one();
@@ -291,10 +271,7 @@
         let mut inner = standin.lock();
         if inner.faults.refuse_orders > 0 {
             inner.faults.refuse_orders -= 1;
-            return Json(OrderAnswer::Refused {
-                reason: "no memory".to_owned(),
-            })
-            .into_response();
+            return Json(OrderAnswer::Refused { reason: "no memory".to_owned() }).into_response();
         }
         let lost = inner.faults.lose_order_answers > 0;
         inner.faults.lose_order_answers = inner.faults.lose_order_answers.saturating_sub(1);
--- a/crates/standins/src/engine_model.rs
+++ b/crates/standins/src/engine_model.rs
@@ -110,9 +110,7 @@
 /// Length of an answer, in tokens: a heavy tail around a scale that siblings share.
 pub fn answer_length(prompt: u64, seed: u64, shortest: u32, longest: u32) -> u32 {
     let group = pareto(&mut ChaCha8Rng::seed_from_u64(prompt));
-    let own = pareto(&mut ChaCha8Rng::seed_from_u64(
-        prompt ^ seed.rotate_left(32),
-    ));
+    let own = pareto(&mut ChaCha8Rng::seed_from_u64(prompt ^ seed.rotate_left(32)));
     let length = f64::from(shortest) * group.sqrt() * own;
     #[expect(
         clippy::cast_possible_truncation,
@@ -192,14 +190,7 @@
         let id = StreamId(self.next_stream);
         self.next_stream += 1;
         let length = answer_length(prompt, seed, self.settings.shortest, longest);
-        self.waiting.push_back(Stream {
-            id,
-            prompt,
-            length,
-            made: 0,
-            chunks: 0,
-            ready_at: now,
-        });
+        self.waiting.push_back(Stream { id, prompt, length, made: 0, chunks: 0, ready_at: now });
         self.fill(now);
         id
     }
@@ -251,13 +242,7 @@
             let last = stream.made >= stream.length;
             let index = stream.chunks;
             stream.chunks += 1;
-            steps.push(StreamStep {
-                stream: stream.id,
-                index,
-                tokens,
-                version,
-                last,
-            });
+            steps.push(StreamStep { stream: stream.id, index, tokens, version, last });
         }
         self.running.retain(|stream| stream.made < stream.length);
         self.quantum_ends = None;
@@ -281,11 +266,7 @@
             };
             let cached = self.touch_cache(stream.prompt);
             *self.hits.entry(cached).or_default() += 1;
-            stream.ready_at = if cached {
-                now
-            } else {
-                now + self.settings.prefill
-            };
+            stream.ready_at = if cached { now } else { now + self.settings.prefill };
             self.running.push(stream);
         }
         if self.quantum_ends.is_none() && !self.running.is_empty() {
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -45,6 +45,9 @@
         /// Time from an order to the new version, in milliseconds.
         #[arg(long, default_value_t = 300)]
         load_ms: u64,
+        /// One decode step of a batch of one, in microseconds.
+        #[arg(long, default_value_t = 1_000)]
+        step_us: u64,
     },
     /// A plain service, which also answers as a scorer.
     Plain,
@@ -65,15 +68,11 @@
     let router = match cli.system {
         System::Platform => platform::router(PlatformStore::default()),
         System::Plain => plain::router(PlainState::default()),
-        System::Engine {
-            version,
-            incarnation,
-            ignore_fencing,
-            load_ms,
-        } => {
+        System::Engine { version, incarnation, ignore_fencing, load_ms, step_us } => {
             let settings = EngineSettings {
                 checks_fencing: !ignore_fencing,
                 load_time: Duration::from_millis(load_ms),
+                step: Duration::from_micros(step_us),
                 ..EngineSettings::default()
             };
             engine::router(EngineStandin::start(settings, incarnation, version))
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -91,17 +91,10 @@
         time::sleep(Duration::from_millis(slow_ms)).await;
     }
     if take(&mut state.lock().faults.refuse) {
-        let refused = (
-            StatusCode::SERVICE_UNAVAILABLE,
-            [(NOT_RUN_HEADER, "busy")],
-            "busy",
-        );
+        let refused = (StatusCode::SERVICE_UNAVAILABLE, [(NOT_RUN_HEADER, "busy")], "busy");
         return refused.into_response();
     }
-    let id = headers
-        .get(REQUEST_ID_HEADER)
-        .and_then(|id| id.to_str().ok())
-        .unwrap_or("none");
+    let id = headers.get(REQUEST_ID_HEADER).and_then(|id| id.to_str().ok()).unwrap_or("none");
     *state.lock().counts.runs.entry(id.to_owned()).or_default() += 1;
     if take(&mut state.lock().faults.lose_answers) {
         return StatusCode::GATEWAY_TIMEOUT.into_response();
@@ -118,9 +111,7 @@
     const STEPS: u32 = 101;
     let digest = AnswerDigest::of(request.text.as_bytes()).get();
     let hundredths = u32::try_from(digest % u64::from(STEPS)).unwrap_or_default();
-    Json(ScoreAnswer {
-        score: f64::from(hundredths) / 100.0,
-    })
+    Json(ScoreAnswer { score: f64::from(hundredths) / 100.0 })
 }
 
 async fn set_faults(
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -66,10 +66,7 @@
 
 impl Default for PlatformStore {
     fn default() -> Self {
-        Self {
-            tables: Arc::default(),
-            changed: watch::Sender::new(0),
-        }
+        Self { tables: Arc::default(), changed: watch::Sender::new(0) }
     }
 }
 
@@ -101,10 +98,7 @@
         tables.versions += 1;
         let version = ObjectVersion::new(tables.versions);
         let table = tables.kinds.entry(kind.to_owned()).or_default();
-        let current = table
-            .objects
-            .get(name)
-            .map_or(0, |(version, _)| version.get());
+        let current = table.objects.get(name).map_or(0, |(version, _)| version.get());
         if current != expect {
             return PutOutcome::Conflict;
         }
@@ -119,11 +113,7 @@
     pub fn get(&self, kind: &str, name: &str) -> Option<StoredObject> {
         let tables = self.lock();
         let (version, value) = tables.kinds.get(kind)?.objects.get(name)?;
-        Some(StoredObject {
-            name: name.to_owned(),
-            version: *version,
-            value: value.clone(),
-        })
+        Some(StoredObject { name: name.to_owned(), version: *version, value: value.clone() })
     }
 
     /// Lists a kind.
@@ -132,18 +122,12 @@
         let Some(table) = tables.kinds.get(kind) else {
             return ListedObjects::default();
         };
-        let objects = table
-            .objects
-            .iter()
-            .map(|(name, (version, value))| StoredObject {
-                name: name.clone(),
-                version: *version,
-                value: value.clone(),
-            });
-        ListedObjects {
-            revision: table.revision,
-            objects: objects.collect(),
-        }
+        let objects = table.objects.iter().map(|(name, (version, value))| StoredObject {
+            name: name.clone(),
+            version: *version,
+            value: value.clone(),
+        });
+        ListedObjects { revision: table.revision, objects: objects.collect() }
     }
 
     /// Sets the fault switches.
@@ -197,10 +181,7 @@
 pub fn router(store: PlatformStore) -> Router {
     Router::new()
         .route("/v1/objects/{kind}", get(list_kind))
-        .route(
-            "/v1/objects/{kind}/{name}",
-            get(read_object).put(write_object),
-        )
+        .route("/v1/objects/{kind}/{name}", get(read_object).put(write_object))
         .route("/faults", post(set_faults))
         .route("/counts", get(read_counts))
         .with_state(store)
@@ -216,9 +197,7 @@
     }
     if let Some(after) = query.after {
         store.lock().counts.watches += 1;
-        store
-            .wait_for_change(&kind, after, Duration::from_millis(query.wait_ms))
-            .await;
+        store.wait_for_change(&kind, after, Duration::from_millis(query.wait_ms)).await;
     } else {
         store.lock().counts.reads += 1;
     }
--- a/crates/swaps/src/conductor.rs
+++ b/crates/swaps/src/conductor.rs
@@ -112,10 +112,7 @@
         self.policy = policy;
         let mut kept = BTreeMap::new();
         for (id, checks_fencing) in replicas {
-            let replica = self
-                .replicas
-                .remove(&id)
-                .unwrap_or_else(|| self.unread(checks_fencing));
+            let replica = self.replicas.remove(&id).unwrap_or_else(|| self.unread(checks_fencing));
             kept.insert(id, replica);
         }
         self.replicas = kept;
@@ -124,9 +121,7 @@
     /// The actions due at `now`.
     pub fn poll(&mut self, now: Moment) -> Vec<SwapAction> {
         let mut actions = Vec::new();
-        let mut free = self
-            .most_under_way()
-            .saturating_sub(self.count(ReplicaView::Ordered));
+        let mut free = self.most_under_way().saturating_sub(self.count(ReplicaView::Ordered));
         let (wanted, token) = (self.wanted, self.token);
         for (id, replica) in &mut self.replicas {
             if replica.reading || now < replica.wait_until {
@@ -205,11 +200,7 @@
             return;
         }
         replica.view = ReplicaView::Holds(incarnation, version);
-        let rest = if version == wanted {
-            REST_READ_EVERY
-        } else {
-            Duration::ZERO
-        };
+        let rest = if version == wanted { REST_READ_EVERY } else { Duration::ZERO };
         replica.wait_until = now + rest;
     }
 
@@ -239,11 +230,7 @@
     fn unread(&self, checks_fencing: bool) -> Replica {
         // An engine that ignores tokens may still obey the last conductor's order.
         let first = self.token.get() <= 1;
-        let quiet = if checks_fencing || first {
-            Duration::ZERO
-        } else {
-            ORDER_LIFE
-        };
+        let quiet = if checks_fencing || first { Duration::ZERO } else { ORDER_LIFE };
         Replica {
             view: ReplicaView::Unknown,
             ordered: None,
@@ -261,9 +248,6 @@
     }
 
     fn count(&self, view: ReplicaView) -> usize {
-        self.replicas
-            .values()
-            .filter(|replica| replica.view == view)
-            .count()
+        self.replicas.values().filter(|replica| replica.view == view).count()
     }
 }
--- a/crates/targets/src/engine_client.rs
+++ b/crates/targets/src/engine_client.rs
@@ -27,10 +27,7 @@
 impl EngineClient {
     /// The engine at `base`, such as `http://10.0.0.1:8000`.
     pub fn new(base: &str, client: Client) -> Self {
-        Self {
-            base: base.trim_end_matches('/').to_owned(),
-            client,
-        }
+        Self { base: base.trim_end_matches('/').to_owned(), client }
     }
 
     /// Starts a stream.
@@ -48,17 +45,12 @@
             .send()
             .await?;
         if response.headers().contains_key(NOT_RUN_HEADER) {
-            return Err(TargetError::Refused(
-                response.text().await.unwrap_or_default(),
-            ));
+            return Err(TargetError::Refused(response.text().await.unwrap_or_default()));
         }
         if response.status() != StatusCode::OK {
             return Err(TargetError::Broken(response.status().to_string()));
         }
-        Ok(EngineStream {
-            response,
-            buffer: BytesMut::new(),
-        })
+        Ok(EngineStream { response, buffer: BytesMut::new() })
     }
 
     /// Cancels a request; an unknown one is no error.
--- a/crates/targets/src/plain.rs
+++ b/crates/targets/src/plain.rs
@@ -64,10 +64,7 @@
 impl PlainClient {
     /// The service at `base`.
     pub fn new(base: &str, client: Client) -> Self {
-        Self {
-            base: base.trim_end_matches('/').to_owned(),
-            client,
-        }
+        Self { base: base.trim_end_matches('/').to_owned(), client }
     }
 
     /// Sends a request once; never tries again by itself.
@@ -91,30 +88,18 @@
         if status == StatusCode::SERVICE_UNAVAILABLE
             && response.headers().contains_key(NOT_RUN_HEADER)
         {
-            return Err(TargetError::Refused(
-                response.text().await.unwrap_or_default(),
-            ));
+            return Err(TargetError::Refused(response.text().await.unwrap_or_default()));
         }
         let header = |name: &str| {
-            response
-                .headers()
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-                .map(str::to_owned)
+            response.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
         };
         let stated: Option<AnswerDigest> = header(DIGEST_HEADER).and_then(|text| text.parse().ok());
         let content_type = header("content-type").unwrap_or_default();
         let body = response.bytes().await?;
         if stated.is_some_and(|digest| digest != AnswerDigest::of(&body)) {
-            return Err(TargetError::Broken(
-                "the body does not match its digest".to_owned(),
-            ));
+            return Err(TargetError::Broken("the body does not match its digest".to_owned()));
         }
-        Ok(PlainAnswer {
-            status: status.as_u16(),
-            content_type,
-            body,
-        })
+        Ok(PlainAnswer { status: status.as_u16(), content_type, body })
     }
 
     /// Asks for a score; asking again is harmless.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -30,9 +30,7 @@
 
 impl Default for FrameCodec {
     fn default() -> Self {
-        let frames = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME)
-            .new_codec();
+        let frames = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec();
         Self { frames }
     }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -32,15 +32,8 @@
         leaving: beat.leaving,
         config_generation: beat.generation.get(),
         targets_revision: targets_revision.get(),
-        record: beat
-            .record
-            .as_ref()
-            .map(|record| member_to_wire(record, Duration::ZERO)),
-        told: beat
-            .told
-            .iter()
-            .map(|told| member_to_wire(&told.record, told.age))
-            .collect(),
+        record: beat.record.as_ref().map(|record| member_to_wire(record, Duration::ZERO)),
+        told: beat.told.iter().map(|told| member_to_wire(&told.record, told.age)).collect(),
     }
 }
 
@@ -78,8 +71,5 @@
         address: member.address,
         leaving: member.leaving,
     };
-    Ok(ToldRecord {
-        record,
-        age: Duration::from_millis(u64::from(member.age_ms)),
-    })
+    Ok(ToldRecord { record, age: Duration::from_millis(u64::from(member.age_ms)) })
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,11 +11,7 @@
 mod tally;
 
 /// The generated messages.
-#[expect(
-    missing_docs,
-    clippy::pedantic,
-    reason = "generated from proto/peer.proto"
-)]
+#[expect(missing_docs, clippy::pedantic, reason = "generated from proto/peer.proto")]
 pub mod peer {
     include!("generated/gannetway.peer.rs");
 }
--- a/crates/wire/src/tally.rs
+++ b/crates/wire/src/tally.rs
@@ -43,13 +43,6 @@
     pub fn check(&self, end: &End) -> Result<(), TallyError> {
         let mine = self.end();
         let whole = (mine.items, mine.length, mine.digest) == (end.items, end.length, end.digest);
-        if whole {
-            Ok(())
-        } else {
-            Err(TallyError {
-                stated: end.items,
-                came: self.items,
-            })
-        }
+        if whole { Ok(()) } else { Err(TallyError { stated: end.items, came: self.items }) }
     }
 }
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -51,10 +51,7 @@
     let files = protox::compile([proto.join("peer.proto")], [&proto])?;
     fs::create_dir_all(out)?;
     prost_build::Config::new()
-        .bytes([
-            ".gannetway.peer.PlainCall.body",
-            ".gannetway.peer.PlainPart.body",
-        ])
+        .bytes([".gannetway.peer.PlainCall.body", ".gannetway.peer.PlainPart.body"])
         .out_dir(out)
         .compile_fds(files)?;
     Ok(())
