Leave a frozen keeper or entry box after seconds, not half a minute

Cause: a try at a keeper could take the whole deadline of the request (wait + 10 s + slack), and the client gave a frozen entry box 14 s; a frozen process keeps its connections open without a word, so nothing else ended the wait.

Change: a try takes the request's own wait plus 0.75 s; the entry box gives its final answer after 1.2 s beyond the wait and says when to come back; the client leaves an entry box 2 s beyond the wait, plus a second for each MiB sent.

Ruled out: waiting for the member table to call the box dead (6 s, and it knows nothing of boxes in other domains so soon).

--- a/crates/client/src/entry.rs
+++ b/crates/client/src/entry.rs
@@ -16,8 +16,10 @@
 
 /// Pauses between tries.
 const BACKOFF: Backoff = Backoff::new(Duration::from_millis(20), Duration::from_secs(1));
-/// Time for one try beyond the wait asked of the box.
-const TRY_TIME: Duration = Duration::from_secs(12);
+/// Time for one try beyond the wait asked of the box; a frozen entry box is left after it.
+const TRY_TIME: Duration = Duration::from_secs(2);
+/// Time allowed for each MiB of a body on its way.
+const TIME_PER_MIB: Duration = Duration::from_secs(1);
 
 /// How to reach the entry boxes.
 #[derive(Debug, Clone)]
@@ -89,12 +91,17 @@
             return Err(ClientError::NoEntry);
         };
         let url = format!("{}{path}", entry.trim_end_matches('/'));
-        let mut request = self.client.request(method.clone(), url).timeout(wait + TRY_TIME);
+        let bytes = body.map(serde_json::to_vec).transpose();
+        let bytes = bytes.map_err(|error| ClientError::Broken(error.to_string()))?;
+        let mib =
+            bytes.as_ref().map_or(0, |bytes| u32::try_from(bytes.len() >> 20).unwrap_or(u32::MAX));
+        let timeout = wait + TRY_TIME + TIME_PER_MIB * mib;
+        let mut request = self.client.request(method.clone(), url).timeout(timeout);
         if let Some(key) = &self.settings.key {
             request = request.bearer_auth(key.trim());
         }
-        if let Some(body) = body {
-            request = request.json(body);
+        if let Some(bytes) = bytes {
+            request = request.header("content-type", "application/json").body(bytes);
         }
         let response = request.send().await.map_err(|error| send_error(&error))?;
         read_whole(response).await
@@ -114,8 +121,7 @@
     let success = response.status().is_success();
     let stated = response.headers().get(DIGEST_HEADER).and_then(|value| value.to_str().ok());
     let stated: Option<AnswerDigest> = stated.and_then(|text| text.parse().ok());
-    let body =
-        response.bytes().await.map_err(|error| ClientError::Broken(error.to_string()))?;
+    let body = response.bytes().await.map_err(|error| ClientError::Broken(error.to_string()))?;
     if !success {
         let refusal: ErrorBody = serde_json::from_slice(&body)
             .map_err(|_foreign| ClientError::Broken("an answer that is no refusal".to_owned()))?;
--- a/crates/client/src/step.rs
+++ b/crates/client/src/step.rs
@@ -14,7 +14,7 @@
 use crate::{ClientError, EntryClient};
 
 /// Longest wait of one pull; short enough that a lost keeper is noticed soon.
-const PULL_WAIT: Duration = Duration::from_secs(2);
+const PULL_WAIT: Duration = Duration::from_secs(1);
 /// Cause of a wait that ended without any keeper's answer.
 const NO_KEEPER: &str = "no_keeper";
 /// Most samples of one pull.
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -117,10 +117,12 @@
         }
         // One scorer for each domain, and the plain service in the first two.
         for domain in 0..self.plan.domains {
-            self.start_service(&format!("scorer-{}", domain + 1), domain, "scorer", "scorer").await?;
+            self.start_service(&format!("scorer-{}", domain + 1), domain, "scorer", "scorer")
+                .await?;
         }
         for domain in 0..self.plan.domains.min(2) {
-            self.start_service(&format!("orders-{}", domain + 1), domain, "plain", "orders").await?;
+            self.start_service(&format!("orders-{}", domain + 1), domain, "plain", "orders")
+                .await?;
         }
         Ok(())
     }
@@ -231,7 +233,8 @@
                 let ready = self.read(child.address(), "/readyz").await;
                 let status = self.read(child.address(), "/v1/status").await;
                 let sees = status.map(|status| status["peers"].as_array().map_or(0, Vec::len));
-                ready.is_ok_and(|ready| ready["ready"] == true) && sees.is_ok_and(|sees| sees >= all)
+                ready.is_ok_and(|ready| ready["ready"] == true)
+                    && sees.is_ok_and(|sees| sees >= all)
             })
             .await?;
         }
@@ -307,10 +310,8 @@
     pub async fn keeper(&self, trainer: &TrainerId) -> Option<String> {
         for (id, child) in &self.boxes {
             // A frozen box does not answer, so it is not asked for long.
-            let asked = time::timeout(
-                Duration::from_millis(300),
-                self.read(child.address(), "/v1/status"),
-            );
+            let asked =
+                time::timeout(Duration::from_millis(300), self.read(child.address(), "/v1/status"));
             let Ok(Ok(status)) = asked.await else { continue };
             let kept = status["kept"].as_array().cloned().unwrap_or_default();
             let keeps = |entry: &Value| {
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -89,7 +89,8 @@
     let trainer: TrainerId = "press-1".parse().map_err(io::Error::other)?;
     fleet.apply(&fleet.pool(&pool, &trainer, ModelVersion::new(1))).await?;
     let started = Instant::now();
-    let mut step = fleet.trainer(&pool, &trainer).open(step_spec()).await.map_err(io::Error::other)?;
+    let mut step =
+        fleet.trainer(&pool, &trainer).open(step_spec()).await.map_err(io::Error::other)?;
     let mut tally = Tally::default();
     let mut faults = Vec::new();
     pull_until(&mut step, &mut tally, SAMPLES / 4).await?;
@@ -176,7 +177,8 @@
     if let Some(child) = fleet.boxes.get(&frozen) {
         child.signal(Signal::Continue).await?;
     }
-    let index = |part: usize| killed.split('-').nth(part).and_then(|text| text.parse::<usize>().ok());
+    let index =
+        |part: usize| killed.split('-').nth(part).and_then(|text| text.parse::<usize>().ok());
     if let (Some(domain), Some(place)) = (index(1), index(2)) {
         fleet.start_box(domain - 1, place - 1).await?;
     }
--- a/crates/gannetctl/src/cli.rs
+++ b/crates/gannetctl/src/cli.rs
@@ -150,7 +150,10 @@
         let Some(path) = &self.key_file else { return Ok(None) };
         let read = fs::read_to_string(path);
         read.map(Some).map_err(|error| {
-            CliError::BadInput(format!("--key-file {}: {error}; name a readable file", path.display()))
+            CliError::BadInput(format!(
+                "--key-file {}: {error}; name a readable file",
+                path.display()
+            ))
         })
     }
 }
--- a/crates/gannetctl/src/commands.rs
+++ b/crates/gannetctl/src/commands.rs
@@ -5,9 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use api::{
-    AppliedBody, DEADLINE_HEADER, ErrorBody, REPEATABLE_HEADER, REQUEST_ID_HEADER,
-};
+use api::{AppliedBody, DEADLINE_HEADER, ErrorBody, REPEATABLE_HEADER, REQUEST_ID_HEADER};
 use client::{ClientError, EntryClient, IdleReport, TrainerClient};
 use ids::{AnswerDigest, ModelVersion};
 use ledger::{GroupSpec, Sample, SlotSet, StepSpec};
@@ -162,8 +160,11 @@
     row("delivered", report.delivered.to_string());
     row("doubled", report.doubled.to_string());
     row("missing", report.missing.to_string());
-    let versions: Vec<String> =
-        report.versions.iter().map(|(version, tokens)| format!("{version} ({tokens} tokens)")).collect();
+    let versions: Vec<String> = report
+        .versions
+        .iter()
+        .map(|(version, tokens)| format!("{version} ({tokens} tokens)"))
+        .collect();
     row("versions used", versions.join(", "));
     row("oldest staleness", format!("{} version(s)", report.oldest_staleness));
     row("dropped as stale", report.stale.to_string());
@@ -203,7 +204,11 @@
         .send()
         .await;
     let response = sent.map_err(|error| {
-        if error.is_connect() { ClientError::NoEntry } else { ClientError::Broken(error.to_string()) }
+        if error.is_connect() {
+            ClientError::NoEntry
+        } else {
+            ClientError::Broken(error.to_string())
+        }
     })?;
     let status = response.status().as_u16();
     let stated = response.headers().get(api::DIGEST_HEADER).and_then(|value| value.to_str().ok());
--- a/crates/gannetwayd/src/apply.rs
+++ b/crates/gannetwayd/src/apply.rs
@@ -50,7 +50,8 @@
         time::sleep(Duration::from_millis(pause)).await;
     }
     let kind = if maybe_written { ErrorKind::Unknown } else { ErrorKind::NotRun };
-    let message = format!("the change was not confirmed ({last}): apply it again, which is harmless");
+    let message =
+        format!("the change was not confirmed ({last}): apply it again, which is harmless");
     Err(ErrorBody::new(kind, message))
 }
 
@@ -98,9 +99,7 @@
     let Some(object) = store.read(key).await? else {
         return Ok((ObjectVersion::default(), FleetConfig::default()));
     };
-    let config = serde_json::from_value(object.value).map_err(|error| StoreError::BadValue {
-        key: key.to_string(),
-        fault: error.to_string(),
-    })?;
+    let config = serde_json::from_value(object.value)
+        .map_err(|error| StoreError::BadValue { key: key.to_string(), fault: error.to_string() })?;
     Ok((object.version, config))
 }
--- a/crates/gannetwayd/src/conductor.rs
+++ b/crates/gannetwayd/src/conductor.rs
@@ -110,16 +110,14 @@
             .map(|(name, entry)| (name, &entry.spec))
             .filter(|(name, _)| !self.ctx.is_leaving() && self.is_owner(now, name))
             .collect();
-        self.rollouts.retain(|name, rollout| {
-            mine.contains_key(name) || rollout.claim.held(now).is_some()
-        });
+        self.rollouts
+            .retain(|name, rollout| mine.contains_key(name) || rollout.claim.held(now).is_some());
         for (name, spec) in mine {
             let replicas = self.replicas_here(spec);
             if replicas.is_empty() {
                 continue;
             }
-            let mut rollout =
-                self.rollouts.remove(name).unwrap_or_else(|| new_rollout(&self.ctx));
+            let mut rollout = self.rollouts.remove(name).unwrap_or_else(|| new_rollout(&self.ctx));
             self.drive_one(now, spec, replicas, &mut rollout, me);
             self.rollouts.insert(name.clone(), rollout);
         }
--- a/crates/gannetwayd/src/daemon.rs
+++ b/crates/gannetwayd/src/daemon.rs
@@ -134,8 +134,7 @@
         // Actors are gone only when the box has stopped.
         let _gone = self.members.tell(LeaveFleet).await;
         let _gone = self.conductor.tell(ReleaseRollouts).await;
-        let attempts_until =
-            time::Instant::now() + ctx.settings.drain_limit / ATTEMPT_PARTS;
+        let attempts_until = time::Instant::now() + ctx.settings.drain_limit / ATTEMPT_PARTS;
         let notice = time::sleep(ctx.settings.drain_notice);
         tokio::join!(notice, self.hand_over_all(attempts_until));
         self.stop_http.cancel();
@@ -166,13 +165,16 @@
         let successor = {
             let members = ctx.members.borrow();
             let lease = key.lease().to_string();
-            members.owner_in(ctx.clock.now(), &ctx.me.domain, &lease).map(|record| ctx.place_of(record))
+            members
+                .owner_in(ctx.clock.now(), &ctx.me.domain, &lease)
+                .map(|record| ctx.place_of(record))
         };
         let Some(place) = successor.filter(|place| *place != Place::Here) else {
             log::warn!(target: "keeper", trainer:% = key; "no successor, the trainer opens its steps again");
             return;
         };
-        let snapshots = adopt.snapshots.iter().filter_map(|snapshot| serde_json::to_vec(snapshot).ok());
+        let snapshots =
+            adopt.snapshots.iter().filter_map(|snapshot| serde_json::to_vec(snapshot).ok());
         let take = TakeOver {
             pool: key.pool.to_string(),
             trainer: key.trainer.to_string(),
@@ -190,8 +192,12 @@
             Err(error) => Err(error),
         };
         match taken {
-            Ok(()) => log::info!(target: "keeper", trainer:% = key, to:? = place; "steps handed over"),
-            Err(error) => log::warn!(target: "keeper", trainer:% = key, error:% = error; "hand-over failed, the trainer opens its steps again"),
+            Ok(()) => {
+                log::info!(target: "keeper", trainer:% = key, to:? = place; "steps handed over")
+            }
+            Err(error) => {
+                log::warn!(target: "keeper", trainer:% = key, error:% = error; "hand-over failed, the trainer opens its steps again")
+            }
         }
     }
 
--- a/crates/gannetwayd/src/documents.rs
+++ b/crates/gannetwayd/src/documents.rs
@@ -119,7 +119,9 @@
             let members = self.ctx.members.borrow();
             let all = members.all(now);
             let known = all.iter().find(|(record, _)| record.id == peer);
-            known.filter(|(_, live)| *live != Liveness::Dead).map(|(record, _)| record.address.clone())
+            known
+                .filter(|(_, live)| *live != Liveness::Dead)
+                .map(|(record, _)| record.address.clone())
         };
         let Some(address) = address else { return };
         self.fetching = true;
--- a/crates/gannetwayd/src/http/answer.rs
+++ b/crates/gannetwayd/src/http/answer.rs
@@ -61,7 +61,8 @@
 /// Reads a JSON body; says what is wrong with a bad one.
 pub fn read_json<T: DeserializeOwned>(body: &Bytes) -> Result<T, Failure> {
     serde_json::from_slice(body).map_err(|error| {
-        let message = format!("the body is not what this path takes ({error}): mend it and send it again");
+        let message =
+            format!("the body is not what this path takes ({error}): mend it and send it again");
         Failure(ErrorBody::new(ErrorKind::BadRequest, message))
     })
 }
--- a/crates/gannetwayd/src/http/commands.rs
+++ b/crates/gannetwayd/src/http/commands.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use api::{AdvanceBody, AppliedBody, ErrorBody, ErrorKind, HeldBody, OpenBody, PullAnswer, PullBody};
+use api::{
+    AdvanceBody, AppliedBody, ErrorBody, ErrorKind, HeldBody, OpenBody, PullAnswer, PullBody,
+};
 use axum::body::Bytes;
 use axum::extract::{Path, Query, State};
 use axum::http::HeaderMap;
@@ -23,9 +25,9 @@
 use crate::keeper::KeeperKey;
 use crate::route::StepAnswer;
 
-/// Time for a request about a step, beside a pull's own wait. Finding a new keeper takes at
-/// most the lease's term and a little.
-const STEP_TIME: Duration = Duration::from_secs(10);
+/// Time for a request about a step, beside a pull's own wait: one try and a second look. A
+/// trainer that finds no keeper is told so, and asks again, perhaps at another box.
+const STEP_TIME: Duration = Duration::from_millis(1_200);
 /// Longest wait of a pull, in milliseconds.
 const MOST_WAIT_MS: u64 = 30_000;
 
@@ -169,8 +171,7 @@
         return Err(ErrorBody::new(ErrorKind::BadRequest, message).into());
     }
     let write_id = query.write_id.unwrap_or_else(|| new_request_id().to_string());
-    let applied =
-        apply::apply_pool(&state.ctx.store, spec, query.if_generation, &write_id).await?;
+    let applied = apply::apply_pool(&state.ctx.store, spec, query.if_generation, &write_id).await?;
     let generation = applied.config.generation;
     log::info!(target: "config", pool:% = pool, generation:% = generation, write:% = write_id; "change accepted");
     // The actor is gone only when the box stops; the platform has the change by now.
@@ -194,7 +195,7 @@
         body: Some(body),
     };
     let deadline = state.ctx.clock.now() + wait + STEP_TIME;
-    Ok(state.directory.call(&state.ctx, &key, request, deadline).await?)
+    Ok(state.directory.call(&state.ctx, &key, request, wait, deadline).await?)
 }
 
 fn broken(message: &str) -> Failure {
--- a/crates/gannetwayd/src/http/plain.rs
+++ b/crates/gannetwayd/src/http/plain.rs
@@ -3,7 +3,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use api::{DEADLINE_HEADER, DIGEST_HEADER, ErrorBody, ErrorKind, REPEATABLE_HEADER, REQUEST_ID_HEADER};
+use api::{
+    DEADLINE_HEADER, DIGEST_HEADER, ErrorBody, ErrorKind, REPEATABLE_HEADER, REQUEST_ID_HEADER,
+};
 use axum::body::Bytes;
 use axum::extract::{Path, State};
 use axum::http::{HeaderMap, Method, StatusCode, Uri};
--- a/crates/gannetwayd/src/keeper/actor.rs
+++ b/crates/gannetwayd/src/keeper/actor.rs
@@ -205,7 +205,9 @@
         self.acting = acting;
         self.ctx.metrics.lease_changes.inc();
         match acting {
-            Some(token) => log::info!(target: "keeper", trainer:% = self.key, token:% = token; "keeping"),
+            Some(token) => {
+                log::info!(target: "keeper", trainer:% = self.key, token:% = token; "keeping")
+            }
             None => log::info!(target: "keeper", trainer:% = self.key; "stepped down"),
         }
     }
@@ -316,7 +318,11 @@
 impl Message<AdvanceStep> for KeeperActor {
     type Reply = Result<KeptState, KeeperRefusal>;
 
-    async fn handle(&mut self, msg: AdvanceStep, ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+    async fn handle(
+        &mut self,
+        msg: AdvanceStep,
+        ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
         let now = self.ctx.clock.now();
         let advanced = self.keeper.advance(now, msg.step, msg.version, msg.seen);
         self.drive(&ctx.actor_ref());
@@ -327,7 +333,11 @@
 impl Message<CloseStep> for KeeperActor {
     type Reply = Result<(), KeeperRefusal>;
 
-    async fn handle(&mut self, msg: CloseStep, ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
+    async fn handle(
+        &mut self,
+        msg: CloseStep,
+        ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
         let closed = self.keeper.close(self.ctx.clock.now(), msg.step, msg.seen);
         self.drive(&ctx.actor_ref());
         closed
@@ -337,7 +347,11 @@
 impl Message<StepStateQuery> for KeeperActor {
     type Reply = Result<KeptState, KeeperRefusal>;
 
-    async fn handle(&mut self, msg: StepStateQuery, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+    async fn handle(
+        &mut self,
+        msg: StepStateQuery,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
         self.keeper.state(msg.0)
     }
 }
--- a/crates/gannetwayd/src/logs.rs
+++ b/crates/gannetwayd/src/logs.rs
@@ -17,8 +17,10 @@
         })
         .level(log::LevelFilter::Warn)
         .chain(io::stderr());
-    let parts = ["box", "config", "conductor", "home", "http", "keeper", "links", "members", "route"];
-    let dispatch = parts.into_iter().fold(dispatch, |dispatch, part| dispatch.level_for(part, level));
+    let parts =
+        ["box", "config", "conductor", "home", "http", "keeper", "links", "members", "route"];
+    let dispatch =
+        parts.into_iter().fold(dispatch, |dispatch, part| dispatch.level_for(part, level));
     // Only tests call this twice in one process.
     let _already_set = dispatch.apply();
 }
--- a/crates/gannetwayd/src/peer.rs
+++ b/crates/gannetwayd/src/peer.rs
@@ -46,7 +46,9 @@
 impl PeerHandler for BoxHandler {
     async fn request(&self, request: Request, sink: AnswerSink, cancel: CancellationToken) {
         let Some(body) = request.body else {
-            return sink.refuse(wire_bad_request("the request is empty: send one of its kinds")).await;
+            return sink
+                .refuse(wire_bad_request("the request is empty: send one of its kinds"))
+                .await;
         };
         if request.time_left_ms == 0 {
             return sink.refuse(wire_not_run(NotRun::Expired, Duration::ZERO)).await;
--- a/crates/gannetwayd/src/refuse.rs
+++ b/crates/gannetwayd/src/refuse.rs
@@ -65,11 +65,7 @@
 
 /// A refusal of a request that is itself wrong.
 pub fn wire_bad_request(message: impl Into<String>) -> Refused {
-    Refused {
-        kind: RefusedKind::BadRequest.into(),
-        message: message.into(),
-        ..Refused::default()
-    }
+    Refused { kind: RefusedKind::BadRequest.into(), message: message.into(), ..Refused::default() }
 }
 
 /// A target's failure for the wire.
--- a/crates/gannetwayd/src/route.rs
+++ b/crates/gannetwayd/src/route.rs
@@ -24,8 +24,11 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// How long an address that failed is not tried as a keeper again.
 const AVOID_FOR: Duration = Duration::from_secs(2);
-/// Slack beyond a request's own wait before its box counts as silent.
-const SILENCE_SLACK: Duration = Duration::from_millis(1_500);
+/// Time for one try at a keeper beyond the request's own wait. A keeper that is frozen or cut
+/// off is left after this, for its connection may stay open without a word.
+const TRY_TIME: Duration = Duration::from_millis(750);
+/// Slack beyond a try's time before its box counts as silent.
+const SILENCE_SLACK: Duration = Duration::from_millis(250);
 
 fn refused(refused: Refused) -> CallError {
     CallError::Refused(Box::new(refused))
@@ -92,19 +95,21 @@
 }
 
 impl KeeperDirectory {
-    /// Sends a request about a step to its keeper, wherever that is, until `deadline`.
-    /// All such requests may be repeated without harm.
+    /// Sends a request about a step to its keeper, wherever that is, until `deadline`. A try
+    /// may take the request's own `wait` and a little. All such requests may be repeated
+    /// without harm.
     pub async fn call(
         &self,
         ctx: &BoxContext,
         key: &KeeperKey,
         mut request: Request,
+        wait: Duration,
         deadline: Moment,
     ) -> Result<StepAnswer, CallError> {
         let mut last = CallError::NotSent { address: "the keeper".to_owned() };
         while ctx.clock.now() < deadline {
             let guess = self.guess(ctx, key).await;
-            let left = deadline.since(ctx.clock.now());
+            let left = deadline.since(ctx.clock.now()).min(wait + TRY_TIME);
             request.time_left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
             set_claim(&mut request, guess.claim);
             let silence = left + SILENCE_SLACK;
--- a/crates/gannetwayd/src/serve/step.rs
+++ b/crates/gannetwayd/src/serve/step.rs
@@ -38,8 +38,12 @@
             groups: open.groups.into_iter().map(group).collect::<Answer<Vec<GroupSpec>>>()?,
         };
         let held = SlotSet::from_bytes(open.held);
-        ask_until_kept(served, &handle, || OpenStep { spec: spec.clone(), held: held.clone(), seen })
-            .await
+        ask_until_kept(served, &handle, || OpenStep {
+            spec: spec.clone(),
+            held: held.clone(),
+            seen,
+        })
+        .await
     };
     answer_state(served, answered.await, sink).await;
 }
@@ -114,9 +118,8 @@
 }
 
 fn group(group: peer::Group) -> Answer<GroupSpec> {
-    let samples = u16::try_from(group.samples).map_err(|_large| {
-        wire_bad_request("a group asks for more than 65535 samples: split it")
-    })?;
+    let samples = u16::try_from(group.samples)
+        .map_err(|_large| wire_bad_request("a group asks for more than 65535 samples: split it"))?;
     let max_tokens = TokenCount::new(group.max_tokens);
     Ok(GroupSpec { prompt: Arc::from(group.prompt), samples, max_tokens })
 }
@@ -165,10 +168,8 @@
             Err(SendError::HandlerError(refusal)) => refusal,
             Err(_) => return Err(stopping()),
         };
-        let claiming = matches!(
-            refusal,
-            KeeperRefusal::NotKeeping { claiming: true, holder: None, .. }
-        );
+        let claiming =
+            matches!(refusal, KeeperRefusal::NotKeeping { claiming: true, holder: None, .. });
         if !claiming {
             return Err(wire_keeper_refusal(&refusal));
         }
--- a/crates/gannetwayd/src/settings.rs
+++ b/crates/gannetwayd/src/settings.rs
@@ -155,10 +155,13 @@
 
     fn key(&mut self, file: Option<&PathBuf>, text: Option<&str>) -> Option<DeploymentKey> {
         let read = match (file, text) {
-            (Some(path), _) => fs::read_to_string(path)
-                .map_err(|error| format!("--key-file {}: {error}; give a readable file", path.display())),
+            (Some(path), _) => fs::read_to_string(path).map_err(|error| {
+                format!("--key-file {}: {error}; give a readable file", path.display())
+            }),
             (None, Some(text)) => Ok(text.to_owned()),
-            (None, None) => Err("--key-file is missing: name the file with the deployment key".to_owned()),
+            (None, None) => {
+                Err("--key-file is missing: name the file with the deployment key".to_owned())
+            }
         };
         let key = read.and_then(|text| {
             DeploymentKey::new(&text).map_err(|error| format!("--key-file: {error}"))
--- a/crates/gannetwayd/src/trace.rs
+++ b/crates/gannetwayd/src/trace.rs
@@ -52,7 +52,11 @@
     pub fn hop(&self, name: &'static str, kind: SpanKind, parent: &str) -> HopSpan {
         let carrier = HashMap::from([(TRACEPARENT_HEADER.to_owned(), parent.to_owned())]);
         let parent = self.propagator.extract_with_context(&Context::new(), &carrier);
-        let span = self.tracer.span_builder(name).with_kind(kind).start_with_context(&self.tracer, &parent);
+        let span = self
+            .tracer
+            .span_builder(name)
+            .with_kind(kind)
+            .start_with_context(&self.tracer, &parent);
         let context = Context::new().with_span(span);
         let mut carrier = HashMap::new();
         self.propagator.inject_context(&context, &mut carrier);
