--- a/crates/api/src/step.rs
+++ b/crates/api/src/step.rs
@@ -1,7 +1,7 @@
 //! Steps as trainers open and pull them.
 
 use ids::{FencingToken, ModelVersion, StepNumber};
-use ledger::{GroupSpec, Progress, Sample, SlotSet, StepSpec};
+use ledger::{GroupSpec, PoolRule, Progress, Sample, SlotSet, StepSpec};
 use serde::{Deserialize, Serialize};
 
 /// Opens a step, or opens it again at a new keeper.
@@ -71,8 +71,8 @@
     pub token: FencingToken,
     /// The version now named.
     pub named: ModelVersion,
-    /// How many versions older than named a sample may be.
-    pub bound: u32,
+    /// The pool's rule in force at the keeper.
+    pub rule: PoolRule,
     /// Counts of the slots, and why the trainer waits.
     pub progress: Progress,
     /// The box that keeps the step.
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -259,20 +259,20 @@
 
     /// A client for operators.
     pub fn operator(&self) -> EntryClient {
-        self.client(self.entries())
+        self.client()
     }
 
     /// A client for a trainer that may use all boxes.
     pub fn trainer(&self, pool: &PoolName, trainer: &TrainerId) -> TrainerClient {
-        let entry = Arc::new(self.client(self.entries()));
+        let entry = Arc::new(self.client());
         TrainerClient::new(entry, pool.clone(), trainer.clone())
     }
 
-    fn client(&self, entries: Vec<String>) -> EntryClient {
+    fn client(&self) -> EntryClient {
         EntryClient::new(EntrySettings {
-            entries,
+            entries: self.entries(),
             key: Some(KEY.to_owned()),
-            patience: Duration::from_secs(60),
+            patience: Duration::from_mins(1),
         })
     }
 
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -129,12 +129,12 @@
     while tally.slots.len() < wanted {
         let Some(samples) = step.next().await.map_err(io::Error::other)? else { return Ok(()) };
         let named = step.intake().named();
-        let bound = step.state().bound;
+        let window = step.intake().window();
         for sample in samples {
             if !tally.slots.insert(sample.slot) {
                 tally.doubled += 1;
             }
-            if sample.oldest() < named.floor(bound) {
+            if window.is_too_old(sample.oldest()) {
                 tally.too_old += 1;
             }
             if sample.spans.len() > 1 {
--- a/crates/gannetwayd/src/daemon.rs
+++ b/crates/gannetwayd/src/daemon.rs
@@ -193,10 +193,10 @@
         };
         match taken {
             Ok(()) => {
-                log::info!(target: "keeper", trainer:% = key, to:? = place; "steps handed over")
+                log::info!(target: "keeper", trainer:% = key, to:? = place; "steps handed over");
             }
             Err(error) => {
-                log::warn!(target: "keeper", trainer:% = key, error:% = error; "hand-over failed, the trainer opens its steps again")
+                log::warn!(target: "keeper", trainer:% = key, error:% = error; "hand-over failed, the trainer opens its steps again");
             }
         }
     }
--- a/crates/gannetwayd/src/http/commands.rs
+++ b/crates/gannetwayd/src/http/commands.rs
@@ -10,7 +10,7 @@
 use axum::http::HeaderMap;
 use axum::response::Response;
 use ids::{FencingToken, Generation, ModelVersion, SlotIndex, StepNumber, TokenCount};
-use ledger::{Progress, Sample, VersionSpan, WaitCause};
+use ledger::{PoolRule, Progress, Sample, VersionSpan, WaitCause};
 use pools::PoolSpec;
 use serde::Deserialize;
 use wire::peer::{
@@ -208,7 +208,11 @@
     Ok(api::StepState {
         token: FencingToken::new(state.token),
         named: ModelVersion::new(state.named),
-        bound: state.bound,
+        rule: PoolRule {
+            generation: Generation::new(state.generation),
+            version: ModelVersion::new(state.pool_version),
+            bound: state.bound,
+        },
         progress: Progress {
             slots: count(state.slots),
             held: count(state.held),
--- a/crates/gannetwayd/src/http/plain.rs
+++ b/crates/gannetwayd/src/http/plain.rs
@@ -11,7 +11,7 @@
 use axum::http::{HeaderMap, Method, StatusCode, Uri};
 use axum::response::{IntoResponse, Response};
 use coord::retry::{Backoff, RetryBudget};
-use ids::{AnswerDigest, ModelVersion, Moment, RequestId, ServiceName, TargetId};
+use ids::{AnswerDigest, Moment, RequestId, ServiceName, TargetId};
 use links::CallError;
 use placement::{NotRun, TargetChooser};
 use rand::Rng;
@@ -191,7 +191,7 @@
         let now = self.ctx().clock.now();
         let mut chooser = lock(&self.state.plain.chooser);
         let chosen = chooser
-            .choose(now, &targets, ModelVersion::default(), &mut rand::rng())
+            .choose(now, &targets, None, &mut rand::rng())
             .map(|candidate| candidate.id.clone());
         let Some(id) = chosen else {
             let error = wire_not_run(NotRun::Overloaded, BUSY_RETRY);
--- a/crates/gannetwayd/src/keeper/actor.rs
+++ b/crates/gannetwayd/src/keeper/actor.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 
 use coord::lease::{LeaseAction, LeaseRecord, LeaseSighting, ReadOutcome, WriteOutcome};
-use ids::{FencingToken, ModelVersion, Moment, ObjectVersion, StepNumber};
+use ids::{FencingToken, ModelVersion, Moment, ObjectVersion, StepNumber, VersionWindow};
 use kameo::prelude::*;
 use keeping::{
     AttemptEnd, KeeperAction, KeeperRefusal, KeeperSettings, KeptState, Placement, StepKeeper,
 };
-use ledger::{Freshness, HandOut, Pull, Settled, SlotSet, StepSnapshot, StepSpec};
+use ledger::{HandOut, Pull, Settled, SlotSet, StepSnapshot, StepSpec};
 use objects::{ObjectStore, StoreError, StoredObject};
 use placement::TargetHint;
 use rand::SeedableRng;
@@ -28,7 +28,7 @@
     ctx: BoxContext,
     key: KeeperKey,
     keeper: StepKeeper<ChaCha8Rng>,
-    floors: HashMap<StepNumber, watch::Sender<Freshness>>,
+    windows: HashMap<StepNumber, watch::Sender<VersionWindow>>,
     changes: watch::Sender<u64>,
     wake: watch::Sender<Moment>,
     acting: Option<FencingToken>,
@@ -166,7 +166,7 @@
             ctx: Arc::clone(ctx),
             key,
             keeper,
-            floors: HashMap::new(),
+            windows: HashMap::new(),
             changes,
             wake,
             acting: None,
@@ -179,7 +179,7 @@
 
     fn follow_pool(&mut self) {
         let config = Arc::clone(&self.ctx.documents.borrow().config);
-        self.keeper.pool_changed(config.pool(&self.key.pool).cloned());
+        self.keeper.pool_changed(config.generation, config.pool(&self.key.pool).cloned());
     }
 
     /// Carries out what the keeper wants done now, and tells those who wait.
@@ -191,7 +191,7 @@
                 KeeperAction::Start(placement) => self.start_attempt(placement, me),
             }
         }
-        self.tell_floors();
+        self.tell_windows();
         self.note_acting();
         self.changes.send_modify(|count| *count += 1);
         self.wake.send_replace(self.keeper.next_at(now));
@@ -206,19 +206,21 @@
         self.ctx.metrics.lease_changes.inc();
         match acting {
             Some(token) => {
-                log::info!(target: "keeper", trainer:% = self.key, token:% = token; "keeping")
+                log::info!(target: "keeper", trainer:% = self.key, token:% = token; "keeping");
+            }
+            None => {
+                log::info!(target: "keeper", trainer:% = self.key; "stepped down");
             }
-            None => log::info!(target: "keeper", trainer:% = self.key; "stepped down"),
         }
     }
 
     /// Lets running attempts see that they have become too old.
-    fn tell_floors(&mut self) {
-        self.floors.retain(|step, floor| match self.keeper.freshness(*step) {
-            Some(freshness) => {
-                floor.send_if_modified(|known| {
-                    let changed = *known != freshness;
-                    *known = freshness;
+    fn tell_windows(&mut self) {
+        self.windows.retain(|step, told| match self.keeper.window(*step) {
+            Some(window) => {
+                told.send_if_modified(|known| {
+                    let changed = *known != window;
+                    *known = window;
                     changed
                 });
                 true
@@ -246,15 +248,15 @@
     }
 
     fn start_attempt(&mut self, placement: Placement, me: &ActorRef<Self>) {
-        let Some(freshness) = self.keeper.freshness(placement.step) else { return };
-        let floor = self
-            .floors
+        let Some(window) = self.keeper.window(placement.step) else { return };
+        let window_out = self
+            .windows
             .entry(placement.step)
-            .or_insert_with(|| watch::Sender::new(freshness))
+            .or_insert_with(|| watch::Sender::new(window))
             .subscribe();
         let (ctx, key, me) = (Arc::clone(&self.ctx), self.key.clone(), me.clone());
         self.ctx.traffic.spawn(async move {
-            let (end, hint) = run_attempt(&ctx, &key, &placement, floor).await;
+            let (end, hint) = run_attempt(&ctx, &key, &placement, window_out).await;
             // The actor is gone only when the box stops.
             let _stopped = me.tell(AttemptDone { placement, end, hint }).await;
         });
--- a/crates/gannetwayd/src/keeper/attempt.rs
+++ b/crates/gannetwayd/src/keeper/attempt.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use ids::{AnswerDigest, Incarnation, ModelVersion, TargetId, TokenCount};
+use ids::{AnswerDigest, Incarnation, ModelVersion, TargetId, TokenCount, VersionWindow};
 use keeping::{AttemptEnd, Placement};
-use ledger::{ChunkStamp, Freshness, Sample, StampTrail};
+use ledger::{ChunkStamp, Sample, StampTrail};
 use links::{AnswerStream, CallError};
 use opentelemetry::trace::SpanKind;
 use placement::{NotRun, TargetHint};
@@ -36,12 +36,12 @@
     ctx: &BoxContext,
     key: &KeeperKey,
     placement: &Placement,
-    floor: watch::Receiver<Freshness>,
+    window: watch::Receiver<VersionWindow>,
 ) -> (AttemptEnd, Option<TargetHint>) {
     let span = ctx.tracer.hop("attempt", SpanKind::Client, "");
     span.note("slot", i64::from(placement.assignment.slot.get()));
     span.note("target", placement.target.to_string());
-    let mut run = AttemptRun { ctx, key, placement, floor, hint: None, span };
+    let mut run = AttemptRun { ctx, key, placement, window, hint: None, span };
     let end = match run.generate().await {
         Ok((spans, text)) => run.judge(spans, text).await,
         Err(end) => end,
@@ -53,7 +53,7 @@
     ctx: &'a BoxContext,
     key: &'a KeeperKey,
     placement: &'a Placement,
-    floor: watch::Receiver<Freshness>,
+    window: watch::Receiver<VersionWindow>,
     hint: Option<TargetHint>,
     span: HopSpan,
 }
@@ -69,7 +69,8 @@
             prompt: assignment.prompt.to_string(),
             max_tokens: assignment.max_tokens.get(),
             seed: self.seed(),
-            floor: assignment.floor.get(),
+            floor: assignment.window.floor.get(),
+            named: assignment.window.named.get(),
             passed_on: false,
         });
         let request = self.request(body, QUEUE_WAIT);
@@ -88,8 +89,8 @@
                 Some(item::Body::Chunk(chunk)) => {
                     let taken = trail.chunk(stamp_of(&chunk), &chunk.text);
                     taken.map_err(|error| self.unusable(&error))?;
-                    let floor = self.floor.borrow().floor;
-                    if trail.oldest().is_some_and(|oldest| oldest < floor) {
+                    let window = *self.window.borrow();
+                    if trail.oldest().is_some_and(|oldest| window.is_too_old(oldest)) {
                         return Err(AttemptEnd::TooOld);
                     }
                 }
--- a/crates/gannetwayd/src/refuse.rs
+++ b/crates/gannetwayd/src/refuse.rs
@@ -21,11 +21,12 @@
 }
 
 /// Short stable names of the reasons, for the wire.
-const REASONS: [(&str, NotRun); 9] = [
+const REASONS: [(&str, NotRun); 10] = [
     ("overloaded", NotRun::Overloaded),
     ("leaving", NotRun::Leaving),
     ("in_doubt", NotRun::InDoubt),
     ("too_old", NotRun::TooOld { held: ModelVersion::new(0) }),
+    ("not_named", NotRun::NotNamed { held: ModelVersion::new(0) }),
     ("unreachable", NotRun::Unreachable),
     ("not_known", NotRun::Unknown),
     ("expired", NotRun::Expired),
--- a/crates/gannetwayd/src/serve/step.rs
+++ b/crates/gannetwayd/src/serve/step.rs
@@ -238,7 +238,9 @@
     let body = item::Body::StepState(StepState {
         token: state.token.get(),
         named: state.named.get(),
-        bound: state.bound,
+        bound: state.rule.bound,
+        generation: state.rule.generation.get(),
+        pool_version: state.rule.version.get(),
         slots: progress.slots as u64,
         held: progress.held as u64,
         ready: progress.ready as u64,
--- a/crates/gannetwayd/src/serve/target.rs
+++ b/crates/gannetwayd/src/serve/target.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use ids::{FencingToken, Moment, RequestId, TargetId, TokenCount};
+use ids::{FencingToken, Moment, RequestId, TargetId, TokenCount, VersionWindow};
 use kameo::actor::ActorRef;
 use links::{AnswerEnd, AnswerSink};
 use placement::{Ask, NotRun, OrderOutcome, Refusal, ReplicaStatus, TicketId};
@@ -169,7 +169,10 @@
     let home = served.ctx.homes.home(served.ctx, record);
     let ask = Ask {
         trainer: Some(trainer),
-        floor: Some(ids::ModelVersion::new(generate.floor)),
+        window: Some(VersionWindow {
+            floor: ids::ModelVersion::new(generate.floor),
+            named: ids::ModelVersion::new(generate.named),
+        }),
         deadline: deadline(served),
     };
     let mut place = place_at(served, &home, ask).await?;
@@ -252,7 +255,7 @@
     let request_id: RequestId =
         parse_id(&served.request_id).map_err(|error| wire_bad_request(error.to_string()))?;
     let home = served.ctx.homes.home(served.ctx, record);
-    let ask = Ask { trainer: None, floor: None, deadline: deadline(served) };
+    let ask = Ask { trainer: None, window: None, deadline: deadline(served) };
     let _place = place_at(served, &home, ask).await?;
     let client = PlainClient::new(&record.address, served.ctx.traffic_http.clone());
     let request = PlainRequest {
@@ -282,7 +285,7 @@
         return pass_on(served, &place, body, sink).await;
     }
     let home = served.ctx.homes.home(served.ctx, &record);
-    let ask = Ask { trainer: None, floor: None, deadline: deadline(served) };
+    let ask = Ask { trainer: None, window: None, deadline: deadline(served) };
     let _place = match place_at(served, &home, ask).await {
         Ok(place) => place,
         Err(refused) => return sink.refuse(refused).await,
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -8,6 +8,7 @@
 mod moment;
 mod number;
 mod text;
+mod window;
 
 pub use digest::{AnswerDigest, DigestWriter};
 pub use moment::Moment;
@@ -16,3 +17,4 @@
     StepNumber, TokenCount,
 };
 pub use text::{BoxId, DomainId, IdError, PoolName, RequestId, ServiceName, TargetId, TrainerId};
+pub use window::VersionWindow;
--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -5,11 +5,11 @@
 
 use coord::lease::{LeaseAction, LeaseClaim, ReadOutcome, WriteOutcome};
 use ids::{
-    BoxId, FencingToken, Incarnation, ModelVersion, Moment, PoolName, StepNumber, TargetId,
-    TrainerId,
+    BoxId, FencingToken, Generation, Incarnation, ModelVersion, Moment, PoolName, StepNumber,
+    TargetId, TrainerId, VersionWindow,
 };
 use ledger::{
-    Freshness, HandOut, LedgerError, Pull, Settled, SlotSet, StepLedger, StepSnapshot, StepSpec,
+    HandOut, LedgerError, PoolRule, Pull, Settled, SlotSet, StepLedger, StepSnapshot, StepSpec,
 };
 use placement::{NotRun, TargetChooser};
 use pools::PoolSpec;
@@ -27,6 +27,9 @@
 const FORCE_TERMS: u32 = 3;
 /// Pause before targets are tried again when none could be chosen and none is known to rest.
 const STARVED_RETRY: Duration = Duration::from_millis(100);
+/// How long a sample of a version that is not named waits for it: a configuration is in force
+/// everywhere within this time, so a version still not named by then never was.
+const AHEAD_PATIENCE: Duration = Duration::from_secs(11);
 /// Fencing token under which a detached keeper starts when the trainer has seen none.
 const FIRST_TOKEN: FencingToken = FencingToken::new(1);
 
@@ -57,6 +60,7 @@
     /// Highest token the trainer has shown.
     seen: FencingToken,
     pool: Option<PoolSpec>,
+    generation: Generation,
     steps: BTreeMap<StepNumber, StepLedger>,
     adopted: Vec<StepSnapshot>,
     chooser: TargetChooser,
@@ -67,6 +71,8 @@
     asked_since: Option<Moment>,
     handing_over: bool,
     starved_until: Option<Moment>,
+    /// Since when samples have waited for a version that is not named.
+    ahead_since: Option<Moment>,
 }
 
 impl<R: Rng> StepKeeper<R> {
@@ -85,6 +91,7 @@
             acting: None,
             seen: FencingToken::default(),
             pool: None,
+            generation: Generation::default(),
             steps: BTreeMap::new(),
             adopted: Vec::new(),
             chooser: TargetChooser::default(),
@@ -94,6 +101,7 @@
             asked_since: None,
             handing_over: false,
             starved_until: None,
+            ahead_since: None,
         }
     }
 
@@ -113,8 +121,8 @@
     }
 
     /// Versions that samples of a step may now be made of.
-    pub fn freshness(&self, step: StepNumber) -> Option<Freshness> {
-        self.steps.get(&step).map(StepLedger::freshness)
+    pub fn window(&self, step: StepNumber) -> Option<VersionWindow> {
+        self.steps.get(&step).map(StepLedger::window)
     }
 
     /// Whether a step has a sample to hand out or nothing more to deliver.
@@ -124,15 +132,24 @@
     }
 
     /// Takes the pool's configuration; `None` when the pool is gone.
-    pub fn pool_changed(&mut self, pool: Option<PoolSpec>) {
-        if let Some(pool) = &pool {
-            // The pool's version is the named one as soon as its configuration is in force.
-            for ledger in self.steps.values_mut() {
-                ledger.advance(pool.version);
-            }
+    pub fn pool_changed(&mut self, generation: Generation, pool: Option<PoolSpec>) {
+        if generation < self.generation {
+            return;
         }
+        self.generation = generation;
         self.pool = pool;
         self.starved_until = None;
+        let Some(rule) = self.rule() else { return };
+        // The pool's version is the named one as soon as its configuration is in force.
+        for ledger in self.steps.values_mut() {
+            ledger.pool_names(rule);
+        }
+    }
+
+    fn rule(&self) -> Option<PoolRule> {
+        let pool = self.pool.as_ref()?;
+        let (version, bound) = (pool.version, pool.staleness_bound);
+        Some(PoolRule { generation: self.generation, version, bound })
     }
 
     /// Opens a step, or opens it again.
@@ -145,8 +162,8 @@
     ) -> Result<KeptState, KeeperRefusal> {
         let token = self.act(now, seen)?;
         let trainer = &self.settings.trainer;
-        let pool = self.pool.as_ref().filter(|pool| pool.trainers.contains(trainer));
-        let Some((bound, version)) = pool.map(|pool| (pool.staleness_bound, pool.version)) else {
+        let known = self.pool.as_ref().is_some_and(|pool| pool.trainers.contains(trainer));
+        let Some(rule) = self.rule().filter(|_| known) else {
             return Err(KeeperRefusal::NotInPool {
                 pool: self.settings.pool.clone(),
                 trainer: trainer.clone(),
@@ -158,10 +175,9 @@
             return self.state(step);
         }
         let mut ledger = match self.take_adopted(&spec)? {
-            Some(snapshot) => StepLedger::resume(snapshot, token, bound)?,
-            None => StepLedger::open(spec, token, bound)?,
+            Some(snapshot) => StepLedger::resume(snapshot, token, rule)?,
+            None => StepLedger::open(spec, token, rule)?,
         };
-        ledger.advance(version);
         // A pull of nothing notes what the trainer holds.
         ledger.pull(&Pull { held: held.clone(), seen, most: 0 })?;
         if self.steps.len() >= MOST_STEPS {
@@ -195,7 +211,7 @@
         seen: FencingToken,
     ) -> Result<KeptState, KeeperRefusal> {
         self.act(now, seen)?;
-        self.ledger(step)?.advance(version);
+        self.ledger(step)?.trainer_names(version);
         self.state(step)
     }
 
@@ -214,11 +230,11 @@
     /// A step's state.
     pub fn state(&self, step: StepNumber) -> Result<KeptState, KeeperRefusal> {
         let ledger = self.steps.get(&step).ok_or(KeeperRefusal::NotOpen { step })?;
-        let freshness = ledger.freshness();
+        let window = ledger.window();
         Ok(KeptState {
             token: ledger.token(),
-            named: freshness.named,
-            bound: self.pool.as_ref().map_or(0, |pool| pool.staleness_bound),
+            named: window.named,
+            rule: ledger.rule(),
             progress: ledger.progress(),
         })
     }
@@ -236,7 +252,7 @@
         let target = &placement.target;
         self.chooser.ended(target);
         if let Some(hint) = hint {
-            self.chooser.hinted(target, &hint);
+            self.chooser.hinted(now, target, &hint);
         }
         self.note_target(now, target, &end);
         let ledger = self.steps.get_mut(&placement.step)?;
@@ -272,6 +288,7 @@
         self.follow_claim(now);
         self.maybe_detach(now);
         self.maybe_force(now);
+        self.give_up_ahead(now);
         let mut actions: Vec<KeeperAction> =
             self.claim.poll(now).map(KeeperAction::Lease).into_iter().collect();
         self.place_work(now, &mut actions);
@@ -282,7 +299,9 @@
     pub fn next_at(&self, now: Moment) -> Moment {
         let lease = self.claim.next_at();
         let work = self.starved_until.filter(|_| self.acting.is_some());
-        work.map_or(lease, |work| work.min(lease)).max(now)
+        let ahead = self.ahead_since.map(|since| since + AHEAD_PATIENCE);
+        let soonest = [work, ahead].into_iter().flatten().fold(lease, Moment::min);
+        soonest.max(now)
     }
 
     /// Begins a planned stop: no new work is placed.
@@ -365,10 +384,10 @@
         snapshots.append(&mut self.adopted);
         self.steps.clear();
         self.acting = Some(token);
-        let bound = self.pool.as_ref().map(|pool| pool.staleness_bound);
+        let rule = self.rule();
         for snapshot in snapshots {
             let step = snapshot.spec.step;
-            let resumed = bound.map(|bound| StepLedger::resume(snapshot.clone(), token, bound));
+            let resumed = rule.map(|rule| StepLedger::resume(snapshot.clone(), token, rule));
             match resumed {
                 Some(Ok(ledger)) => {
                     self.steps.entry(step).or_insert(ledger);
@@ -377,9 +396,6 @@
                 _ => self.adopted.push(snapshot),
             }
         }
-        if let Some(version) = self.pool.as_ref().map(|pool| pool.version) {
-            self.steps.values_mut().for_each(|ledger| ledger.advance(version));
-        }
         self.starved_until = None;
     }
 
@@ -420,6 +436,19 @@
         }
     }
 
+    /// Samples of a version that is not named wait for its configuration, but not for ever.
+    fn give_up_ahead(&mut self, now: Moment) {
+        if !self.steps.values().any(StepLedger::has_ahead) {
+            self.ahead_since = None;
+            return;
+        }
+        let since = *self.ahead_since.get_or_insert(now);
+        if now.since(since) >= AHEAD_PATIENCE {
+            self.steps.values_mut().for_each(StepLedger::discard_ahead);
+            self.ahead_since = None;
+        }
+    }
+
     fn place_work(&mut self, now: Moment, actions: &mut Vec<KeeperAction>) {
         let starved = self.starved_until.is_some_and(|until| now < until);
         let Some(pool) = &self.pool else { return };
@@ -429,8 +458,8 @@
         self.starved_until = None;
         for (step, ledger) in &mut self.steps {
             while self.in_flight < pool.limits.per_trainer && ledger.has_wanted() {
-                let floor = ledger.freshness().floor;
-                let chosen = self.chooser.choose(now, &pool.engines, floor, &mut self.rng);
+                let window = Some(ledger.window());
+                let chosen = self.chooser.choose(now, &pool.engines, window, &mut self.rng);
                 let Some(target) = chosen.map(|candidate| candidate.id.clone()) else {
                     let rest_end = self.chooser.next_rest_end(now);
                     let retry = now + STARVED_RETRY;
--- a/crates/keeping/src/messages.rs
+++ b/crates/keeping/src/messages.rs
@@ -4,7 +4,7 @@
 
 use coord::lease::LeaseAction;
 use ids::{FencingToken, ModelVersion, PoolName, StepNumber, TargetId, TrainerId};
-use ledger::{Assignment, LedgerError, Progress, Sample};
+use ledger::{Assignment, LedgerError, PoolRule, Progress, Sample};
 use placement::{NotRun, TargetHint};
 
 /// Work to be sent to a target's home.
@@ -52,8 +52,8 @@
     pub token: FencingToken,
     /// The version now named.
     pub named: ModelVersion,
-    /// How many versions older than named a sample may be.
-    pub bound: u32,
+    /// The pool's rule in force.
+    pub rule: PoolRule,
     /// Counts of the slots.
     pub progress: Progress,
 }
--- a/crates/ledger/src/intake.rs
+++ b/crates/ledger/src/intake.rs
@@ -4,9 +4,9 @@
 //! answer under a lower fencing token than one seen is refused whole; and freshness is checked
 //! again against the version the trainer itself knows.
 
-use ids::{FencingToken, ModelVersion};
+use ids::{FencingToken, ModelVersion, VersionWindow};
 
-use crate::{Sample, SlotSet, StepSpec};
+use crate::{PoolRule, Sample, SlotSet, StepSpec, VersionNaming};
 
 /// What an answer to a pull brought.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -36,14 +36,15 @@
     slots: usize,
     held: SlotSet,
     seen: FencingToken,
-    named: ModelVersion,
+    naming: VersionNaming,
 }
 
 impl StepIntake {
     /// The record of a step that holds nothing yet.
     pub fn new(spec: StepSpec) -> Self {
-        let (slots, named) = (spec.slots(), spec.version);
-        Self { spec, slots, held: SlotSet::default(), seen: FencingToken::default(), named }
+        let naming = VersionNaming::new(spec.version, PoolRule::default());
+        let slots = spec.slots();
+        Self { spec, slots, held: SlotSet::default(), seen: FencingToken::default(), naming }
     }
 
     /// The step.
@@ -62,8 +63,13 @@
     }
 
     /// The version now named.
-    pub const fn named(&self) -> ModelVersion {
-        self.named
+    pub fn named(&self) -> ModelVersion {
+        self.naming.named()
+    }
+
+    /// Versions that a sample taken now may be made of.
+    pub fn window(&self) -> VersionWindow {
+        self.naming.window()
     }
 
     /// Whether every slot is held.
@@ -73,30 +79,30 @@
 
     /// Names a newer version; answers made of older ones are refused from now on.
     pub fn advance(&mut self, version: ModelVersion) {
-        self.named = self.named.max(version);
+        self.naming.trainer_names(version);
     }
 
-    /// Takes a keeper's word of its token and named version, and the samples of an answer.
+    /// Takes a keeper's word of its token and the pool's rule, and the samples of an answer. A
+    /// rule of an older generation than one heard before is not believed.
     pub fn take(
         &mut self,
         token: FencingToken,
-        named: ModelVersion,
-        bound: u32,
+        rule: PoolRule,
         samples: Vec<Sample>,
     ) -> Result<Intake, OldToken> {
         if token < self.seen {
             return Err(OldToken { token, seen: self.seen });
         }
         self.seen = token;
-        self.advance(named);
-        let floor = self.named.floor(bound);
+        self.naming.pool_names(rule);
+        let window = self.window();
         let mut intake = Intake::default();
         for sample in samples {
             if sample.slot.as_usize() >= self.slots {
                 intake.foreign += 1;
             } else if self.held.contains(sample.slot) {
                 intake.doubled += 1;
-            } else if sample.spans.is_empty() || sample.oldest() < floor {
+            } else if sample.spans.is_empty() || window.is_too_old(sample.oldest()) {
                 intake.stale += 1;
             } else {
                 self.held.insert(sample.slot);
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -10,6 +10,7 @@
 //! token refuses to answer.
 
 mod intake;
+mod naming;
 mod sample;
 mod slots;
 mod spec;
@@ -17,11 +18,12 @@
 mod trail;
 
 pub use intake::{Intake, OldToken, StepIntake};
+pub use naming::{PoolRule, VersionNaming};
 pub use sample::{Sample, VersionSpan};
 pub use slots::{SlotSet, SlotSetError};
 pub use spec::{GroupSpec, SpecError, StepSpec};
 pub use step::{
-    Assignment, AttemptId, Freshness, HandOut, LedgerError, Progress, Pull, Settled, StepLedger,
-    StepSnapshot, WaitCause,
+    Assignment, AttemptId, HandOut, LedgerError, Progress, Pull, Settled, StepLedger, StepSnapshot,
+    WaitCause,
 };
 pub use trail::{ChunkStamp, StampTrail, TrailError};
--- a/crates/ledger/src/step.rs
+++ b/crates/ledger/src/step.rs
@@ -4,10 +4,10 @@
 use std::fmt;
 use std::sync::Arc;
 
-use ids::{FencingToken, ModelVersion, SlotIndex, StepNumber, TokenCount};
+use ids::{FencingToken, ModelVersion, SlotIndex, StepNumber, TokenCount, VersionWindow};
 use serde::{Deserialize, Serialize};
 
-use crate::{Sample, SlotSet, SpecError, StepSpec};
+use crate::{PoolRule, Sample, SlotSet, SpecError, StepSpec, VersionNaming};
 
 /// One try at filling a slot; a later try has a larger number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -19,15 +19,6 @@
     }
 }
 
-/// The versions a sample may be made of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Freshness {
-    /// The oldest version allowed.
-    pub floor: ModelVersion,
-    /// The version now named; a newer stamp waits until that version is named.
-    pub named: ModelVersion,
-}
-
 /// Work for an engine: fill this slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Assignment {
@@ -41,8 +32,8 @@
     pub prompt: Arc<str>,
     /// Longest answer allowed, in tokens.
     pub max_tokens: TokenCount,
-    /// Oldest version that may make it.
-    pub floor: ModelVersion,
+    /// Versions that may make it.
+    pub window: VersionWindow,
 }
 
 /// A trainer's pull.
@@ -61,8 +52,6 @@
 pub struct HandOut {
     /// Samples, lowest slot first.
     pub samples: Vec<Arc<Sample>>,
-    /// The version named when they were handed out.
-    pub named: ModelVersion,
     /// The step's progress.
     pub progress: Progress,
 }
@@ -196,8 +185,8 @@
 pub struct StepSnapshot {
     /// The step as opened.
     pub spec: StepSpec,
-    /// The version named when it was taken.
-    pub named: ModelVersion,
+    /// What was named when it was taken.
+    pub naming: VersionNaming,
     /// Slots the trainer holds, as far as the keeper knows.
     pub held: SlotSet,
     /// Samples not yet held.
@@ -211,8 +200,7 @@
 pub struct StepLedger {
     spec: StepSpec,
     token: FencingToken,
-    bound: u32,
-    named: ModelVersion,
+    naming: VersionNaming,
     group_of: Vec<u32>,
     slots: Vec<Slot>,
     wanted: VecDeque<SlotIndex>,
@@ -224,14 +212,13 @@
 }
 
 impl StepLedger {
-    /// Opens a step under `token`; samples may be at most `bound` versions older than named.
-    pub fn open(spec: StepSpec, token: FencingToken, bound: u32) -> Result<Self, LedgerError> {
+    /// Opens a step under `token` and the pool's rule.
+    pub fn open(spec: StepSpec, token: FencingToken, rule: PoolRule) -> Result<Self, LedgerError> {
         spec.check()?;
         let count = spec.slots();
         Ok(Self {
             token,
-            bound,
-            named: spec.version,
+            naming: VersionNaming::new(spec.version, rule),
             group_of: spec.group_of_slots(),
             slots: vec![Slot::Wanted; count],
             wanted: spec.slot_indexes().collect(),
@@ -248,10 +235,11 @@
     pub fn resume(
         snapshot: StepSnapshot,
         token: FencingToken,
-        bound: u32,
+        rule: PoolRule,
     ) -> Result<Self, LedgerError> {
-        let mut ledger = Self::open(snapshot.spec, token, bound)?;
-        ledger.named = ledger.named.max(snapshot.named);
+        let mut ledger = Self::open(snapshot.spec, token, snapshot.naming.rule())?;
+        ledger.naming = snapshot.naming;
+        ledger.naming.pool_names(rule);
         ledger.hold(&snapshot.held)?;
         for sample in snapshot.samples {
             let frozen = snapshot.frozen.contains(sample.slot);
@@ -279,8 +267,13 @@
     }
 
     /// The versions a sample may now be made of.
-    pub const fn freshness(&self) -> Freshness {
-        Freshness { floor: self.named.floor(self.bound), named: self.named }
+    pub fn window(&self) -> VersionWindow {
+        self.naming.window()
+    }
+
+    /// The pool's rule in force.
+    pub const fn rule(&self) -> PoolRule {
+        self.naming.rule()
     }
 
     /// The next slot to fill, if any is wanted.
@@ -298,7 +291,7 @@
             group,
             prompt: Arc::clone(&spec.prompt),
             max_tokens: spec.max_tokens,
-            floor: self.freshness().floor,
+            window: self.window(),
         })
     }
 
@@ -308,7 +301,7 @@
         if !self.is_running(slot, attempt) {
             return Settled::Superseded;
         }
-        if sample.oldest() < self.freshness().floor {
+        if self.window().is_too_old(sample.oldest()) {
             self.want_again(slot);
             return Settled::TooOld;
         }
@@ -330,20 +323,45 @@
         self.discarded += u64::from(wasted);
     }
 
-    /// Names a newer version; samples that became too old are wanted again.
-    pub fn advance(&mut self, version: ModelVersion) {
-        if version <= self.named {
-            return;
-        }
-        self.named = version;
-        let floor = self.freshness().floor;
-        let stale: Vec<SlotIndex> = self
+    /// The trainer names a version; samples that became too old are wanted again.
+    pub fn trainer_names(&mut self, version: ModelVersion) {
+        self.naming.trainer_names(version);
+        self.discard_old();
+    }
+
+    /// The configuration names a version; samples that became too old are wanted again.
+    pub fn pool_names(&mut self, rule: PoolRule) {
+        self.naming.pool_names(rule);
+        self.discard_old();
+    }
+
+    fn discard_old(&mut self) {
+        let window = self.window();
+        self.make_again(|sample| window.is_too_old(sample.oldest()));
+    }
+
+    /// Whether samples wait for a version that is not named yet.
+    pub fn has_ahead(&self) -> bool {
+        let window = self.window();
+        let mut waiting = self.deliverable.iter().filter_map(|slot| self.sample(*slot));
+        waiting.any(|sample| window.is_ahead(sample.newest()))
+    }
+
+    /// Makes samples of versions that were never named again: an engine may come back with a
+    /// version of its own.
+    pub fn discard_ahead(&mut self) {
+        let window = self.window();
+        self.make_again(|sample| window.is_ahead(sample.newest()));
+    }
+
+    fn make_again(&mut self, unfit: impl Fn(&Sample) -> bool) {
+        let slots: Vec<SlotIndex> = self
             .deliverable
             .iter()
             .copied()
-            .filter(|slot| self.sample(*slot).is_some_and(|sample| sample.oldest() < floor))
+            .filter(|slot| self.sample(*slot).is_some_and(&unfit))
             .collect();
-        for slot in stale {
+        for slot in slots {
             self.deliverable.remove(&slot);
             self.slots[slot.as_usize()] = Slot::Wanted;
             self.wanted.push_front(slot);
@@ -357,16 +375,18 @@
             return Err(LedgerError::Superseded { mine: self.token, seen: pull.seen });
         }
         self.hold(&pull.held)?;
-        let named = self.named;
+        let window = self.window();
         let out: Vec<SlotIndex> = self
             .deliverable
             .iter()
             .copied()
-            .filter(|slot| self.sample(*slot).is_some_and(|sample| sample.newest() <= named))
+            .filter(|slot| {
+                self.sample(*slot).is_some_and(|sample| !window.is_ahead(sample.newest()))
+            })
             .take(pull.most)
             .collect();
         let samples = out.into_iter().filter_map(|slot| self.freeze(slot)).collect();
-        Ok(HandOut { samples, named, progress: self.progress() })
+        Ok(HandOut { samples, progress: self.progress() })
     }
 
     /// Whether a slot wants an attempt.
@@ -381,10 +401,9 @@
 
     /// Whether a pull would get a sample now.
     pub fn has_deliverable(&self) -> bool {
-        let named = self.named;
-        self.deliverable
-            .iter()
-            .any(|slot| self.sample(*slot).is_some_and(|sample| sample.newest() <= named))
+        let window = self.window();
+        let mut waiting = self.deliverable.iter().filter_map(|slot| self.sample(*slot));
+        waiting.any(|sample| !window.is_ahead(sample.newest()))
     }
 
     /// Counts of the step's slots and why the trainer waits.
@@ -408,7 +427,7 @@
         let frozen = self.filter_slots(|slot| matches!(slot, Slot::Frozen(_)));
         let samples =
             self.deliverable.iter().filter_map(|slot| self.sample(*slot).cloned()).collect();
-        StepSnapshot { spec: self.spec.clone(), named: self.named, held, samples, frozen }
+        StepSnapshot { spec: self.spec.clone(), naming: self.naming, held, samples, frozen }
     }
 
     /// Bytes the ledger keeps for a slot beside its sample.
@@ -504,7 +523,7 @@
 
     fn restore(&mut self, sample: Sample, frozen: bool) {
         let slot = sample.slot;
-        let fresh = sample.oldest() >= self.freshness().floor;
+        let fresh = !self.window().is_too_old(sample.oldest());
         let Some(entry) = self.slots.get_mut(slot.as_usize()) else {
             return;
         };
--- a/crates/placement/src/chooser.rs
+++ b/crates/placement/src/chooser.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ids::{ModelVersion, Moment, TargetId};
+use ids::{ModelVersion, Moment, TargetId, VersionWindow};
 use rand::Rng;
 
 /// Candidates weighed for one sample.
@@ -19,6 +19,8 @@
 /// Work a keeper places beyond a target's limit, as one part in this many, so that the next
 /// sample is at the home when a place falls free.
 const AHEAD_PARTS: u32 = 8;
+/// How long a version told by a home is believed.
+const VERSION_TRUST: Duration = Duration::from_millis(300);
 /// The limit assumed before a home has told its own.
 const FIRST_LIMIT: u32 = 4;
 
@@ -51,7 +53,7 @@
     /// Asks of others, at the time of the last hint.
     others: u32,
     limit: Option<u32>,
-    version: Option<ModelVersion>,
+    version: Option<(ModelVersion, Moment)>,
     failures: u32,
     rest_until: Moment,
 }
@@ -63,13 +65,13 @@
 }
 
 impl TargetChooser {
-    /// Picks from `pool` for a sample of `group` that needs at least version `floor`; `None`
-    /// when every candidate is full, too old or resting.
+    /// Picks from `pool` for work that needs a version of `window`, if any; `None` when every
+    /// candidate is full, holds another version or is resting.
     pub fn choose<'a>(
         &self,
         now: Moment,
         pool: &'a [TargetId],
-        floor: ModelVersion,
+        window: Option<VersionWindow>,
         rng: &mut impl Rng,
     ) -> Option<Candidate<'a>> {
         let count = pool.len().min(CANDIDATES);
@@ -78,7 +80,7 @@
         (0..count)
             .map(|offset| (start + offset * stride(pool.len())) % pool.len())
             .map(|index| Candidate { index, id: &pool[index] })
-            .filter(|candidate| self.is_usable(now, candidate.id, floor))
+            .filter(|candidate| self.is_usable(now, candidate.id, window))
             .min_by_key(|candidate| self.load(candidate.id))
     }
 
@@ -100,11 +102,11 @@
     }
 
     /// Takes a hint from the target's home.
-    pub fn hinted(&mut self, id: &TargetId, hint: &TargetHint) {
+    pub fn hinted(&mut self, now: Moment, id: &TargetId, hint: &TargetHint) {
         let view = self.views.entry(id.clone()).or_default();
         view.others = (hint.running + hint.waiting).saturating_sub(view.mine);
         view.limit = Some(hint.limit);
-        view.version = hint.version.or(view.version);
+        view.version = hint.version.map(|version| (version, now)).or(view.version);
     }
 
     /// Notes good work: the target is trusted again.
@@ -129,15 +131,19 @@
         view.rest_until = view.rest_until.max(now + retry_after);
     }
 
-    fn is_usable(&self, now: Moment, id: &TargetId, floor: ModelVersion) -> bool {
+    fn is_usable(&self, now: Moment, id: &TargetId, window: Option<VersionWindow>) -> bool {
         let Some(view) = self.views.get(id) else {
             return true;
         };
         if now < view.rest_until {
             return false;
         }
-        // A version seen too old is asked again only after its rest; the home has the last word.
-        if view.version.is_some_and(|version| version < floor) && view.mine > 0 {
+        // A version seen a moment ago is believed; later the home is asked anew.
+        let unfit = |(version, seen_at): (ModelVersion, Moment)| {
+            now.since(seen_at) < VERSION_TRUST
+                && window.is_some_and(|window| !window.holds(version))
+        };
+        if view.version.is_some_and(unfit) {
             return false;
         }
         let limit = view.limit.unwrap_or(FIRST_LIMIT);
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use ids::{ModelVersion, Moment, TokenCount, TrainerId};
+use ids::{ModelVersion, Moment, TokenCount, TrainerId, VersionWindow};
 use pools::TargetKind;
 
 use crate::{
@@ -28,8 +28,8 @@
 pub struct Ask {
     /// For whom; `None` for plain requests, which share one queue.
     pub trainer: Option<TrainerId>,
-    /// The oldest version that will do.
-    pub floor: Option<ModelVersion>,
+    /// Versions that will do; `None` where none matter.
+    pub window: Option<VersionWindow>,
     /// The latest moment at which work may begin.
     pub deadline: Moment,
 }
@@ -209,15 +209,17 @@
             ReplicaStatus::Leaving => (NotRun::Leaving, GONE_RETRY),
             ReplicaStatus::Down => (NotRun::Unreachable, GONE_RETRY),
             ReplicaStatus::InDoubt => (NotRun::InDoubt, DOUBT_RETRY),
-            ReplicaStatus::Serving(held) if ask.floor.is_some_and(|floor| held < floor) => {
-                (NotRun::TooOld { held }, DOUBT_RETRY)
-            }
-            ReplicaStatus::Swapping(to) if ask.floor.is_some_and(|floor| to < floor) => {
-                (NotRun::TooOld { held: to }, DOUBT_RETRY)
-            }
-            ReplicaStatus::Unread | ReplicaStatus::Serving(_) | ReplicaStatus::Swapping(_) => {
-                return None;
+            ReplicaStatus::Serving(held) | ReplicaStatus::Swapping(held) => {
+                let window = ask.window?;
+                if window.holds(held) {
+                    return None;
+                }
+                let too_old = window.is_too_old(held);
+                let reason =
+                    if too_old { NotRun::TooOld { held } } else { NotRun::NotNamed { held } };
+                (reason, DOUBT_RETRY)
             }
+            ReplicaStatus::Unread => return None,
         };
         Some(Refusal::not_run(reason, retry_after))
     }
@@ -227,7 +229,7 @@
             return false;
         }
         match self.replica.status() {
-            ReplicaStatus::Serving(held) => ask.floor.is_none_or(|floor| held >= floor),
+            ReplicaStatus::Serving(held) => ask.window.is_none_or(|window| window.holds(held)),
             // Plain services and scorers need no reading of a version first.
             ReplicaStatus::Unread => self.kind != TargetKind::Engine,
             _ => false,
--- a/crates/placement/src/refusal.rs
+++ b/crates/placement/src/refusal.rs
@@ -24,6 +24,12 @@
         /// The version it holds.
         held: ModelVersion,
     },
+    /// The target holds a version that nobody has named, or not yet.
+    #[error("the target holds version {held}, which is not named: use another target")]
+    NotNamed {
+        /// The version it holds.
+        held: ModelVersion,
+    },
     /// The target or its box cannot be reached.
     #[error("the target cannot be reached: use another target, or come back later")]
     Unreachable,
--- a/crates/swaps/src/conductor.rs
+++ b/crates/swaps/src/conductor.rs
@@ -108,6 +108,14 @@
         policy: SwapPolicy,
         replicas: impl IntoIterator<Item = (TargetId, bool)>,
     ) {
+        if version != self.wanted {
+            // What was where it should be no longer is: look at it now, not after its rest.
+            for replica in self.replicas.values_mut() {
+                if matches!(replica.view, ReplicaView::Holds(..)) {
+                    replica.wait_until = Moment::START;
+                }
+            }
+        }
         self.wanted = version;
         self.policy = policy;
         let mut kept = BTreeMap::new();
