--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -50,6 +50,13 @@
     pub trainer: TrainerId,
 }
 
+/// A run of questions without an answer, each within a term of the one before.
+#[derive(Debug, Clone, Copy)]
+struct VainAsks {
+    since: Moment,
+    last: Moment,
+}
+
 /// Keeps one trainer's steps.
 #[derive(Debug)]
 pub struct StepKeeper<R> {
@@ -67,8 +74,8 @@
     in_flight: u32,
     started_at: Moment,
     platform_heard: Option<Moment>,
-    /// Since when trainers have asked in vain here.
-    asked_since: Option<Moment>,
+    /// Trainers' questions that could not be answered here.
+    vain: Option<VainAsks>,
     handing_over: bool,
     starved_until: Option<Moment>,
     /// Since when samples have waited for a version that is not named.
@@ -98,7 +105,7 @@
             in_flight: 0,
             started_at: now,
             platform_heard: None,
-            asked_since: None,
+            vain: None,
             handing_over: false,
             starved_until: None,
             ahead_since: None,
@@ -342,7 +349,7 @@
             }
             Some(token) => Ok(token),
             None => {
-                self.asked_since.get_or_insert(now);
+                self.note_vain(now);
                 Err(self.not_keeping())
             }
         }
@@ -361,7 +368,7 @@
     /// Follows what the claim learnt: acts under a new token, or stops for another holder.
     fn follow_claim(&mut self, now: Moment) {
         if let Some(token) = self.claim.held(now) {
-            self.asked_since = None;
+            self.vain = None;
             if self.acting != Some(token) && !self.handing_over {
                 self.start_acting(token);
             }
@@ -414,14 +421,29 @@
         Ok(Some(self.adopted.remove(at)))
     }
 
+    fn note_vain(&mut self, now: Moment) {
+        let since = match self.vain {
+            Some(vain) if now.since(vain.last) < self.settings.term => vain.since,
+            _ => now,
+        };
+        self.vain = Some(VainAsks { since, last: now });
+    }
+
+    /// How long trainers have kept asking in vain; `None` when nobody does any more.
+    fn vain_for(&self, now: Moment) -> Option<Duration> {
+        let vain = self.vain.filter(|vain| now.since(vain.last) < self.settings.term)?;
+        Some(now.since(vain.since))
+    }
+
     /// With the platform away for long, keeping goes on without a lease.
     fn maybe_detach(&mut self, now: Moment) {
-        if self.acting.is_some() || self.asked_since.is_none() || self.handing_over {
+        if self.acting.is_some() || self.handing_over || self.vain_for(now).is_none() {
             return;
         }
         let silent_since = self.platform_heard.unwrap_or(self.started_at);
         if now.since(silent_since) >= self.settings.term * DETACH_TERMS {
-            self.start_acting(self.seen.next().max(FIRST_TOKEN));
+            let known = self.claim.other_holder().map(|record| record.token).unwrap_or_default();
+            self.start_acting(self.seen.max(known).next().max(FIRST_TOKEN));
         }
     }
 
@@ -430,8 +452,8 @@
         if self.acting.is_some() || self.handing_over {
             return;
         }
-        let vain = self.asked_since.map_or(Duration::ZERO, |since| now.since(since));
-        if vain >= self.settings.term * FORCE_TERMS {
+        let vain_for = self.vain_for(now).unwrap_or_default();
+        if vain_for >= self.settings.term * FORCE_TERMS {
             self.claim.force(now);
         }
     }
--- /dev/null
+++ b/crates/keeping/tests/keeper.rs
@@ -0,0 +1,164 @@
+//! Keepers beside the sessions: what a stale question or a lagging box must not do.
+
+use std::time::Duration;
+
+use coord::lease::{LeaseAction, LeaseRecord, LeaseSighting, ReadOutcome, WriteOutcome};
+use ids::{
+    FencingToken, Generation, Incarnation, ModelVersion, Moment, ObjectVersion, StepNumber,
+    TokenCount,
+};
+use keeping::{KeeperAction, KeeperRefusal, KeeperSettings, StepKeeper};
+use ledger::{GroupSpec, Pull, SlotSet, StepSpec};
+use pools::{Favours, PoolLimits, PoolSpec, SwapPolicy};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+const TERM: Duration = Duration::from_millis(1_000);
+
+fn at(millis: u64) -> Moment {
+    Moment::START + Duration::from_millis(millis)
+}
+
+fn pool(version: u64) -> PoolSpec {
+    PoolSpec {
+        name: "layout".parse().expect("an id"),
+        version: ModelVersion::new(version),
+        staleness_bound: 1,
+        favours: Favours::Staleness,
+        trainers: vec!["press-1".parse().expect("an id")],
+        engines: vec!["engine-1".parse().expect("an id")],
+        scorers: Vec::new(),
+        limits: PoolLimits { per_engine: 4, per_trainer: 2 },
+        swap: SwapPolicy::AllAtOnce,
+    }
+}
+
+fn keeper(me: &str) -> StepKeeper<ChaCha8Rng> {
+    let settings = KeeperSettings {
+        me: me.parse().expect("an id"),
+        incarnation: Incarnation::new(1),
+        address: me.to_owned(),
+        term: TERM,
+        pool: "layout".parse().expect("an id"),
+        trainer: "press-1".parse().expect("an id"),
+    };
+    let mut keeper = StepKeeper::new(Moment::START, settings, ChaCha8Rng::seed_from_u64(1));
+    keeper.pool_changed(Generation::new(1), Some(pool(1)));
+    keeper
+}
+
+fn spec(step: u64) -> StepSpec {
+    let group = GroupSpec { prompt: "p".into(), samples: 4, max_tokens: TokenCount::new(8) };
+    StepSpec { step: StepNumber::new(step), version: ModelVersion::new(1), groups: vec![group] }
+}
+
+fn pull(seen: u64) -> Pull {
+    Pull { held: SlotSet::default(), seen: FencingToken::new(seen), most: 4 }
+}
+
+fn held_by_other(token: u64, version: u64) -> ReadOutcome {
+    let record = LeaseRecord {
+        holder: "box-9".parse().expect("an id"),
+        incarnation: Incarnation::new(1),
+        token: FencingToken::new(token),
+        address: "box-9".to_owned(),
+        term_ms: 1_000,
+        write: 1,
+        released: false,
+    };
+    ReadOutcome::Found(LeaseSighting { version: ObjectVersion::new(version), record })
+}
+
+/// Lets the keeper take a lease that nobody holds.
+fn take_lease(keeper: &mut StepKeeper<ChaCha8Rng>, now: Moment) {
+    assert_eq!(keeper.poll(now), [KeeperAction::Lease(LeaseAction::Read)]);
+    keeper.lease_read(now, ReadOutcome::Absent);
+    keeper.poll(now);
+    keeper.lease_written(now, WriteOutcome::Applied(ObjectVersion::new(1)));
+    assert_eq!(keeper.acting(), Some(FencingToken::new(1)));
+}
+
+#[test]
+fn one_stale_question_does_not_start_a_second_keeper() {
+    let mut keeper = keeper("box-1");
+    keeper.poll(at(0));
+    keeper.lease_read(at(0), held_by_other(2, 1));
+    // A question that had waited in a frozen box; then the platform goes away.
+    assert!(keeper.pull(at(1), StepNumber::new(1), &pull(2)).is_err());
+    for millis in (100..10_000).step_by(100) {
+        for action in keeper.poll(at(millis)) {
+            if action == KeeperAction::Lease(LeaseAction::Read) {
+                keeper.lease_read(at(millis), ReadOutcome::NoAnswer);
+            }
+        }
+        assert_eq!(keeper.acting(), None, "detached at {millis} ms");
+    }
+}
+
+#[test]
+fn a_trainer_that_keeps_asking_is_served_without_the_platform() {
+    let mut keeper = keeper("box-1");
+    let mut acting = None;
+    for millis in (0..10_000).step_by(100) {
+        let _refused = keeper.pull(at(millis), StepNumber::new(1), &pull(4));
+        for action in keeper.poll(at(millis)) {
+            if action == KeeperAction::Lease(LeaseAction::Read) {
+                keeper.lease_read(at(millis), ReadOutcome::NoAnswer);
+            }
+        }
+        acting = acting.or(keeper.acting());
+    }
+    assert_eq!(acting, Some(FencingToken::new(5)));
+}
+
+#[test]
+fn a_keeper_goes_on_when_the_platform_is_away_and_stops_for_a_higher_token() {
+    let mut keeper = keeper("box-1");
+    take_lease(&mut keeper, at(0));
+    keeper.open(at(1), spec(1), &SlotSet::default(), FencingToken::default()).expect("open");
+    for millis in (100..20_000).step_by(100) {
+        for action in keeper.poll(at(millis)) {
+            if let KeeperAction::Lease(LeaseAction::Write { .. }) = action {
+                keeper.lease_written(at(millis), WriteOutcome::NotApplied);
+            }
+        }
+    }
+    assert_eq!(keeper.acting(), Some(FencingToken::new(1)));
+    assert!(keeper.pull(at(20_001), StepNumber::new(1), &pull(1)).is_ok());
+    assert!(keeper.pull(at(20_002), StepNumber::new(1), &pull(2)).is_err());
+    assert_eq!(keeper.acting(), None);
+}
+
+#[test]
+fn an_older_generation_does_not_take_the_pool_back() {
+    let mut keeper = keeper("box-1");
+    take_lease(&mut keeper, at(0));
+    keeper.open(at(1), spec(1), &SlotSet::default(), FencingToken::default()).expect("open");
+    keeper.pool_changed(Generation::new(3), Some(pool(3)));
+    keeper.pool_changed(Generation::new(2), Some(pool(2)));
+    let state = keeper.state(StepNumber::new(1)).expect("it is open");
+    assert_eq!(state.named, ModelVersion::new(3));
+}
+
+#[test]
+fn limits_on_a_trainer_hold() {
+    let mut keeper = keeper("box-1");
+    take_lease(&mut keeper, at(0));
+    keeper.open(at(1), spec(1), &SlotSet::default(), FencingToken::default()).expect("open");
+    let started = keeper.poll(at(2)).into_iter();
+    let started = started.filter(|action| matches!(action, KeeperAction::Start(_))).count();
+    assert_eq!((started, keeper.in_flight()), (2, 2));
+}
+
+#[test]
+fn steps_opened_without_end_are_refused() {
+    let mut keeper = keeper("box-1");
+    take_lease(&mut keeper, at(0));
+    let mut open =
+        |step| keeper.open(at(1), spec(step), &SlotSet::default(), FencingToken::default());
+    for step in 1..=3 {
+        open(step).expect("open");
+    }
+    assert!(matches!(open(4), Err(KeeperRefusal::TooManySteps { open: 3 })));
+    assert!(open(2).is_ok());
+}
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -1,6 +1,6 @@
 //! The one admission queue of a target, at its home.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use ids::{ModelVersion, Moment, TokenCount, TrainerId, VersionWindow};
@@ -106,6 +106,11 @@
         self.waiting.len()
     }
 
+    /// For whom an admitted ask runs.
+    pub fn trainer_of(&self, ticket: TicketId) -> Option<&TrainerId> {
+        self.running.get(&ticket)?.as_ref()
+    }
+
     /// What is known of the replica.
     pub const fn replica(&self) -> &ReplicaState {
         &self.replica
@@ -125,7 +130,7 @@
             self.start(ticket, &ask);
             return Admission::Go(ticket);
         }
-        if self.waiting.len() >= self.limit * WAITING_PER_RUNNING {
+        if self.is_full_for(ask.trainer.as_ref()) {
             return Admission::Refused(Refusal::not_run(NotRun::Overloaded, FULL_RETRY));
         }
         self.next_ticket += 1;
@@ -203,6 +208,18 @@
         self.replica.contradicted(now);
     }
 
+    /// Whether a trainer has its share of the waiting places. Shares are even among those
+    /// present, so a trainer that fills the queue cannot keep another out of it.
+    fn is_full_for(&self, trainer: Option<&TrainerId>) -> bool {
+        let places = self.limit * WAITING_PER_RUNNING;
+        let Some(trainer) = trainer else { return self.waiting.len() >= places };
+        let waiting = self.waiting.iter().filter_map(|waiting| waiting.ask.trainer.as_ref());
+        let present: BTreeSet<&TrainerId> =
+            waiting.clone().chain(self.running.values().flatten()).chain([trainer]).collect();
+        let mine = waiting.filter(|other| *other == trainer).count();
+        mine >= (places / present.len()).max(1)
+    }
+
     fn refusal(&self, ask: &Ask) -> Option<Refusal> {
         let status = self.replica.status();
         let (reason, retry_after) = match status {
