--- /dev/null
+++ b/crates/bench/src/daemon.rs
@@ -0,0 +1,127 @@
+//! Real daemons at rest: memory, processor time, heartbeats and platform calls, over sizes.
+
+use std::path::PathBuf;
+use std::time::Duration;
+use std::{fs, io};
+
+use demo::fleet::{Fleet, FleetPlan};
+use demo::process::ChildProcess;
+use ids::ModelVersion;
+use tokio::runtime::Builder;
+use tokio::time;
+
+use crate::table;
+
+/// Clock ticks a second in /proc, on every Linux this runs on.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Usage {
+    ticks: u64,
+    kib: u64,
+}
+
+/// Starts fleets of several sizes and prints what each box uses.
+pub fn measure(seconds: u64) -> io::Result<()> {
+    let runtime = Builder::new_multi_thread().enable_all().build()?;
+    let sizes = [(1, 2), (1, 8), (1, 16), (4, 4)];
+    let mut rows = Vec::new();
+    for (domains, boxes) in sizes {
+        rows.push(runtime.block_on(watch(domains, boxes, seconds))?);
+    }
+    let heading = [
+        "domains",
+        "boxes in each",
+        "core % a box",
+        "resident MiB a box",
+        "beat B/s a box",
+        "platform reads/s",
+        "writes/s",
+        "watches/s",
+    ];
+    table::print(&heading, &rows);
+    Ok(())
+}
+
+async fn watch(domains: usize, boxes: usize, seconds: u64) -> io::Result<Vec<String>> {
+    let plan = FleetPlan {
+        domains,
+        boxes_per_domain: boxes,
+        engines_per_domain: 1,
+        lease_term: Duration::from_secs(3),
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan, PathBuf::from("target/bench-daemon")).await?;
+    let pool = "layout".parse().map_err(io::Error::other)?;
+    let trainer = "press-1".parse().map_err(io::Error::other)?;
+    fleet.apply(&fleet.pool(&pool, &trainer, ModelVersion::new(1))).await?;
+    time::sleep(Duration::from_secs(5)).await;
+    let before = Snapshot::take(&fleet).await?;
+    time::sleep(Duration::from_secs(seconds)).await;
+    let after = Snapshot::take(&fleet).await?;
+    Ok(after.row(&before, domains, boxes, seconds))
+}
+
+struct Snapshot {
+    usage: Usage,
+    beat_bytes: u64,
+    calls: [u64; 3],
+}
+
+impl Snapshot {
+    async fn take(fleet: &Fleet) -> io::Result<Self> {
+        let mut usage = Usage::default();
+        let mut beat_bytes = 0;
+        for child in fleet.boxes.values() {
+            let one = usage_of(child)?;
+            usage.ticks += one.ticks;
+            usage.kib += one.kib;
+            beat_bytes += metric(child, "gannetway_heartbeat_sent_bytes_total").await?;
+        }
+        let counts = fleet.read(fleet.platform.address(), "/counts").await?;
+        let call = |name: &str| counts[name].as_u64().unwrap_or_default();
+        Ok(Self { usage, beat_bytes, calls: [call("reads"), call("writes"), call("watches")] })
+    }
+
+    fn row(&self, before: &Self, domains: usize, boxes: usize, seconds: u64) -> Vec<String> {
+        let all = precise((domains * boxes) as u64);
+        let span = precise(seconds);
+        let ticks = precise(self.usage.ticks - before.usage.ticks);
+        let mut row = vec![
+            domains.to_string(),
+            boxes.to_string(),
+            format!("{:.2}", 100.0 * ticks / TICKS_PER_SECOND / span / all),
+            format!("{:.1}", precise(self.usage.kib) / 1_024.0 / all),
+            format!("{:.0}", precise(self.beat_bytes - before.beat_bytes) / span / all),
+        ];
+        for (after, before) in self.calls.iter().zip(before.calls) {
+            row.push(format!("{:.2}", precise(after - before) / span));
+        }
+        row
+    }
+}
+
+fn precise(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
+fn usage_of(child: &ChildProcess) -> io::Result<Usage> {
+    let id = child.id().ok_or_else(|| io::Error::other("a box has ended"))?;
+    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
+    // Fields 14 and 15, counted behind the name in brackets.
+    let behind = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = behind.split_whitespace().collect();
+    let number = |at: usize| fields.get(at).and_then(|text| text.parse().ok()).unwrap_or(0_u64);
+    let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+    let kib = line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    Ok(Usage { ticks: number(11) + number(12), kib })
+}
+
+async fn metric(child: &ChildProcess, name: &str) -> io::Result<u64> {
+    let url = format!("http://{}/metrics", child.address());
+    let text = reqwest::get(url).await.map_err(io::Error::other)?.text().await;
+    let text = text.map_err(io::Error::other)?;
+    let line = text.lines().find(|line| line.starts_with(name)).unwrap_or_default();
+    Ok(line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0))
+}
--- /dev/null
+++ b/crates/bench/src/documents.rs
@@ -0,0 +1,86 @@
+//! Documents: bytes and time of the configuration and of the target list.
+
+use std::time::{Duration, Instant};
+
+use ids::{Generation, ModelVersion, TargetId};
+use pools::{FleetConfig, PoolSpec, TargetList, TargetRecord, parse_pool};
+
+use crate::table;
+
+/// Prints both tables.
+pub fn measure() {
+    configuration();
+    target_list();
+}
+
+fn pool(index: usize, engines: usize) -> PoolSpec {
+    let text = format!(
+        "name = 'pool-{index:02}'\nversion = 1\ntrainers = ['trainer-{index:02}']\nengines = ['e']\n"
+    );
+    let mut pool = parse_pool(&text).expect("a good pool");
+    pool.engines = (0..engines).map(engine).collect();
+    pool
+}
+
+fn engine(index: usize) -> TargetId {
+    format!("engine-{index:05}").parse().expect("an id")
+}
+
+fn write_id(index: usize) -> String {
+    format!("w{index:032x}")
+}
+
+fn read_time<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Duration {
+    let started = Instant::now();
+    let read: Result<T, _> = serde_json::from_slice(bytes);
+    let time = started.elapsed();
+    assert!(read.is_ok(), "a document reads what it wrote");
+    time
+}
+
+fn configuration() {
+    let sizes = [(1, 11), (15, 50), (15, 333), (15, 1_000), (15, 5_000)];
+    let rows = sizes.map(|(pools, engines)| {
+        let mut config = FleetConfig::default();
+        for index in 0..pools {
+            config = config.with_pool(pool(index, engines), write_id(index));
+        }
+        let whole = serde_json::to_vec(&config).unwrap_or_default();
+        let base = config.generation;
+        let changed = PoolSpec { version: ModelVersion::new(2), ..pool(0, engines) };
+        let next = config.with_pool(changed, write_id(99));
+        let change = serde_json::to_vec(&next.since(base)).unwrap_or_default();
+        vec![
+            pools.to_string(),
+            engines.to_string(),
+            whole.len().to_string(),
+            change.len().to_string(),
+            format!("{:.0}", read_time::<FleetConfig>(&whole).as_secs_f64() * 1e6),
+        ]
+    });
+    let heading =
+        ["pools", "engines named by each", "whole, bytes", "one change, bytes", "us to read whole"];
+    table::print(&heading, &rows);
+}
+
+fn target_list() {
+    let rows = [20, 250, 1_000, 5_000].map(|count| {
+        let records = (0..count).map(|index| TargetRecord {
+            id: engine(index),
+            domain: format!("domain-{:02}", index % 20).parse().expect("an id"),
+            kind: pools::TargetKind::Engine,
+            service: None,
+            address: format!("http://10.{}.{}.{}:8000", index % 20, index / 250, index % 250),
+            checks_fencing: true,
+            leaving: false,
+        });
+        let list = TargetList { revision: Generation::new(1), targets: records.collect() };
+        let whole = serde_json::to_vec(&list).unwrap_or_default();
+        vec![
+            count.to_string(),
+            whole.len().to_string(),
+            format!("{:.0}", read_time::<TargetList>(&whole).as_secs_f64() * 1e6),
+        ]
+    });
+    table::print(&["targets", "list, bytes", "us to read"], &rows);
+}
--- a/crates/demo/src/process.rs
+++ b/crates/demo/src/process.rs
@@ -83,6 +83,11 @@
         self.addresses.first().map_or("", String::as_str)
     }
 
+    /// Its process id, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub async fn signal(&self, signal: Signal) -> io::Result<()> {
         let Some(id) = self.child.id() else { return Ok(()) };
--- a/crates/gannetwayd/src/documents.rs
+++ b/crates/gannetwayd/src/documents.rs
@@ -185,8 +185,9 @@
         self.fetching = false;
         match msg.0 {
             Ok((config, targets)) => {
-                if let Some(config) = config {
-                    self.offer_config(config);
+                if let Some(changes) = config {
+                    let current = self.config.document().cloned().unwrap_or_default();
+                    self.offer_config(current.with_changes(changes));
                 }
                 if let Some(targets) = targets {
                     self.offer_targets(targets);
--- a/crates/gannetwayd/src/peer.rs
+++ b/crates/gannetwayd/src/peer.rs
@@ -111,7 +111,10 @@
         let documents = self.ctx.documents.borrow().clone();
         let newer_config = documents.config.generation.get() > fetch.config_generation;
         let newer_targets = documents.targets.revision.get() > fetch.targets_revision;
-        let config = encode_if(newer_config, &*documents.config);
+        // What the peer holds already is left out; a configuration changes often, and only a
+        // pool at a time.
+        let base = ids::Generation::new(fetch.config_generation);
+        let config = encode_if(newer_config, &documents.config.since(base));
         let targets = encode_if(newer_targets, &*documents.targets);
         let body = item::Body::Documents(WireDocuments { config, targets });
         sink.item(Item { body: Some(body) }).await;
--- a/crates/pools/src/fleet.rs
+++ b/crates/pools/src/fleet.rs
@@ -116,6 +116,22 @@
         Self { generation, pools }
     }
 
+    /// Only what changed after `base`, for a box that holds that generation.
+    #[must_use]
+    pub fn since(&self, base: Generation) -> Self {
+        let newer = self.pools.iter().filter(|(_, entry)| entry.changed > base);
+        let pools = newer.map(|(name, entry)| (name.clone(), entry.clone())).collect();
+        Self { generation: self.generation, pools }
+    }
+
+    /// This document with a later one's changes since this one's generation.
+    #[must_use]
+    pub fn with_changes(&self, changes: Self) -> Self {
+        let mut pools = self.pools.clone();
+        pools.extend(changes.pools);
+        Self { generation: changes.generation, pools }
+    }
+
     /// One pool.
     pub fn pool(&self, name: &PoolName) -> Option<&PoolSpec> {
         self.pools.get(name).map(|entry| &entry.spec)
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,5 +1,7 @@
 //! Chores of the repository, run as `cargo run -p xtask -- <chore>`.
 
+mod mutate;
+
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::{error, fs};
@@ -19,6 +21,11 @@
     Codegen,
     /// Fails when the committed wire code is not what the .proto file gives.
     CheckCodegen,
+    /// Removes one mechanism after the other in a scratch copy; each must make a test fail.
+    Mutate {
+        /// Only mutations whose name holds this.
+        only: Option<String>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -26,6 +33,7 @@
     let done = match cli.chore {
         Chore::Codegen => codegen(&generated_dir()),
         Chore::CheckCodegen => check_codegen(),
+        Chore::Mutate { only } => mutate::mutate(&root_dir(), only.as_deref()).map_err(Into::into),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -38,6 +46,10 @@
 
 type Fallible = Result<(), Box<dyn error::Error>>;
 
+fn root_dir() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
 fn wire_dir() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire")
 }
--- /dev/null
+++ b/crates/xtask/src/mutate.rs
@@ -0,0 +1,234 @@
+//! Removes one mechanism at a time in a scratch copy and expects its test to fail.
+//!
+//! A promise counts as tested only if the test fails without the mechanism. Each mutation is a
+//! piece of source, what takes its place, and the test that must notice.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::{fs, io};
+
+/// One mechanism taken out.
+struct Mutation {
+    /// What is removed, in a few words.
+    name: &'static str,
+    file: &'static str,
+    from: &'static str,
+    to: &'static str,
+    /// Package and test filter.
+    package: &'static str,
+    test: &'static str,
+}
+
+const MUTATIONS: &[Mutation] = &[
+    Mutation {
+        name: "1: a missing stamp is taken for the last version",
+        file: "crates/ledger/src/trail.rs",
+        from: "let Some(version) = stamp.version else {",
+        to: "let Some(version) = stamp.version.or(self.oldest()).or(Some(ModelVersion::new(1))) else {",
+        package: "sessions",
+        test: "versions_are_attributed",
+    },
+    Mutation {
+        name: "1: a replica in doubt gets work",
+        file: "crates/placement/src/queue.rs",
+        from: "ReplicaStatus::InDoubt => (NotRun::InDoubt, DOUBT_RETRY),",
+        to: "ReplicaStatus::InDoubt => return None,",
+        package: "placement",
+        test: "in_doubt",
+    },
+    Mutation {
+        name: "1: a reading from before the order's end clears the doubt",
+        file: "crates/placement/src/replica.rs",
+        from: "if asked_at < self.trust_from && !new_life && !settled {",
+        to: "if false {",
+        package: "placement",
+        test: "in_doubt",
+    },
+    Mutation {
+        name: "2: no check when a sample ends",
+        file: "crates/ledger/src/step.rs",
+        from: "if self.window().is_too_old(sample.oldest()) {",
+        to: "if false {",
+        package: "ledger",
+        test: "too_old_when_it_ends",
+    },
+    Mutation {
+        name: "2: no check when a version is named",
+        file: "crates/ledger/src/step.rs",
+        from: "self.make_again(|sample| window.is_too_old(sample.oldest()));",
+        to: "let _ = window;",
+        package: "ledger",
+        test: "became_too_old",
+    },
+    Mutation {
+        name: "2: no check at the trainer",
+        file: "crates/ledger/src/intake.rs",
+        from: "sample.spans.is_empty() || window.is_too_old(sample.oldest())",
+        to: "sample.spans.is_empty()",
+        package: "ledger",
+        test: "nothing_stale",
+    },
+    Mutation {
+        name: "3: the trainer does not look whether it holds a slot",
+        file: "crates/ledger/src/intake.rs",
+        from: "} else if self.held.contains(sample.slot) {",
+        to: "} else if false {",
+        package: "sessions",
+        test: "keeper_fault",
+    },
+    Mutation {
+        name: "3: an answer under a lower token is taken",
+        file: "crates/ledger/src/intake.rs",
+        from: "if token < self.seen {",
+        to: "if false {",
+        package: "ledger",
+        test: "lower_token",
+    },
+    Mutation {
+        name: "3: a keeper does not step down for a higher token",
+        file: "crates/keeping/src/keeper.rs",
+        from: "Some(token) if seen > token => {",
+        to: "Some(token) if seen > token && false => {",
+        package: "keeping",
+        test: "higher_token",
+    },
+    Mutation {
+        name: "3: a taker does not wait for the term",
+        file: "crates/coord/src/lease.rs",
+        from: "if sighting.record.released || now.since(unchanged_since) >= term {",
+        to: "if true {",
+        package: "coord",
+        test: "never_two_holders",
+    },
+    Mutation {
+        name: "3: a holder counts from the answer instead of from before the write",
+        file: "crates/coord/src/lease.rs",
+        from: "WriteOutcome::Applied(version) => self.hold(token, version, sent_at),",
+        to: "WriteOutcome::Applied(version) => self.hold(token, version, now + self.term / 4),",
+        package: "coord",
+        test: "",
+    },
+    Mutation {
+        name: "4: an answer's end is not checked",
+        file: "crates/wire/src/tally.rs",
+        from: "if whole { Ok(()) }",
+        to: "if whole || true { Ok(()) }",
+        package: "links",
+        test: "is_an_error",
+    },
+    Mutation {
+        name: "5: a broken answer counts as not run",
+        file: "crates/links/src/error.rs",
+        from: "Self::Broken { .. } => false,",
+        to: "Self::Broken { .. } => true,",
+        package: "links",
+        test: "is_an_error",
+    },
+    Mutation {
+        name: "6: every request is repeated",
+        file: "crates/gannetwayd/src/http/plain.rs",
+        from: "let safe = self.repeatable || error.surely_not_run();",
+        to: "let safe = true;",
+        package: "demo",
+        test: "not_to_be_repeated",
+    },
+    Mutation {
+        name: "7: an engine's own word that it is leaving is not heard",
+        file: "crates/placement/src/replica.rs",
+        from: "if reading.leaving {",
+        to: "if false {",
+        package: "demo",
+        test: "leaving_engine",
+    },
+    Mutation {
+        name: "8: a stopping box does not say that it is leaving, and waits for nothing",
+        file: "crates/gannetwayd/src/daemon.rs",
+        from: "if left == 0 || time::Instant::now() >= limit {",
+        to: "if true {",
+        package: "demo",
+        test: "stop_at_once",
+    },
+    Mutation {
+        name: "9: a lost answer is not read back",
+        file: "crates/gannetwayd/src/apply.rs",
+        from: "if entry.write_id == write_id {",
+        to: "if false {",
+        package: "gannetwayd",
+        test: "apply",
+    },
+    Mutation {
+        name: "9: an older generation is applied",
+        file: "crates/coord/src/follower.rs",
+        from: "if generation <= self.generation {",
+        to: "if false {",
+        package: "coord",
+        test: "never_goes_back",
+    },
+];
+
+/// Runs every mutation; an error names those that no test noticed.
+pub fn mutate(root: &Path, only: Option<&str>) -> io::Result<()> {
+    let copy = root.join("target/mutate/tree");
+    let mut unnoticed = Vec::new();
+    for mutation in MUTATIONS.iter().filter(|m| only.is_none_or(|only| m.name.contains(only))) {
+        refresh(root, &copy)?;
+        change(&copy, mutation)?;
+        let noticed = !passes(&copy, mutation)?;
+        println!("{} {}", if noticed { "noticed  " } else { "UNNOTICED" }, mutation.name);
+        if !noticed {
+            unnoticed.push(mutation.name);
+        }
+    }
+    if unnoticed.is_empty() {
+        return Ok(());
+    }
+    Err(io::Error::other(format!("no test noticed: {}", unnoticed.join("; "))))
+}
+
+/// Copies the tracked tree anew.
+fn refresh(root: &Path, copy: &Path) -> io::Result<()> {
+    fs::create_dir_all(copy)?;
+    let listed = Command::new("git").args(["ls-files", "-z"]).current_dir(root).output()?;
+    for name in listed.stdout.split(|byte| *byte == 0).filter(|name| !name.is_empty()) {
+        let name = PathBuf::from(String::from_utf8_lossy(name).into_owned());
+        let (from, to) = (root.join(&name), copy.join(&name));
+        let text = fs::read(&from)?;
+        // Untouched files keep their times, so that only the mutated crate is built again.
+        if fs::read(&to).ok().as_ref() == Some(&text) {
+            continue;
+        }
+        if let Some(dir) = to.parent() {
+            fs::create_dir_all(dir)?;
+        }
+        fs::write(to, text)?;
+    }
+    Ok(())
+}
+
+fn change(copy: &Path, mutation: &Mutation) -> io::Result<()> {
+    let path = copy.join(mutation.file);
+    let text = fs::read_to_string(&path)?;
+    if !text.contains(mutation.from) {
+        let fault = format!("{}: `{}` is not in {}", mutation.name, mutation.from, mutation.file);
+        return Err(io::Error::other(fault));
+    }
+    fs::write(path, text.replacen(mutation.from, mutation.to, 1))
+}
+
+fn passes(copy: &Path, mutation: &Mutation) -> io::Result<bool> {
+    let cargo = |args: &[&str]| {
+        Command::new("cargo")
+            .args(args)
+            .current_dir(copy)
+            .env("CARGO_TARGET_DIR", copy.join("../target"))
+            .env("INSTA_UPDATE", "no")
+            .output()
+    };
+    let built = cargo(&["build", "--quiet", "--workspace", "--bins"])?;
+    if !built.status.success() {
+        let text = String::from_utf8_lossy(&built.stderr).into_owned();
+        return Err(io::Error::other(format!("{} does not build: {text}", mutation.name)));
+    }
+    let tested = cargo(&["test", "--quiet", "--package", mutation.package, mutation.test])?;
+    Ok(tested.status.success())
+}
