--- /dev/null
+++ b/crates/bench/src/baselines.rs
@@ -0,0 +1,115 @@
+//! Baselines that the choice of target is measured against.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ids::{Moment, TargetId, VersionWindow};
+use placement::{TargetChoice, TargetHint};
+use rand::Rng;
+
+/// Loads as the homes last told them, and nothing placed since.
+#[derive(Debug, Default)]
+struct Reports(BTreeMap<TargetId, u32>);
+
+impl Reports {
+    fn note(&mut self, id: &TargetId, hint: &TargetHint) {
+        self.0.insert(id.clone(), hint.running + hint.waiting);
+    }
+
+    fn load(&self, id: &TargetId) -> u32 {
+        self.0.get(id).copied().unwrap_or_default()
+    }
+}
+
+/// One target after the other, whatever their load.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+/// The target with the least load in its last report.
+#[derive(Debug, Default)]
+pub struct LeastReported {
+    reports: Reports,
+}
+
+/// The less loaded, by report, of two drawn at random.
+#[derive(Debug, Default)]
+pub struct TwoRandom {
+    reports: Reports,
+}
+
+/// What the baselines do not look at.
+macro_rules! ignore_the_rest {
+    () => {
+        fn next_rest_end(&self, _: Moment) -> Option<Moment> {
+            None
+        }
+
+        fn placed(&mut self, _: &TargetId) {}
+
+        fn ended(&mut self, _: &TargetId) {}
+
+        fn succeeded(&mut self, _: &TargetId) {}
+
+        fn failed(&mut self, _: Moment, _: &TargetId) {}
+
+        fn refused(&mut self, _: Moment, _: &TargetId, _: Duration) {}
+    };
+}
+
+impl TargetChoice for RoundRobin {
+    fn choose<'a>(
+        &mut self,
+        _: Moment,
+        pool: &'a [TargetId],
+        _: Option<VersionWindow>,
+        _: &mut impl Rng,
+    ) -> Option<&'a TargetId> {
+        let chosen = pool.get(self.next.checked_rem(pool.len())?);
+        self.next = self.next.wrapping_add(1);
+        chosen
+    }
+
+    fn hinted(&mut self, _: Moment, _: &TargetId, _: &TargetHint) {}
+
+    ignore_the_rest!();
+}
+
+impl TargetChoice for LeastReported {
+    fn choose<'a>(
+        &mut self,
+        _: Moment,
+        pool: &'a [TargetId],
+        _: Option<VersionWindow>,
+        _: &mut impl Rng,
+    ) -> Option<&'a TargetId> {
+        pool.iter().min_by_key(|id| self.reports.load(id))
+    }
+
+    fn hinted(&mut self, _: Moment, id: &TargetId, hint: &TargetHint) {
+        self.reports.note(id, hint);
+    }
+
+    ignore_the_rest!();
+}
+
+impl TargetChoice for TwoRandom {
+    fn choose<'a>(
+        &mut self,
+        _: Moment,
+        pool: &'a [TargetId],
+        _: Option<VersionWindow>,
+        rng: &mut impl Rng,
+    ) -> Option<&'a TargetId> {
+        let first = pool.get(rng.random_range(0..pool.len().max(1)))?;
+        let second = pool.get(rng.random_range(0..pool.len()))?;
+        [first, second].into_iter().min_by_key(|id| self.reports.load(id))
+    }
+
+    fn hinted(&mut self, _: Moment, id: &TargetId, hint: &TargetHint) {
+        self.reports.note(id, hint);
+    }
+
+    ignore_the_rest!();
+}
--- a/crates/bench/src/decisions.rs
+++ b/crates/bench/src/decisions.rs
@@ -10,7 +10,7 @@
     TargetId, TokenCount, TrainerId, VersionWindow,
 };
 use ledger::{GroupSpec, PoolRule, Pull, Sample, SlotSet, StepLedger, StepSpec, VersionSpan};
-use placement::{Admission, Ask, ReplicaReading, TargetChooser, TargetQueue};
+use placement::{Admission, Ask, ReplicaReading, TargetChoice, TargetChooser, TargetQueue};
 use pools::{SwapPolicy, TargetKind};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -62,7 +62,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let time = each(CALLS, || {
             let chosen = chooser.choose(Moment::START, &pool, Some(window()), &mut rng);
-            black_box(chosen.map(|candidate| candidate.index));
+            black_box(chosen);
         });
         vec![count.to_string(), nanos(time)]
     });
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,11 +3,13 @@
 //! Each subcommand prints one table. Figures that depend on the machine are slopes of time;
 //! bytes and counts come out the same on any machine.
 
+mod baselines;
 mod beats;
 mod daemon;
 mod decisions;
 mod documents;
 mod plain;
+mod policy;
 mod table;
 
 use std::process::ExitCode;
@@ -35,6 +37,8 @@
         #[arg(long, default_value_t = 15)]
         seconds: u64,
     },
+    /// Whole steps under each way to choose targets, by seed.
+    Policy,
     /// Plain requests through a daemon beside the same requests sent directly.
     Plain {
         /// Requests of each kind.
@@ -58,6 +62,10 @@
             Ok(())
         }
         What::Daemon { seconds } => daemon::measure(seconds),
+        What::Policy => {
+            policy::measure();
+            Ok(())
+        }
         What::Plain { requests } => plain::measure(requests),
     };
     match done {
--- a/crates/gannetwayd/src/http/plain.rs
+++ b/crates/gannetwayd/src/http/plain.rs
@@ -13,7 +13,7 @@
 use coord::retry::{Backoff, RetryBudget};
 use ids::{AnswerDigest, Moment, RequestId, ServiceName, TargetId};
 use links::CallError;
-use placement::{NotRun, TargetChooser};
+use placement::{NotRun, TargetChoice, TargetChooser};
 use rand::Rng;
 use tokio::time;
 use wire::peer::{PlainCall, PlainPart, Request, item, request};
@@ -192,7 +192,6 @@
         let mut chooser = lock(&self.state.plain.chooser);
         let chosen = chooser
             .choose(now, &targets, None, &mut rand::rng())
-            .map(|candidate| candidate.id)
             .or_else(|| chooser.choose_resting(&targets))
             .cloned();
         let Some(id) = chosen else {
--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -11,7 +11,7 @@
 use ledger::{
     HandOut, LedgerError, PoolRule, Pull, Settled, SlotSet, StepLedger, StepSnapshot, StepSpec,
 };
-use placement::{NotRun, TargetChooser};
+use placement::{NotRun, TargetChoice, TargetChooser};
 use pools::PoolSpec;
 use rand::Rng;
 
@@ -59,7 +59,7 @@
 
 /// Keeps one trainer's steps.
 #[derive(Debug)]
-pub struct StepKeeper<R> {
+pub struct StepKeeper<R, C = TargetChooser> {
     settings: KeeperSettings,
     rng: R,
     claim: LeaseClaim,
@@ -70,7 +70,7 @@
     generation: Generation,
     steps: BTreeMap<StepNumber, StepLedger>,
     adopted: Vec<StepSnapshot>,
-    chooser: TargetChooser,
+    chooser: C,
     in_flight: u32,
     started_at: Moment,
     platform_heard: Option<Moment>,
@@ -85,6 +85,13 @@
 impl<R: Rng> StepKeeper<R> {
     /// A keeper that begins to claim its lease.
     pub fn new(now: Moment, settings: KeeperSettings, rng: R) -> Self {
+        Self::with_choice(now, settings, rng, TargetChooser::default())
+    }
+}
+
+impl<R: Rng, C: TargetChoice> StepKeeper<R, C> {
+    /// A keeper that begins to claim its lease, with its own way to choose targets.
+    pub fn with_choice(now: Moment, settings: KeeperSettings, rng: R, chooser: C) -> Self {
         let claim = LeaseClaim::new(
             settings.me.clone(),
             settings.incarnation,
@@ -101,7 +108,7 @@
             generation: Generation::default(),
             steps: BTreeMap::new(),
             adopted: Vec::new(),
-            chooser: TargetChooser::default(),
+            chooser,
             in_flight: 0,
             started_at: now,
             platform_heard: None,
@@ -482,7 +489,7 @@
             while self.in_flight < pool.limits.per_trainer && ledger.has_wanted() {
                 let window = Some(ledger.window());
                 let chosen = self.chooser.choose(now, &pool.engines, window, &mut self.rng);
-                let Some(target) = chosen.map(|candidate| candidate.id.clone()) else {
+                let Some(target) = chosen.cloned() else {
                     let rest_end = self.chooser.next_rest_end(now);
                     let retry = now + STARVED_RETRY;
                     self.starved_until = Some(rest_end.map_or(retry, |end| end.min(retry)));
--- a/crates/placement/src/chooser.rs
+++ b/crates/placement/src/chooser.rs
@@ -5,6 +5,7 @@
 //! candidates are a few drawn from the pool, so the cost does not grow with the fleet.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 use ids::{ModelVersion, Moment, TargetId, VersionWindow};
@@ -37,13 +38,38 @@
     pub version: Option<ModelVersion>,
 }
 
-/// A target that may be chosen, by its position in the pool's list.
-#[derive(Debug, Clone, Copy)]
-pub struct Candidate<'a> {
-    /// Its position.
-    pub index: usize,
-    /// The target.
-    pub id: &'a TargetId,
+/// A way to choose targets, told what becomes of the work placed.
+pub trait TargetChoice: fmt::Debug {
+    /// Picks from `pool` for work that needs a version of `window`, if any; `None` when the
+    /// work had better wait.
+    fn choose<'a>(
+        &mut self,
+        now: Moment,
+        pool: &'a [TargetId],
+        window: Option<VersionWindow>,
+        rng: &mut impl Rng,
+    ) -> Option<&'a TargetId>;
+
+    /// When a target that rests may be tried again.
+    fn next_rest_end(&self, now: Moment) -> Option<Moment>;
+
+    /// Notes work placed at a target.
+    fn placed(&mut self, id: &TargetId);
+
+    /// Notes that placed work ended, well or not.
+    fn ended(&mut self, id: &TargetId);
+
+    /// Takes a hint from the target's home.
+    fn hinted(&mut self, now: Moment, id: &TargetId, hint: &TargetHint);
+
+    /// Notes good work.
+    fn succeeded(&mut self, id: &TargetId);
+
+    /// Notes a failure.
+    fn failed(&mut self, now: Moment, id: &TargetId);
+
+    /// Notes a refusal that asks to come back later.
+    fn refused(&mut self, now: Moment, id: &TargetId, retry_after: Duration);
 }
 
 #[derive(Debug, Clone, Default)]
@@ -64,67 +90,52 @@
     views: BTreeMap<TargetId, TargetView>,
 }
 
-impl TargetChooser {
-    /// Picks from `pool` for work that needs a version of `window`, if any; `None` when every
-    /// candidate is full, holds another version or is resting.
-    pub fn choose<'a>(
-        &self,
+impl TargetChoice for TargetChooser {
+    fn choose<'a>(
+        &mut self,
         now: Moment,
         pool: &'a [TargetId],
         window: Option<VersionWindow>,
         rng: &mut impl Rng,
-    ) -> Option<Candidate<'a>> {
+    ) -> Option<&'a TargetId> {
         let count = pool.len().min(CANDIDATES);
         let start = if pool.is_empty() { 0 } else { rng.random_range(0..pool.len()) };
         // A run from a random start: no shuffle, no allocation, and all of a small pool.
         (0..count)
             .map(|offset| (start + offset * stride(pool.len())) % pool.len())
-            .map(|index| Candidate { index, id: &pool[index] })
-            .filter(|candidate| self.is_usable(now, candidate.id, window))
-            .min_by_key(|candidate| self.load(candidate.id))
-    }
-
-    /// Picks although every target rests: the one whose rest ends first. Resting must never
-    /// leave a service without any target.
-    pub fn choose_resting<'a>(&self, pool: &'a [TargetId]) -> Option<&'a TargetId> {
-        let rest_end = |id: &TargetId| self.views.get(id).map(|view| view.rest_until);
-        pool.iter().filter(|id| !self.is_full(id)).min_by_key(|id| rest_end(id))
+            .map(|index| &pool[index])
+            .filter(|id| self.is_usable(now, id, window))
+            .min_by_key(|id| self.load(id))
     }
 
-    /// When a resting target of the pool may be tried again.
-    pub fn next_rest_end(&self, now: Moment) -> Option<Moment> {
+    fn next_rest_end(&self, now: Moment) -> Option<Moment> {
         self.views.values().map(|view| view.rest_until).filter(|until| *until > now).min()
     }
 
-    /// Notes a sample placed at a target.
-    pub fn placed(&mut self, id: &TargetId) {
+    fn placed(&mut self, id: &TargetId) {
         self.views.entry(id.clone()).or_default().mine += 1;
     }
 
-    /// Notes that a placed sample ended, well or not.
-    pub fn ended(&mut self, id: &TargetId) {
+    fn ended(&mut self, id: &TargetId) {
         if let Some(view) = self.views.get_mut(id) {
             view.mine = view.mine.saturating_sub(1);
         }
     }
 
-    /// Takes a hint from the target's home.
-    pub fn hinted(&mut self, now: Moment, id: &TargetId, hint: &TargetHint) {
+    fn hinted(&mut self, now: Moment, id: &TargetId, hint: &TargetHint) {
         let view = self.views.entry(id.clone()).or_default();
         view.others = (hint.running + hint.waiting).saturating_sub(view.mine);
         view.limit = Some(hint.limit);
         view.version = hint.version.map(|version| (version, now)).or(view.version);
     }
 
-    /// Notes good work: the target is trusted again.
-    pub fn succeeded(&mut self, id: &TargetId) {
+    fn succeeded(&mut self, id: &TargetId) {
         let view = self.views.entry(id.clone()).or_default();
         view.failures = 0;
         view.rest_until = Moment::START;
     }
 
-    /// Notes a failure: the target rests, longer each time.
-    pub fn failed(&mut self, now: Moment, id: &TargetId) {
+    fn failed(&mut self, now: Moment, id: &TargetId) {
         let view = self.views.entry(id.clone()).or_default();
         let rest =
             FIRST_PENALTY.saturating_mul(1_u32.checked_shl(view.failures).unwrap_or(u32::MAX));
@@ -132,11 +143,19 @@
         view.rest_until = now + rest.min(MOST_PENALTY);
     }
 
-    /// Notes a refusal that asks to come back later.
-    pub fn refused(&mut self, now: Moment, id: &TargetId, retry_after: Duration) {
+    fn refused(&mut self, now: Moment, id: &TargetId, retry_after: Duration) {
         let view = self.views.entry(id.clone()).or_default();
         view.rest_until = view.rest_until.max(now + retry_after);
     }
+}
+
+impl TargetChooser {
+    /// Picks although every target rests: the one whose rest ends first. Resting must never
+    /// leave a service without any target.
+    pub fn choose_resting<'a>(&self, pool: &'a [TargetId]) -> Option<&'a TargetId> {
+        let rest_end = |id: &TargetId| self.views.get(id).map(|view| view.rest_until);
+        pool.iter().filter(|id| !self.is_full(id)).min_by_key(|id| rest_end(id))
+    }
 
     fn is_usable(&self, now: Moment, id: &TargetId, window: Option<VersionWindow>) -> bool {
         let Some(view) = self.views.get(id) else {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -16,7 +16,7 @@
 mod refusal;
 mod replica;
 
-pub use chooser::{Candidate, TargetChooser, TargetHint};
+pub use chooser::{TargetChoice, TargetChooser, TargetHint};
 pub use fair::FairShare;
 pub use queue::{Admission, Ask, QueueEvent, TargetQueue, TicketId};
 pub use refusal::{NotRun, Refusal};
--- a/crates/sessions/src/engine.rs
+++ b/crates/sessions/src/engine.rs
@@ -138,7 +138,9 @@
     ) {
         let prompt = AnswerDigest::of(placement.assignment.prompt.as_bytes()).get();
         let longest = placement.assignment.max_tokens.get();
-        let stream = self.model.start(now, prompt, run.0, longest);
+        // By slot, so that a sample is as long whoever makes it, and however often.
+        let seed = u64::from(placement.assignment.slot.get());
+        let stream = self.model.start(now, prompt, seed, longest);
         let entry = EngineRun {
             run,
             from,
--- a/crates/sessions/src/world.rs
+++ b/crates/sessions/src/world.rs
@@ -9,7 +9,7 @@
 };
 use keeping::{AttemptEnd, KeeperAction, KeeperRefusal, KeeperSettings, Placement, StepKeeper};
 use ledger::{GroupSpec, Sample, StepSpec};
-use placement::{Admission, Ask, OrderOutcome, QueueEvent, Refusal};
+use placement::{Admission, Ask, OrderOutcome, QueueEvent, Refusal, TargetChoice, TargetChooser};
 use pools::{Favours, PoolLimits, PoolSpec, SwapPolicy};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -28,8 +28,6 @@
 const REPLY_TIME: Duration = Duration::from_millis(600);
 /// How long a box that did not reply is left alone.
 const AVOID_FOR: Duration = Duration::from_secs(2);
-/// Pause before a trainer asks again after an empty reply.
-const ASK_PAUSE: Duration = Duration::from_millis(50);
 /// Time between a home's readings of its engine.
 const READ_EVERY: Duration = Duration::from_millis(100);
 /// Time between the conductor's looks.
@@ -52,6 +50,8 @@
     pub samples: u16,
     /// Requests at work at one engine.
     pub per_engine: u32,
+    /// Samples of the trainer at work over all engines.
+    pub per_trainer: u32,
     /// Term of the keeper's lease.
     pub term: Duration,
     /// How engines behave.
@@ -62,6 +62,8 @@
     pub delay: Duration,
     /// Most that chance adds to it.
     pub jitter: Duration,
+    /// Pause before a trainer asks again after an empty reply.
+    pub ask_pause: Duration,
     /// When a session that is not complete is given up.
     pub limit: Duration,
 }
@@ -75,6 +77,7 @@
             groups: 4,
             samples: 4,
             per_engine: 4,
+            per_trainer: 512,
             term: Duration::from_millis(1_500),
             engine: EngineSettings {
                 step: Duration::from_millis(5),
@@ -85,15 +88,28 @@
             swap: SwapPolicy::Rolling { at_once: 1 },
             delay: Duration::from_millis(1),
             jitter: Duration::from_millis(2),
+            ask_pause: Duration::from_millis(50),
             limit: Duration::from_mins(2),
         }
     }
 }
 
+impl WorldPlan {
+    /// The prompt of a group, another for each seed.
+    pub fn prompt(&self, group: u64) -> String {
+        format!("prompt {group} of {}", self.seed)
+    }
+
+    /// Engines, to count with.
+    pub fn engines_f64(&self) -> f64 {
+        f64::from(u32::try_from(self.engines).unwrap_or(u32::MAX))
+    }
+}
+
 #[derive(Debug)]
-struct SimBox {
+struct SimBox<C> {
     life: u64,
-    keeper: Option<StepKeeper<ChaCha8Rng>>,
+    keeper: Option<StepKeeper<ChaCha8Rng, C>>,
     frozen: bool,
     cut: bool,
     stopped: bool,
@@ -104,13 +120,12 @@
 
 /// A session.
 #[derive(Debug)]
-pub struct World {
+pub struct World<C = TargetChooser> {
     plan: WorldPlan,
-    started: Instant,
     queue: EventQueueDebug,
     rng: ChaCha8Rng,
     store: LeaseStore,
-    boxes: Vec<SimBox>,
+    boxes: Vec<SimBox<C>>,
     engines: Vec<EngineSite>,
     conductor: SwapConductor,
     trainer: SimTrainer,
@@ -149,8 +164,8 @@
     format!("slot {} by {}", sample.slot, versions.join("+"))
 }
 
-impl World {
-    /// A session at its start. Call it on a runtime whose clock is paused.
+impl<C: TargetChoice + Default> World<C> {
+    /// A session at its start.
     pub fn new(plan: WorldPlan, faults: FaultPlan) -> Self {
         let engines: Vec<TargetId> =
             (0..plan.engines).map(|index| name(&format!("engine-{}", index + 1))).collect();
@@ -162,11 +177,11 @@
             trainers: vec![name("press-1")],
             engines: engines.clone(),
             scorers: Vec::new(),
-            limits: PoolLimits { per_engine: plan.per_engine, per_trainer: 512 },
+            limits: PoolLimits { per_engine: plan.per_engine, per_trainer: plan.per_trainer },
             swap: plan.swap,
         };
         let groups = (0..plan.groups).map(|index| GroupSpec {
-            prompt: format!("prompt {index}").into(),
+            prompt: plan.prompt(u64::from(index)).into(),
             samples: plan.samples,
             max_tokens: ids::TokenCount::new(512),
         });
@@ -178,7 +193,6 @@
         let site = |id| EngineSite::new(id, plan.engine, plan.per_engine as usize);
         let mut world = Self {
             plan,
-            started: Instant::now(),
             queue: EventQueueDebug(EventQueue::default()),
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
             store: LeaseStore::default(),
@@ -211,21 +225,43 @@
         self.queue.0.push(Moment::START + self.plan.delay, Event::TrainerDue);
     }
 
-    /// Runs until the step is complete or the limit has passed.
+    /// Runs until the step is complete or the limit has passed, on the runtime's clock.
     pub async fn run(&mut self) -> Verdict {
-        let limit = Moment::START + self.plan.limit;
+        let started = Instant::now();
         while let Some((at, event)) = self.queue.0.pop() {
-            if at > limit {
-                break;
+            time::sleep_until(started + at.since_start()).await;
+            if let Some(verdict) = self.step(at, event) {
+                return verdict;
             }
-            time::sleep_until(self.started + at.since_start()).await;
-            self.handle(at, event);
-            if self.trainer.intake.is_complete() {
-                self.say(at, "trainer holds every slot");
-                self.close(at);
-                return self.truth.verdict(true, at, self.trainer.reopened);
+        }
+        self.given_up()
+    }
+
+    /// Runs likewise without any clock, event after event; for measurements.
+    pub fn run_at_once(&mut self) -> Verdict {
+        while let Some((at, event)) = self.queue.0.pop() {
+            if let Some(verdict) = self.step(at, event) {
+                return verdict;
             }
         }
+        self.given_up()
+    }
+
+    fn step(&mut self, at: Moment, event: Event) -> Option<Verdict> {
+        if at > Moment::START + self.plan.limit {
+            return Some(self.given_up());
+        }
+        self.handle(at, event);
+        if !self.trainer.intake.is_complete() {
+            return None;
+        }
+        self.say(at, "trainer holds every slot");
+        self.close(at);
+        Some(self.truth.verdict(true, at, self.trainer.reopened))
+    }
+
+    fn given_up(&self) -> Verdict {
+        let limit = Moment::START + self.plan.limit;
         self.truth.verdict(false, limit, self.trainer.reopened)
     }
 
@@ -337,7 +373,7 @@
         self.drive(now, index);
     }
 
-    fn keeper(&mut self, now: Moment, index: BoxIndex) -> &mut StepKeeper<ChaCha8Rng> {
+    fn keeper(&mut self, now: Moment, index: BoxIndex) -> &mut StepKeeper<ChaCha8Rng, C> {
         let seed = self.rng.random();
         let (plan, pool, generation) = (&self.plan, &self.pool, &self.generation);
         let site = &mut self.boxes[index];
@@ -350,7 +386,12 @@
                 pool: pool.name.clone(),
                 trainer: pool.trainers[0].clone(),
             };
-            let mut keeper = StepKeeper::new(now, settings, ChaCha8Rng::seed_from_u64(seed));
+            let mut keeper = StepKeeper::with_choice(
+                now,
+                settings,
+                ChaCha8Rng::seed_from_u64(seed),
+                C::default(),
+            );
             keeper.pool_changed(*generation, Some(pool.clone()));
             keeper
         })
@@ -660,7 +701,7 @@
             }
         }
         if self.trainer.asked_at().is_none() {
-            self.queue.0.push(now + ASK_PAUSE, Event::TrainerDue);
+            self.queue.0.push(now + self.plan.ask_pause, Event::TrainerDue);
         }
     }
 
@@ -760,7 +801,7 @@
     }
 }
 
-impl SimBox {
+impl<C> SimBox<C> {
     const fn new() -> Self {
         Self {
             life: 1,
--- a/crates/sessions/tests/golden.rs
+++ b/crates/sessions/tests/golden.rs
@@ -11,7 +11,7 @@
 
 /// Runs a session and compares its story with the one on file.
 async fn check(name: &str, plan: WorldPlan, faults: FaultPlan) {
-    let mut world = World::new(plan, faults);
+    let mut world: World = World::new(plan, faults);
     let verdict = world.run().await;
     let story = format!("{}\n\n{verdict:#?}\n", world.story());
     insta::assert_snapshot!(name, story);
--- a/crates/sessions/tests/promises.rs
+++ b/crates/sessions/tests/promises.rs
@@ -26,7 +26,7 @@
     let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
     let runtime = runtime.expect("a runtime without I/O always builds");
     runtime.block_on(async {
-        let mut world = World::new(plan, faults);
+        let mut world: World = World::new(plan, faults);
         let verdict = world.run().await;
         (verdict, world.story())
     })
