Let a box send a plain service more than five requests at a time

The chooser took every target to allow 4 requests until its home had told its limit, and homes of plain services tell none.

Change: the limit assumed at first is the chooser's own: 4 for engines, 256 for plain services, whose home has the last word.

Ruled out: a hint along with each plain answer (one more message each, for a number that does not change).

--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -227,6 +227,23 @@
     assert_eq!(runs.get("repeated"), Some(&2));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_of_plain_requests_is_served() {
+    let fleet = fleet("burst").await;
+    let service = fleet.services["orders-1"].address().to_owned();
+    fleet.faults(&service, &json!({ "slow_ms": 100 })).await.expect("set");
+    let entry = fleet.entries().remove(0);
+    let calls: Vec<_> = (0..64)
+        .map(|index| {
+            let entry = entry.clone();
+            tokio::spawn(async move { call(&entry, &format!("burst-{index}"), false).await.0 })
+        })
+        .collect();
+    for one in calls {
+        assert_eq!(one.await.expect("no panic"), 200);
+    }
+}
+
 /// The box that is the home of the plain service, once `running` requests run there.
 async fn running_home(fleet: &Fleet, running: u64) -> String {
     let home = async || {
--- a/crates/gannetwayd/src/http/plain.rs
+++ b/crates/gannetwayd/src/http/plain.rs
@@ -37,6 +37,8 @@
 const BACKOFF: Backoff = Backoff::new(Duration::from_millis(10), Duration::from_millis(500));
 /// What a caller is told to wait when every target of a service is full or resting.
 const BUSY_RETRY: Duration = Duration::from_millis(500);
+/// Requests that one box sends to one target at a time; the target's home has the last word.
+const PLAIN_LIMIT: u32 = 256;
 /// Slack beyond the request's own time before a home counts as silent.
 const SILENCE_SLACK: Duration = Duration::from_millis(250);
 
@@ -50,7 +52,7 @@
 impl Default for PlainRouter {
     fn default() -> Self {
         Self {
-            chooser: Mutex::default(),
+            chooser: Mutex::new(TargetChooser::with_first_limit(PLAIN_LIMIT)),
             budget: Mutex::new(RetryBudget::new(RETRY_THOUSANDTHS, RETRY_FLOAT)),
         }
     }
--- a/crates/placement/src/chooser.rs
+++ b/crates/placement/src/chooser.rs
@@ -22,8 +22,8 @@
 const AHEAD_PARTS: u32 = 8;
 /// How long a version told by a home is believed.
 const VERSION_TRUST: Duration = Duration::from_millis(300);
-/// The limit assumed before a home has told its own.
-const FIRST_LIMIT: u32 = 4;
+/// The limit assumed of an engine before its home has told its own.
+const FIRST_ENGINE_LIMIT: u32 = 4;
 
 /// What a target's home says along with its answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -85,9 +85,16 @@
 }
 
 /// A keeper's view of the targets of its pool.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct TargetChooser {
     views: BTreeMap<TargetId, TargetView>,
+    first_limit: u32,
+}
+
+impl Default for TargetChooser {
+    fn default() -> Self {
+        Self::with_first_limit(FIRST_ENGINE_LIMIT)
+    }
 }
 
 impl TargetChoice for TargetChooser {
@@ -150,6 +157,12 @@
 }
 
 impl TargetChooser {
+    /// A chooser that takes targets to allow `first_limit` requests until their homes say
+    /// otherwise.
+    pub const fn with_first_limit(first_limit: u32) -> Self {
+        Self { views: BTreeMap::new(), first_limit }
+    }
+
     /// Picks although every target rests: the one whose rest ends first. Resting must never
     /// leave a service without any target.
     pub fn choose_resting<'a>(&self, pool: &'a [TargetId]) -> Option<&'a TargetId> {
@@ -177,7 +190,7 @@
 
     fn is_full(&self, id: &TargetId) -> bool {
         let Some(view) = self.views.get(id) else { return false };
-        let limit = view.limit.unwrap_or(FIRST_LIMIT);
+        let limit = view.limit.unwrap_or(self.first_limit);
         view.mine + view.others >= limit + limit.div_ceil(AHEAD_PARTS)
     }
 
@@ -186,7 +199,7 @@
         let Some(view) = self.views.get(id) else {
             return 0;
         };
-        let limit = view.limit.unwrap_or(FIRST_LIMIT).max(1);
+        let limit = view.limit.unwrap_or(self.first_limit).max(1);
         (view.mine + view.others).saturating_mul(1_000) / limit
     }
 }
