Conduct all pools of a failure domain under one lease

Cause: the capacity reckoning.

Change: one lease for each failure domain; its holder conducts every pool of the domain. xtask mutate first checks that a test passes without its mutation; bench steps counts what a sample costs real daemons.

Ruled out: a longer term for conductors (a lost one would be missed for longer than the 17 s in which new weights must be everywhere).

--- a/crates/bench/src/daemon.rs
+++ b/crates/bench/src/daemon.rs
@@ -15,12 +15,36 @@
 /// Clock ticks a second in /proc, on every Linux this runs on.
 const TICKS_PER_SECOND: f64 = 100.0;
 
+/// Processor time and memory used so far.
 #[derive(Debug, Clone, Copy, Default)]
-struct Usage {
+pub struct Usage {
     ticks: u64,
     kib: u64,
 }
 
+impl Usage {
+    /// What all boxes of a fleet used so far, together.
+    pub fn of_boxes(fleet: &Fleet) -> io::Result<Self> {
+        let mut all = Self::default();
+        for child in fleet.boxes.values() {
+            let one = usage_of(child)?;
+            all.ticks += one.ticks;
+            all.kib += one.kib;
+        }
+        Ok(all)
+    }
+
+    /// Seconds of a core used since `before`.
+    pub fn seconds_since(&self, before: &Self) -> f64 {
+        precise(self.ticks - before.ticks) / TICKS_PER_SECOND
+    }
+
+    /// Resident memory, in MiB.
+    pub fn mib(&self) -> f64 {
+        precise(self.kib) / 1_024.0
+    }
+}
+
 /// Starts fleets of several sizes and prints what each box uses.
 pub fn measure(seconds: u64) -> io::Result<()> {
     let runtime = Builder::new_multi_thread().enable_all().build()?;
@@ -70,12 +94,9 @@
 
 impl Snapshot {
     async fn take(fleet: &Fleet) -> io::Result<Self> {
-        let mut usage = Usage::default();
+        let usage = Usage::of_boxes(fleet)?;
         let mut beat_bytes = 0;
         for child in fleet.boxes.values() {
-            let one = usage_of(child)?;
-            usage.ticks += one.ticks;
-            usage.kib += one.kib;
             beat_bytes += metric(child, "gannetway_heartbeat_sent_bytes_total").await?;
         }
         let counts = fleet.read(fleet.platform.address(), "/counts").await?;
@@ -86,12 +107,11 @@
     fn row(&self, before: &Self, domains: usize, boxes: usize, seconds: u64) -> Vec<String> {
         let all = precise((domains * boxes) as u64);
         let span = precise(seconds);
-        let ticks = precise(self.usage.ticks - before.usage.ticks);
         let mut row = vec![
             domains.to_string(),
             boxes.to_string(),
-            format!("{:.2}", 100.0 * ticks / TICKS_PER_SECOND / span / all),
-            format!("{:.1}", precise(self.usage.kib) / 1_024.0 / all),
+            format!("{:.2}", 100.0 * self.usage.seconds_since(&before.usage) / span / all),
+            format!("{:.1}", self.usage.mib() / all),
             format!("{:.0}", precise(self.beat_bytes - before.beat_bytes) / span / all),
         ];
         for (after, before) in self.calls.iter().zip(before.calls) {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod documents;
 mod plain;
 mod policy;
+mod steps;
 mod table;
 
 use std::process::ExitCode;
@@ -37,6 +38,8 @@
         #[arg(long, default_value_t = 15)]
         seconds: u64,
     },
+    /// Processor time and memory of real daemons for each sample of a step.
+    Steps,
     /// Whole steps under each way to choose targets, by seed.
     Policy,
     /// Plain requests through a daemon beside the same requests sent directly.
@@ -62,6 +65,7 @@
             Ok(())
         }
         What::Daemon { seconds } => daemon::measure(seconds),
+        What::Steps => steps::measure(),
         What::Policy => {
             policy::measure();
             Ok(())
--- a/crates/gannetwayd/src/conductor.rs
+++ b/crates/gannetwayd/src/conductor.rs
@@ -1,12 +1,15 @@
-//! Conducts roll-outs of versions in this box's failure domain, under a lease for each pool.
+//! Conducts roll-outs of versions in this box's failure domain, under one lease.
+//!
+//! One lease covers all pools of the domain: a lease for each would cost the platform a write
+//! a second for every pool and domain, 300 of them at the two-year size.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use api::RolloutStatus;
 use coord::lease::{LeaseAction, LeaseClaim, ReadOutcome, WriteOutcome};
-use ids::{Incarnation, ModelVersion, Moment, PoolName, TargetId};
+use ids::{FencingToken, Incarnation, ModelVersion, Moment, PoolName, TargetId};
 use kameo::prelude::*;
 use links::CallError;
 use objects::{ObjectKey, ObjectKind, ObjectStore};
@@ -43,27 +46,23 @@
     }
 }
 
-#[derive(Debug)]
-struct Rollout {
-    claim: LeaseClaim,
-    conductor: Option<SwapConductor>,
-}
-
 /// Owns the roll-outs of this box.
 #[derive(Debug, Actor)]
 pub struct ConductorActor {
     ctx: BoxContext,
-    rollouts: HashMap<PoolName, Rollout>,
+    /// The claim on the domain's lease, while this box is the one that should hold it.
+    claim: Option<LeaseClaim>,
+    conductors: HashMap<PoolName, SwapConductor>,
 }
 
 #[derive(Debug)]
 struct ConductorTick;
 
 #[derive(Debug)]
-struct RolloutLeaseRead(PoolName, ReadOutcome);
+struct ConductorLeaseRead(ReadOutcome);
 
 #[derive(Debug)]
-struct RolloutLeaseWritten(PoolName, WriteOutcome);
+struct ConductorLeaseWritten(WriteOutcome);
 
 #[derive(Debug)]
 struct OrderDone {
@@ -80,7 +79,7 @@
     reading: Option<(Incarnation, Option<ModelVersion>)>,
 }
 
-/// Frees the leases, for a planned stop.
+/// Frees the lease, for a planned stop.
 #[derive(Debug)]
 pub struct ReleaseRollouts;
 
@@ -88,7 +87,8 @@
     /// Starts the actor on the control thread.
     pub fn start(ctx: &BoxContext) -> ActorRef<Self> {
         let _on_control = ctx.control.enter();
-        let actor = Self::spawn(Self { ctx: Arc::clone(ctx), rollouts: HashMap::new() });
+        let actor =
+            Self::spawn(Self { ctx: Arc::clone(ctx), claim: None, conductors: HashMap::new() });
         let (stop, ticker) = (ctx.stop.clone(), actor.clone());
         tokio::spawn(async move {
             let mut interval = time::interval(TICK);
@@ -103,66 +103,63 @@
 
     fn drive(&mut self, me: &ActorRef<Self>) {
         let now = self.ctx.clock.now();
-        let config = Arc::clone(&self.ctx.documents.borrow().config);
-        let mine: BTreeMap<&PoolName, &PoolSpec> = config
-            .pools
-            .iter()
-            .map(|(name, entry)| (name, &entry.spec))
-            .filter(|(name, _)| !self.ctx.is_leaving() && self.is_owner(now, name))
-            .collect();
-        self.rollouts
-            .retain(|name, rollout| mine.contains_key(name) || rollout.claim.held(now).is_some());
-        for (name, spec) in mine {
-            let replicas = self.replicas_here(spec);
-            if replicas.is_empty() {
-                continue;
-            }
-            let mut rollout = self.rollouts.remove(name).unwrap_or_else(|| new_rollout(&self.ctx));
-            self.drive_one(now, spec, replicas, &mut rollout, me);
-            self.rollouts.insert(name.clone(), rollout);
+        self.drive_lease(now, me);
+        // Without the lease nothing is ordered: a swap ordered twice is not harmless.
+        match self.claim.as_ref().and_then(|claim| claim.held(now)) {
+            Some(token) => self.drive_pools(now, token, me),
+            None => self.conductors.clear(),
         }
         self.show();
     }
 
-    fn drive_one(
-        &self,
-        now: Moment,
-        spec: &PoolSpec,
-        replicas: Vec<(TargetId, bool)>,
-        rollout: &mut Rollout,
-        me: &ActorRef<Self>,
-    ) {
-        if let Some(action) = rollout.claim.poll(now) {
-            self.do_lease(&spec.name, action, me);
-        }
-        // Without the lease nothing is ordered: a swap ordered twice is not harmless.
-        let Some(token) = rollout.claim.held(now) else {
-            rollout.conductor = None;
+    /// Claims the domain's lease while it is this box's duty; else lets it run out.
+    fn drive_lease(&mut self, now: Moment, me: &ActorRef<Self>) {
+        if self.ctx.is_leaving() || !self.is_owner(now) {
+            let held = self.claim.as_ref().is_some_and(|claim| claim.held(now).is_some());
+            if !held {
+                self.claim = None;
+            }
             return;
-        };
-        let stale = rollout.conductor.as_ref().is_some_and(|known| known.token() != token);
-        if stale {
-            rollout.conductor = None;
         }
-        let conductor = rollout.conductor.get_or_insert_with(|| {
-            log::info!(target: "conductor", pool:% = spec.name, token:% = token; "conducting");
-            SwapConductor::new(now, token)
+        let ctx = &self.ctx;
+        let action = self.claim.get_or_insert_with(|| new_claim(ctx)).poll(now);
+        if let Some(action) = action {
+            self.do_lease(action, me);
+        }
+    }
+
+    fn drive_pools(&mut self, now: Moment, token: FencingToken, me: &ActorRef<Self>) {
+        let config = Arc::clone(&self.ctx.documents.borrow().config);
+        let pools: Vec<(&PoolSpec, Vec<(TargetId, bool)>)> = config
+            .pools
+            .values()
+            .map(|entry| (&entry.spec, self.replicas_here(&entry.spec)))
+            .filter(|(_, replicas)| !replicas.is_empty())
+            .collect();
+        // Another token means another reign: what was read under the one before counts no more.
+        self.conductors.retain(|name, conductor| {
+            conductor.token() == token && pools.iter().any(|(spec, _)| spec.name == *name)
         });
-        conductor.want(spec.version, spec.swap, replicas);
-        for action in conductor.poll(now) {
-            match action {
-                SwapAction::Order(order) => self.send_order(&spec.name, order, me),
-                SwapAction::Read(target) => self.send_read(&spec.name, target, me),
+        for (spec, replicas) in pools {
+            let conductor = self.conductors.entry(spec.name.clone()).or_insert_with(|| {
+                log::info!(target: "conductor", pool:% = spec.name, token:% = token; "conducting");
+                SwapConductor::new(now, token)
+            });
+            conductor.want(spec.version, spec.swap, replicas);
+            for action in conductor.poll(now) {
+                match action {
+                    SwapAction::Order(order) => send_order(&self.ctx, &spec.name, order, me),
+                    SwapAction::Read(target) => send_read(&self.ctx, &spec.name, target, me),
+                }
             }
         }
     }
 
-    fn is_owner(&self, now: Moment, pool: &PoolName) -> bool {
+    fn is_owner(&self, now: Moment) -> bool {
         let members = self.ctx.members.borrow();
-        let key = lease_key(&self.ctx, pool).to_string();
-        members
-            .owner_in(now, &self.ctx.me.domain, &key)
-            .is_some_and(|owner| owner.id == self.ctx.me.id)
+        let key = lease_key(&self.ctx).to_string();
+        let owner = members.owner_in(now, &self.ctx.me.domain, &key);
+        owner.is_some_and(|owner| owner.id == self.ctx.me.id)
     }
 
     fn replicas_here(&self, spec: &PoolSpec) -> Vec<(TargetId, bool)> {
@@ -174,78 +171,73 @@
             .collect()
     }
 
-    fn do_lease(&self, pool: &PoolName, action: LeaseAction, me: &ActorRef<Self>) {
-        let key = lease_key(&self.ctx, pool);
-        let (ctx, pool, me) = (Arc::clone(&self.ctx), pool.clone(), me.clone());
+    fn do_lease(&self, action: LeaseAction, me: &ActorRef<Self>) {
+        let key = lease_key(&self.ctx);
+        let (ctx, me) = (Arc::clone(&self.ctx), me.clone());
         self.ctx.control.spawn(async move {
             // The actor is gone only when the box stops.
             let _stopped = match action {
                 LeaseAction::Read => {
                     let read = ctx.store.read(&key).await;
-                    me.tell(RolloutLeaseRead(pool, read_outcome(read))).await.ok()
+                    me.tell(ConductorLeaseRead(read_outcome(read))).await.ok()
                 }
                 LeaseAction::Write { expect, record } => {
                     let value = serde_json::to_value(record).unwrap_or_default();
                     let written = ctx.store.write(&key, expect, value).await;
-                    me.tell(RolloutLeaseWritten(pool, write_outcome(&written))).await.ok()
+                    me.tell(ConductorLeaseWritten(write_outcome(&written))).await.ok()
                 }
             };
         });
     }
 
-    fn send_order(&self, pool: &PoolName, order: SwapOrder, me: &ActorRef<Self>) {
-        log::info!(target: "conductor", pool:% = pool, at:% = order.target, version:% = order.version; "ordering");
-        let (ctx, pool, me) = (Arc::clone(&self.ctx), pool.clone(), me.clone());
-        self.ctx.control.spawn(async move {
-            let outcome = order_at_home(&ctx, &order).await;
-            let done = OrderDone { pool, target: order.target, outcome };
-            // The actor is gone only when the box stops.
-            let _stopped = me.tell(done).await;
-        });
-    }
-
-    fn send_read(&self, pool: &PoolName, target: TargetId, me: &ActorRef<Self>) {
-        let (ctx, pool, me) = (Arc::clone(&self.ctx), pool.clone(), me.clone());
-        self.ctx.control.spawn(async move {
-            let asked_at = ctx.clock.now();
-            let reading = read_at_home(&ctx, &target).await.ok();
-            // The actor is gone only when the box stops.
-            let _stopped = me.tell(ReplicaRead { pool, target, asked_at, reading }).await;
-        });
-    }
-
     fn show(&self) {
-        let shown = self.rollouts.iter().filter_map(|(pool, rollout)| {
-            let progress = rollout.conductor.as_ref()?.progress();
-            Some(RolloutStatus {
+        let shown = self.conductors.iter().map(|(pool, conductor)| {
+            let progress = conductor.progress();
+            RolloutStatus {
                 pool: pool.clone(),
                 wanted: progress.wanted,
                 replicas: progress.replicas,
                 done: progress.done,
                 under_way: progress.under_way,
                 in_doubt: progress.in_doubt,
-            })
+            }
         });
         *self.ctx.rollouts.lock() = shown.collect();
     }
-
-    fn conductor(&mut self, pool: &PoolName) -> Option<&mut SwapConductor> {
-        self.rollouts.get_mut(pool)?.conductor.as_mut()
-    }
 }
 
-fn new_rollout(ctx: &BoxContext) -> Rollout {
-    let claim = LeaseClaim::new(
+fn new_claim(ctx: &BoxContext) -> LeaseClaim {
+    LeaseClaim::new(
         ctx.me.id.clone(),
         ctx.me.incarnation,
         ctx.me.address.clone(),
         ctx.settings.lease_term,
-    );
-    Rollout { claim, conductor: None }
+    )
 }
 
-fn lease_key(ctx: &BoxContext, pool: &PoolName) -> ObjectKey {
-    ObjectKey::new(ObjectKind::Lease, format!("conductor:{pool}:{}", ctx.me.domain))
+fn lease_key(ctx: &BoxContext) -> ObjectKey {
+    ObjectKey::new(ObjectKind::Lease, format!("conductor:{}", ctx.me.domain))
+}
+
+fn send_order(ctx: &BoxContext, pool: &PoolName, order: SwapOrder, me: &ActorRef<ConductorActor>) {
+    log::info!(target: "conductor", pool:% = pool, at:% = order.target, version:% = order.version; "ordering");
+    let (task_ctx, pool, me) = (Arc::clone(ctx), pool.clone(), me.clone());
+    ctx.control.spawn(async move {
+        let outcome = order_at_home(&task_ctx, &order).await;
+        let done = OrderDone { pool, target: order.target, outcome };
+        // The actor is gone only when the box stops.
+        let _stopped = me.tell(done).await;
+    });
+}
+
+fn send_read(ctx: &BoxContext, pool: &PoolName, target: TargetId, me: &ActorRef<ConductorActor>) {
+    let (task_ctx, pool, me) = (Arc::clone(ctx), pool.clone(), me.clone());
+    ctx.control.spawn(async move {
+        let asked_at = task_ctx.clock.now();
+        let reading = read_at_home(&task_ctx, &target).await.ok();
+        // The actor is gone only when the box stops.
+        let _stopped = me.tell(ReplicaRead { pool, target, asked_at, reading }).await;
+    });
 }
 
 /// `true` when done, `false` when refused or surely not sent, `None` when nobody can tell.
@@ -293,25 +285,25 @@
     }
 }
 
-impl Message<RolloutLeaseRead> for ConductorActor {
+impl Message<ConductorLeaseRead> for ConductorActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: RolloutLeaseRead, ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: ConductorLeaseRead, ctx: &mut Context<Self, ()>) {
         let now = self.ctx.clock.now();
-        if let Some(rollout) = self.rollouts.get_mut(&msg.0) {
-            rollout.claim.read_done(now, msg.1);
+        if let Some(claim) = &mut self.claim {
+            claim.read_done(now, msg.0);
         }
         self.drive(&ctx.actor_ref());
     }
 }
 
-impl Message<RolloutLeaseWritten> for ConductorActor {
+impl Message<ConductorLeaseWritten> for ConductorActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: RolloutLeaseWritten, ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: ConductorLeaseWritten, ctx: &mut Context<Self, ()>) {
         let now = self.ctx.clock.now();
-        if let Some(rollout) = self.rollouts.get_mut(&msg.0) {
-            rollout.claim.write_done(now, msg.1);
+        if let Some(claim) = &mut self.claim {
+            claim.write_done(now, msg.0);
         }
         self.drive(&ctx.actor_ref());
     }
@@ -323,7 +315,7 @@
     async fn handle(&mut self, msg: OrderDone, ctx: &mut Context<Self, ()>) {
         let now = self.ctx.clock.now();
         log::info!(target: "conductor", pool:% = msg.pool, at:% = msg.target, done:? = msg.outcome; "order ended");
-        if let Some(conductor) = self.conductor(&msg.pool) {
+        if let Some(conductor) = self.conductors.get_mut(&msg.pool) {
             conductor.ordered(now, &msg.target, msg.outcome);
         }
         self.drive(&ctx.actor_ref());
@@ -335,7 +327,7 @@
 
     async fn handle(&mut self, msg: ReplicaRead, ctx: &mut Context<Self, ()>) {
         let now = self.ctx.clock.now();
-        if let Some(conductor) = self.conductor(&msg.pool) {
+        if let Some(conductor) = self.conductors.get_mut(&msg.pool) {
             match msg.reading {
                 Some((life, version)) => {
                     conductor.read(msg.asked_at, now, &msg.target, life, version);
@@ -352,15 +344,10 @@
 
     async fn handle(&mut self, _: ReleaseRollouts, ctx: &mut Context<Self, ()>) {
         let now = self.ctx.clock.now();
-        let actions: Vec<(PoolName, LeaseAction)> = self
-            .rollouts
-            .iter_mut()
-            .filter_map(|(pool, rollout)| Some((pool.clone(), rollout.claim.release(now)?)))
-            .collect();
-        for (pool, action) in actions {
-            self.do_lease(&pool, action, &ctx.actor_ref());
+        if let Some(action) = self.claim.as_mut().and_then(|claim| claim.release(now)) {
+            self.do_lease(action, &ctx.actor_ref());
         }
-        self.rollouts.clear();
+        self.conductors.clear();
         self.show();
     }
 }
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -172,6 +172,11 @@
     let mut unnoticed = Vec::new();
     for mutation in MUTATIONS.iter().filter(|m| only.is_none_or(|only| m.name.contains(only))) {
         refresh(root, &copy)?;
+        // A test that fails anyway would notice everything.
+        if !passes(&copy, mutation)? {
+            let fault = format!("{}: its test fails without any mutation", mutation.name);
+            return Err(io::Error::other(fault));
+        }
         change(&copy, mutation)?;
         let noticed = !passes(&copy, mutation)?;
         println!("{} {}", if noticed { "noticed  " } else { "UNNOTICED" }, mutation.name);
