Place by the pool's limit from the start; note a try at longest-first

A keeper took each engine to allow 4 requests until the first answer brought the home's hint, so engines stood half empty for the first answers.

Change: the limit assumed at first is the pool's own.

Tried and taken back: ordering groups by their siblings' mean length, groups without any first.

--- a/crates/bench/src/baselines.rs
+++ b/crates/bench/src/baselines.rs
@@ -42,6 +42,8 @@
 /// What the baselines do not look at.
 macro_rules! ignore_the_rest {
     () => {
+        fn assume_limit(&mut self, _: u32) {}
+
         fn next_rest_end(&self, _: Moment) -> Option<Moment> {
             None
         }
--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -151,6 +151,9 @@
             return;
         }
         self.generation = generation;
+        if let Some(pool) = &pool {
+            self.chooser.assume_limit(pool.limits.per_engine);
+        }
         self.pool = pool;
         self.starved_until = None;
         let Some(rule) = self.rule() else { return };
--- a/crates/placement/src/chooser.rs
+++ b/crates/placement/src/chooser.rs
@@ -50,6 +50,9 @@
         rng: &mut impl Rng,
     ) -> Option<&'a TargetId>;
 
+    /// Sets the limit to assume of targets whose home has not told its own yet.
+    fn assume_limit(&mut self, limit: u32);
+
     /// When a target that rests may be tried again.
     fn next_rest_end(&self, now: Moment) -> Option<Moment>;
 
@@ -115,6 +118,10 @@
             .min_by_key(|id| self.load(id))
     }
 
+    fn assume_limit(&mut self, limit: u32) {
+        self.first_limit = limit;
+    }
+
     fn next_rest_end(&self, now: Moment) -> Option<Moment> {
         self.views.values().map(|view| view.rest_until).filter(|until| *until > now).min()
     }
