--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -182,7 +182,7 @@
     /// Starts a box and lists it.
     pub async fn start_box(&mut self, domain: usize, index: usize) -> io::Result<String> {
         let id = format!("box-{}-{}", domain + 1, index + 1);
-        let key_file = self.dir.join("key").display().to_string();
+        let key_file = self.key_file().display().to_string();
         let platform = format!("http://{}", self.platform.address());
         let term = self.plan.lease_term.as_millis().to_string();
         let domain = domain_of(domain);
@@ -268,6 +268,11 @@
         Err(io::Error::new(io::ErrorKind::TimedOut, format!("{what}: never came")))
     }
 
+    /// The file that holds the deployment's key.
+    pub fn key_file(&self) -> PathBuf {
+        self.dir.join("key")
+    }
+
     /// Addresses of all boxes, for callers.
     pub fn entries(&self) -> Vec<String> {
         self.boxes.values().map(|child| format!("http://{}", child.address())).collect()
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -8,7 +8,7 @@
 
 use client::OpenStep;
 use demo::fleet::{Fleet, FleetPlan};
-use demo::process::Signal;
+use demo::process::{Signal, program};
 use ids::{ModelVersion, PoolName, StepNumber, TokenCount, TrainerId};
 use ledger::{GroupSpec, SlotSet, StepSpec};
 use serde_json::{Value, json};
@@ -290,6 +290,55 @@
     assert!(runs.len() == 3 && runs.values().all(|count| *count == 1), "{runs:?}");
 }
 
+/// Runs the command-line tool against a fleet; gives its exit code and what it printed.
+async fn ctl(fleet: &Fleet, args: &[&str]) -> (Option<i32>, String) {
+    let output = tokio::process::Command::new(program("gannetctl").expect("built"))
+        .args(["--entry", &fleet.entries()[0], "--output", "json"])
+        .args(["--key-file", &fleet.key_file().display().to_string()])
+        .args(args)
+        .output()
+        .await
+        .expect("it runs");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_tool_applies_looks_runs_a_step_and_calls() {
+    let fleet = fleet("tool").await;
+    let file = fleet.key_file().with_file_name("pool.toml");
+    let document = "
+name = 'suggest'
+version = 1
+trainers = ['shop-1']
+engines = ['engine-1-1', 'engine-1-2']
+scorers = ['scorer-1']
+";
+    std::fs::write(&file, document).expect("written");
+    let file = file.display().to_string();
+    let (code, text) = ctl(&fleet, &["apply", &file]).await;
+    assert_eq!((code, text.trim()), (Some(0), r#"{"generation":2}"#));
+    // Looked at generation 1, and somebody applied the pool since.
+    let (code, text) = ctl(&fleet, &["apply", &file, "--if-generation", "1"]).await;
+    assert!(code == Some(3) && text.contains("changed in generation 2"), "{text}");
+    let (code, text) = ctl(&fleet, &["get", "suggest"]).await;
+    let shown: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((code, &shown["pools"][0]["spec"]["name"]), (Some(0), &json!("suggest")));
+    assert_eq!(ctl(&fleet, &["get", "no-such-pool"]).await.0, Some(4));
+    let (code, text) = ctl(&fleet, &["list"]).await;
+    assert!(code == Some(0) && text.contains("layout") && text.contains("suggest"), "{text}");
+    let step = ["step", "--pool", "suggest", "--trainer", "shop-1", "--samples", "16"];
+    let (code, text) = ctl(&fleet, &step).await;
+    let report: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((code, &report["delivered"], &report["missing"]), (Some(0), &json!(16), &json!(0)));
+    let (code, text) = ctl(&fleet, &["call", "orders", "/basket?x=1", "--body", "eggs"]).await;
+    assert!(code == Some(0) && text.contains("/basket?x=1 eggs"), "{text}");
+    assert_eq!(ctl(&fleet, &["call", "no-such-service", "/x"]).await.0, Some(4));
+    let (code, text) = ctl(&fleet, &["status"]).await;
+    let status: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((code, &status["generation"]), (Some(0), &json!(2)));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_and_bad_requests_get_clear_errors() {
     let fleet = fleet("bad-requests").await;
