Hold work back while 32 MiB of samples wait for their trainer

Change: the ledger counts the bytes that wait; a keeper places nothing while 32 MiB do, and goes on as soon as a pull makes room. A process test asserts that a kept step is handed over in a planned stop and not opened again.

Ruled out: counting samples instead of bytes (their lengths differ by orders of magnitude).

--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -147,6 +147,20 @@
     assert!(step.next().await.expect("whole").is_none());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_kept_step_is_handed_over_and_not_opened_again() {
+    let mut fleet = fleet("hand-over").await;
+    let (mut step, mut slots) = (open(&fleet).await, SlotSet::default());
+    pull(&mut step, &mut slots, 8).await;
+    let keeper = fleet.keeper(&trainer()).await.expect("a keeper");
+    fleet.boxes[&keeper].signal(Signal::Terminate).await.expect("signalled");
+    pull(&mut step, &mut slots, SAMPLES).await;
+    let ended = fleet.boxes.get_mut(&keeper).expect("it ran").wait().await.expect("ended");
+    assert_eq!(ended.code(), Some(0));
+    let idle = step.close().await.expect("closed");
+    assert_eq!((idle.reopened, idle.doubled, idle.stale), (0, 0, 0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_step_goes_on_while_the_platform_is_away_and_its_keeper_dies() {
     let mut fleet = fleet("platform-away").await;
--- a/crates/gannetwayd/src/keeper/actor.rs
+++ b/crates/gannetwayd/src/keeper/actor.rs
@@ -305,8 +305,10 @@
 
     async fn handle(&mut self, msg: PullStep, ctx: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let now = self.ctx.clock.now();
+        let before = self.keeper.waiting_bytes();
         let pulled = self.keeper.pull(now, msg.step, &msg.pull);
-        if pulled.is_err() {
+        // Room for more samples, or something learnt from a refusal; an idle pull changes nothing.
+        if pulled.is_err() || self.keeper.waiting_bytes() < before {
             self.drive(&ctx.actor_ref());
         }
         let (out, state) = pulled?;
--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -25,6 +25,9 @@
 /// Terms of vain asking after which a keeper takes a lease that its holder still renews, for
 /// that holder is cut off from the trainer.
 const FORCE_TERMS: u32 = 3;
+/// Bytes of samples that may wait for their trainer. A trainer that does not pull must not
+/// fill its keeper's memory; what runs already may go a little over.
+const MOST_WAITING_BYTES: usize = 32 << 20;
 /// Pause before targets are tried again when none could be chosen and none is known to rest.
 const STARVED_RETRY: Duration = Duration::from_millis(100);
 /// How long a sample of a version that is not named waits for it: a configuration is in force
@@ -134,6 +137,11 @@
         self.in_flight
     }
 
+    /// Bytes of samples that wait for the trainer.
+    pub fn waiting_bytes(&self) -> usize {
+        self.steps.values().map(StepLedger::waiting_bytes).sum()
+    }
+
     /// Versions that samples of a step may now be made of.
     pub fn window(&self, step: StepNumber) -> Option<VersionWindow> {
         self.steps.get(&step).map(StepLedger::window)
@@ -484,7 +492,8 @@
     fn place_work(&mut self, now: Moment, actions: &mut Vec<KeeperAction>) {
         let starved = self.starved_until.is_some_and(|until| now < until);
         let Some(pool) = &self.pool else { return };
-        if self.acting.is_none() || self.handing_over || starved {
+        let full = self.waiting_bytes() >= MOST_WAITING_BYTES;
+        if self.acting.is_none() || self.handing_over || starved || full {
             return;
         }
         self.starved_until = None;
--- a/crates/keeping/tests/keeper.rs
+++ b/crates/keeping/tests/keeper.rs
@@ -7,8 +7,8 @@
     FencingToken, Generation, Incarnation, ModelVersion, Moment, ObjectVersion, StepNumber,
     TokenCount,
 };
-use keeping::{KeeperAction, KeeperRefusal, KeeperSettings, StepKeeper};
-use ledger::{GroupSpec, Pull, SlotSet, StepSpec};
+use keeping::{AttemptEnd, KeeperAction, KeeperRefusal, KeeperSettings, Placement, StepKeeper};
+use ledger::{GroupSpec, Pull, Sample, SlotSet, StepSpec, VersionSpan};
 use pools::{Favours, PoolLimits, PoolSpec, SwapPolicy};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -162,3 +162,46 @@
     assert!(matches!(open(4), Err(KeeperRefusal::TooManySteps { open: 3 })));
     open(2).unwrap();
 }
+
+#[test]
+fn work_stops_while_its_trainer_does_not_pull_and_goes_on_when_it_does() {
+    const SAMPLE_BYTES: usize = 20 << 20;
+    let mut keeper = keeper("box-1");
+    take_lease(&mut keeper, at(0));
+    keeper.open(at(1), spec(1), &SlotSet::default(), FencingToken::default()).expect("open");
+    let mut now = 2;
+    let mut made = 0;
+    let mut work = |keeper: &mut StepKeeper<ChaCha8Rng>, now: &mut u64| loop {
+        let actions = keeper.poll(at(*now));
+        *now += 1;
+        let started: Vec<Placement> = actions
+            .into_iter()
+            .filter_map(|action| match action {
+                KeeperAction::Start(placement) => Some(placement),
+                KeeperAction::Lease(_) => None,
+            })
+            .collect();
+        if started.is_empty() {
+            return made;
+        }
+        for placement in started {
+            let span = VersionSpan { version: ModelVersion::new(1), tokens: TokenCount::new(8) };
+            let sample = Sample {
+                slot: placement.assignment.slot,
+                spans: vec![span],
+                text: "x".repeat(SAMPLE_BYTES),
+                score: None,
+                engine: placement.target.clone(),
+            };
+            made += 1;
+            keeper.attempt_ended(at(*now), &placement, AttemptEnd::Made(sample), None);
+        }
+    };
+    // Two at a time, by the trainer's limit; the third and fourth must wait.
+    assert_eq!(work(&mut keeper, &mut now), 2);
+    let (out, _) = keeper.pull(at(now), StepNumber::new(1), &pull(1)).expect("a pull");
+    let held: SlotSet = out.samples.iter().map(|sample| sample.slot).collect();
+    let next = Pull { held, ..pull(1) };
+    keeper.pull(at(now), StepNumber::new(1), &next).expect("a pull");
+    assert_eq!(work(&mut keeper, &mut now), 4);
+}
--- a/crates/ledger/src/step.rs
+++ b/crates/ledger/src/step.rs
@@ -209,6 +209,7 @@
     running: usize,
     attempts: u64,
     discarded: u64,
+    waiting_bytes: usize,
 }
 
 impl StepLedger {
@@ -227,6 +228,7 @@
             running: 0,
             attempts: 0,
             discarded: 0,
+            waiting_bytes: 0,
             spec,
         })
     }
@@ -306,6 +308,7 @@
             return Settled::TooOld;
         }
         self.running -= 1;
+        self.waiting_bytes += sample.text.len();
         self.slots[slot.as_usize()] = Slot::Ready(Arc::new(sample));
         self.deliverable.insert(slot);
         Settled::Kept
@@ -362,7 +365,7 @@
             .filter(|slot| self.sample(*slot).is_some_and(&unfit))
             .collect();
         for slot in slots {
-            self.deliverable.remove(&slot);
+            self.no_longer_waiting(slot);
             self.slots[slot.as_usize()] = Slot::Wanted;
             self.wanted.push_front(slot);
             self.discarded += 1;
@@ -406,6 +409,11 @@
         waiting.any(|sample| !window.is_ahead(sample.newest()))
     }
 
+    /// Bytes of samples that wait for the trainer.
+    pub const fn waiting_bytes(&self) -> usize {
+        self.waiting_bytes
+    }
+
     /// Counts of the step's slots and why the trainer waits.
     pub fn progress(&self) -> Progress {
         let ready = self.deliverable.len();
@@ -508,19 +516,23 @@
     }
 
     fn hold_one(&mut self, slot: SlotIndex) {
-        let entry = &mut self.slots[slot.as_usize()];
-        match entry {
+        match self.slots[slot.as_usize()] {
             Slot::Held => return,
             Slot::Running(_) => self.running -= 1,
-            Slot::Ready(_) | Slot::Frozen(_) => {
-                self.deliverable.remove(&slot);
-            }
+            Slot::Ready(_) | Slot::Frozen(_) => self.no_longer_waiting(slot),
             Slot::Wanted => {}
         }
-        *entry = Slot::Held;
+        self.slots[slot.as_usize()] = Slot::Held;
         self.held += 1;
     }
 
+    /// Takes a sample off those that wait for the trainer.
+    fn no_longer_waiting(&mut self, slot: SlotIndex) {
+        let bytes = self.sample(slot).map_or(0, |sample| sample.text.len());
+        self.waiting_bytes -= bytes;
+        self.deliverable.remove(&slot);
+    }
+
     fn restore(&mut self, sample: Sample, frozen: bool) {
         let slot = sample.slot;
         let fresh = !self.window().is_too_old(sample.oldest());
@@ -530,6 +542,7 @@
         if !fresh || !matches!(entry, Slot::Wanted) {
             return;
         }
+        self.waiting_bytes += sample.text.len();
         let sample = Arc::new(sample);
         *entry = if frozen { Slot::Frozen(sample) } else { Slot::Ready(sample) };
         self.deliverable.insert(slot);
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -108,6 +108,14 @@
         package: "coord",
         test: "",
     },
+    Mutation {
+        name: "limits: work goes on although its trainer does not pull",
+        file: "crates/keeping/src/keeper.rs",
+        from: "let full = self.waiting_bytes() >= MOST_WAITING_BYTES;",
+        to: "let full = false;",
+        package: "keeping",
+        test: "does_not_pull",
+    },
     Mutation {
         name: "4: an answer's end is not checked",
         file: "crates/wire/src/tally.rs",
@@ -154,7 +162,7 @@
         from: "if entry.write_id == write_id {",
         to: "if false {",
         package: "gannetwayd",
-        test: "apply",
+        test: "lost_answer",
     },
     Mutation {
         name: "9: an older generation is applied",
