Tell a frozen keeper from a patient one within 0.4 s

Cause: an entry box waited a pull's whole time and a second more for a keeper that was frozen, for silence looks the same while samples are made.

Change: a box that takes a request about a step says at once that it heard it; an entry box that hears nothing in 0.4 s looks for another keeper.

Ruled out: shorter pulls (more of them, for every trainer, all the time).

Three of the seconds left are the client's own patience with a frozen entry box, which a balancer's health check spares it.

--- a/crates/gannetwayd/src/route.rs
+++ b/crates/gannetwayd/src/route.rs
@@ -24,8 +24,10 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// How long an address that failed is not tried as a keeper again.
 const AVOID_FOR: Duration = Duration::from_secs(2);
-/// Time for one try at a keeper beyond the request's own wait. A keeper that is frozen or cut
+/// Time in which a box at work says that a request has reached it. A box that is frozen or cut
 /// off is left after this, for its connection may stay open without a word.
+const HEARD_TIME: Duration = Duration::from_millis(400);
+/// Time for one try at a keeper beyond the request's own wait.
 const TRY_TIME: Duration = Duration::from_millis(750);
 /// Slack beyond a try's time before its box counts as silent.
 const SILENCE_SLACK: Duration = Duration::from_millis(250);
@@ -141,8 +143,11 @@
     ) -> Result<StepAnswer, CallError> {
         let mut stream = ctx.call(place, request).await?;
         let mut answer = StepAnswer::default();
-        while let Some(item) = stream.next(silence).await? {
+        let mut patience = HEARD_TIME;
+        while let Some(item) = stream.next(patience).await? {
+            patience = silence;
             match item.body {
+                Some(item::Body::Heard(_)) => {}
                 Some(item::Body::Sample(sample)) => answer.samples.push(sample),
                 Some(item::Body::StepState(state)) => answer.state = Some(state),
                 _ => return Err(CallError::Broken { why: "an answer that is about no step" }),
--- a/crates/gannetwayd/src/serve/step.rs
+++ b/crates/gannetwayd/src/serve/step.rs
@@ -12,7 +12,9 @@
 use placement::NotRun;
 use tokio::time;
 use wire::parse_id;
-use wire::peer::{self, Item, Refused, SampleItem, Span, StepRef, StepState, TakeOver, item};
+use wire::peer::{
+    self, Heard, Item, Refused, SampleItem, Span, StepRef, StepState, TakeOver, item,
+};
 
 use crate::keeper::{
     AdoptSteps, AdvanceStep, CloseStep, KeeperActor, KeeperHandle, KeeperKey, OpenStep, PullStep,
@@ -28,8 +30,15 @@
 
 type Answer<T> = Result<T, Refused>;
 
+/// Says at once that the request is here; what follows may wait for a lease or for samples.
+async fn say_heard(served: &Served<'_>, sink: &mut AnswerSink) {
+    let by = served.ctx.me.id.to_string();
+    sink.item(Item { body: Some(item::Body::Heard(Heard { by })) }).await;
+}
+
 /// Opens a step.
-pub async fn open(served: &Served<'_>, open: peer::OpenStep, sink: AnswerSink) {
+pub async fn open(served: &Served<'_>, open: peer::OpenStep, mut sink: AnswerSink) {
+    say_heard(served, &mut sink).await;
     let answered = async {
         let (handle, step, seen) = keeper(served, open.step.as_ref())?;
         let spec = StepSpec {
@@ -49,7 +58,8 @@
 }
 
 /// Pulls samples, waiting for the first.
-pub async fn pull(served: &Served<'_>, pull: peer::PullStep, sink: AnswerSink) {
+pub async fn pull(served: &Served<'_>, pull: peer::PullStep, mut sink: AnswerSink) {
+    say_heard(served, &mut sink).await;
     match pull_when_ready(served, pull).await {
         Ok(pulled) => send_pulled(served, &pulled, sink).await,
         Err(refused) => sink.refuse(refused).await,
@@ -57,7 +67,8 @@
 }
 
 /// Names a newer version.
-pub async fn advance(served: &Served<'_>, advance: peer::AdvanceStep, sink: AnswerSink) {
+pub async fn advance(served: &Served<'_>, advance: peer::AdvanceStep, mut sink: AnswerSink) {
+    say_heard(served, &mut sink).await;
     let answered = async {
         let (handle, step, seen) = keeper(served, advance.step.as_ref())?;
         let version = ModelVersion::new(advance.version);
@@ -67,7 +78,8 @@
 }
 
 /// Closes a step.
-pub async fn close(served: &Served<'_>, close: peer::CloseStep, sink: AnswerSink) {
+pub async fn close(served: &Served<'_>, close: peer::CloseStep, mut sink: AnswerSink) {
+    say_heard(served, &mut sink).await;
     let answered = async {
         let (handle, step, seen) = keeper(served, close.step.as_ref())?;
         ask_until_kept(served, &handle, || CloseStep { step, seen }).await
@@ -79,7 +91,8 @@
 }
 
 /// Tells a step's state.
-pub async fn status(served: &Served<'_>, status: peer::StepStatus, sink: AnswerSink) {
+pub async fn status(served: &Served<'_>, status: peer::StepStatus, mut sink: AnswerSink) {
+    say_heard(served, &mut sink).await;
     let answered = async {
         let (handle, step, _) = keeper(served, status.step.as_ref())?;
         ask_until_kept(served, &handle, || StepStateQuery(step)).await
