Split the session world, the keeper and the ledger's messages into modules

Cause: reading as a newcomer; three files had grown past 500 lines with several jobs each.

Change: sessions/world by what it deals with (boxes, targets, swaps, trainer, faults); keeping/keeper/reign for when a box acts as keeper; ledger/messages for what goes in and comes out. No behaviour changes.

Ruled out: splitting the daemon's keeper actor too (467 lines, one job: messages in, I/O out).

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -10,6 +10,7 @@
 //! token refuses to answer.
 
 mod intake;
+mod messages;
 mod naming;
 mod sample;
 mod slots;
@@ -18,12 +19,12 @@
 mod trail;
 
 pub use intake::{Intake, OldToken, StepIntake};
+pub use messages::{
+    Assignment, AttemptId, HandOut, LedgerError, Progress, Pull, Settled, StepSnapshot, WaitCause,
+};
 pub use naming::{PoolRule, VersionNaming};
 pub use sample::{Sample, VersionSpan};
 pub use slots::{SlotSet, SlotSetError};
 pub use spec::{GroupSpec, SpecError, StepSpec};
-pub use step::{
-    Assignment, AttemptId, HandOut, LedgerError, Progress, Pull, Settled, StepLedger, StepSnapshot,
-    WaitCause,
-};
+pub use step::StepLedger;
 pub use trail::{ChunkStamp, StampTrail, TrailError};
