Let a keeper that nobody needs leave the lease alone

Cause: reading over the keeper with the platform's calls in mind.

Change: a claim rests while nobody asks in vain, and the first question wakes it; a keeper that has had no step for 20 terms frees its lease and claims it again when asked. A release has a pending state of its own, so its answer no longer looks like a renewal's.

Ruled out: ending the actor when it rests (its handle is shared; a resting claim costs nothing).

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -105,6 +105,7 @@
 enum Pending {
     Nothing,
     Read,
+    Release,
     Write { token: FencingToken, write: u64, sent_at: Moment },
 }
 
@@ -125,7 +126,6 @@
     seen: FencingToken,
     next_at: Moment,
     pending: Pending,
-    given_up: bool,
 }
 
 impl LeaseClaim {
@@ -145,7 +145,6 @@
             seen: FencingToken::default(),
             next_at: Moment::START,
             pending: Pending::Nothing,
-            given_up: false,
         }
     }
 
@@ -200,13 +199,12 @@
 
     /// When [`Self::poll`] next has something to do.
     pub fn next_at(&self) -> Moment {
-        let idle = self.pending == Pending::Nothing && !self.given_up;
-        if idle { self.next_at } else { Moment::NEVER }
+        if self.pending == Pending::Nothing { self.next_at } else { Moment::NEVER }
     }
 
     /// The next action, if one is due.
     pub fn poll(&mut self, now: Moment) -> Option<LeaseAction> {
-        if self.pending != Pending::Nothing || now < self.next_at || self.given_up {
+        if self.pending != Pending::Nothing || now < self.next_at {
             return None;
         }
         if self.lost_write.is_some() {
@@ -249,6 +247,12 @@
 
     /// Takes the outcome of a conditional write.
     pub fn write_done(&mut self, now: Moment, outcome: WriteOutcome) {
+        if self.pending == Pending::Release {
+            // Freed, or run out soon: either way not held any more.
+            self.pending = Pending::Nothing;
+            self.next_at = now;
+            return;
+        }
         let Pending::Write { token, write, sent_at } = self.pending else {
             return;
         };
@@ -268,11 +272,13 @@
         }
     }
 
-    /// Stops claiming; the action, if any, marks the object as free to take at once.
+    /// Gives the lease up; the action, if any, marks the object as free to take at once. A
+    /// claim that is polled again claims again.
     pub fn release(&mut self, now: Moment) -> Option<LeaseAction> {
-        self.given_up = true;
         let held = self.held.take()?;
-        Some(self.start_write(now, held.version, held.token, true))
+        let action = self.start_write(now, held.version, held.token, true);
+        self.pending = Pending::Release;
+        Some(action)
     }
 
     fn start_read(&mut self) -> LeaseAction {
--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -75,6 +75,10 @@
     /// Trainers' questions that could not be answered here.
     vain: Option<VainAsks>,
     handing_over: bool,
+    /// Whether a planned stop has freed the lease; it is not claimed again.
+    released: bool,
+    /// Since when this keeper has had no step.
+    empty_since: Option<Moment>,
     starved_until: Option<Moment>,
     /// Since when samples have waited for a version that is not named.
     ahead_since: Option<Moment>,
@@ -112,6 +116,8 @@
             platform_heard: None,
             vain: None,
             handing_over: false,
+            released: false,
+            empty_since: None,
             starved_until: None,
             ahead_since: None,
         }
@@ -309,15 +315,15 @@
         self.maybe_detach(now);
         self.maybe_force(now);
         self.give_up_ahead(now);
-        let mut actions: Vec<KeeperAction> =
-            self.claim.poll(now).map(KeeperAction::Lease).into_iter().collect();
+        let lease = self.free_empty(now).or_else(|| self.poll_claim(now));
+        let mut actions: Vec<KeeperAction> = lease.map(KeeperAction::Lease).into_iter().collect();
         self.place_work(now, &mut actions);
         actions
     }
 
     /// When [`Self::poll`] next has something to do, if nothing else happens first.
     pub fn next_at(&self, now: Moment) -> Moment {
-        let lease = self.claim.next_at();
+        let lease = if self.rests(now) { Moment::NEVER } else { self.claim.next_at() };
         let work = self.starved_until.filter(|_| self.acting.is_some());
         let ahead = self.ahead_since.map(|since| since + AHEAD_PATIENCE);
         let soonest = [work, ahead].into_iter().flatten().fold(lease, Moment::min);
@@ -335,6 +341,7 @@
         let snapshots = self.steps.values().map(StepLedger::snapshot).collect();
         self.steps.clear();
         self.acting = None;
+        self.released = true;
         (snapshots, self.claim.release(now))
     }
 
--- a/crates/keeping/src/keeper/reign.rs
+++ b/crates/keeping/src/keeper/reign.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use coord::lease::LeaseAction;
 use ids::{FencingToken, Moment};
 use ledger::{StepLedger, StepSnapshot};
 use placement::TargetChoice;
@@ -15,6 +16,8 @@
 /// Terms of vain asking after which a keeper takes a lease that its holder still renews, for
 /// that holder is cut off from the trainer.
 const FORCE_TERMS: u32 = 3;
+/// Terms without any step after which a keeper frees its lease: a minute at the usual term.
+const EMPTY_TERMS: u32 = 20;
 /// Fencing token under which a detached keeper starts when the trainer has seen none.
 const FIRST_TOKEN: FencingToken = FencingToken::new(1);
 
@@ -66,10 +69,43 @@
         self.adopted.clear();
     }
 
+    /// Whether there is no reason to claim: freed in a planned stop, or asked by nobody.
+    pub(super) fn rests(&self, now: Moment) -> bool {
+        let young = now.since(self.started_at) < self.settings.term;
+        let wanted = self.acting.is_some() || !self.adopted.is_empty() || young;
+        self.released || !(wanted || self.vain_for(now).is_some())
+    }
+
+    pub(super) fn poll_claim(&mut self, now: Moment) -> Option<LeaseAction> {
+        if self.rests(now) { None } else { self.claim.poll(now) }
+    }
+
+    /// Frees the lease of a keeper that has had no step for long; the next question claims it
+    /// again, here or elsewhere.
+    pub(super) fn free_empty(&mut self, now: Moment) -> Option<LeaseAction> {
+        if self.acting.is_none() || !self.steps.is_empty() || !self.adopted.is_empty() {
+            self.empty_since = None;
+            return None;
+        }
+        let since = *self.empty_since.get_or_insert(now);
+        if now.since(since) < self.settings.term * EMPTY_TERMS {
+            return None;
+        }
+        self.empty_since = None;
+        let action = self.claim.release(now)?;
+        self.acting = None;
+        Some(action)
+    }
+
     pub(super) fn note_vain(&mut self, now: Moment) {
         let since = match self.vain {
             Some(vain) if now.since(vain.last) < self.settings.term => vain.since,
-            _ => now,
+            _ => {
+                // The first question wakes a claim that rested; later ones must not make it
+                // read more often than its term wants.
+                self.claim.hurry(now);
+                now
+            }
         };
         self.vain = Some(VainAsks { since, last: now });
     }
--- a/crates/keeping/tests/keeper.rs
+++ b/crates/keeping/tests/keeper.rs
@@ -205,3 +205,64 @@
     keeper.pull(at(now), StepNumber::new(1), &next).expect("a pull");
     assert_eq!(work(&mut keeper, &mut now), 4);
 }
+
+/// Counts the lease calls of a keeper over a stretch of time; reads find `found`.
+fn lease_calls(
+    keeper: &mut StepKeeper<ChaCha8Rng>,
+    from: u64,
+    to: u64,
+    found: &ReadOutcome,
+) -> (u32, u32) {
+    let (mut reads, mut writes) = (0, 0);
+    for millis in (from..to).step_by(50) {
+        for action in keeper.poll(at(millis)) {
+            match action {
+                KeeperAction::Lease(LeaseAction::Read) => {
+                    reads += 1;
+                    keeper.lease_read(at(millis), found.clone());
+                }
+                KeeperAction::Lease(LeaseAction::Write { .. }) => {
+                    writes += 1;
+                    let version = ObjectVersion::new(u64::from(writes) + 1);
+                    keeper.lease_written(at(millis), WriteOutcome::Applied(version));
+                }
+                KeeperAction::Start(_) => {}
+            }
+        }
+    }
+    (reads, writes)
+}
+
+#[test]
+fn a_box_that_nobody_asks_any_more_leaves_the_lease_alone() {
+    let mut keeper = keeper("box-1");
+    let refused = keeper.pull(at(0), StepNumber::new(1), &pull(0));
+    assert!(matches!(refused, Err(KeeperRefusal::NotKeeping { .. })));
+    // Another box holds the lease and renews it, so this one never takes it.
+    for second in 0..5 {
+        lease_calls(&mut keeper, second * 1_000, second * 1_000 + 1_000, &held_by_other(2, second));
+    }
+    let later = lease_calls(&mut keeper, 5_000, 65_000, &held_by_other(2, 9));
+    assert_eq!(later, (0, 0), "reads and writes in a minute");
+    // Asked again, it looks again.
+    keeper.pull(at(65_000), StepNumber::new(1), &pull(2)).expect_err("not yet");
+    let (reads, _) = lease_calls(&mut keeper, 65_000, 65_200, &held_by_other(2, 9));
+    assert!(reads > 0);
+}
+
+#[test]
+fn a_keeper_without_steps_frees_its_lease_and_takes_it_again_when_asked() {
+    let mut keeper = keeper("box-1");
+    take_lease(&mut keeper, at(0));
+    keeper.open(at(1), spec(1), &SlotSet::default(), FencingToken::default()).expect("open");
+    lease_calls(&mut keeper, 2, 40_000, &ReadOutcome::Absent);
+    assert_eq!(keeper.acting(), Some(FencingToken::new(1)), "its step is open");
+    keeper.close(at(40_000), StepNumber::new(1), FencingToken::new(1)).expect("closed");
+    lease_calls(&mut keeper, 40_000, 80_000, &ReadOutcome::Absent);
+    assert_eq!(keeper.acting(), None);
+    let rest = lease_calls(&mut keeper, 80_000, 140_000, &ReadOutcome::Absent);
+    assert_eq!(rest, (0, 0), "reads and writes in a minute");
+    keeper.pull(at(140_000), StepNumber::new(2), &pull(1)).expect_err("not yet");
+    lease_calls(&mut keeper, 140_000, 141_000, &ReadOutcome::Absent);
+    assert_eq!(keeper.acting(), Some(FencingToken::new(2)));
+}
