Do not wait for room behind a peer that reads nothing

Cause: reading over the links. A call waited without bound for room in its connection's queue; a frozen peer reads nothing, so after its buffers every caller hung.

Change: a request waits 0.5 s for room; not queued means surely not sent. A place at a target is given back through the traffic runtime's handle, wherever it is dropped.

Ruled out: an unbounded queue (memory of a box would follow a frozen peer).

--- a/crates/gannetwayd/src/serve/target.rs
+++ b/crates/gannetwayd/src/serve/target.rs
@@ -14,6 +14,7 @@
     EngineClient, EngineLine, GenerateRequest, OrderAnswer, OrderRequest, PlainClient,
     PlainRequest, ScoreRequest, TargetError,
 };
+use tokio::runtime::Handle;
 use wire::peer::{
     self, Chunk, Item, OrderEnded, PlainPart, Refused, Replica, Request, Scored, TargetLoad, item,
     request,
@@ -43,6 +44,8 @@
     home: ActorRef<HomeActor>,
     ticket: TicketId,
     tokens: u32,
+    /// Where the word is sent from; a drop may come outside of any runtime.
+    traffic: Handle,
 }
 
 impl Drop for HeldPlace {
@@ -50,7 +53,7 @@
         let end = EndPlace { ticket: self.ticket, tokens: TokenCount::new(self.tokens) };
         let home = self.home.clone();
         // A full mailbox must not lose the place, so the word may have to wait for room.
-        tokio::spawn(async move { home.tell(end).await.ok() });
+        self.traffic.spawn(async move { home.tell(end).await.ok() });
     }
 }
 
@@ -106,7 +109,10 @@
 /// Waits for a place at the target.
 async fn place_at(served: &Served<'_>, home: &HomeHandle, ask: Ask) -> Answer<HeldPlace> {
     let answer = home.actor.ask(AskPlace(ask)).await;
-    let held = |ticket| HeldPlace { home: home.actor.clone(), ticket, tokens: 0 };
+    let held = |ticket| {
+        let traffic = served.ctx.traffic.clone();
+        HeldPlace { home: home.actor.clone(), ticket, tokens: 0, traffic }
+    };
     let refusal = match answer {
         Ok(PlaceAnswer::Go(ticket)) => return Ok(held(ticket)),
         Ok(PlaceAnswer::Refused(refusal)) => refusal,
--- a/crates/links/src/pool.rs
+++ b/crates/links/src/pool.rs
@@ -25,6 +25,9 @@
 /// Longest time to connect and show the key.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time for a request to find room behind others to the same peer.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Who this box is to its peers.
 #[derive(Debug, Clone)]
 pub struct LinkSettings {
@@ -71,7 +74,9 @@
         let (bodies, receiver) = mpsc::channel(ANSWER_QUEUE);
         lock(&link.calls).insert(call, bodies);
         let frame = Frame { call, body: Some(Body::Request(request)) };
-        if link.frames.send(frame).await.is_err() {
+        // A frozen peer reads nothing, and its queue fills up; a frame not queued was not sent.
+        let queued = time::timeout(QUEUE_TIMEOUT, link.frames.send(frame)).await;
+        if !matches!(queued, Ok(Ok(()))) {
             lock(&link.calls).remove(&call);
             return Err(not_sent(address));
         }
--- a/crates/links/tests/whole_answers.rs
+++ b/crates/links/tests/whole_answers.rs
@@ -207,6 +207,33 @@
     assert_eq!(answer, Ok(vec!["own".to_owned()]));
 }
 
+/// A peer that took the connection and reads nothing, as a frozen one does.
+#[tokio::test]
+async fn a_peer_that_reads_nothing_does_not_hold_its_callers_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    let frozen = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a peer");
+        let mut framing: Framed<TcpStream, FrameCodec> = Framed::new(stream, FrameCodec::default());
+        let challenge = Body::Challenge(Challenge { nonce: vec![1; 16] });
+        framing.send(Frame { call: 0, body: Some(challenge) }).await.expect("sent");
+        framing.next().await.expect("a proof").expect("a frame");
+        std::future::pending::<()>().await;
+    });
+    let pool = pool("the-right-key-123");
+    let large = "x".repeat(256 << 10);
+    let mut streams = Vec::new();
+    let refused = loop {
+        match pool.call(&address, request(&large)).await {
+            Ok(stream) => streams.push(stream),
+            Err(error) => break error,
+        }
+        assert!(streams.len() < 2_000, "everything was queued");
+    };
+    assert!(refused.surely_not_run(), "{refused}");
+    frozen.abort();
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_silent_peer_is_left_after_the_silence_allowed() {
     // The paused clock jumps ahead whenever nothing else can happen.
