Carry out lease actions in one place, and show embedders how the parts run

The keeper's and the conductor's actors each turned lease actions into store calls and back; four process tests each killed a box by hand.

Ruled out: one generic actor for leases (two owners with different rules for acting beyond the term).

--- a/crates/coord/src/follower.rs
+++ b/crates/coord/src/follower.rs
@@ -16,6 +16,17 @@
 }
 
 /// One box's view of the configuration.
+///
+/// ```
+/// use coord::follower::{ConfigFollower, OfferOutcome};
+/// use ids::Generation;
+///
+/// let mut follower = ConfigFollower::default();
+/// assert_eq!(follower.offer(Generation::new(5), "five"), OfferOutcome::Applied);
+/// // A stale read changes nothing.
+/// assert_eq!(follower.offer(Generation::new(4), "four"), OfferOutcome::NotNewer);
+/// assert_eq!(follower.document(), Some(&"five"));
+/// ```
 #[derive(Debug, Clone)]
 pub struct ConfigFollower<C> {
     generation: Generation,
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -110,6 +110,31 @@
 }
 
 /// One box's claim on one lease.
+///
+/// Whoever runs it polls it, carries the actions out and reports how they ended:
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use coord::lease::{LeaseAction, LeaseClaim, ReadOutcome, WriteOutcome};
+/// use ids::{FencingToken, Incarnation, Moment, ObjectVersion};
+///
+/// let me = "box-1".parse()?;
+/// let term = Duration::from_secs(3);
+/// let mut claim = LeaseClaim::new(me, Incarnation::new(1), "10.0.0.1:8090".into(), term);
+///
+/// let now = Moment::START;
+/// assert_eq!(claim.poll(now), Some(LeaseAction::Read));
+/// claim.read_done(now, ReadOutcome::Absent);
+/// let Some(LeaseAction::Write { expect, .. }) = claim.poll(now) else { panic!("it writes") };
+/// assert_eq!(expect, ObjectVersion::default());
+/// claim.write_done(now, WriteOutcome::Applied(ObjectVersion::new(1)));
+///
+/// // It may act under its token until a fifth of the term before the end.
+/// assert_eq!(claim.held(now + term / 2), Some(FencingToken::new(1)));
+/// assert_eq!(claim.held(now + term), None);
+/// # Ok::<(), ids::IdError>(())
+/// ```
 #[derive(Debug, Clone)]
 pub struct LeaseClaim {
     me: BoxId,
--- a/crates/coord/src/rendezvous.rs
+++ b/crates/coord/src/rendezvous.rs
@@ -13,6 +13,17 @@
 }
 
 /// The member that `key` belongs to, or `None` when there are no members.
+///
+/// ```
+/// use coord::rendezvous::owner;
+/// use ids::BoxId;
+///
+/// let boxes: Vec<BoxId> = vec!["box-1".parse()?, "box-2".parse()?, "box-3".parse()?];
+/// let home = owner("engine-7", &boxes).cloned();
+/// // Whatever the order in which a box lists its peers, it chooses alike.
+/// assert_eq!(owner("engine-7", boxes.iter().rev()).cloned(), home);
+/// # Ok::<(), ids::IdError>(())
+/// ```
 pub fn owner<'a>(key: &str, members: impl IntoIterator<Item = &'a BoxId>) -> Option<&'a BoxId> {
     members.into_iter().max_by_key(|member| (weight(key, member), Reverse(*member)))
 }
--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -9,6 +9,19 @@
 const MILLI: u64 = 1_000;
 
 /// Retries allowed as a share of first attempts, with a small float for quiet times.
+///
+/// ```
+/// use coord::retry::RetryBudget;
+///
+/// // A tenth of a retry for each attempt, two held for quiet times.
+/// let mut budget = RetryBudget::new(100, 2);
+/// assert!(budget.try_retry() && budget.try_retry());
+/// assert!(!budget.try_retry());
+/// for _ in 0..10 {
+///     budget.attempt();
+/// }
+/// assert!(budget.try_retry());
+/// ```
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     earned_per_attempt: u64,
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -69,6 +69,12 @@
     }
 }
 
+async fn kill(fleet: &mut Fleet, id: &str) {
+    let mut child = fleet.boxes.remove(id).expect("it runs");
+    child.signal(Signal::Kill).await.expect("signalled");
+    child.wait().await.expect("ended");
+}
+
 async fn status(fleet: &Fleet, id: &str) -> Value {
     let child = &fleet.boxes[id];
     fleet.read(child.address(), "/v1/status").await.unwrap_or_default()
@@ -106,9 +112,7 @@
     let (mut step, mut slots) = (open(&fleet).await, SlotSet::default());
     pull(&mut step, &mut slots, 8).await;
     let keeper = fleet.keeper(&trainer()).await.expect("a keeper");
-    let mut child = fleet.boxes.remove(&keeper).expect("it runs");
-    child.signal(Signal::Kill).await.expect("signalled");
-    child.wait().await.expect("ended");
+    kill(&mut fleet, &keeper).await;
     pull(&mut step, &mut slots, SAMPLES).await;
     assert!(step.next().await.expect("whole").is_none());
     step.close().await.expect("closed");
@@ -169,9 +173,7 @@
     fleet.faults(fleet.platform.address(), &json!({ "down": true })).await.expect("set");
     pull(&mut step, &mut slots, 16).await;
     let keeper = fleet.keeper(&trainer()).await.expect("a keeper");
-    let mut child = fleet.boxes.remove(&keeper).expect("it runs");
-    child.signal(Signal::Kill).await.expect("signalled");
-    child.wait().await.expect("ended");
+    kill(&mut fleet, &keeper).await;
     pull(&mut step, &mut slots, SAMPLES).await;
     assert!(step.next().await.expect("whole").is_none());
 }
@@ -209,9 +211,7 @@
         fleet.wait_for(&format!("generation {accepted} at {id}"), there).await.expect("there");
     }
     let fresh = fleet.boxes.keys().next().cloned().expect("a box");
-    let mut child = fleet.boxes.remove(&fresh).expect("it runs");
-    child.signal(Signal::Kill).await.expect("signalled");
-    child.wait().await.expect("ended");
+    kill(&mut fleet, &fresh).await;
     fleet.faults(fleet.platform.address(), &json!({ "down": true })).await.expect("set");
     fleet.start_box(0, 0).await.expect("it starts");
     let there = async || status(&fleet, &fresh).await["generation"].as_u64() == Some(accepted);
@@ -289,9 +289,7 @@
         })
         .collect();
     let home = running_home(&fleet, 3).await;
-    let mut child = fleet.boxes.remove(&home).expect("it runs");
-    child.signal(Signal::Kill).await.expect("signalled");
-    child.wait().await.expect("ended");
+    kill(&mut fleet, &home).await;
     let mut told_unknown = 0;
     for one in calls {
         // The call whose entry was the killed box gets no answer at all.
--- a/crates/gannetwayd/src/conductor.rs
+++ b/crates/gannetwayd/src/conductor.rs
@@ -8,18 +8,18 @@
 use std::time::Duration;
 
 use api::RolloutStatus;
-use coord::lease::{LeaseAction, LeaseClaim, ReadOutcome, WriteOutcome};
+use coord::lease::{LeaseAction, LeaseClaim};
 use ids::{FencingToken, Incarnation, ModelVersion, Moment, PoolName, TargetId};
 use kameo::prelude::*;
 use links::CallError;
-use objects::{ObjectKey, ObjectKind, ObjectStore};
+use objects::{ObjectKey, ObjectKind};
 use pools::PoolSpec;
 use swaps::{SwapAction, SwapConductor, SwapOrder};
 use tokio::time;
 use wire::peer::{self, OrderOutcome, ReadReplica, item, request};
 
 use crate::context::{BoxContext, new_request, wire_millis};
-use crate::keeper::{read_outcome, write_outcome};
+use crate::lease::{LeaseAnswer, call_store};
 use crate::route::call_home;
 
 /// Time between looks at what is due.
@@ -59,10 +59,7 @@
 struct ConductorTick;
 
 #[derive(Debug)]
-struct ConductorLeaseRead(ReadOutcome);
-
-#[derive(Debug)]
-struct ConductorLeaseWritten(WriteOutcome);
+struct ConductorLeaseAnswered(LeaseAnswer);
 
 #[derive(Debug)]
 struct OrderDone {
@@ -172,21 +169,11 @@
     }
 
     fn do_lease(&self, action: LeaseAction, me: &ActorRef<Self>) {
-        let key = lease_key(&self.ctx);
-        let (ctx, me) = (Arc::clone(&self.ctx), me.clone());
+        let (ctx, key, me) = (Arc::clone(&self.ctx), lease_key(&self.ctx), me.clone());
         self.ctx.control.spawn(async move {
+            let answer = call_store(&ctx.store, &key, action).await;
             // The actor is gone only when the box stops.
-            let _stopped = match action {
-                LeaseAction::Read => {
-                    let read = ctx.store.read(&key).await;
-                    me.tell(ConductorLeaseRead(read_outcome(read))).await.ok()
-                }
-                LeaseAction::Write { expect, record } => {
-                    let value = serde_json::to_value(record).unwrap_or_default();
-                    let written = ctx.store.write(&key, expect, value).await;
-                    me.tell(ConductorLeaseWritten(write_outcome(&written))).await.ok()
-                }
-            };
+            let _stopped = me.tell(ConductorLeaseAnswered(answer)).await;
         });
     }
 
@@ -285,25 +272,16 @@
     }
 }
 
-impl Message<ConductorLeaseRead> for ConductorActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: ConductorLeaseRead, ctx: &mut Context<Self, ()>) {
-        let now = self.ctx.clock.now();
-        if let Some(claim) = &mut self.claim {
-            claim.read_done(now, msg.0);
-        }
-        self.drive(&ctx.actor_ref());
-    }
-}
-
-impl Message<ConductorLeaseWritten> for ConductorActor {
+impl Message<ConductorLeaseAnswered> for ConductorActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: ConductorLeaseWritten, ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, msg: ConductorLeaseAnswered, ctx: &mut Context<Self, ()>) {
         let now = self.ctx.clock.now();
         if let Some(claim) = &mut self.claim {
-            claim.write_done(now, msg.0);
+            match msg.0 {
+                LeaseAnswer::Read(outcome) => claim.read_done(now, outcome),
+                LeaseAnswer::Written(outcome) => claim.write_done(now, outcome),
+            }
         }
         self.drive(&ctx.actor_ref());
     }
--- a/crates/gannetwayd/src/keeper/actor.rs
+++ b/crates/gannetwayd/src/keeper/actor.rs
@@ -3,14 +3,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use coord::lease::{LeaseAction, LeaseRecord, LeaseSighting, ReadOutcome, WriteOutcome};
-use ids::{FencingToken, ModelVersion, Moment, ObjectVersion, StepNumber, VersionWindow};
+use coord::lease::LeaseAction;
+use ids::{FencingToken, ModelVersion, Moment, StepNumber, VersionWindow};
 use kameo::prelude::*;
 use keeping::{
     AttemptEnd, KeeperAction, KeeperRefusal, KeeperSettings, KeptState, Placement, StepKeeper,
 };
 use ledger::{HandOut, Pull, Settled, SlotSet, StepSnapshot, StepSpec};
-use objects::{ObjectStore, StoreError, StoredObject};
 use placement::TargetHint;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -20,6 +19,7 @@
 use crate::context::BoxContext;
 use crate::keeper::attempt::run_attempt;
 use crate::keeper::{KeeperHandle, KeeperKey};
+use crate::lease::{LeaseAnswer, call_store};
 use crate::metrics::{AttemptLabel, AttemptLabels};
 
 /// Owns one trainer's steps.
@@ -137,10 +137,7 @@
 }
 
 #[derive(Debug)]
-struct LeaseReadDone(ReadOutcome);
-
-#[derive(Debug)]
-struct LeaseWriteDone(WriteOutcome);
+struct LeaseAnswered(LeaseAnswer);
 
 #[derive(Debug)]
 struct KeeperTick;
@@ -232,18 +229,9 @@
     fn do_lease(&self, action: LeaseAction, me: &ActorRef<Self>) {
         let (ctx, key, me) = (Arc::clone(&self.ctx), self.key.lease(), me.clone());
         self.ctx.control.spawn(async move {
+            let answer = call_store(&ctx.store, &key, action).await;
             // The actor is gone only when the box stops.
-            let _stopped = match action {
-                LeaseAction::Read => {
-                    let read = ctx.store.read(&key).await;
-                    me.tell(LeaseReadDone(read_outcome(read))).await.ok()
-                }
-                LeaseAction::Write { expect, record } => {
-                    let value = serde_json::to_value(record).unwrap_or_default();
-                    let written = ctx.store.write(&key, expect, value).await;
-                    me.tell(LeaseWriteDone(write_outcome(&written))).await.ok()
-                }
-            };
+            let _stopped = me.tell(LeaseAnswered(answer)).await;
         });
     }
 
@@ -263,32 +251,6 @@
     }
 }
 
-/// A lease as read; a value that is no lease counts as no answer, so nothing is overwritten.
-pub fn read_outcome(read: Result<Option<StoredObject>, StoreError>) -> ReadOutcome {
-    let object = match read {
-        Ok(Some(object)) => object,
-        Ok(None) => return ReadOutcome::Absent,
-        Err(_) => return ReadOutcome::NoAnswer,
-    };
-    match serde_json::from_value::<LeaseRecord>(object.value) {
-        Ok(record) => ReadOutcome::Found(LeaseSighting { version: object.version, record }),
-        Err(error) => {
-            log::error!(target: "keeper", name:% = object.name, error:% = error; "lease cannot be read");
-            ReadOutcome::NoAnswer
-        }
-    }
-}
-
-/// How a conditional write ended, for the lease.
-pub fn write_outcome(written: &Result<ObjectVersion, StoreError>) -> WriteOutcome {
-    match written {
-        Ok(version) => WriteOutcome::Applied(*version),
-        Err(StoreError::Conflict { .. }) => WriteOutcome::Conflict,
-        Err(StoreError::Unavailable) => WriteOutcome::NotApplied,
-        Err(StoreError::Unknown | StoreError::BadValue { .. }) => WriteOutcome::Unknown,
-    }
-}
-
 impl Message<OpenStep> for KeeperActor {
     type Reply = Result<KeptState, KeeperRefusal>;
 
@@ -417,20 +379,15 @@
     }
 }
 
-impl Message<LeaseReadDone> for KeeperActor {
+impl Message<LeaseAnswered> for KeeperActor {
     type Reply = ();
 
-    async fn handle(&mut self, msg: LeaseReadDone, ctx: &mut Context<Self, ()>) {
-        self.keeper.lease_read(self.ctx.clock.now(), msg.0);
-        self.drive(&ctx.actor_ref());
-    }
-}
-
-impl Message<LeaseWriteDone> for KeeperActor {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: LeaseWriteDone, ctx: &mut Context<Self, ()>) {
-        self.keeper.lease_written(self.ctx.clock.now(), msg.0);
+    async fn handle(&mut self, msg: LeaseAnswered, ctx: &mut Context<Self, ()>) {
+        let now = self.ctx.clock.now();
+        match msg.0 {
+            LeaseAnswer::Read(outcome) => self.keeper.lease_read(now, outcome),
+            LeaseAnswer::Written(outcome) => self.keeper.lease_written(now, outcome),
+        }
         self.drive(&ctx.actor_ref());
     }
 }
--- a/crates/gannetwayd/src/keeper/mod.rs
+++ b/crates/gannetwayd/src/keeper/mod.rs
@@ -6,6 +6,6 @@
 
 pub use actor::{
     AdoptSteps, AdvanceStep, CloseStep, GivenUp, HandOverSteps, KeeperActor, KeeperView, OpenStep,
-    PullStep, Pulled, QueryKeeper, StepStateQuery, read_outcome, write_outcome,
+    PullStep, Pulled, QueryKeeper, StepStateQuery,
 };
 pub use registry::{KeeperHandle, KeeperKey, KeeperRegistry};
--- a/crates/gannetwayd/src/lib.rs
+++ b/crates/gannetwayd/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod home;
 pub mod http;
 pub mod keeper;
+pub mod lease;
 pub mod logs;
 pub mod members;
 pub mod metrics;
--- a/crates/gannetwayd/src/logs.rs
+++ b/crates/gannetwayd/src/logs.rs
@@ -17,8 +17,18 @@
         })
         .level(log::LevelFilter::Warn)
         .chain(io::stderr());
-    let parts =
-        ["box", "config", "conductor", "home", "http", "keeper", "links", "members", "route"];
+    let parts = [
+        "box",
+        "config",
+        "conductor",
+        "home",
+        "http",
+        "keeper",
+        "lease",
+        "links",
+        "members",
+        "route",
+    ];
     let dispatch =
         parts.into_iter().fold(dispatch, |dispatch, part| dispatch.level_for(part, level));
     // Only tests call this twice in one process.
