Judge over whole sessions that leaving engines get no work

The process test shows that a step ends without a leaving engine, but the engine refuses work itself by then, so it could not have shown a home that still sends some; the sessions counted nothing.

Ruled out: counting at the stand-in process (its refusal hides who sent what).

--- a/crates/sessions/src/engine.rs
+++ b/crates/sessions/src/engine.rs
@@ -50,8 +50,8 @@
     pub lose_orders: u32,
     /// Orders that are refused.
     pub refuse_orders: u32,
-    /// Whether the engine says that it is leaving.
-    pub leaving: bool,
+    /// Since when the engine says that it is leaving.
+    pub leaving_since: Option<Moment>,
     /// When the session next looks at it.
     pub due_at: Option<Moment>,
 }
@@ -81,7 +81,7 @@
             drop_stamps: 0,
             lose_orders: 0,
             refuse_orders: 0,
-            leaving: false,
+            leaving_since: None,
             due_at: None,
         }
     }
@@ -93,7 +93,7 @@
             version: Some(self.model.version(now)),
             loading: self.model.is_loading(now),
             token: FencingToken::default(),
-            leaving: self.leaving,
+            leaving: self.leaving_since.is_some(),
         }
     }
 
@@ -231,7 +231,7 @@
     pub fn restart(&mut self, version: ModelVersion) {
         let next = Incarnation::new(self.model.incarnation().get() + 1);
         self.model = EngineModel::new(self.settings, next, version);
-        self.leaving = false;
+        self.leaving_since = None;
     }
 }
 
--- a/crates/sessions/src/truth.rs
+++ b/crates/sessions/src/truth.rs
@@ -17,8 +17,6 @@
     texts: BTreeMap<String, RunId>,
     taken: BTreeMap<SlotIndex, u32>,
     breaches: Vec<Breach>,
-    /// Work that reached an engine after it said that it was leaving.
-    pub to_leaving: u32,
 }
 
 /// What came of a session.
@@ -86,6 +84,11 @@
         }
     }
 
+    /// Notes that work began at an engine that had said long ago that it was leaving.
+    pub fn began_at_leaving(&mut self, now: Moment, target: &TargetId) {
+        self.breaches.push(format!("{now} work began at {target}, which is leaving"));
+    }
+
     /// The verdict on the whole session.
     pub fn verdict(&self, complete: bool, ended_at: Moment, reopened: u32) -> Verdict {
         Verdict {
--- a/crates/sessions/src/world.rs
+++ b/crates/sessions/src/world.rs
@@ -272,11 +272,6 @@
         self.lines.join("\n")
     }
 
-    /// Asks of work to engines that had said that they were leaving.
-    pub const fn work_to_leaving(&self) -> u32 {
-        self.truth.to_leaving
-    }
-
     fn say(&mut self, now: Moment, what: impl AsRef<str>) {
         self.lines.push(format!("{now} {}", what.as_ref()));
     }
--- a/crates/sessions/src/world/faults.rs
+++ b/crates/sessions/src/world/faults.rs
@@ -37,7 +37,7 @@
                 let id = self.engines[index].id.clone();
                 self.ended(now, &id, ended);
             }
-            Fault::LeaveEngine(index) => self.engines[index].leaving = true,
+            Fault::LeaveEngine(index) => self.engines[index].leaving_since = Some(now),
             Fault::NameVersion(version) => self.name_version(now, version),
             Fault::AdvanceTrainer(version) => {
                 let (number, question) = self.trainer.advance(now, version);
--- a/crates/sessions/src/world/swaps.rs
+++ b/crates/sessions/src/world/swaps.rs
@@ -15,7 +15,7 @@
 
 impl<C: TargetChoice + Default> World<C> {
     pub(super) fn conduct(&mut self, now: Moment) {
-        let engines = self.engines.iter().filter(|engine| !engine.leaving);
+        let engines = self.engines.iter().filter(|engine| engine.leaving_since.is_none());
         let replicas: Vec<(TargetId, bool)> =
             engines.map(|engine| (engine.id.clone(), true)).collect();
         self.conductor.want(self.pool.version, self.pool.swap, replicas);
--- a/crates/sessions/src/world/targets.rs
+++ b/crates/sessions/src/world/targets.rs
@@ -39,13 +39,24 @@
         let id = placement.target.clone();
         let engine = self.engine(&id);
         match engine.queue.ask(now, ask) {
-            Admission::Go(ticket) => engine.start(now, ticket, run, from, placement),
+            Admission::Go(ticket) => {
+                engine.start(now, ticket, run, from, placement);
+                self.watch_leaving(now, &id);
+            }
             Admission::Wait(ticket) => engine.wait(ticket, run, from, placement),
             Admission::Refused(refusal) => self.refused(now, from, placement, refusal),
         }
         self.settle(now, &id);
     }
 
+    /// Work may begin at an engine that leaves only until its home has read it.
+    fn watch_leaving(&mut self, now: Moment, id: &TargetId) {
+        let since = self.engine(id).leaving_since;
+        if since.is_some_and(|since| now.since(since) > READ_EVERY) {
+            self.truth.began_at_leaving(now, id);
+        }
+    }
+
     pub(super) fn refused(
         &mut self,
         now: Moment,
@@ -69,6 +80,7 @@
                     let engine = self.engine(id);
                     if let Some((run, from, placement)) = engine.waited(ticket) {
                         engine.start(now, ticket, run, from, placement);
+                        self.watch_leaving(now, id);
                     }
                 }
                 QueueEvent::Refused(ticket, refusal) => {
--- a/crates/sessions/tests/promises.rs
+++ b/crates/sessions/tests/promises.rs
@@ -146,6 +146,19 @@
     });
 }
 
+#[test]
+fn leaving_engines_get_no_work_and_the_step_ends_without_them() {
+    check("leaving engines", |u, world| {
+        let first = u.choose_index(world.engines)?;
+        let mut plan = FaultPlan::default().at(ms(moment(u)? / 4), Fault::LeaveEngine(first));
+        if u.arbitrary()? {
+            let second = (first + 1) % world.engines;
+            plan = plan.at(ms(moment(u)? / 4), Fault::LeaveEngine(second));
+        }
+        rising_versions(u, plan)
+    });
+}
+
 #[test]
 fn planned_stops_lose_nothing_even_two_at_once() {
     check("planned stops", |u, _| {
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -145,8 +145,8 @@
         file: "crates/placement/src/replica.rs",
         from: "if reading.leaving {",
         to: "if false {",
-        package: "demo",
-        test: "leaving_engine",
+        package: "sessions",
+        test: "leaving_engines",
     },
     Mutation {
         name: "8: a stopping box does not say that it is leaving, and waits for nothing",
