Say in readiness and status what a box cannot do, and tell whole stories

Change: readiness and status list what is lost while the platform does not answer, and which failure domains no box is heard of; gannetctl status shows it. The golden stories tell when a step opens and when each slot's stream is whole.

Ruled out: failing readiness for it (the balancer would take away boxes that still serve).

A box that only reads the platform every 30 s notices as late; watchers notice at once. A cut between domains is not tested with real daemons.

--- a/crates/api/src/operator.rs
+++ b/crates/api/src/operator.rs
@@ -36,6 +36,8 @@
     pub generation: Generation,
     /// What readiness waits for; empty when it is ready.
     pub waits_for: Vec<String>,
+    /// What it cannot do now although it serves; empty when it can do all.
+    pub cannot: Vec<String>,
     /// Boxes it knows.
     pub peers: Vec<PeerStatus>,
     /// Trainers whose steps it keeps.
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -172,6 +172,15 @@
     pull(&mut step, &mut slots, 8).await;
     fleet.faults(fleet.platform.address(), &json!({ "down": true })).await.expect("set");
     pull(&mut step, &mut slots, 16).await;
+    let says_so = async || {
+        let mut said = 0;
+        for id in fleet.boxes.keys() {
+            let cannot = status(&fleet, id).await["cannot"].to_string();
+            said += usize::from(cannot.contains("platform does not answer"));
+        }
+        said > 0
+    };
+    fleet.wait_for("a box to say what it cannot do", says_so).await.expect("said");
     let keeper = fleet.keeper(&trainer()).await.expect("a keeper");
     kill(&mut fleet, &keeper).await;
     pull(&mut step, &mut slots, SAMPLES).await;
--- a/crates/gannetwayd/src/context.rs
+++ b/crates/gannetwayd/src/context.rs
@@ -1,6 +1,7 @@
 //! What every part of the box shares.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use coord::members::{MemberRecord, MemberTable};
@@ -95,6 +96,8 @@
     pub control: Handle,
     /// The runtime for traffic.
     pub traffic: Handle,
+    /// Whether the platform answered when it was last asked.
+    pub platform_answers: AtomicBool,
     /// Requests to this box itself.
     pub local: mpsc::UnboundedSender<LocalRequest>,
     /// Ends when a planned stop begins.
@@ -125,6 +128,18 @@
         if record.id == self.me.id { Place::Here } else { Place::At(record.address.clone()) }
     }
 
+    /// Notes whether the platform answered; says so in the log when that changes.
+    pub fn note_platform(&self, answers: bool) {
+        if self.platform_answers.swap(answers, Ordering::Relaxed) == answers {
+            return;
+        }
+        if answers {
+            log::info!(target: "box", "platform answers again");
+        } else {
+            log::warn!(target: "box", "platform does not answer");
+        }
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
         self.leaving.is_cancelled()
--- a/crates/gannetwayd/src/daemon.rs
+++ b/crates/gannetwayd/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use coord::members::{MemberRecord, MemberTable};
@@ -92,6 +93,7 @@
         tracer,
         control,
         traffic: Handle::current(),
+        platform_answers: AtomicBool::new(true),
         local,
         leaving: CancellationToken::new(),
         stop: stop.clone(),
--- a/crates/gannetwayd/src/documents.rs
+++ b/crates/gannetwayd/src/documents.rs
@@ -233,6 +233,7 @@
             }
         };
         let Some(listed) = ctx.stop.run_until_cancelled(read).await else { return };
+        ctx.note_platform(listed.is_ok());
         match listed {
             Ok(listed) => {
                 after = Some(listed.revision);
--- a/crates/gannetwayd/src/http/queries.rs
+++ b/crates/gannetwayd/src/http/queries.rs
@@ -1,6 +1,8 @@
 //! Requests that only look.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use api::{BoxStatus, ErrorBody, ErrorKind, KeptStatus, PeerStatus, PoolsBody};
 use axum::Json;
@@ -8,7 +10,7 @@
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use coord::members::Liveness;
-use ids::PoolName;
+use ids::{DomainId, PoolName};
 
 use crate::context::BoxContext;
 use crate::home::QueryHome;
@@ -27,7 +29,11 @@
     let waits_for = waits_for(&state.ctx);
     let status =
         if waits_for.is_empty() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    let body = serde_json::json!({ "ready": waits_for.is_empty(), "waits_for": waits_for });
+    let body = serde_json::json!({
+        "ready": waits_for.is_empty(),
+        "waits_for": waits_for,
+        "cannot": cannot(&state.ctx),
+    });
     (status, Json(body)).into_response()
 }
 
@@ -87,6 +93,7 @@
         incarnation: ctx.me.incarnation,
         generation,
         waits_for: waits_for(ctx),
+        cannot: cannot(ctx),
         peers: peers(ctx),
         kept: kept(ctx).await,
         homes: homes(ctx).await,
@@ -105,6 +112,27 @@
     waits
 }
 
+/// What the box cannot do for now. It stays ready, for it serves the rest.
+fn cannot(ctx: &BoxContext) -> Vec<String> {
+    let mut cannot = Vec::new();
+    if !ctx.platform_answers.load(Ordering::Relaxed) {
+        let lost = "platform does not answer: no change of configuration is accepted, no swap is \
+                    ordered once leases run out; steps are kept and requests served";
+        cannot.push(lost.to_owned());
+    }
+    let now = ctx.clock.now();
+    let members = ctx.members.borrow();
+    let targets = Arc::clone(&ctx.documents.borrow().targets);
+    let domains: BTreeSet<&DomainId> =
+        targets.targets.iter().map(|record| &record.domain).collect();
+    for domain in domains.into_iter().filter(|domain| **domain != ctx.me.domain) {
+        if members.live_in(now, domain).is_empty() {
+            cannot.push(format!("no box of {domain} is heard: its targets cannot be reached"));
+        }
+    }
+    cannot
+}
+
 fn peers(ctx: &BoxContext) -> Vec<PeerStatus> {
     let now = ctx.clock.now();
     let members = ctx.members.borrow();
--- a/crates/gannetwayd/src/members.rs
+++ b/crates/gannetwayd/src/members.rs
@@ -182,7 +182,9 @@
 
 async fn read_list(ctx: BoxContext, actor: ActorRef<MemberActor>) {
     loop {
-        let pause = match ctx.store.list(ObjectKind::Box).await {
+        let listed = ctx.store.list(ObjectKind::Box).await;
+        ctx.note_platform(listed.is_ok());
+        let pause = match listed {
             Ok(listed) => {
                 let boxes = listed.objects.into_iter().filter_map(listed_box).collect();
                 if actor.tell(ListedBoxes(boxes)).await.is_err() {
--- a/crates/sessions/src/world/boxes.rs
+++ b/crates/sessions/src/world/boxes.rs
@@ -88,6 +88,10 @@
     }
 
     pub(super) fn reply(&mut self, now: Moment, number: u64, reply: Reply) {
+        if let Reply::Opened(Ok(state)) = &reply {
+            let (slots, named) = (state.progress.slots, state.named);
+            self.say(now, format!("step open: {slots} slots, version {named} named"));
+        }
         if let Reply::Pulled(Ok((out, state))) = &reply
             && !out.samples.is_empty()
         {
--- a/crates/sessions/src/world/targets.rs
+++ b/crates/sessions/src/world/targets.rs
@@ -111,6 +111,10 @@
     pub(super) fn ended(&mut self, now: Moment, id: &TargetId, ended: Vec<EndedRun>) {
         let hint = self.engine(id).hint();
         for EndedRun { from, placement, end } in ended {
+            let how =
+                if matches!(end, AttemptEnd::Made(_)) { "streamed whole" } else { "broke off" };
+            let slot = placement.assignment.slot;
+            self.say(now, format!("slot {slot} {how} from {id}"));
             let event = Event::WorkEnds(from.0, from.1, placement, end, Some(hint));
             self.send(now, event);
         }
