Remove what nothing uses

No behaviour changes.

Ruled out: keeping LeaseClaim::last_token for embedders (a token whose term has run out is better not handed out).

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -181,11 +181,6 @@
         (now < acts_until).then_some(held.token)
     }
 
-    /// The token last held, even when its term has run out; for duties that stay safe without it.
-    pub fn last_token(&self) -> Option<FencingToken> {
-        self.held.map(|held| held.token)
-    }
-
     /// The other holder last read, while this box does not hold the lease.
     pub fn other_holder(&self) -> Option<&LeaseRecord> {
         self.other.as_ref()
--- a/crates/gannetwayd/src/daemon.rs
+++ b/crates/gannetwayd/src/daemon.rs
@@ -10,7 +10,6 @@
 use kameo::actor::ActorRef;
 use links::{LinkPool, LinkSettings, serve_links};
 use objects::HttpStore;
-use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
@@ -208,8 +207,3 @@
         }
     }
 }
-
-/// A seed for parts that need chance.
-pub fn random_seed() -> u64 {
-    rand::rng().random()
-}
--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -148,12 +148,6 @@
         self.steps.get(&step).map(StepLedger::window)
     }
 
-    /// Whether a step has a sample to hand out or nothing more to deliver.
-    pub fn has_news(&self, step: StepNumber) -> bool {
-        let ledger = self.steps.get(&step);
-        ledger.is_none_or(|ledger| ledger.has_deliverable() || ledger.is_complete())
-    }
-
     /// Takes the pool's configuration; `None` when the pool is gone.
     pub fn pool_changed(&mut self, generation: Generation, pool: Option<PoolSpec>) {
         if generation < self.generation {
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -165,11 +165,6 @@
         events
     }
 
-    /// When the next waiting ask expires.
-    pub fn next_deadline(&self) -> Option<Moment> {
-        self.waiting.iter().map(|waiting| waiting.ask.deadline).min()
-    }
-
     /// Takes a reading whose request was sent at `asked_at`.
     pub fn read(&mut self, asked_at: Moment, reading: &ReplicaReading) {
         self.replica.read(asked_at, reading);
--- a/crates/standins/src/engine_model.rs
+++ b/crates/standins/src/engine_model.rs
@@ -4,7 +4,7 @@
 //! batch gets its next chunk, and a quantum takes longer the larger the batch is. Lengths are
 //! heavy-tailed; siblings of a prompt share a scale.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use ids::{FencingToken, Incarnation, ModelVersion, Moment};
@@ -104,7 +104,6 @@
     cache: VecDeque<u64>,
     next_stream: u64,
     quantum_ends: Option<Moment>,
-    hits: BTreeMap<bool, u64>,
 }
 
 /// Length of an answer, in tokens: a heavy tail around a scale that siblings share.
@@ -143,7 +142,6 @@
             cache: VecDeque::new(),
             next_stream: 0,
             quantum_ends: None,
-            hits: BTreeMap::new(),
         }
     }
 
@@ -179,12 +177,6 @@
         self.waiting.len()
     }
 
-    /// Streams that found their prompt cached, and those that did not.
-    pub fn cache_counts(&self) -> (u64, u64) {
-        let count = |hit| self.hits.get(&hit).copied().unwrap_or_default();
-        (count(true), count(false))
-    }
-
     /// Takes a request; its chunks come out of [`Self::step`].
     pub fn start(&mut self, now: Moment, prompt: u64, seed: u64, longest: u32) -> StreamId {
         let id = StreamId(self.next_stream);
@@ -265,7 +257,6 @@
                 break;
             };
             let cached = self.touch_cache(stream.prompt);
-            *self.hits.entry(cached).or_default() += 1;
             stream.ready_at = if cached { now } else { now + self.settings.prefill };
             self.running.push(stream);
         }
