Take no lease for a pool or trainer that nobody configured

Cause: reading the request path with bad input in mind. Opening a step under any name started a keeper and took a lease in the platform before the name was refused, so anybody could fill both.

Change: the name is looked up before a keeper is started; an unknown one is refused as not run, with a time to come back, since this box's configuration may lag.

Ruled out: checking at the entry box only (a peer with an older configuration may ask).

--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -377,6 +377,11 @@
         (format!("{steps}/1/open"), r#"{"version":1,"groups":[]}"#, 400),
         (format!("{steps}/7/pull"), r#"{"held":"","seen":0,"most":1,"wait_ms":1}"#, 404),
         (format!("{entry}/v1/call/no-such-service/x"), "", 503),
+        (
+            format!("{entry}/v1/pools/no-such-pool/trainers/press-1/steps/1/open"),
+            r#"{"version":1,"groups":[{"prompt":"p","samples":1,"max_tokens":8}]}"#,
+            503,
+        ),
     ];
     for (url, body, expected) in cases {
         let response = http.post(&url).body(body).send().await.expect("an answer");
@@ -385,4 +390,8 @@
         assert_eq!(status, expected, "{url}: {told}");
         assert!(told["message"].as_str().is_some_and(|text| text.contains(':')), "{told}");
     }
+    // A name that nobody configured takes no lease.
+    let lease = "/v1/objects/lease/keeper:no-such-pool:press-1";
+    let found = http.get(format!("http://{}{lease}", fleet.platform.address())).send().await;
+    assert_eq!(found.expect("an answer").status(), 404);
 }
--- a/crates/gannetwayd/src/serve/step.rs
+++ b/crates/gannetwayd/src/serve/step.rs
@@ -16,6 +16,7 @@
     self, Heard, Item, Refused, SampleItem, Span, StepRef, StepState, TakeOver, item,
 };
 
+use crate::context::BoxContext;
 use crate::keeper::{
     AdoptSteps, AdvanceStep, CloseStep, KeeperActor, KeeperHandle, KeeperKey, OpenStep, PullStep,
     Pulled, StepStateQuery,
@@ -137,6 +138,11 @@
     Ok(GroupSpec { prompt: Arc::from(group.prompt), samples, max_tokens })
 }
 
+fn is_configured(ctx: &BoxContext, key: &KeeperKey) -> bool {
+    let documents = ctx.documents.borrow();
+    documents.config.pool(&key.pool).is_some_and(|pool| pool.trainers.contains(&key.trainer))
+}
+
 /// The keeper on this box. It is started only when the sender found no other.
 fn keeper(
     served: &Served<'_>,
@@ -148,6 +154,13 @@
     let known = ctx.keepers.get(&key);
     let handle = match known {
         Some(handle) => handle,
+        // No actor and no lease for a name that nobody configured.
+        None if !is_configured(ctx, &key) => {
+            return Err(wire_keeper_refusal(&KeeperRefusal::NotInPool {
+                pool: key.pool,
+                trainer: key.trainer,
+            }));
+        }
         None if step.claim && !ctx.is_leaving() => ctx.keepers.get_or_start(ctx, &key),
         None => {
             return Err(wire_keeper_refusal(&KeeperRefusal::NotKeeping {
