Cut real daemons of two failure domains from each other, and heal them

Change: the harness can put a relay before each box's peer address, and cut it; a test cuts two domains both ways in the middle of a step, has each side answer plain requests with its own target, heals them and wants the step whole. The daemon prints the address it listens on for peers beside the one it advertises.

Ruled out: network namespaces (root and another tool on every machine that runs the tests); a switch in the daemon (a fault switch has no place in production code).

One-way cuts are not tested.

--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -17,6 +17,7 @@
 use tokio::time;
 
 use crate::process::{ChildProcess, Signal};
+use crate::relay::PeerRelay;
 
 /// The deployment key of the demo; at least 16 bytes.
 const KEY: &str = "demo-deployment-key-0123456789";
@@ -40,6 +41,8 @@
     pub load_time: Duration,
     /// Term of leases.
     pub lease_term: Duration,
+    /// Puts a relay that can be cut before each box's peer address.
+    pub relays: bool,
 }
 
 impl Default for FleetPlan {
@@ -51,6 +54,7 @@
             decode_step: Duration::from_millis(10),
             load_time: Duration::from_millis(300),
             lease_term: Duration::from_millis(1_500),
+            relays: false,
         }
     }
 }
@@ -63,6 +67,8 @@
     http: Client,
     /// The platform stand-in.
     pub platform: ChildProcess,
+    /// Relays by the id of the box behind each.
+    pub relays: BTreeMap<String, PeerRelay>,
     /// Boxes by id.
     pub boxes: BTreeMap<String, ChildProcess>,
     /// Engines by id.
@@ -79,9 +85,15 @@
     format!("hall-{}", index + 1)
 }
 
-/// Where a box's peers reach it, by the line `listening CALLERS peers PEERS`.
+/// Place of the advertised peer address in the line `listening CALLERS peers PEERS bound BOUND`,
+/// counted behind its first word.
+const PEERS_WORD: usize = 2;
+/// Place of the address that the box itself listens on for peers.
+const BOUND_WORD: usize = 4;
+
+/// Where a box's peers reach it.
 fn peer_address(child: &ChildProcess) -> String {
-    child.addresses.get(2).cloned().unwrap_or_default()
+    child.addresses.get(PEERS_WORD).cloned().unwrap_or_default()
 }
 
 impl Fleet {
@@ -100,6 +112,7 @@
             dir,
             http: Client::new(),
             platform,
+            relays: BTreeMap::new(),
             boxes: BTreeMap::new(),
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
@@ -191,7 +204,15 @@
         args.extend(words(&["--platform", &platform, "--key-file", &key_file]));
         args.extend(words(&["--lease-term-ms", &term, "--drain-notice-ms", "300"]));
         args.extend(words(&["--peers", &self.peer_addresses().join(",")]));
+        let relay = if self.plan.relays { Some(PeerRelay::start().await?) } else { None };
+        if let Some(relay) = &relay {
+            args.extend(words(&["--peer-advertise", &relay.address.to_string()]));
+        }
         let child = ChildProcess::start("gannetwayd", &args, self.log(&id)?).await?;
+        if let Some(relay) = relay {
+            relay.lead_to(child.addresses.get(BOUND_WORD).map_or("", String::as_str));
+            self.relays.insert(id.clone(), relay);
+        }
         let record = json!({ "id": id, "domain": domain, "address": peer_address(&child) });
         // With the platform away the box is not listed; its peers make it known.
         if let Err(error) = self.list("box", &id, record).await {
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod fleet;
 pub mod process;
+pub mod relay;
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -9,9 +9,12 @@
 use client::OpenStep;
 use demo::fleet::{Fleet, FleetPlan};
 use demo::process::{Signal, program};
+use demo::relay::PeerRelay;
 use ids::{ModelVersion, PoolName, StepNumber, TokenCount, TrainerId};
 use ledger::{GroupSpec, SlotSet, StepSpec};
 use serde_json::{Value, json};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 
 const SAMPLES: usize = 64;
 
@@ -187,6 +190,51 @@
     assert!(step.next().await.expect("whole").is_none());
 }
 
+/// Two failure domains of one box each, whose links pass through relays that can be cut.
+async fn two_domains(name: &str) -> Fleet {
+    let plan = FleetPlan {
+        domains: 2,
+        boxes_per_domain: 1,
+        engines_per_domain: 2,
+        decode_step: Duration::from_millis(8),
+        lease_term: Duration::from_secs(1),
+        relays: true,
+        ..FleetPlan::default()
+    };
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let fleet = Fleet::start(plan, dir).await.expect("it starts");
+    apply(&fleet, 1).await;
+    fleet
+}
+
+/// Whether a box greets whoever connects to it through its relay.
+async fn greets(relay: &PeerRelay) -> bool {
+    let mut stream = TcpStream::connect(relay.address).await.expect("the relay is there");
+    stream.read_u8().await.is_ok()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn domains_cut_from_each_other_go_on_and_meet_again() {
+    let fleet = two_domains("cut-domains").await;
+    let (mut step, mut slots) = (open(&fleet).await, SlotSet::default());
+    pull(&mut step, &mut slots, 8).await;
+    for relay in fleet.relays.values() {
+        assert!(greets(relay).await);
+        relay.set_cut(true);
+        assert!(!greets(relay).await, "the cut does not cut");
+    }
+    pull(&mut step, &mut slots, 32).await;
+    // Each side answers plain requests with its own target.
+    for (index, entry) in fleet.entries().iter().enumerate() {
+        let (status, _) = call(entry, &format!("cut-{index}"), true).await;
+        assert_eq!(status, 200, "{entry}");
+    }
+    fleet.relays.values().for_each(|relay| relay.set_cut(false));
+    pull(&mut step, &mut slots, SAMPLES).await;
+    assert!(step.next().await.expect("whole").is_none());
+    step.close().await.expect("closed");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_engine_gets_no_work_although_the_platform_is_silent() {
     let fleet = fleet("leaving-engine").await;
--- a/crates/gannetwayd/src/daemon.rs
+++ b/crates/gannetwayd/src/daemon.rs
@@ -60,7 +60,8 @@
     let callers = TcpListener::bind(settings.caller_listen).await?;
     let peers = TcpListener::bind(settings.peer_listen).await?;
     let caller_address = callers.local_addr()?;
-    let peer_address = settings.peer_advertise.unwrap_or(peers.local_addr()?);
+    let peer_bound = peers.local_addr()?;
+    let peer_address = settings.peer_advertise.unwrap_or(peer_bound);
     let me = MemberRecord {
         id: settings.box_id.clone(),
         domain: settings.domain.clone(),
@@ -113,14 +114,14 @@
         .with_graceful_shutdown(stop_http.clone().cancelled_owned());
     tokio::spawn(async move { served.await });
     log::info!(target: "box", id:% = ctx.me.id, callers:% = caller_address, peers:% = ctx.me.address; "serving");
-    announce(&ctx, caller_address)?;
+    announce(&ctx, caller_address, peer_bound)?;
     Ok(RunningBox { ctx, caller_address, http, members, conductor, stop_http })
 }
 
 /// One line on standard output, for whoever started the box on free ports.
-fn announce(ctx: &BoxContext, callers: SocketAddr) -> io::Result<()> {
+fn announce(ctx: &BoxContext, callers: SocketAddr, bound: SocketAddr) -> io::Result<()> {
     let mut out = io::stdout().lock();
-    writeln!(out, "listening {callers} peers {}", ctx.me.address)?;
+    writeln!(out, "listening {callers} peers {} bound {bound}", ctx.me.address)?;
     out.flush()
 }
 
