Keep steps although the platform is slower than a lease's term

With writes answered later than the term, no box ever held a lease; reads were answered, so none took the platform to be away either, and a trainer would have waited for ever.

Change: after six terms of asking in vain a box starts to keep without a lease, as it does when the platform is silent; later than the three terms after which it takes a lease that another still renews.

Ruled out: a longer term when answers are slow (a paused holder would be missed for as long).

Swaps are not ordered while the platform is that slow.

--- a/crates/keeping/src/keeper/reign.rs
+++ b/crates/keeping/src/keeper/reign.rs
@@ -16,6 +16,9 @@
 /// Terms of vain asking after which a keeper takes a lease that its holder still renews, for
 /// that holder is cut off from the trainer.
 const FORCE_TERMS: u32 = 3;
+/// Terms of vain asking after which a keeper starts without a lease although the platform
+/// answers: it is then too slow for a lease to be held. Later than taking it by force.
+const SLOW_TERMS: u32 = 6;
 /// Terms without any step after which a keeper frees its lease: a minute at the usual term.
 const EMPTY_TERMS: u32 = 20;
 /// Fencing token under which a detached keeper starts when the trainer has seen none.
@@ -116,13 +119,15 @@
         Some(now.since(vain.since))
     }
 
-    /// With the platform away for long, keeping goes on without a lease.
+    /// With the platform away, or too slow for any lease, keeping goes on without one.
     pub(super) fn maybe_detach(&mut self, now: Moment) {
-        if self.acting.is_some() || self.handing_over || self.vain_for(now).is_none() {
+        if self.acting.is_some() || self.handing_over {
             return;
         }
+        let Some(vain_for) = self.vain_for(now) else { return };
         let silent_since = self.platform_heard.unwrap_or(self.started_at);
-        if now.since(silent_since) >= self.settings.term * DETACH_TERMS {
+        let away = now.since(silent_since) >= self.settings.term * DETACH_TERMS;
+        if away || vain_for >= self.settings.term * SLOW_TERMS {
             let known = self.claim.other_holder().map(|record| record.token).unwrap_or_default();
             self.start_acting(self.seen.max(known).next().max(FIRST_TOKEN));
         }
--- a/crates/keeping/tests/keeper.rs
+++ b/crates/keeping/tests/keeper.rs
@@ -266,3 +266,30 @@
     lease_calls(&mut keeper, 140_000, 141_000, &ReadOutcome::Absent);
     assert_eq!(keeper.acting(), Some(FencingToken::new(2)));
 }
+
+/// Reads are answered, but each write's answer takes longer than the lease's term.
+#[test]
+fn a_platform_slower_than_the_term_does_not_keep_the_trainer_waiting() {
+    let mut keeper = keeper("box-1");
+    let mut due: Option<(u64, ObjectVersion)> = None;
+    let mut acting = None;
+    for millis in (0..12_000).step_by(50) {
+        keeper.pull(at(millis), StepNumber::new(1), &pull(0)).err();
+        if let Some((_, version)) = due.take_if(|(when, _)| *when <= millis) {
+            keeper.lease_written(at(millis), WriteOutcome::Applied(version));
+        }
+        for action in keeper.poll(at(millis)) {
+            match action {
+                KeeperAction::Lease(LeaseAction::Read) => {
+                    keeper.lease_read(at(millis), ReadOutcome::Absent);
+                }
+                KeeperAction::Lease(LeaseAction::Write { .. }) => {
+                    due = Some((millis + 1_500, ObjectVersion::new(millis + 1)));
+                }
+                KeeperAction::Start(_) => {}
+            }
+        }
+        acting = acting.or(keeper.acting());
+    }
+    assert!(acting.is_some(), "nobody keeps the step");
+}
