Refuse an oversized body with a typed error

Cause: bad input everywhere wants a typed error with the remedy; a body over 8 MiB got the HTTP library's plain text, which no client of ours reads.

Change: one extractor takes bodies and turns its own rejections into typed refusals.

Ruled out: a larger limit (a step of 8,192 samples with 4 KiB prompts fits in 8 MiB).

--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -438,6 +438,9 @@
         assert_eq!(status, expected, "{url}: {told}");
         assert!(told["message"].as_str().is_some_and(|text| text.contains(':')), "{told}");
     }
+    let oversized = http.post(format!("{steps}/1/open")).body("x".repeat(9 << 20)).send().await;
+    let told: Value = oversized.expect("an answer").json().await.expect("a typed error");
+    assert_eq!(told["kind"], "bad_request", "{told}");
     // A name that nobody configured takes no lease.
     let lease = "/v1/objects/lease/keeper:no-such-pool:press-1";
     let found = http.get(format!("http://{}{lease}", fleet.platform.address())).send().await;
--- a/crates/gannetwayd/src/http/answer.rs
+++ b/crates/gannetwayd/src/http/answer.rs
@@ -2,6 +2,7 @@
 
 use api::{DIGEST_HEADER, ErrorBody, ErrorKind};
 use axum::body::Bytes;
+use axum::extract::{FromRequest, Request};
 use axum::http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
@@ -58,6 +59,23 @@
     Ok((headers, body).into_response())
 }
 
+/// A request's whole body, or a typed refusal when it is too large or breaks off.
+#[derive(Debug)]
+pub struct WholeBody(pub Bytes);
+
+impl<S: Send + Sync> FromRequest<S> for WholeBody {
+    type Rejection = Failure;
+
+    async fn from_request(req: Request, state: &S) -> Result<Self, Failure> {
+        let body = Bytes::from_request(req, state).await;
+        body.map(Self).map_err(|rejection| {
+            let message =
+                format!("the body was not taken ({rejection}): send at most 8 MiB, whole");
+            Failure(ErrorBody::new(ErrorKind::BadRequest, message))
+        })
+    }
+}
+
 /// Reads a JSON body; says what is wrong with a bad one.
 pub fn read_json<T: DeserializeOwned>(body: &Bytes) -> Result<T, Failure> {
     serde_json::from_slice(body).map_err(|error| {
--- a/crates/gannetwayd/src/http/commands.rs
+++ b/crates/gannetwayd/src/http/commands.rs
@@ -5,7 +5,6 @@
 use api::{
     AdvanceBody, AppliedBody, ErrorBody, ErrorKind, HeldBody, OpenBody, PullAnswer, PullBody,
 };
-use axum::body::Bytes;
 use axum::extract::{Path, Query, State};
 use axum::http::HeaderMap;
 use axum::response::Response;
@@ -21,7 +20,9 @@
 use crate::context::{new_request, new_request_id};
 use crate::documents::OfferConfig;
 use crate::http::HttpState;
-use crate::http::answer::{Failure, http_span, read_json, read_value, require_key, whole_json};
+use crate::http::answer::{
+    Failure, WholeBody, http_span, read_json, read_value, require_key, whole_json,
+};
 use crate::keeper::KeeperKey;
 use crate::route::StepAnswer;
 
@@ -66,7 +67,7 @@
     State(state): State<HttpState>,
     Path(path): Path<StepPath>,
     headers: HeaderMap,
-    body: Bytes,
+    WholeBody(body): WholeBody,
 ) -> Answer {
     let open: OpenBody = read_json(&body)?;
     let spec = open.spec(path.step()?);
@@ -91,7 +92,7 @@
     State(state): State<HttpState>,
     Path(path): Path<StepPath>,
     headers: HeaderMap,
-    body: Bytes,
+    WholeBody(body): WholeBody,
 ) -> Answer {
     let pull: PullBody = read_json(&body)?;
     let wait_ms = pull.wait_ms.min(MOST_WAIT_MS);
@@ -112,7 +113,7 @@
     State(state): State<HttpState>,
     Path(path): Path<StepPath>,
     headers: HeaderMap,
-    body: Bytes,
+    WholeBody(body): WholeBody,
 ) -> Answer {
     let advance: AdvanceBody = read_json(&body)?;
     let body = request::Body::AdvanceStep(AdvanceStep {
@@ -128,7 +129,7 @@
     State(state): State<HttpState>,
     Path(path): Path<StepPath>,
     headers: HeaderMap,
-    body: Bytes,
+    WholeBody(body): WholeBody,
 ) -> Answer {
     let held: HeldBody = read_json(&body)?;
     let step = path.step_ref(held.seen)?;
@@ -161,7 +162,7 @@
     Path(pool): Path<String>,
     Query(query): Query<ApplyQuery>,
     headers: HeaderMap,
-    body: Bytes,
+    WholeBody(body): WholeBody,
 ) -> Answer {
     require_key(&state.ctx, &headers)?;
     let spec: PoolSpec = read_json(&body)?;
--- a/crates/gannetwayd/src/http/plain.rs
+++ b/crates/gannetwayd/src/http/plain.rs
@@ -20,7 +20,7 @@
 
 use crate::context::{BoxContext, new_request_id, wire_millis};
 use crate::http::HttpState;
-use crate::http::answer::{Failure, http_span, read_value};
+use crate::http::answer::{Failure, WholeBody, http_span, read_value};
 use crate::metrics::{CallLabel, CallLabels};
 use crate::refuse::wire_not_run;
 use crate::route::call_home;
@@ -79,7 +79,7 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    body: Bytes,
+    WholeBody(body): WholeBody,
 ) -> Response {
     let started = state.ctx.clock.now();
     let answered = serve_call(&state, &service, &path, &method, &uri, (&headers, body)).await;
