--- a/crates/bench/src/documents.rs
+++ b/crates/bench/src/documents.rs
@@ -1,9 +1,10 @@
 //! Documents: bytes and time of the configuration and of the target list.
 
+use std::hint::black_box;
 use std::time::{Duration, Instant};
 
 use ids::{Generation, ModelVersion, TargetId};
-use pools::{FleetConfig, PoolSpec, TargetList, TargetRecord, parse_pool};
+use pools::{FleetConfig, PoolSpec, TargetIndex, TargetList, TargetRecord, parse_pool};
 
 use crate::table;
 
@@ -38,6 +39,16 @@
     time
 }
 
+fn each(mut look: impl FnMut() -> bool) -> Duration {
+    /// Look-ups timed for each figure.
+    const LOOKS: u32 = 10_000;
+    let started = Instant::now();
+    for _ in 0..LOOKS {
+        black_box(look());
+    }
+    started.elapsed() / LOOKS
+}
+
 fn configuration() {
     let sizes = [(1, 11), (15, 50), (15, 333), (15, 1_000), (15, 5_000)];
     let rows = sizes.map(|(pools, engines)| {
@@ -76,11 +87,18 @@
         });
         let list = TargetList { revision: Generation::new(1), targets: records.collect() };
         let whole = serde_json::to_vec(&list).unwrap_or_default();
+        let wanted = engine(count - 1);
+        let scan = each(|| list.targets.iter().find(|record| record.id == wanted).is_some());
+        let index = TargetIndex::new(list);
         vec![
             count.to_string(),
             whole.len().to_string(),
             format!("{:.0}", read_time::<TargetList>(&whole).as_secs_f64() * 1e6),
+            scan.as_nanos().to_string(),
+            each(|| index.find(&wanted).is_some()).as_nanos().to_string(),
         ]
     });
-    table::print(&["targets", "list, bytes", "us to read"], &rows);
+    let heading =
+        ["targets", "list, bytes", "us to read", "ns to scan for the last", "ns by index"];
+    table::print(&heading, &rows);
 }
--- a/crates/gannetwayd/src/context.rs
+++ b/crates/gannetwayd/src/context.rs
@@ -8,7 +8,7 @@
 use ids::{RequestId, TargetId};
 use links::{AnswerSink, AnswerStream, CallError, LinkPool};
 use objects::HttpStore;
-use pools::{FleetConfig, TargetList, TargetRecord};
+use pools::{FleetConfig, TargetIndex, TargetRecord};
 use rand::Rng;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
@@ -29,7 +29,7 @@
     /// The configuration.
     pub config: Arc<FleetConfig>,
     /// The targets.
-    pub targets: Arc<TargetList>,
+    pub targets: Arc<TargetIndex>,
     /// Whether the newest generation that could be asked for has been learnt.
     pub ready: bool,
 }
--- a/crates/gannetwayd/src/documents.rs
+++ b/crates/gannetwayd/src/documents.rs
@@ -12,7 +12,7 @@
 use kameo::prelude::*;
 use links::CallError;
 use objects::{ListedObjects, ObjectKind, ObjectStore, StoreError};
-use pools::{FleetConfig, TargetList, TargetRecord};
+use pools::{FleetConfig, TargetIndex, TargetList, TargetRecord};
 use rand::Rng;
 use tokio::sync::watch;
 use tokio::time;
@@ -38,7 +38,7 @@
 pub struct DocumentActor {
     ctx: BoxContext,
     config: ConfigFollower<Arc<FleetConfig>>,
-    targets: ConfigFollower<Arc<TargetList>>,
+    targets: ConfigFollower<Arc<TargetIndex>>,
     out: watch::Sender<Documents>,
     fetching: bool,
 }
@@ -106,7 +106,9 @@
 
     fn offer_targets(&mut self, targets: TargetList) {
         let revision = targets.revision;
-        if self.targets.offer(revision, Arc::new(targets)) == OfferOutcome::Applied {
+        if self.targets.offer(revision, Arc::new(TargetIndex::new(targets)))
+            == OfferOutcome::Applied
+        {
             log::info!(target: "config", revision:% = revision; "target list in force");
         }
     }
--- a/crates/gannetwayd/src/http/plain.rs
+++ b/crates/gannetwayd/src/http/plain.rs
@@ -184,8 +184,7 @@
 
     fn choose(&self, service: &ServiceName) -> Result<TargetId, Failure> {
         let documents = self.ctx().documents.borrow().clone();
-        let targets: Vec<TargetId> =
-            documents.targets.of_service(service).map(|record| record.id.clone()).collect();
+        let targets = documents.targets.of_service(service);
         if targets.is_empty() {
             let error = wire_not_run(NotRun::Unknown, BUSY_RETRY);
             return Err(CallError::Refused(Box::new(error)).into());
@@ -193,8 +192,8 @@
         let now = self.ctx().clock.now();
         let mut chooser = lock(&self.state.plain.chooser);
         let chosen = chooser
-            .choose(now, &targets, None, &mut rand::rng())
-            .or_else(|| chooser.choose_resting(&targets))
+            .choose(now, targets, None, &mut rand::rng())
+            .or_else(|| chooser.choose_resting(targets))
             .cloned();
         let Some(id) = chosen else {
             let error = wire_not_run(NotRun::Overloaded, BUSY_RETRY);
--- a/crates/gannetwayd/src/http/queries.rs
+++ b/crates/gannetwayd/src/http/queries.rs
@@ -124,7 +124,7 @@
     let members = ctx.members.borrow();
     let targets = Arc::clone(&ctx.documents.borrow().targets);
     let domains: BTreeSet<&DomainId> =
-        targets.targets.iter().map(|record| &record.domain).collect();
+        targets.list().targets.iter().map(|record| &record.domain).collect();
     for domain in domains.into_iter().filter(|domain| **domain != ctx.me.domain) {
         if members.live_in(now, domain).is_empty() {
             cannot.push(format!("no box of {domain} is heard: its targets cannot be reached"));
--- a/crates/gannetwayd/src/members.rs
+++ b/crates/gannetwayd/src/members.rs
@@ -78,7 +78,7 @@
         let now = self.ctx.clock.now();
         let (generation, revision) = {
             let documents = self.ctx.documents.borrow();
-            (documents.config.generation, documents.targets.revision)
+            (documents.config.generation, documents.targets.list().revision)
         };
         let due = now >= self.table.next_beat();
         let mut beats = self.table.poll(now, generation);
--- a/crates/gannetwayd/src/peer.rs
+++ b/crates/gannetwayd/src/peer.rs
@@ -104,18 +104,19 @@
 impl BoxHandler {
     fn is_behind(&self, heard: &HeardGenerations) -> bool {
         let documents = self.ctx.documents.borrow();
-        heard.config > documents.config.generation || heard.targets > documents.targets.revision
+        heard.config > documents.config.generation
+            || heard.targets > documents.targets.list().revision
     }
 
     async fn documents(&self, fetch: &FetchDocuments, mut sink: AnswerSink) {
         let documents = self.ctx.documents.borrow().clone();
         let newer_config = documents.config.generation.get() > fetch.config_generation;
-        let newer_targets = documents.targets.revision.get() > fetch.targets_revision;
+        let newer_targets = documents.targets.list().revision.get() > fetch.targets_revision;
         // What the peer holds already is left out; a configuration changes often, and only a
         // pool at a time.
         let base = ids::Generation::new(fetch.config_generation);
         let config = encode_if(newer_config, &documents.config.since(base));
-        let targets = encode_if(newer_targets, &*documents.targets);
+        let targets = encode_if(newer_targets, documents.targets.list());
         let body = item::Body::Documents(WireDocuments { config, targets });
         sink.item(Item { body: Some(body) }).await;
         sink.end(AnswerEnd::default()).await;
--- a/crates/pools/src/lib.rs
+++ b/crates/pools/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use check::{PoolError, parse_pool};
 pub use fleet::{Favours, FleetConfig, PoolEntry, PoolLimits, PoolSpec, SwapPolicy};
-pub use targets::{TargetKind, TargetList, TargetRecord};
+pub use targets::{TargetIndex, TargetKind, TargetList, TargetRecord};
--- a/crates/pools/src/targets.rs
+++ b/crates/pools/src/targets.rs
@@ -1,5 +1,6 @@
 //! The platform's list of targets.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
 
@@ -77,18 +78,40 @@
     pub targets: Vec<TargetRecord>,
 }
 
-impl TargetList {
-    /// The targets that answer for a service and are not leaving.
-    pub fn of_service<'a>(
-        &'a self,
-        service: &'a ServiceName,
-    ) -> impl Iterator<Item = &'a TargetRecord> {
-        let answers = |record: &&TargetRecord| record.service.as_ref() == Some(service);
-        self.targets.iter().filter(answers).filter(|record| !record.leaving)
+/// A target list made ready for look-ups, so that a request's cost does not grow with the list.
+#[derive(Debug, Clone, Default)]
+pub struct TargetIndex {
+    list: TargetList,
+    places: HashMap<TargetId, usize>,
+    services: HashMap<ServiceName, Vec<TargetId>>,
+}
+
+impl TargetIndex {
+    /// Indexes a list.
+    pub fn new(list: TargetList) -> Self {
+        let mut services: HashMap<ServiceName, Vec<TargetId>> = HashMap::new();
+        for record in list.targets.iter().filter(|record| !record.leaving) {
+            if let Some(service) = &record.service {
+                services.entry(service.clone()).or_default().push(record.id.clone());
+            }
+        }
+        let ids = list.targets.iter().enumerate();
+        let places = ids.map(|(place, record)| (record.id.clone(), place)).collect();
+        Self { list, places, services }
+    }
+
+    /// The list as it came.
+    pub const fn list(&self) -> &TargetList {
+        &self.list
     }
 
     /// The record of one target.
     pub fn find(&self, id: &TargetId) -> Option<&TargetRecord> {
-        self.targets.iter().find(|record| record.id == *id)
+        self.list.targets.get(*self.places.get(id)?)
+    }
+
+    /// The targets that answer for a service and are not leaving.
+    pub fn of_service(&self, service: &ServiceName) -> &[TargetId] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
     }
 }
