--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -365,7 +365,9 @@
         self.watched = Some(Watched { version: sighting.version, unchanged_since });
         let term = Duration::from_millis(sighting.record.term_ms);
         let token = sighting.record.token.next();
-        if sighting.record.released || now.since(unchanged_since) >= term {
+        // One box runs one process at a time: an earlier life of this box acts no more.
+        let earlier_life = sighting.record.holder == self.me;
+        if sighting.record.released || earlier_life || now.since(unchanged_since) >= term {
             self.take_soon(now, sighting.version, token);
         } else {
             self.next_at = now + term / READS_PER_TERM;
--- /dev/null
+++ b/crates/front/src/jobs_api.rs
@@ -0,0 +1,260 @@
+//! Trainers' calls: jobs handed in, read and ended, at whichever box serves the job's shard.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use ids::ShardIndex;
+use joblog::shard_of;
+use jobs::reason;
+use links::{CallError, LinkPool};
+use node::NodeView;
+use platform::calls::{self, JobCall};
+use routing::Route;
+use wire::peer::{
+    JobBody, JobEnd, JobRead, JobSubmit, RefusedKind, Request, ShardAnswer, ShardRequest, item,
+    request, shard_answer, shard_request,
+};
+
+use crate::answer::{self, FrontBody};
+
+/// Longest time for a job to be on all copies of its log. The sender comes again elsewhere when
+/// it hears nothing, so this only bounds what is held here.
+const SUBMIT_TIME: Duration = Duration::from_secs(3);
+/// Longest time for a call that waits for nothing.
+const CALL_TIME: Duration = Duration::from_millis(1_500);
+/// Room for an answer beyond the wait that the caller asked for.
+const READ_SLACK: Duration = Duration::from_millis(800);
+/// Longest wait that a read may ask for.
+const MOST_WAIT: Duration = Duration::from_secs(1);
+/// Most bytes of texts in one page; the rest of the megabyte is for ids and JSON escapes.
+const PAGE_BYTES: u32 = 600_000;
+
+/// How a call to a shard ended without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ShardFault {
+    /// Nobody serves the shard now, or its server could not be reached: nothing was done.
+    NotServed,
+    /// It may have been done.
+    Unknown,
+    /// There is no such job.
+    NoJob,
+    /// The job has no such item.
+    NoItem,
+    /// The shard has no room.
+    Full,
+}
+
+/// The way to the shards.
+#[derive(Debug, Clone)]
+pub struct ShardClient {
+    view: Arc<NodeView>,
+    links: LinkPool,
+}
+
+impl ShardClient {
+    /// A client over these links.
+    pub const fn new(view: Arc<NodeView>, links: LinkPool) -> Self {
+        Self { view, links }
+    }
+
+    /// Asks the shard's server. Another copy's box is asked only after an answer which says
+    /// that nothing was done.
+    async fn ask(
+        &self,
+        shard: ShardIndex,
+        id: &str,
+        time: Duration,
+        body: &shard_request::Body,
+    ) -> Result<shard_answer::Body, ShardFault> {
+        let addresses: Vec<String> = {
+            let duties = self.view.duties();
+            let copies = duties.plan(shard).map(|sighting| sighting.plan.copies.clone());
+            copies.unwrap_or_default().into_iter().map(|copy| copy.address).collect()
+        };
+        let mut fault = ShardFault::NotServed;
+        for address in addresses {
+            match self.ask_at(&address, id, time, body.clone()).await {
+                Ok(answer) => return Ok(answer),
+                Err(ShardFault::NotServed) => {}
+                // A read does no harm twice; whatever changes something must not be guessed.
+                Err(ShardFault::Unknown) if is_read(body) => fault = ShardFault::Unknown,
+                Err(other) => return Err(other),
+            }
+        }
+        Err(fault)
+    }
+
+    async fn ask_at(
+        &self,
+        address: &str,
+        id: &str,
+        time: Duration,
+        body: shard_request::Body,
+    ) -> Result<shard_answer::Body, ShardFault> {
+        let request = Request {
+            request_id: id.to_owned(),
+            traceparent: String::new(),
+            time_left_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+            body: Some(request::Body::Shard(ShardRequest { body: Some(body) })),
+        };
+        let stream = self.links.call(address, request).await.map_err(|error| fault_of(&error))?;
+        let item = stream.single(time).await.map_err(|error| fault_of(&error))?;
+        match item.body {
+            Some(item::Body::Shard(ShardAnswer { body: Some(answer) })) => Ok(answer),
+            _ => Err(ShardFault::Unknown),
+        }
+    }
+
+    fn shard(&self, job: &str) -> ShardIndex {
+        shard_of(job, self.view.settings.shards)
+    }
+}
+
+const fn is_read(body: &shard_request::Body) -> bool {
+    matches!(body, shard_request::Body::Read(_) | shard_request::Body::BodyOf(_))
+}
+
+fn fault_of(error: &CallError) -> ShardFault {
+    match error {
+        CallError::NotSent { .. } => ShardFault::NotServed,
+        CallError::Broken { .. } => ShardFault::Unknown,
+        CallError::Refused(refused) => match (refused.kind(), refused.reason.as_str()) {
+            (RefusedKind::BadRequest, reason::NO_JOB) => ShardFault::NoJob,
+            (RefusedKind::BadRequest, reason::NO_ITEM) => ShardFault::NoItem,
+            (RefusedKind::NotRun, reason::FULL) => ShardFault::Full,
+            (RefusedKind::Unknown, _) => ShardFault::Unknown,
+            _ => ShardFault::NotServed,
+        },
+    }
+}
+
+/// Takes a job that is handed in on `route`.
+pub async fn submit(
+    client: &ShardClient,
+    route: &Route,
+    host: &str,
+    id: &str,
+    body: &Bytes,
+) -> Response<FrontBody> {
+    let job = match calls::read_job(id, host, route, body) {
+        Ok(job) => job,
+        Err(error) => {
+            log::warn!(target: "entry", request = id, error:% = error; "job refused");
+            let remedy = "send the job as the interface says";
+            return answer::refuse(StatusCode::BAD_REQUEST, "bad_job", remedy, Some(id));
+        }
+    };
+    let items = job.items.len();
+    let shard = client.shard(id);
+    let call = shard_request::Body::Submit(JobSubmit { shard: shard.get(), job: Some(job) });
+    let end = client.ask(shard, id, SUBMIT_TIME, &call).await;
+    let outcome = match &end {
+        Ok(_) => "accepted",
+        Err(ShardFault::NotServed) => "not served",
+        Err(ShardFault::Full) => "full",
+        Err(_) => "unknown",
+    };
+    client.view.metrics.ended("job", outcome);
+    log::info!(
+        target: "entry", job = id, shard = shard.get(), items = items, outcome = outcome;
+        "job handed in"
+    );
+    match end {
+        Ok(_) => answer::whole(StatusCode::ACCEPTED, "application/json", Bytes::from_static(b"{}")),
+        Err(ShardFault::NotServed) => answer::not_run("shard not served", Some(id)),
+        Err(ShardFault::Full) => answer::not_run("shard full", Some(id)),
+        Err(_) => unknown(Some(id)),
+    }
+}
+
+fn unknown(id: Option<&str>) -> Response<FrontBody> {
+    let remedy = "it may be kept: send it again under the same id";
+    answer::refuse(StatusCode::BAD_GATEWAY, "outcome unknown", remedy, id)
+}
+
+/// Serves a call that concerns a job.
+pub async fn serve_call(
+    client: &ShardClient,
+    call: JobCall,
+    wait: Option<Duration>,
+) -> Response<FrontBody> {
+    match call {
+        JobCall::Read { job, from } => read(client, &job, from, wait).await,
+        JobCall::Body { job, item } => item_body(client, &job, &item).await,
+        JobCall::End { job } => end(client, &job).await,
+    }
+}
+
+async fn read(
+    client: &ShardClient,
+    job: &str,
+    from: u32,
+    wait: Option<Duration>,
+) -> Response<FrontBody> {
+    let wait = wait.unwrap_or_default().min(MOST_WAIT);
+    let shard = client.shard(job);
+    let body = shard_request::Body::Read(JobRead {
+        shard: shard.get(),
+        job: job.to_owned(),
+        from,
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        most_bytes: PAGE_BYTES,
+    });
+    match client.ask(shard, job, wait + READ_SLACK, &body).await {
+        Ok(shard_answer::Body::Page(page)) => {
+            let page = calls::write_page(&page, from);
+            answer::whole(StatusCode::OK, "application/json", Bytes::from(page))
+        }
+        Ok(_) => uncertain(client, "read", job, ShardFault::Unknown),
+        Err(fault) => uncertain(client, "read", job, fault),
+    }
+}
+
+async fn item_body(client: &ShardClient, job: &str, item: &str) -> Response<FrontBody> {
+    let shard = client.shard(job);
+    let (id, item) = (job.to_owned(), item.to_owned());
+    let body = shard_request::Body::BodyOf(JobBody { shard: shard.get(), job: id, item });
+    match client.ask(shard, job, CALL_TIME, &body).await {
+        Ok(shard_answer::Body::Bytes(bytes)) => {
+            answer::whole(StatusCode::OK, "application/octet-stream", Bytes::from(bytes.body))
+        }
+        Ok(_) => uncertain(client, "body", job, ShardFault::Unknown),
+        Err(fault) => uncertain(client, "body", job, fault),
+    }
+}
+
+async fn end(client: &ShardClient, job: &str) -> Response<FrontBody> {
+    let shard = client.shard(job);
+    let body = shard_request::Body::End(JobEnd { shard: shard.get(), job: job.to_owned() });
+    match client.ask(shard, job, CALL_TIME, &body).await {
+        Ok(_) => {
+            log::info!(target: "entry", job = job, outcome = "ended"; "job end asked");
+            answer::whole(StatusCode::OK, "application/json", Bytes::from_static(b"{}"))
+        }
+        Err(fault) => uncertain(client, "end", job, fault),
+    }
+}
+
+/// The answer to a call that got none from the shard. Only the shard's server itself can be
+/// sure that there is no such job.
+fn uncertain(
+    client: &ShardClient,
+    what: &'static str,
+    job: &str,
+    fault: ShardFault,
+) -> Response<FrontBody> {
+    client.view.metrics.ended("job_call", what);
+    log::info!(target: "entry", job = job, call = what, fault:? = fault; "job call failed");
+    match fault {
+        ShardFault::NoJob | ShardFault::NoItem => answer::refuse(
+            StatusCode::NOT_FOUND,
+            "not found",
+            "check the ids: nothing is held under them",
+            None,
+        ),
+        ShardFault::Unknown if what == "end" => unknown(None),
+        _ => answer::not_run("shard not served", None),
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,14 @@
+//! The entry role: callers' requests to targets, trainers' calls to the shards of jobs.
+//!
+//! An entry box keeps nothing. It knows the configuration, the targets and who serves which
+//! shard, all from followers, and answers every request at once when it gives it up: with a
+//! promise that it has not run only where that is certain.
+
+mod answer;
+mod jobs_api;
+mod plain;
+mod role;
+mod server;
+mod stream;
+
+pub use role::run_entry;
--- /dev/null
+++ b/crates/front/src/role.rs
@@ -0,0 +1,81 @@
+//! Start and stop of an entry box.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use links::{LinkPool, LinkSettings};
+use node::duties::DutySink;
+use node::follow::{ConfigSink, TargetSink, follow_kind};
+use node::{NodeSettings, NodeView, serve_metrics, wait_for_stop};
+use platform::{Kind, ObjectStore};
+use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
+
+use crate::jobs_api::ShardClient;
+use crate::server::{FrontState, serve_front, serve_ready};
+
+/// Changes of targets gather for this long between two watches: each watch has its price, and
+/// targets must be left within two seconds.
+const GATHER_TARGETS: Duration = Duration::from_millis(600);
+/// Changes of duties gather for this long.
+const GATHER_DUTIES: Duration = Duration::from_millis(100);
+/// After a request to stop, how long the platform needs to send new callers elsewhere.
+const NOTICE_TIME: Duration = Duration::from_millis(2_500);
+/// Left of the time to stop in when what is still in flight is cut.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// How often a stopping box looks whether all requests have ended.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs an entry box until it is asked to stop.
+pub async fn run_entry(settings: NodeSettings) -> io::Result<()> {
+    let (Some(front), Some(ready)) = (settings.front, settings.ready) else {
+        return Err(io::Error::other("--front and --ready are missing: give both as IP:PORT"));
+    };
+    let store = ObjectStore::new(&settings.store.to_string()).map_err(io::Error::other)?;
+    let grace = settings.grace;
+    let link_settings = LinkSettings { me: settings.box_id.clone(), key: settings.key.clone() };
+    let metrics = settings.metrics;
+    let view = Arc::new(NodeView::new(settings, store));
+    let end = CancellationToken::new();
+    log::info!(target: "entry", front:% = front, store:% = view.settings.store; "started");
+    let follow = |kind, gather| (Arc::clone(&view), kind, gather, end.clone());
+    let (v, kind, gather, stop) = follow(Kind::Configuration, Duration::ZERO);
+    tokio::spawn(follow_kind(v, kind, gather, ConfigSink(Arc::clone(&view)), stop));
+    let (v, kind, gather, stop) = follow(Kind::Targets, GATHER_TARGETS);
+    tokio::spawn(follow_kind(v, kind, gather, TargetSink::new(Arc::clone(&view)), stop));
+    let (v, kind, gather, stop) = follow(Kind::Duties, GATHER_DUTIES);
+    tokio::spawn(follow_kind(v, kind, gather, DutySink(Arc::clone(&view)), stop));
+    if let Some(address) = metrics {
+        tokio::spawn(serve_metrics(Arc::clone(&view), address));
+    }
+    let links = LinkPool::new(link_settings, end.clone());
+    let shards = ShardClient::new(Arc::clone(&view), links);
+    let state = FrontState::new(view, shards, CancellationToken::new());
+    let served = serve_front(state.clone(), front, end.clone());
+    let asked = serve_ready(state.clone(), ready, end.clone());
+    tokio::select! {
+        ended = served => return ended,
+        ended = asked => return ended,
+        stopped = async { wait_for_stop().await?; stop_calmly(&state, grace).await; Ok(()) } => {
+            end.cancel();
+            stopped
+        }
+    }
+}
+
+/// Turns new callers away and lets requests in flight end.
+async fn stop_calmly(state: &FrontState, grace: Duration) {
+    let asked = Instant::now();
+    log::info!(target: "entry", in_flight = state.in_flight(); "stopping");
+    state.stopping.cancel();
+    let last = asked + grace.saturating_sub(STOP_MARGIN);
+    while Instant::now() < last {
+        let noticed = asked.elapsed() >= NOTICE_TIME;
+        if noticed && state.in_flight() == 0 {
+            break;
+        }
+        time::sleep(STOP_LOOK).await;
+    }
+    log::info!(target: "entry", in_flight = state.in_flight(); "stopped");
+}
--- /dev/null
+++ b/crates/front/src/server.rs
@@ -0,0 +1,217 @@
+//! Connections of callers, and the readiness page.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use node::NodeView;
+use platform::{calls, headers};
+use routing::RouteKind;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
+
+use crate::answer::{self, FrontBody, Served};
+use crate::jobs_api::{self, ShardClient};
+use crate::plain::{body_fault, read_body, serve_plain};
+use crate::stream::serve_stream;
+
+/// Pause after a failed accept, such as one for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest read buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8 << 10;
+
+/// What all connections of an entry box share.
+#[derive(Debug, Clone)]
+pub struct FrontState {
+    /// The box's belief.
+    pub view: Arc<NodeView>,
+    /// The way to the shards.
+    pub shards: ShardClient,
+    /// Set once the box is asked to stop.
+    pub stopping: CancellationToken,
+    counts: Arc<FrontCounts>,
+}
+
+#[derive(Debug, Default)]
+struct FrontCounts {
+    connections: AtomicUsize,
+    requests: AtomicUsize,
+    ready: AtomicBool,
+}
+
+impl FrontState {
+    /// State of a box that serves nobody yet.
+    pub fn new(view: Arc<NodeView>, shards: ShardClient, stopping: CancellationToken) -> Self {
+        Self { view, shards, stopping, counts: Arc::default() }
+    }
+
+    /// Requests being served.
+    pub fn in_flight(&self) -> usize {
+        self.counts.requests.load(Ordering::Relaxed)
+    }
+
+    fn is_ready(&self) -> bool {
+        let ready = self.view.is_configured() && !self.stopping.is_cancelled();
+        if self.counts.ready.swap(ready, Ordering::Relaxed) != ready {
+            log::info!(
+                target: "entry", ready = ready, config = self.view.table().version.get(),
+                stopping = self.stopping.is_cancelled();
+                "readiness changed"
+            );
+        }
+        ready
+    }
+}
+
+/// Counts a request for as long as it is served.
+struct InFlight(FrontState);
+
+impl InFlight {
+    fn new(state: &FrontState) -> Self {
+        state.counts.requests.fetch_add(1, Ordering::Relaxed);
+        Self(state.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.counts.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves callers until `end`.
+pub async fn serve_front(
+    state: FrontState,
+    address: SocketAddr,
+    end: CancellationToken,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    loop {
+        let accepted = tokio::select! {
+            () = end.cancelled() => return Ok(()),
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _peer)) => {
+                tokio::spawn(serve_connection(state.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!(target: "entry", error:% = error; "accept failed, pausing");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(state: FrontState, stream: TcpStream) {
+    // Without it only small answers come later.
+    let _slower = stream.set_nodelay(true);
+    state.counts.connections.fetch_add(1, Ordering::Relaxed);
+    let limits = state.view.table().limits;
+    let service = {
+        let state = state.clone();
+        service_fn(move |request| serve(state.clone(), request))
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // A caller that goes away ends its request here; that is not a fault of ours.
+        _ended = connection.as_mut() => {}
+        () = state.stopping.cancelled() => {
+            // Answers from here on carry the word that the connection closes.
+            connection.as_mut().graceful_shutdown();
+            let _ended = connection.as_mut().await;
+        }
+    }
+    state.counts.connections.fetch_sub(1, Ordering::Relaxed);
+}
+
+async fn serve(state: FrontState, request: Request<Incoming>) -> Served {
+    let received = Instant::now();
+    let _counted = InFlight::new(&state);
+    let (head, body) = request.into_parts();
+    let id = headers::request_id(&head.headers).map(str::to_owned);
+    let table = state.view.table();
+    if table.version.get() == 0 {
+        return Ok(answer::not_run("no configuration yet", id.as_deref()));
+    }
+    let host = head.headers.get("host").and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    if let Some(call) = calls::read_call(&head.method, path)
+        && table.takes_jobs(host)
+    {
+        let wait = headers::read_wait(&head.headers);
+        return Ok(jobs_api::serve_call(&state.shards, call, wait).await);
+    }
+    let Some(route) = table.find(host, path).cloned() else {
+        log::info!(
+            target: "entry", request = id.as_deref().unwrap_or(""), host = host,
+            config = table.version.get(), outcome = "no route";
+            "request ended"
+        );
+        let remedy = "check the host and the path";
+        return Ok(answer::refuse(StatusCode::NOT_FOUND, "no route", remedy, id.as_deref()));
+    };
+    let body = match read_body(body, table.limits.body_bytes).await {
+        Ok(body) => body,
+        Err(fault) => return Ok(body_fault(fault, id.as_deref())),
+    };
+    Ok(match route.kind {
+        RouteKind::Jobs if head.method == Method::POST => {
+            let id = id.unwrap_or_default();
+            jobs_api::submit(&state.shards, &route, host, &id, &body).await
+        }
+        RouteKind::Streaming => serve_stream(&state.view, &route, head, body, received).await,
+        _ => serve_plain(&state.view, &route, head, body, received).await,
+    })
+}
+
+/// Serves the readiness page until `end`.
+pub async fn serve_ready(
+    state: FrontState,
+    address: SocketAddr,
+    end: CancellationToken,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    loop {
+        let accepted = tokio::select! {
+            () = end.cancelled() => return Ok(()),
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _peer)) = accepted else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let state = state.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| ready_page(state.clone(), request));
+            // A broken question is asked again a second later.
+            let _ended =
+                http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn ready_page(state: FrontState, request: Request<Incoming>) -> Served {
+    if request.uri().path() != calls::READY_PATH {
+        let remedy = "ask the readiness path";
+        return Ok(answer::refuse(StatusCode::NOT_FOUND, "no page", remedy, None));
+    }
+    let status = if state.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let page: Response<FrontBody> =
+        answer::whole(status, "application/json", Bytes::from_static(b"{}"));
+    Ok(page)
+}
--- a/crates/gannetwayd/src/main.rs
+++ b/crates/gannetwayd/src/main.rs
@@ -1,4 +1,7 @@
-//! Starts the daemon of an entry box.
+//! Starts a box: without a role the daemon that does all duties itself, or one of the two roles
+//! of a deployment on the users' platform.
+
+mod roles;
 
 use std::process::ExitCode;
 use std::{io, thread};
@@ -22,6 +25,9 @@
 const CUT_REQUESTS: u8 = 3;
 
 fn main() -> ExitCode {
+    if let Some(code) = roles::run_role() {
+        return code;
+    }
     let settings = match RawSettings::parse().check() {
         Ok(settings) => settings,
         Err(error) => {
--- a/crates/gannetwayd/src/peer.rs
+++ b/crates/gannetwayd/src/peer.rs
@@ -75,6 +75,10 @@
             request::Body::SwapOrder(order) => target::order(&served, order, sink).await,
             request::Body::ReadReplica(read) => target::read(&served, read, sink).await,
             request::Body::FetchDocuments(fetch) => self.documents(&fetch, sink).await,
+            request::Body::Shard(_) => {
+                let why = "this box keeps no shards of jobs: ask a box that has a disk";
+                sink.refuse(wire_bad_request(why)).await;
+            }
         }
     }
 
@@ -145,6 +149,7 @@
         request::Body::SwapOrder(_) => "target.order",
         request::Body::ReadReplica(_) => "target.read",
         request::Body::FetchDocuments(_) => "documents.fetch",
+        request::Body::Shard(_) => "shard",
     }
 }
 
--- /dev/null
+++ b/crates/gannetwayd/src/roles.rs
@@ -0,0 +1,78 @@
+//! The roles of a deployment on the users' platform, each by a word on the command line.
+
+use std::io;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use node::logs::start_logs;
+use node::{RawNodeSettings, RawStorageSettings, SettingsError};
+use tokio::runtime::Builder;
+
+use crate::BAD_SETTINGS;
+
+#[derive(Debug, Parser)]
+#[command(name = "gannetwayd", version)]
+struct RoleCli {
+    #[command(subcommand)]
+    role: Role,
+}
+
+#[derive(Debug, Subcommand)]
+enum Role {
+    /// Takes callers' requests; keeps nothing.
+    Entry(RawNodeSettings),
+    /// Keeps jobs on its disk, runs their items, orders engines.
+    Keep(RawStorageSettings),
+}
+
+/// Words that name a role.
+const ROLES: [&str; 2] = ["entry", "keep"];
+
+/// Runs the role that the command line names; `None` when it names none.
+pub fn run_role() -> Option<ExitCode> {
+    let first = std::env::args().nth(1)?;
+    if !ROLES.contains(&first.as_str()) {
+        return None;
+    }
+    Some(match start_role(RoleCli::parse().role) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(RoleError::Settings(error)) => {
+            eprintln!("gannetwayd: {error}");
+            ExitCode::from(BAD_SETTINGS)
+        }
+        Err(RoleError::Io(error)) => {
+            eprintln!("gannetwayd: {error}; check the addresses and the data folder");
+            ExitCode::FAILURE
+        }
+    })
+}
+
+#[derive(Debug, thiserror::Error)]
+enum RoleError {
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+fn start_role(role: Role) -> Result<(), RoleError> {
+    // One thread: these boxes have a fraction of one core, and a second thread would only add
+    // the price of waking it.
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let flush = match role {
+        Role::Entry(raw) => {
+            let settings = raw.check()?;
+            let flush = start_logs(settings.box_id.as_str(), settings.log);
+            runtime.block_on(front::run_entry(settings))?;
+            flush
+        }
+        Role::Keep(raw) => {
+            let settings = raw.check()?;
+            let flush = start_logs(settings.node.box_id.as_str(), settings.node.log);
+            runtime.block_on(shards::run_storage(settings))?;
+            flush
+        }
+    };
+    flush.flush();
+    Ok(())
+}
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -13,8 +13,11 @@
 pub use digest::{AnswerDigest, DigestWriter};
 pub use moment::Moment;
 pub use number::{
-    FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion, SlotIndex,
-    StepNumber, TokenCount,
+    FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion, ShardIndex,
+    SlotIndex, StepNumber, TokenCount,
+};
+pub use text::{
+    BoxId, DomainId, IdError, InstanceId, ItemId, JobId, ModelName, PoolName, RequestId, RouteName,
+    ServiceName, TargetId, TrainerId,
 };
-pub use text::{BoxId, DomainId, IdError, PoolName, RequestId, ServiceName, TargetId, TrainerId};
 pub use window::VersionWindow;
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -98,6 +98,11 @@
     TokenCount(u32), "token count"
 }
 
+number_id! {
+    /// A share of all jobs, kept by one box at a time.
+    ShardIndex(u32), "shard index"
+}
+
 impl SlotIndex {
     /// The index for use with slices.
     pub const fn as_usize(self) -> usize {
--- a/crates/ids/src/text.rs
+++ b/crates/ids/src/text.rs
@@ -104,3 +104,24 @@
     /// One request, the same on every hop.
     RequestId, "request id"
 }
+
+text_id! {
+    /// One job: the samples of a step, asked for together.
+    JobId, "job id"
+}
+text_id! {
+    /// One item of a job, the same whenever it is asked for again.
+    ItemId, "item id"
+}
+text_id! {
+    /// One trained model.
+    ModelName, "model name"
+}
+text_id! {
+    /// One life of a target.
+    InstanceId, "instance id"
+}
+text_id! {
+    /// One route of the configuration.
+    RouteName, "route name"
+}
--- /dev/null
+++ b/crates/joblog/src/copy.rs
@@ -0,0 +1,128 @@
+//! Copies of logs on this box's disk: one file for each shard and epoch.
+//!
+//! All calls wait for the disk; a shell runs them where waiting is allowed.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+use ids::ShardIndex;
+use wire::peer::LogRecord;
+
+use crate::{EpochId, decode_records};
+
+/// Ending of a copy's file.
+const ENDING: &str = ".log";
+
+/// Why a copy could not be used.
+#[derive(Debug, thiserror::Error)]
+pub enum CopyError {
+    /// The disk failed.
+    #[error("the data folder failed ({0}): check that it exists, is writable and has room")]
+    Io(#[from] io::Error),
+    /// An append does not follow what is there.
+    #[error("the copy holds {held} bytes and the append begins at {offset}: form a new epoch")]
+    Gap {
+        /// Bytes held.
+        held: u64,
+        /// Where the append begins.
+        offset: u64,
+    },
+}
+
+/// The folder of all copies on this box.
+#[derive(Debug, Clone)]
+pub struct CopyFolder {
+    folder: PathBuf,
+}
+
+impl CopyFolder {
+    /// Opens the folder, making it where it is missing.
+    pub fn open(folder: &Path) -> Result<Self, CopyError> {
+        fs::create_dir_all(folder)?;
+        Ok(Self { folder: folder.to_owned() })
+    }
+
+    fn path(&self, shard: ShardIndex, epoch: &EpochId) -> PathBuf {
+        self.folder.join(format!("shard-{shard}-{epoch}{ENDING}"))
+    }
+
+    fn sync_folder(&self) -> Result<(), CopyError> {
+        File::open(&self.folder)?.sync_all()?;
+        Ok(())
+    }
+
+    /// Whether the copy of an epoch is here.
+    pub fn has(&self, shard: ShardIndex, epoch: &EpochId) -> bool {
+        self.path(shard, epoch).exists()
+    }
+
+    /// Begins an empty copy; one of the same epoch is replaced.
+    pub fn create(&self, shard: ShardIndex, epoch: &EpochId) -> Result<LogCopyFile, CopyError> {
+        let path = self.path(shard, epoch);
+        let file = OpenOptions::new().write(true).create(true).truncate(true).open(path)?;
+        self.sync_folder()?;
+        Ok(LogCopyFile { file, len: 0 })
+    }
+
+    /// The records of a copy, up to the first that is not whole.
+    pub fn read(&self, shard: ShardIndex, epoch: &EpochId) -> Result<Vec<LogRecord>, CopyError> {
+        let mut bytes = Vec::new();
+        File::open(self.path(shard, epoch))?.read_to_end(&mut bytes)?;
+        Ok(decode_records(&bytes).0)
+    }
+
+    /// The epochs of a shard that lie here.
+    pub fn epochs(&self, shard: ShardIndex) -> Result<Vec<EpochId>, CopyError> {
+        let start = format!("shard-{shard}-");
+        let mut epochs = Vec::new();
+        for entry in fs::read_dir(&self.folder)? {
+            let name = entry?.file_name();
+            let Some(name) = name.to_str() else { continue };
+            let epoch = name.strip_prefix(&start).and_then(|rest| rest.strip_suffix(ENDING));
+            epochs.extend(epoch.and_then(|epoch| epoch.parse().ok()));
+        }
+        Ok(epochs)
+    }
+
+    /// Removes the copy of an epoch that no plan names any more.
+    pub fn remove(&self, shard: ShardIndex, epoch: &EpochId) -> Result<(), CopyError> {
+        fs::remove_file(self.path(shard, epoch))?;
+        Ok(())
+    }
+}
+
+/// A copy that is open for appends.
+#[derive(Debug)]
+pub struct LogCopyFile {
+    file: File,
+    len: u64,
+}
+
+impl LogCopyFile {
+    /// Bytes held.
+    pub const fn len(&self) -> u64 {
+        self.len
+    }
+
+    /// Whether nothing is held.
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Appends encoded records that begin at `offset`. They last only after [`Self::sync`].
+    pub fn append(&mut self, offset: u64, records: &[u8]) -> Result<(), CopyError> {
+        if offset != self.len {
+            return Err(CopyError::Gap { held: self.len, offset });
+        }
+        self.file.write_all(records)?;
+        self.len += records.len() as u64;
+        Ok(())
+    }
+
+    /// Returns once all appends are on the disk.
+    pub fn sync(&mut self) -> Result<(), CopyError> {
+        self.file.sync_data()?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/joblog/src/duty.rs
@@ -0,0 +1,96 @@
+//! Who serves a shard, decided from the plan and from who is heard.
+
+use std::time::Duration;
+
+use ids::{BoxId, DomainId, ShardIndex};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{CopyHolder, ShardPlan};
+
+/// Silence after which the next copy's box takes the shard over. Beats come every 300 ms; three
+/// of them may be lost or late.
+pub const TAKE_AFTER: Duration = Duration::from_millis(1_200);
+
+/// Patience of a box that has just given the shard up and would rather not serve it again.
+pub const LEAVING_PATIENCE: Duration = Duration::from_millis(3_000);
+
+/// The shard that keeps a job.
+pub fn shard_of(job: &str, shards: u32) -> ShardIndex {
+    let hash = xxh3_64(job.as_bytes());
+    ShardIndex::new(u32::try_from(hash % u64::from(shards.max(1))).unwrap_or(0))
+}
+
+/// What a box knows when it decides.
+#[derive(Debug, Clone, Copy)]
+pub struct DutyView<'a> {
+    /// This box.
+    pub me: &'a BoxId,
+    /// The plan as last read; `None` when the store holds none.
+    pub plan: Option<&'a ShardPlan>,
+    /// Whether this box has the plan's copy on its disk.
+    pub has_copy: bool,
+    /// How long the plan's server has not said that it serves the shard.
+    pub server_silent: Duration,
+    /// Place of this box among those that could begin a shard without a plan.
+    pub first_rank: usize,
+    /// How long this box has known that there is no plan.
+    pub no_plan_for: Duration,
+    /// Whether this box is to be emptied or to stop.
+    pub leaving: bool,
+    /// Whether the shard's server has asked this box to go on in its place.
+    pub asked: bool,
+}
+
+/// What a box should do about a shard that it does not serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShardDuty {
+    /// Begin to serve it: close the own copy, form a new epoch.
+    Take,
+    /// Nothing now.
+    Wait,
+}
+
+/// Decides whether to take a shard.
+pub fn shard_duty(view: &DutyView<'_>) -> ShardDuty {
+    let take = match view.plan {
+        None => {
+            let patience = TAKE_AFTER * u32::try_from(view.first_rank).unwrap_or(u32::MAX);
+            !view.leaving && view.no_plan_for >= patience
+        }
+        Some(plan) => match plan.rank(view.me) {
+            Some(rank) if view.has_copy => {
+                let extra = if view.leaving { LEAVING_PATIENCE } else { Duration::ZERO };
+                let patience = TAKE_AFTER * u32::try_from(rank).unwrap_or(u32::MAX) + extra;
+                view.asked || view.server_silent >= patience
+            }
+            _ => false,
+        },
+    };
+    if take { ShardDuty::Take } else { ShardDuty::Wait }
+}
+
+/// The boxes for the other copies of a shard: in failure domains other than `domain` and than
+/// each other where there are enough, ranked alike on every box. `None` when there are too few.
+pub fn choose_partners(
+    shard: ShardIndex,
+    domain: &DomainId,
+    alive: &[CopyHolder],
+    count: usize,
+) -> Option<Vec<CopyHolder>> {
+    let key = shard.to_string();
+    let ranked =
+        coord::rendezvous::ranked(&key, alive.iter().map(|copy| &copy.box_id), alive.len());
+    let mut left: Vec<&CopyHolder> = ranked
+        .into_iter()
+        .filter_map(|box_id| alive.iter().find(|copy| copy.box_id == *box_id))
+        .collect();
+    let mut chosen: Vec<CopyHolder> = Vec::new();
+    while chosen.len() < count {
+        let used = |copy: &CopyHolder| {
+            copy.domain == *domain || chosen.iter().any(|other| other.domain == copy.domain)
+        };
+        let at = left.iter().position(|copy| !used(copy)).or((!left.is_empty()).then_some(0))?;
+        chosen.push(left.remove(at).clone());
+    }
+    Some(chosen)
+}
--- /dev/null
+++ b/crates/jobs/src/book.rs
@@ -0,0 +1,483 @@
+//! The jobs of one shard.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{JobId, Moment};
+use wire::peer::log_record::Body;
+use wire::peer::{EndedJob, Job, JobPage, JobResult, ListedResult, LogRecord};
+
+use crate::item::{ItemPhase, ItemState};
+use crate::{ItemRef, RewardEnd, RunEnd, RunOutcome, RunSpec, run_order};
+
+/// Pause before an item that failed is started again, so that a target in trouble, or the list
+/// that still names it, has time to change.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// Beyond the route's longest wait before an item is given up: a clock that runs fast must not
+/// give up early.
+const GIVE_UP_SLACK: Duration = Duration::from_secs(1);
+
+/// Limits of a shard's jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JobLimits {
+    /// How long a job can be read after it was taken, at least.
+    pub retention: Duration,
+    /// Most bytes of items, texts and results that the shard may hold; no more jobs are taken
+    /// beyond it.
+    pub most_bytes: usize,
+}
+
+/// How much a shard holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct JobCounts {
+    /// Jobs held.
+    pub jobs: usize,
+    /// Items to be started.
+    pub waiting: usize,
+    /// Bytes of jobs and results.
+    pub bytes: usize,
+}
+
+#[derive(Debug)]
+struct JobState {
+    job: Arc<Job>,
+    taken_at: Moment,
+    items: Vec<ItemState>,
+    /// Items to start, best first.
+    waiting: VecDeque<u32>,
+    /// Results that are on every copy of the log, by position.
+    listed: Vec<JobResult>,
+    /// Positions handed out, listed or on the way to the log.
+    positions: u32,
+    ended: bool,
+    /// The end is on its way to the log: nothing more is started.
+    ending: bool,
+    dropping: bool,
+    bytes: usize,
+}
+
+/// The jobs of one shard.
+#[derive(Debug)]
+pub struct JobBook {
+    limits: JobLimits,
+    jobs: HashMap<JobId, JobState>,
+    /// Jobs that still run, in the order in which they were taken.
+    open: Vec<JobId>,
+    /// The last job that holds an item, for text that comes in use again.
+    holders: HashMap<String, ItemRef>,
+    bytes: usize,
+}
+
+impl JobBook {
+    /// A book without jobs.
+    pub fn new(limits: JobLimits) -> Self {
+        Self { limits, jobs: HashMap::new(), open: Vec::new(), holders: HashMap::new(), bytes: 0 }
+    }
+
+    /// Whether a job is held.
+    pub fn knows(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    /// Whether there is room for a job of `bytes`.
+    pub const fn has_room(&self, bytes: usize) -> bool {
+        self.bytes + bytes <= self.limits.most_bytes
+    }
+
+    /// Whether a job has ended, or its end is on the way; `None` when it is not held.
+    pub fn is_ended(&self, id: &JobId) -> Option<bool> {
+        self.jobs.get(id).map(|state| state.ended || state.ending)
+    }
+
+    /// How much is held.
+    pub fn counts(&self) -> JobCounts {
+        let open = self.open.iter().filter_map(|id| self.jobs.get(id));
+        JobCounts {
+            jobs: self.jobs.len(),
+            waiting: open.map(|state| state.waiting.len()).sum(),
+            bytes: self.bytes,
+        }
+    }
+
+    /// Applies a record that is on every copy of the log. Records that say nothing new change
+    /// nothing, so a record may be applied twice.
+    pub fn apply(&mut self, now: Moment, record: LogRecord) {
+        match record.body {
+            Some(Body::Accepted(job)) => self.apply_accepted(now, job),
+            Some(Body::Listed(listed)) => self.apply_listed(listed),
+            Some(Body::Ended(ended)) => self.apply_ended(&ended.job),
+            Some(Body::Dropped(dropped)) => self.apply_dropped(&dropped.job),
+            None => {}
+        }
+    }
+
+    fn apply_accepted(&mut self, now: Moment, job: Job) {
+        let Ok(id) = job.id.parse::<JobId>() else { return };
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let job = Arc::new(job);
+        let order = run_order(&job, |item| self.holders.contains_key(item));
+        let mut items = vec![ItemState::new(); job.items.len()];
+        for (index, item) in job.items.iter().enumerate() {
+            if let Some(state) = self.carried(&job, &item.id) {
+                items[index] = state;
+            }
+            let index = u32::try_from(index).unwrap_or(u32::MAX);
+            self.holders.insert(item.id.clone(), ItemRef { job: id.clone(), index });
+        }
+        let bytes = job.items.iter().map(|item| item.body.len() + item.path.len()).sum();
+        self.bytes += bytes;
+        let state = JobState {
+            job,
+            taken_at: now,
+            items,
+            waiting: order.into(),
+            listed: Vec::new(),
+            positions: 0,
+            ended: false,
+            ending: false,
+            dropping: false,
+            bytes,
+        };
+        self.jobs.insert(id.clone(), state);
+        self.open.push(id);
+    }
+
+    /// Text of an item that an earlier job has left behind, if this job may use it.
+    fn carried(&self, job: &Job, item: &str) -> Option<ItemState> {
+        let holder = self.holders.get(item)?;
+        let earlier = self.jobs.get(&holder.job)?;
+        let request = earlier.job.items.get(holder.index as usize)?;
+        let mut state = ItemState::new();
+        let held = earlier.items.get(holder.index as usize)?;
+        let listed = earlier.listed.iter().find(|result| result.item == item && result.done);
+        if let Some(result) = listed {
+            state.text.clone_from(&result.text);
+            state.versions.clone_from(&result.versions);
+            state.whole = true;
+            state.score = Some(result.score.clone());
+        } else {
+            state.text.clone_from(&held.text);
+            state.events = held.events;
+            state.versions.clone_from(&held.versions);
+            state.whole = held.whole;
+        }
+        let wanted = job.items.iter().find(|other| other.id == item)?;
+        let same_reward = request.reward.as_ref().map(|reward| &reward.id)
+            == wanted.reward.as_ref().map(|reward| &reward.id);
+        if !same_reward {
+            state.score = None;
+        }
+        (!state.versions.is_empty() && ItemState::fits(&state.versions, job)).then_some(state)
+    }
+
+    fn apply_listed(&mut self, listed: ListedResult) {
+        let Some(state) = self.state_mut(&listed.job) else { return };
+        let Some(result) = listed.result else { return };
+        if listed.position as usize != state.listed.len() {
+            return;
+        }
+        let index = state.job.items.iter().position(|item| item.id == result.item);
+        if let Some(index) = index {
+            state.items[index].phase = ItemPhase::Listed;
+            state.items[index].text = Vec::new();
+            state.waiting.retain(|waiting| *waiting as usize != index);
+        }
+        let bytes = result.text.len();
+        state.listed.push(result);
+        state.positions = state.positions.max(u32::try_from(state.listed.len()).unwrap_or(0));
+        state.bytes += bytes;
+        self.bytes += bytes;
+    }
+
+    fn apply_ended(&mut self, job: &str) {
+        let Some(state) = self.state_mut(job) else { return };
+        state.ended = true;
+        state.ending = true;
+        state.waiting.clear();
+        self.open.retain(|open| open.as_str() != job);
+    }
+
+    fn apply_dropped(&mut self, job: &str) {
+        let Ok(id) = job.parse::<JobId>() else { return };
+        let Some(state) = self.jobs.remove(&id) else { return };
+        self.bytes = self.bytes.saturating_sub(state.bytes);
+        self.open.retain(|open| *open != id);
+        self.holders.retain(|_, holder| holder.job != id);
+    }
+
+    fn state_mut(&mut self, job: &str) -> Option<&mut JobState> {
+        let id = job.parse::<JobId>().ok()?;
+        self.jobs.get_mut(&id)
+    }
+
+    /// Records that give the same book when they are replayed, in order.
+    pub fn snapshot(&self) -> Vec<LogRecord> {
+        let mut ids: Vec<&JobId> = self.jobs.keys().collect();
+        ids.sort_by_key(|id| (self.jobs[*id].taken_at, (*id).clone()));
+        let mut records = Vec::new();
+        for id in ids {
+            let state = &self.jobs[id];
+            let job = id.to_string();
+            records.push(record(Body::Accepted(state.job.as_ref().clone())));
+            for (position, result) in state.listed.iter().enumerate() {
+                let position = u32::try_from(position).unwrap_or(u32::MAX);
+                let result = Some(result.clone());
+                records.push(record(Body::Listed(ListedResult {
+                    job: job.clone(),
+                    position,
+                    result,
+                })));
+            }
+            if state.ended {
+                records.push(record(Body::Ended(EndedJob { job })));
+            }
+        }
+        records
+    }
+
+    /// Forgets what was on the way to a log that is closed now: items whose record was not
+    /// applied are listed again, or go on with the text they have.
+    pub fn forget_unlogged(&mut self) {
+        for state in self.jobs.values_mut() {
+            state.positions = u32::try_from(state.listed.len()).unwrap_or(u32::MAX);
+            state.ending = state.ended;
+            state.dropping = false;
+            if state.ended {
+                continue;
+            }
+            let listed: HashSet<&str> =
+                state.listed.iter().map(|result| result.item.as_str()).collect();
+            for (index, item) in state.items.iter_mut().enumerate() {
+                let is_listed = listed.contains(state.job.items[index].id.as_str());
+                let index = u32::try_from(index).unwrap_or(u32::MAX);
+                if item.phase == ItemPhase::Listed && !is_listed {
+                    item.phase = ItemPhase::Waiting;
+                }
+                let idle = item.phase == ItemPhase::Waiting;
+                if idle && !state.waiting.contains(&index) {
+                    state.waiting.push_front(index);
+                }
+            }
+        }
+    }
+
+    /// Items that may start now, best first, each with the model and the oldest version that
+    /// its target must hold. `start` says whether it has found a target for the item; when it
+    /// has not, the rest of that job waits too.
+    pub fn start_ready(&mut self, now: Moment, mut start: impl FnMut(RunSpec) -> bool) {
+        for id in self.open.clone() {
+            let Some(state) = self.jobs.get_mut(&id) else { continue };
+            if state.ended || state.ending {
+                continue;
+            }
+            let mut at = 0;
+            while let Some(index) = state.waiting.get(at).copied() {
+                let item = &state.items[index as usize];
+                if now < item.not_before {
+                    at += 1;
+                    continue;
+                }
+                let spec = RunSpec {
+                    item: ItemRef { job: id.clone(), index },
+                    job: Arc::clone(&state.job),
+                    events: item.events,
+                    newest: item.versions.last().copied(),
+                    whole: item.whole,
+                };
+                if !start(spec) {
+                    break;
+                }
+                state.items[index as usize].phase = ItemPhase::Running;
+                state.waiting.remove(at);
+            }
+        }
+    }
+
+    /// When an item that pauses may start, if that is later than `now`.
+    pub fn next_start(&self, now: Moment) -> Option<Moment> {
+        let open = self.open.iter().filter_map(|id| self.jobs.get(id));
+        let items = open.flat_map(|state| {
+            state.waiting.iter().map(|index| state.items[*index as usize].not_before)
+        });
+        items.filter(|at| *at > now).min()
+    }
+
+    /// The score of a text that was whole before, from an earlier job.
+    pub fn known_score(&self, item: &ItemRef) -> Option<String> {
+        let state = self.jobs.get(&item.job)?;
+        state.items.get(item.index as usize)?.score.clone()
+    }
+
+    /// Takes the end of a run. `true` when the text is whole and its reward call is due.
+    pub fn run_ended(&mut self, now: Moment, item: &ItemRef, run: &RunEnd) -> bool {
+        let Some(state) = self.jobs.get_mut(&item.job) else { return false };
+        let job = Arc::clone(&state.job);
+        let Some(entry) = state.items.get_mut(item.index as usize) else { return false };
+        if entry.phase == ItemPhase::Listed {
+            return false;
+        }
+        if run.outcome == RunOutcome::Unusable {
+            entry.forget_text();
+        } else {
+            entry.add(&run.events, &run.versions);
+            if !ItemState::fits(&entry.versions, &job) {
+                entry.forget_text();
+                return self.again(now, item, RETRY_PAUSE);
+            }
+        }
+        match run.outcome {
+            RunOutcome::Whole => {
+                entry.whole = true;
+                true
+            }
+            RunOutcome::Failed => {
+                entry.failures += 1;
+                self.again(now, item, RETRY_PAUSE)
+            }
+            RunOutcome::Impossible => {
+                entry.failures = job.attempts.max(1);
+                self.again(now, item, Duration::ZERO)
+            }
+            RunOutcome::Cut | RunOutcome::NotRun | RunOutcome::Unusable => {
+                self.again(now, item, RETRY_PAUSE)
+            }
+        }
+    }
+
+    /// Takes the end of a reward call; the record to append when the item is done with.
+    pub fn scored(&mut self, now: Moment, item: &ItemRef, end: RewardEnd) -> Option<LogRecord> {
+        let state = self.jobs.get_mut(&item.job)?;
+        let entry = state.items.get_mut(item.index as usize)?;
+        if entry.phase == ItemPhase::Listed || state.ending {
+            return None;
+        }
+        match end {
+            RewardEnd::Scored(score) => {
+                entry.score = Some(score);
+                return self.list(item, true);
+            }
+            RewardEnd::Failed { attempts } => {
+                entry.reward_failures += 1;
+                entry.reward_attempts = attempts;
+            }
+            RewardEnd::Missed => {}
+        }
+        self.again(now, item, RETRY_PAUSE);
+        None
+    }
+
+    /// The records of items that failed so often, or waited so long, that they are given up.
+    pub fn give_up(&mut self, now: Moment) -> Vec<LogRecord> {
+        let mut lost = Vec::new();
+        for id in &self.open {
+            let Some(state) = self.jobs.get(id) else { continue };
+            let late = state.job.max_wait_ms > 0
+                && now.since(state.taken_at)
+                    > Duration::from_millis(state.job.max_wait_ms) + GIVE_UP_SLACK;
+            let attempts = state.job.attempts.max(1);
+            for index in &state.waiting {
+                let item = &state.items[*index as usize];
+                let rewards = item.reward_attempts.max(attempts);
+                let spent = item.failures >= attempts || item.reward_failures >= rewards;
+                if spent || late {
+                    lost.push(ItemRef { job: id.clone(), index: *index });
+                }
+            }
+        }
+        lost.iter().filter_map(|item| self.list(item, false)).collect()
+    }
+
+    fn list(&mut self, item: &ItemRef, done: bool) -> Option<LogRecord> {
+        let state = self.jobs.get_mut(&item.job)?;
+        let request = state.job.items.get(item.index as usize)?;
+        let entry = state.items.get_mut(item.index as usize)?;
+        entry.phase = ItemPhase::Listed;
+        let result = JobResult {
+            item: request.id.clone(),
+            done,
+            text: if done { entry.text.clone() } else { Vec::new() },
+            versions: if done { entry.versions.clone() } else { Vec::new() },
+            score: entry.score.clone().filter(|_| done).unwrap_or_default(),
+        };
+        let position = state.positions;
+        state.positions += 1;
+        state.waiting.retain(|waiting| *waiting != item.index);
+        let listed = ListedResult { job: item.job.to_string(), position, result: Some(result) };
+        Some(record(Body::Listed(listed)))
+    }
+
+    fn again(&mut self, now: Moment, item: &ItemRef, pause: Duration) -> bool {
+        let Some(state) = self.jobs.get_mut(&item.job) else { return false };
+        let Some(entry) = state.items.get_mut(item.index as usize) else { return false };
+        if entry.phase != ItemPhase::Listed {
+            entry.phase = ItemPhase::Waiting;
+            entry.not_before = now + pause;
+            if !state.ending && !state.waiting.contains(&item.index) {
+                state.waiting.push_front(item.index);
+            }
+        }
+        false
+    }
+
+    /// The record that ends a job; `None` when its end is known or on the way.
+    pub fn end(&mut self, id: &JobId) -> Option<LogRecord> {
+        let state = self.jobs.get_mut(id)?;
+        if state.ending {
+            return None;
+        }
+        state.ending = true;
+        state.waiting.clear();
+        Some(record(Body::Ended(EndedJob { job: id.to_string() })))
+    }
+
+    /// The records that drop ended jobs past their retention.
+    pub fn expire(&mut self, now: Moment) -> Vec<LogRecord> {
+        let retention = self.limits.retention;
+        let old = self.jobs.iter_mut().filter(|(_, state)| {
+            state.ended && !state.dropping && now.since(state.taken_at) > retention
+        });
+        let dropped = old.map(|(id, state)| {
+            state.dropping = true;
+            record(Body::Dropped(EndedJob { job: id.to_string() }))
+        });
+        dropped.collect()
+    }
+
+    /// Results from position `from`: at least one if there is one, `most_bytes` of text at most.
+    /// `None` when the job is not held.
+    pub fn page(&self, id: &JobId, from: u32, most_bytes: usize) -> Option<JobPage> {
+        let state = self.jobs.get(id)?;
+        let total = u32::try_from(state.job.items.len()).unwrap_or(u32::MAX);
+        let mut results = Vec::new();
+        let mut bytes = 0;
+        for result in state.listed.iter().skip(from as usize) {
+            bytes += result.text.len();
+            if !results.is_empty() && bytes > most_bytes {
+                break;
+            }
+            results.push(result.clone());
+        }
+        Some(JobPage { total, results })
+    }
+
+    /// The body of an item that is not listed yet.
+    pub fn body(&self, id: &JobId, item: &str) -> Option<Vec<u8>> {
+        let state = self.jobs.get(id)?;
+        let request = state.job.items.iter().find(|other| other.id == item)?;
+        Some(request.body.clone())
+    }
+}
+
+fn record(body: Body) -> LogRecord {
+    LogRecord { body: Some(body) }
+}
+
+impl JobBook {
+    /// Whether an item's run should be broken off: its job has ended or is not held any more.
+    pub fn is_moot(&self, item: &ItemRef) -> bool {
+        self.jobs.get(&item.job).is_none_or(|state| state.ending)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/item.rs
@@ -0,0 +1,151 @@
+//! One item of a job on its way to a result.
+
+use std::sync::Arc;
+
+use ids::{JobId, Moment};
+use wire::peer::{Job, JobItem};
+
+/// Names an item by its job and index.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ItemRef {
+    /// The job.
+    pub job: JobId,
+    /// Index of the item in the job.
+    pub index: u32,
+}
+
+/// What a run of an item needs.
+#[derive(Debug, Clone)]
+pub struct RunSpec {
+    /// The item.
+    pub item: ItemRef,
+    /// The job it belongs to.
+    pub job: Arc<Job>,
+    /// Events of its text that are held already; the run goes on after them.
+    pub events: u32,
+    /// The newest version that made a part of the held text.
+    pub newest: Option<u64>,
+    /// Whether the text is whole, and only the reward call is missing.
+    pub whole: bool,
+}
+
+impl RunSpec {
+    /// The item's own request.
+    pub fn request(&self) -> Option<&JobItem> {
+        self.job.items.get(self.item.index as usize)
+    }
+}
+
+/// How a run of an item ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// The last event came, and the answer ended as it should.
+    Whole,
+    /// The answer broke off or fell silent; another target goes on after the last whole event.
+    Cut,
+    /// The target took no work.
+    NotRun,
+    /// The target answered with an error of its own.
+    Failed,
+    /// The target said that the item can never be done.
+    Impossible,
+    /// The answer does not continue the held text: it is of no use.
+    Unusable,
+}
+
+/// What a run brought.
+#[derive(Debug, Clone)]
+pub struct RunEnd {
+    /// How it ended.
+    pub outcome: RunOutcome,
+    /// Data of the whole events that came, in order.
+    pub events: Vec<Vec<u8>>,
+    /// Versions that made these events, in order, without repeats.
+    pub versions: Vec<u64>,
+}
+
+/// How a reward call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RewardEnd {
+    /// The signature of its success.
+    Scored(String),
+    /// An error of the target itself; the item may be given up after `attempts` of them.
+    Failed {
+        /// From the reward call's own route.
+        attempts: u32,
+    },
+    /// It got no answer, or no target took it.
+    Missed,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ItemPhase {
+    /// To be started.
+    Waiting,
+    /// A run or a reward call is under way.
+    Running,
+    /// Its record is on the way to the log, or applied.
+    Listed,
+}
+
+/// State of an item that is lost with the box.
+#[derive(Debug, Clone)]
+pub(crate) struct ItemState {
+    pub phase: ItemPhase,
+    pub not_before: Moment,
+    pub failures: u32,
+    pub reward_failures: u32,
+    pub reward_attempts: u32,
+    /// Data of the events so far, joined by line feeds.
+    pub text: Vec<u8>,
+    pub events: u32,
+    pub versions: Vec<u64>,
+    pub whole: bool,
+    pub score: Option<String>,
+}
+
+impl ItemState {
+    pub(crate) const fn new() -> Self {
+        Self {
+            phase: ItemPhase::Waiting,
+            not_before: Moment::START,
+            failures: 0,
+            reward_failures: 0,
+            reward_attempts: 0,
+            text: Vec::new(),
+            events: 0,
+            versions: Vec::new(),
+            whole: false,
+            score: None,
+        }
+    }
+
+    pub(crate) fn add(&mut self, events: &[Vec<u8>], versions: &[u64]) {
+        for event in events {
+            if self.events > 0 {
+                self.text.push(b'\n');
+            }
+            self.text.extend_from_slice(event);
+            self.events += 1;
+        }
+        for version in versions {
+            if self.versions.last() != Some(version) {
+                self.versions.push(*version);
+            }
+        }
+    }
+
+    pub(crate) fn forget_text(&mut self) {
+        self.text.clear();
+        self.events = 0;
+        self.versions.clear();
+        self.whole = false;
+        self.score = None;
+    }
+
+    /// Whether text of these versions may stand in a sample of the job.
+    pub(crate) fn fits(versions: &[u64], job: &Job) -> bool {
+        let fresh = versions.iter().all(|version| *version >= job.min_version);
+        fresh && (!job.single_version || versions.iter().all(|version| *version == versions[0]))
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,29 @@
+//! Jobs: items, attempts, positions and results, without I/O.
+//!
+//! A [`JobBook`] holds the jobs of one shard. It changes by two ways only. What must survive a
+//! lost box goes through log records: a job taken, a result listed at its position, a job ended.
+//! The shell appends each record to every copy of the shard's log and then calls
+//! [`JobBook::apply`]; replaying a log gives the same book. What may be lost with a box (which
+//! item runs where, text that is not whole yet) changes directly, through [`JobBook::start`],
+//! [`JobBook::run_ended`] and [`JobBook::scored`].
+//!
+//! A result can be read only after its record was applied, so a position that anybody has seen
+//! is on every copy.
+
+mod book;
+mod item;
+mod order;
+
+pub use book::{JobBook, JobCounts, JobLimits};
+pub use item::{ItemRef, RewardEnd, RunEnd, RunOutcome, RunSpec};
+pub use order::run_order;
+
+/// Short names of the reasons for which a shard's server refuses a call.
+pub mod reason {
+    /// The job is not held, and never was or is dropped.
+    pub const NO_JOB: &str = "no_job";
+    /// The job has no such item.
+    pub const NO_ITEM: &str = "no_item";
+    /// The shard is full.
+    pub const FULL: &str = "full";
+}
--- /dev/null
+++ b/crates/node/src/duties.rs
@@ -0,0 +1,131 @@
+//! Which boxes keep data, and who serves which shard, as the store tells it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use ids::{BoxId, ShardIndex};
+use joblog::{CopyHolder, ShardPlan};
+use platform::{Changed, Listing, Stored};
+
+use crate::NodeView;
+use crate::follow::KindSink;
+
+const BOX_PREFIX: &str = "box-";
+const SHARD_PREFIX: &str = "shard-";
+
+/// Name of the object that tells where a box with a disk is.
+pub fn box_object(box_id: &BoxId) -> String {
+    format!("{BOX_PREFIX}{box_id}")
+}
+
+/// Name of the object that holds a shard's plan.
+pub fn shard_object(shard: ShardIndex) -> String {
+    format!("{SHARD_PREFIX}{shard}")
+}
+
+/// A plan as read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlanSighting {
+    /// Its revision, for a conditional write.
+    pub revision: u64,
+    /// The plan.
+    pub plan: ShardPlan,
+}
+
+/// What the store tells of duties.
+#[derive(Debug, Default)]
+pub struct DutyBoard {
+    boxes: BTreeMap<BoxId, CopyHolder>,
+    plans: HashMap<ShardIndex, PlanSighting>,
+    /// Whether the store has been read at all.
+    read: bool,
+}
+
+impl DutyBoard {
+    /// Boxes with a disk, whether they live or not.
+    pub fn boxes(&self) -> impl Iterator<Item = &CopyHolder> {
+        self.boxes.values()
+    }
+
+    /// A shard's plan.
+    pub fn plan(&self, shard: ShardIndex) -> Option<&PlanSighting> {
+        self.plans.get(&shard)
+    }
+
+    /// Whether the store has been read, so that a plan not known is not there.
+    pub const fn is_read(&self) -> bool {
+        self.read
+    }
+
+    /// Whether any plan names a box.
+    pub fn has_duty(&self, box_id: &BoxId) -> bool {
+        self.plans.values().any(|sighting| sighting.plan.rank(box_id).is_some())
+    }
+
+    /// Takes a plan unless a later one is known.
+    pub fn put_plan(&mut self, shard: ShardIndex, sighting: PlanSighting) {
+        let known = self.plans.get(&shard);
+        if known.is_some_and(|known| known.revision > sighting.revision) {
+            return;
+        }
+        if known.is_none_or(|known| known.plan.epoch != sighting.plan.epoch) {
+            let plan = &sighting.plan;
+            log::info!(
+                target: "shard", shard = shard.get(), token = plan.epoch.token.get(),
+                server:% = plan.server().map_or("none", |copy| copy.box_id.as_str()),
+                copies = plan.copies.len(), revision = sighting.revision;
+                "plan in force"
+            );
+        }
+        self.plans.insert(shard, sighting);
+    }
+
+    fn put(&mut self, stored: &Stored) {
+        if let Some(shard) = stored.name.strip_prefix(SHARD_PREFIX) {
+            let Ok(shard) = shard.parse() else { return };
+            match stored.parse() {
+                Ok(plan) => {
+                    self.put_plan(shard, PlanSighting { revision: stored.revision, plan });
+                }
+                Err(error) => log::warn!(target: "shard", error:% = error; "plan refused"),
+            }
+        } else if stored.name.starts_with(BOX_PREFIX) {
+            match stored.parse::<CopyHolder>() {
+                Ok(copy) => {
+                    self.boxes.insert(copy.box_id.clone(), copy);
+                }
+                Err(error) => log::warn!(target: "shard", error:% = error; "box refused"),
+            }
+        }
+    }
+
+    fn remove(&mut self, name: &str) {
+        if let Some(box_id) = name.strip_prefix(BOX_PREFIX) {
+            self.boxes.retain(|known, _| known.as_str() != box_id);
+        }
+    }
+}
+
+/// Keeps the duties.
+#[derive(Debug)]
+pub struct DutySink(pub Arc<NodeView>);
+
+impl KindSink for DutySink {
+    fn listed(&mut self, listing: &Listing) {
+        let mut duties = self.0.duties();
+        for stored in &listing.objects {
+            duties.put(stored);
+        }
+        duties.read = true;
+        drop(duties);
+        self.0.wake();
+    }
+
+    fn changed(&mut self, change: &Changed) {
+        match change {
+            Changed::Put(stored) => self.0.duties().put(stored),
+            Changed::Removed(name) => self.0.duties().remove(name),
+        }
+        self.0.wake();
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,22 @@
+//! What both roles of a box on the platform share.
+//!
+//! [`NodeView`] is the box's belief: the configuration in force, the targets, the named model
+//! versions, and whether the store answers. Followers keep it current; everything on the request
+//! path only reads it. [`call_plain`] sends one plain request, with its retries.
+
+pub mod duties;
+pub mod follow;
+pub mod logs;
+mod metrics;
+mod plain;
+mod settings;
+mod stop;
+mod view;
+
+pub use metrics::{NodeMetrics, serve_metrics};
+pub use plain::{PlainCall, PlainEnd, call_plain};
+pub use settings::{
+    NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
+};
+pub use stop::wait_for_stop;
+pub use view::{NodeView, clock_now};
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,129 @@
+//! What a box counts, and the address that tells it.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::routing::get;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use tokio::net::TcpListener;
+
+/// Labels of an outcome: what was done, and how it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct OutcomeLabels {
+    what: &'static str,
+    outcome: &'static str,
+}
+
+impl EncodeLabelSet for OutcomeLabels {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), fmt::Error> {
+        use prometheus_client::encoding::EncodeLabel;
+        ("what", self.what).encode(encoder.encode_label())?;
+        ("outcome", self.outcome).encode(encoder.encode_label())
+    }
+}
+
+/// What a box counts. Labels are fixed words, so their number is bounded.
+pub struct NodeMetrics {
+    registry: Registry,
+    ended: Family<OutcomeLabels, Counter>,
+    latency: Histogram,
+    store_calls: Counter,
+    jobs_held: Gauge,
+    items_waiting: Gauge,
+    job_bytes: Gauge,
+}
+
+impl fmt::Debug for NodeMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("NodeMetrics")
+    }
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("gannetway");
+        let ended = Family::default();
+        // From 1 ms, doubling up to 16 s: an answer's aim lies in the middle.
+        let latency = Histogram::new(exponential_buckets(0.001, 2.0, 15));
+        let store_calls = Counter::default();
+        let (jobs_held, items_waiting, job_bytes) =
+            (Gauge::default(), Gauge::default(), Gauge::default());
+        registry.register("ended", "What ended, and how", ended.clone());
+        registry.register_with_unit(
+            "request_latency",
+            "Time from a request's head to its answer",
+            Unit::Seconds,
+            latency.clone(),
+        );
+        registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
+        registry.register("jobs_held", "Jobs held by shards served here", jobs_held.clone());
+        registry.register("items_waiting", "Items to be started", items_waiting.clone());
+        registry.register_with_unit(
+            "job_memory",
+            "Jobs and results held",
+            Unit::Bytes,
+            job_bytes.clone(),
+        );
+        Self { registry, ended, latency, store_calls, jobs_held, items_waiting, job_bytes }
+    }
+}
+
+impl NodeMetrics {
+    /// Counts something that ended.
+    pub fn ended(&self, what: &'static str, outcome: &'static str) {
+        self.ended.get_or_create(&OutcomeLabels { what, outcome }).inc();
+    }
+
+    /// Notes how long a request took.
+    pub fn took(&self, time: Duration) {
+        self.latency.observe(time.as_secs_f64());
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self) {
+        self.store_calls.inc();
+    }
+
+    /// Notes what the shards served here hold.
+    pub fn jobs(&self, held: usize, waiting: usize, bytes: usize) {
+        let number = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.jobs_held.set(number(held));
+        self.items_waiting.set(number(waiting));
+        self.job_bytes.set(number(bytes));
+    }
+
+    fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _infallible = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Serves the metrics as text, under `/metrics`.
+pub async fn serve_metrics(view: Arc<crate::NodeView>, address: SocketAddr) {
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!(target: "node", address:% = address, error:% = error; "no metrics");
+            return;
+        }
+    };
+    let page = move || {
+        let view = Arc::clone(&view);
+        async move { view.metrics.text() }
+    };
+    let served = axum::serve(listener, Router::new().route("/metrics", get(page))).await;
+    if let Err(error) = served {
+        log::warn!(target: "node", error:% = error; "metrics ended");
+    }
+}
--- /dev/null
+++ b/crates/node/src/plain.rs
@@ -0,0 +1,208 @@
+//! One plain request, sent to targets until it is answered or nothing may be tried any more.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+use ids::InstanceId;
+use platform::headers::{self, AnswerFacts};
+use rand::Rng;
+use routing::{ChoiceNeed, Route, RouteKind, TargetFailure, TargetSlot};
+use tokio::time::{self, Instant};
+use upstream::{SendError, WholeAnswer};
+
+use crate::NodeView;
+
+/// Longest answer that is held whole, in bytes.
+const MOST_ANSWER: usize = 8 << 20;
+/// Tries that no target ran, beyond the route's attempts: full targets answer at once.
+const NOT_RUN_TRIES: u32 = 4;
+/// A try may take this many times the route's goal before another target is tried.
+const TRY_GOALS: u32 = 3;
+/// Shortest time for one try.
+const SHORTEST_TRY: Duration = Duration::from_millis(300);
+/// Goal assumed where a route tells none.
+const DEFAULT_GOAL: Duration = Duration::from_millis(500);
+/// Pause before a try after every target was full or none was there.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+
+/// One plain request.
+#[derive(Debug)]
+pub struct PlainCall<'a> {
+    /// Its route.
+    pub route: &'a Route,
+    /// Its id.
+    pub request_id: &'a str,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, as the caller sent them.
+    pub uri: Uri,
+    /// Its headers, without those of the connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// When the caller stops waiting, or the route's time is over.
+    pub deadline: Instant,
+}
+
+/// How a plain request ended.
+#[derive(Debug)]
+pub enum PlainEnd {
+    /// A target answered, perhaps with an error of its own.
+    Answered(WholeAnswer),
+    /// No target has run it, and none will.
+    NotRun(&'static str),
+    /// It may have run.
+    Unknown(&'static str),
+}
+
+enum TryEnd {
+    Answered(WholeAnswer),
+    NotRun,
+    Broken,
+}
+
+/// Sends a plain request. Only what may be repeated is sent again after it may have run.
+pub async fn call_plain(view: &NodeView, call: PlainCall<'_>) -> PlainEnd {
+    let repeatable = call.route.kind == RouteKind::Safe;
+    let mut tried: Vec<InstanceId> = Vec::new();
+    let (mut runs, mut not_run) = (0, 0);
+    let mut last_answer = None;
+    while runs < call.route.attempts && not_run < NOT_RUN_TRIES && Instant::now() < call.deadline {
+        let Some(slot) = choose(view, &call, &tried) else {
+            not_run += 1;
+            tried.clear();
+            time::sleep(FULL_PAUSE).await;
+            continue;
+        };
+        let last = runs + 1 >= call.route.attempts || !repeatable;
+        let end = try_once(view, &call, &slot, last).await;
+        view.board().ended(&slot.instance);
+        tried.push(slot.instance);
+        match end {
+            TryEnd::Answered(answer) if answer.status.is_success() || !repeatable => {
+                return PlainEnd::Answered(answer);
+            }
+            TryEnd::Answered(answer) => {
+                runs += 1;
+                last_answer = Some(answer);
+            }
+            TryEnd::NotRun => not_run += 1,
+            TryEnd::Broken if repeatable => runs += 1,
+            TryEnd::Broken => return PlainEnd::Unknown("target broke off"),
+        }
+    }
+    match last_answer {
+        Some(answer) => PlainEnd::Answered(answer),
+        None if runs == 0 && Instant::now() < call.deadline => PlainEnd::NotRun("no target free"),
+        None if runs == 0 => PlainEnd::NotRun("out of time"),
+        None => PlainEnd::Unknown("targets broke off"),
+    }
+}
+
+fn choose(view: &NodeView, call: &PlainCall<'_>, tried: &[InstanceId]) -> Option<TargetSlot> {
+    let mut rng = rand::rng();
+    let service = call.route.service(rng.random())?;
+    let need = ChoiceNeed { avoid: tried, ..ChoiceNeed::default() };
+    let now = view.now();
+    let mut board = view.board();
+    let fresh = board.choose(now, service, &need, &mut rng);
+    // Rather the same target again than none.
+    fresh.or_else(|| board.choose(now, service, &ChoiceNeed::default(), &mut rng))
+}
+
+async fn try_once(view: &NodeView, call: &PlainCall<'_>, slot: &TargetSlot, last: bool) -> TryEnd {
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    let limit = if last {
+        left
+    } else {
+        let goal = call.route.goal.unwrap_or(DEFAULT_GOAL);
+        left.min((goal * TRY_GOALS).max(SHORTEST_TRY))
+    };
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = call.headers.clone();
+    headers::set_time_left(request.headers_mut(), left);
+    headers::set_instance(request.headers_mut(), &slot.instance);
+    let started = Instant::now();
+    let sent = async {
+        let answer = view.pool.send(slot.address, request).await?;
+        answer.whole(MOST_ANSWER).await
+    };
+    let (outcome, end) = match time::timeout(limit, sent).await {
+        Err(_elapsed) => ("silent", TryEnd::Broken),
+        Ok(Err(SendError::NotSent(_))) => ("not sent", TryEnd::NotRun),
+        Ok(Err(SendError::Broken(_))) => ("broken", TryEnd::Broken),
+        Ok(Ok(answer)) => judge(view, call, slot, answer),
+    };
+    note_try(view, slot, &end, outcome, started.elapsed());
+    if outcome != "answered" {
+        log::info!(
+            target: "targets", request = call.request_id, target:% = slot.instance,
+            outcome = outcome, took_ms = millis(started.elapsed()), left_ms = millis(left);
+            "try ended"
+        );
+    }
+    end
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Whether an answer is the target's answer to this request.
+fn judge(
+    view: &NodeView,
+    call: &PlainCall<'_>,
+    slot: &TargetSlot,
+    answer: WholeAnswer,
+) -> (&'static str, TryEnd) {
+    let facts = headers::answer_facts(&answer.headers);
+    if let Some(load) = facts.load {
+        view.board().told_load(view.now(), &slot.instance, load);
+    }
+    if facts.request_id.as_deref().is_some_and(|id| id != call.request_id) {
+        return ("answer to another request", TryEnd::Broken);
+    }
+    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        view.board().failed(view.now(), &slot.instance, TargetFailure::Gone);
+        return ("another target", TryEnd::NotRun);
+    }
+    if facts.not_run {
+        view.board().failed(view.now(), &slot.instance, TargetFailure::Full);
+        return ("full", TryEnd::NotRun);
+    }
+    if answer.status.is_success() && !is_signed(&facts) {
+        return ("unsigned", TryEnd::Broken);
+    }
+    ("answered", TryEnd::Answered(answer))
+}
+
+fn is_signed(facts: &AnswerFacts) -> bool {
+    facts.signature.is_some()
+}
+
+fn note_try(
+    view: &NodeView,
+    slot: &TargetSlot,
+    end: &TryEnd,
+    outcome: &'static str,
+    took: Duration,
+) {
+    view.metrics.ended("target_try", outcome);
+    let mut board = view.board();
+    match end {
+        TryEnd::Answered(answer) if answer.status.is_success() => {
+            board.succeeded(&slot.instance);
+            board.told_pace(&slot.instance, took);
+        }
+        TryEnd::Answered(_) => {}
+        TryEnd::NotRun if outcome == "not sent" => {
+            board.failed(view.now(), &slot.instance, TargetFailure::Broken);
+        }
+        TryEnd::NotRun => {}
+        TryEnd::Broken => board.failed(view.now(), &slot.instance, TargetFailure::Broken),
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,216 @@
+//! Settings of the roles on the platform: flags and environment variables, checked at start.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Args;
+use ids::{BoxId, DomainId};
+use wire::DeploymentKey;
+
+/// Settings of both roles, as given.
+#[derive(Debug, Clone, Args)]
+pub struct RawNodeSettings {
+    /// This box's id, unique in the deployment.
+    #[arg(long, env = "GANNETWAY_BOX_ID")]
+    pub box_id: String,
+    /// This box's failure domain.
+    #[arg(long, env = "GANNETWAY_DOMAIN")]
+    pub domain: String,
+    /// Address of the box.
+    #[arg(long, env = "GANNETWAY_IP")]
+    pub ip: IpAddr,
+    /// Where callers come in, as IP:PORT; for the entry role.
+    #[arg(long, env = "GANNETWAY_FRONT")]
+    pub front: Option<SocketAddr>,
+    /// Where the platform asks whether the box wants connections; for the entry role.
+    #[arg(long, env = "GANNETWAY_READY")]
+    pub ready: Option<SocketAddr>,
+    /// Port for other boxes.
+    #[arg(long, env = "GANNETWAY_PEER_PORT")]
+    pub peer_port: u16,
+    /// Port that serves metrics; 0 serves none.
+    #[arg(long, env = "GANNETWAY_METRICS_PORT", default_value_t = 0)]
+    pub metrics_port: u16,
+    /// The platform's store, as IP:PORT.
+    #[arg(long, env = "GANNETWAY_STORE")]
+    pub store: SocketAddr,
+    /// The deployment's key, shared by all boxes.
+    #[arg(long, env = "GANNETWAY_KEY", hide_env_values = true)]
+    pub key: String,
+    /// Shares into which jobs are divided; the same on all boxes.
+    #[arg(long, env = "GANNETWAY_SHARDS", default_value_t = 1)]
+    pub shards: u32,
+    /// After a request to stop, how long the process may live, in seconds.
+    #[arg(long, env = "GANNETWAY_GRACE_S", default_value_t = 8.0)]
+    pub grace_s: f64,
+    /// Log level: error, warn, info, debug or trace.
+    #[arg(long, env = "GANNETWAY_LOG", default_value = "info")]
+    pub log: log::LevelFilter,
+}
+
+/// Settings of the keeping role, as given.
+#[derive(Debug, Clone, Args)]
+pub struct RawStorageSettings {
+    /// Settings of both roles.
+    #[command(flatten)]
+    pub node: RawNodeSettings,
+    /// Folder for data that lasts.
+    #[arg(long, env = "GANNETWAY_DATA_DIR")]
+    pub data_dir: PathBuf,
+    /// Disks that may be lost at once; each shard's log has one copy more.
+    #[arg(long, env = "GANNETWAY_LOSSES", default_value_t = 1)]
+    pub losses: usize,
+    /// How long an ended job can be read, in seconds.
+    #[arg(long, env = "GANNETWAY_RETENTION_S", default_value_t = 120.0)]
+    pub retention_s: f64,
+    /// Time after the last order of one holder before another may order, in milliseconds.
+    #[arg(long, env = "GANNETWAY_ORDER_GAP_MS", default_value_t = 3_000)]
+    pub order_gap_ms: u64,
+    /// Memory of the box, in MB; jobs may take a third of it.
+    #[arg(long, env = "GANNETWAY_MEMORY_MB", default_value_t = 256)]
+    pub memory_mb: usize,
+    /// One engine in this many may load weights at a time.
+    #[arg(long, env = "GANNETWAY_LOAD_PARTS", default_value_t = 5)]
+    pub load_parts: usize,
+}
+
+/// Checked settings of both roles.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// This box.
+    pub box_id: BoxId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Where callers come in.
+    pub front: Option<SocketAddr>,
+    /// Where readiness is asked.
+    pub ready: Option<SocketAddr>,
+    /// Where other boxes come in.
+    pub peer: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The deployment's key.
+    pub key: DeploymentKey,
+    /// Shares of jobs.
+    pub shards: u32,
+    /// Time to stop in.
+    pub grace: Duration,
+    /// Log level.
+    pub log: log::LevelFilter,
+}
+
+/// Checked settings of the keeping role.
+#[derive(Debug, Clone)]
+pub struct StorageSettings {
+    /// Settings of both roles.
+    pub node: NodeSettings,
+    /// Folder for data.
+    pub data_dir: PathBuf,
+    /// Copies of each shard's log.
+    pub copies: usize,
+    /// How long an ended job is held.
+    pub retention: Duration,
+    /// Time between the orders of two holders.
+    pub order_gap: Duration,
+    /// Bytes that jobs may take.
+    pub job_bytes: usize,
+    /// One engine in this many may load at a time.
+    pub load_parts: usize,
+}
+
+/// All faults of the settings, each with its remedy.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the settings cannot be used:\n  {}", .0.join("\n  "))]
+pub struct SettingsError(pub Vec<String>);
+
+/// Longest time to stop in, in seconds.
+const MOST_GRACE_S: f64 = 600.0;
+/// Most shares of jobs: each costs a plan in the store.
+const MOST_SHARDS: u32 = 256;
+
+impl RawNodeSettings {
+    /// Checks every value; reports all faults together.
+    pub fn check(&self) -> Result<NodeSettings, SettingsError> {
+        let mut faults = Vec::new();
+        let name = "use 1 to 64 characters from a-z, A-Z, 0-9, `-`, `_` and `.`";
+        let box_id = self.box_id.parse();
+        if box_id.is_err() {
+            faults.push(format!("--box-id is `{}`: {name}", self.box_id));
+        }
+        let domain = self.domain.parse();
+        if domain.is_err() {
+            faults.push(format!("--domain is `{}`: {name}", self.domain));
+        }
+        let key = DeploymentKey::new(&self.key);
+        if let Err(error) = &key {
+            faults.push(format!("--key: {error}"));
+        }
+        if self.shards == 0 || self.shards > MOST_SHARDS {
+            faults.push(format!("--shards is {}: give 1 to {MOST_SHARDS}", self.shards));
+        }
+        if !(0.0..=MOST_GRACE_S).contains(&self.grace_s) {
+            faults.push(format!("--grace-s is {}: give 0 to {MOST_GRACE_S}", self.grace_s));
+        }
+        if self.peer_port == 0 {
+            faults.push("--peer-port is 0: give the port that other boxes use".to_owned());
+        }
+        let (Ok(box_id), Ok(domain), Ok(key)) = (box_id, domain, key) else {
+            return Err(SettingsError(faults));
+        };
+        if !faults.is_empty() {
+            return Err(SettingsError(faults));
+        }
+        Ok(NodeSettings {
+            box_id,
+            domain,
+            ip: self.ip,
+            front: self.front,
+            ready: self.ready,
+            peer: SocketAddr::new(self.ip, self.peer_port),
+            metrics: (self.metrics_port > 0).then(|| SocketAddr::new(self.ip, self.metrics_port)),
+            store: self.store,
+            key,
+            shards: self.shards,
+            grace: Duration::from_secs_f64(self.grace_s),
+            log: self.log,
+        })
+    }
+}
+
+/// Jobs may take one part in this many of the box's memory; the log's replay, texts on their way
+/// and answers being written take the rest.
+const JOB_MEMORY_PARTS: usize = 3;
+
+impl RawStorageSettings {
+    /// Checks every value; reports all faults together.
+    pub fn check(&self) -> Result<StorageSettings, SettingsError> {
+        let node = self.node.check()?;
+        let mut faults = Vec::new();
+        if self.data_dir.as_os_str().is_empty() {
+            faults.push("--data-dir is empty: name a folder on the box's disk".to_owned());
+        }
+        if !(self.retention_s.is_finite() && self.retention_s > 0.0) {
+            faults.push(format!("--retention-s is {}: give seconds over 0", self.retention_s));
+        }
+        if self.load_parts == 0 {
+            faults.push("--load-parts is 0: give 1 or more".to_owned());
+        }
+        if !faults.is_empty() {
+            return Err(SettingsError(faults));
+        }
+        Ok(StorageSettings {
+            node,
+            data_dir: self.data_dir.clone(),
+            copies: self.losses + 1,
+            retention: Duration::from_secs_f64(self.retention_s),
+            order_gap: Duration::from_millis(self.order_gap_ms),
+            job_bytes: (self.memory_mb << 20) / JOB_MEMORY_PARTS,
+            load_parts: self.load_parts,
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/view.rs
@@ -0,0 +1,179 @@
+//! What a box believes.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use ids::{ModelName, ModelVersion, Moment, ServiceName};
+use platform::ObjectStore;
+use routing::{RouteTable, TargetBoard};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use upstream::TargetPool;
+
+use crate::duties::DutyBoard;
+use crate::{NodeMetrics, NodeSettings};
+
+/// The belief of one box, shared by all its tasks.
+#[derive(Debug)]
+pub struct NodeView {
+    /// Its settings.
+    pub settings: NodeSettings,
+    /// The platform's store.
+    pub store: ObjectStore,
+    /// Connections to targets.
+    pub pool: TargetPool,
+    /// What is counted.
+    pub metrics: NodeMetrics,
+    table: RwLock<Arc<RouteTable>>,
+    board: Mutex<TargetBoard>,
+    duties: Mutex<DutyBoard>,
+    named: Mutex<HashMap<ModelName, ModelVersion>>,
+    store_up: watch::Sender<StoreState>,
+    changed: watch::Sender<u64>,
+    started: Instant,
+}
+
+/// Whether the store answers, and since when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreState {
+    /// Whether its last call was answered.
+    pub up: bool,
+    /// When that changed.
+    pub since: Moment,
+}
+
+/// A moment on the runtime's clock, counted from the start of the process.
+pub fn clock_now(started: Instant) -> Moment {
+    Moment::after_start(started.elapsed())
+}
+
+/// How long after the store's return an entry that lapsed meanwhile may be on its way back.
+const ENTRY_RETURN: Duration = Duration::from_millis(2_000);
+
+impl NodeView {
+    /// A view that believes nothing yet.
+    pub fn new(settings: NodeSettings, store: ObjectStore) -> Self {
+        let board = TargetBoard::new(settings.domain.clone());
+        Self {
+            settings,
+            store,
+            pool: TargetPool::default(),
+            metrics: NodeMetrics::default(),
+            table: RwLock::default(),
+            board: Mutex::new(board),
+            duties: Mutex::default(),
+            named: Mutex::default(),
+            store_up: watch::Sender::new(StoreState { up: true, since: Moment::START }),
+            changed: watch::Sender::new(0),
+            started: Instant::now(),
+        }
+    }
+
+    /// Now, on the runtime's clock.
+    pub fn now(&self) -> Moment {
+        clock_now(self.started)
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Arc<RouteTable> {
+        Arc::clone(&self.table.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Whether any configuration is in force.
+    pub fn is_configured(&self) -> bool {
+        self.table().version.get() > 0
+    }
+
+    /// Puts a configuration in force unless a newer one is. `true` when it is.
+    pub fn offer_table(&self, table: RouteTable) -> bool {
+        let mut current = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        if table.version <= current.version {
+            return false;
+        }
+        *current = Arc::new(table);
+        drop(current);
+        self.wake();
+        true
+    }
+
+    /// The targets; held only for a moment.
+    pub fn board(&self) -> MutexGuard<'_, TargetBoard> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Who has which duty; held only for a moment.
+    pub fn duties(&self) -> MutexGuard<'_, DutyBoard> {
+        self.duties.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the version that is named for a model; versions only rise.
+    pub fn name_version(&self, model: ModelName, version: ModelVersion) {
+        let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = named.entry(model).or_insert(version);
+        *known = (*known).max(version);
+        drop(named);
+        self.wake();
+    }
+
+    /// The version that is named for a model.
+    pub fn named_version(&self, model: &ModelName) -> Option<ModelVersion> {
+        self.named.lock().unwrap_or_else(PoisonError::into_inner).get(model).copied()
+    }
+
+    /// Services whose targets hold models, with these models.
+    pub fn engine_services(&self) -> Vec<(ServiceName, Vec<ModelName>)> {
+        let table = self.table();
+        let engines = table.services().filter(|service| !service.models.is_empty());
+        engines.map(|service| (service.name.clone(), service.models.clone())).collect()
+    }
+
+    /// Wakes whoever waits for a change of belief.
+    pub fn wake(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Tells each change of belief.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Notes whether a call to the store was answered.
+    pub fn store_answered(&self, up: bool) {
+        let now = self.now();
+        self.store_up.send_if_modified(|state| {
+            if state.up == up {
+                return false;
+            }
+            *state = StoreState { up, since: now };
+            if up {
+                log::info!(target: "node", dependency = "store"; "regained");
+            } else {
+                log::warn!(target: "node", dependency = "store"; "lost");
+            }
+            true
+        });
+    }
+
+    /// Whether the store answers.
+    pub fn store_state(&self) -> StoreState {
+        *self.store_up.borrow()
+    }
+
+    /// Tells when the store is lost or regained.
+    pub fn store_states(&self) -> watch::Receiver<StoreState> {
+        self.store_up.subscribe()
+    }
+
+    /// Until when an entry that is missing now may still come back.
+    pub fn entry_grace(&self) -> Duration {
+        let state = self.store_state();
+        if !state.up {
+            return ENTRY_RETURN;
+        }
+        if state.since == Moment::START {
+            return Duration::ZERO;
+        }
+        ENTRY_RETURN.saturating_sub(self.now().since(state.since))
+    }
+}
--- /dev/null
+++ b/crates/routing/src/board.rs
@@ -0,0 +1,340 @@
+//! What this box knows of the targets, and its choice among them.
+//!
+//! The platform's list says which targets live and leave; it lags. What this box itself has sent
+//! is exact; what others send shows in the load that answers tell, which is believed for a short
+//! while. A target that fails rests, longer after each further failure, and a target that is
+//! slow gets less, since a request there holds its slot longer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ids::{DomainId, InstanceId, ModelName, ModelVersion, Moment, ServiceName};
+use rand::Rng;
+
+/// How long a target rests after its first failure; doubles with each further one.
+const FIRST_REST: Duration = Duration::from_millis(200);
+/// Longest rest, so that a target that is well again is found within seconds.
+const MOST_REST: Duration = Duration::from_secs(2);
+/// How long a load told by an answer is believed.
+const LOAD_TRUST: Duration = Duration::from_millis(500);
+/// Weight of the newest reading in a target's pace.
+const PACE_PART: f64 = 0.2;
+/// Slots assumed of a target that tells none.
+const DEFAULT_SLOTS: u32 = 4;
+/// Requests that a target of another failure domain must have fewer, as a share of its slots,
+/// to be chosen over one of the own domain: bytes between domains cost more than a short wait.
+const DOMAIN_PREFERENCE: f64 = 0.34;
+
+/// A model version that a target holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldModel {
+    /// The model.
+    pub model: ModelName,
+    /// The version of its weights.
+    pub version: ModelVersion,
+}
+
+/// What the platform lists of one target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetRecord {
+    /// This life of the target.
+    pub instance: InstanceId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Requests it works on at a time.
+    pub slots: u32,
+    /// It has said that it will end: no new work.
+    pub leaving: bool,
+    /// Models it holds, if it is an engine.
+    pub models: Vec<HeldModel>,
+}
+
+/// Load as told by an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting there.
+    pub waiting: u32,
+}
+
+/// How a request at a target failed, as far as it concerns the choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetFailure {
+    /// It could not be reached, broke off or was silent.
+    Broken,
+    /// It was full and took no work.
+    Full,
+    /// It is another life, or gone.
+    Gone,
+}
+
+/// What a request needs of its target.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ChoiceNeed<'a> {
+    /// A version of this model, at least this new.
+    pub model: Option<(&'a ModelName, ModelVersion)>,
+    /// Only targets with a free slot.
+    pub free_slot: bool,
+    /// Targets already tried.
+    pub avoid: &'a [InstanceId],
+}
+
+/// A target chosen for one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetSlot {
+    /// This life of the target.
+    pub instance: InstanceId,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its service.
+    pub service: ServiceName,
+}
+
+#[derive(Debug)]
+struct TargetView {
+    record: TargetRecord,
+    /// Requests of this box that run there.
+    mine: u32,
+    others: u32,
+    others_at: Moment,
+    /// Smoothed time of a unit of work, in milliseconds; zero before the first.
+    pace: f64,
+    failures: u32,
+    rest_until: Moment,
+    /// Loads weights: gets no new work until then, unless told otherwise earlier.
+    busy_until: Moment,
+    /// Said to be another life by an answer; the list lags.
+    gone: bool,
+}
+
+impl TargetView {
+    fn slots(&self) -> u32 {
+        if self.record.slots == 0 { DEFAULT_SLOTS } else { self.record.slots }
+    }
+
+    fn load(&self, now: Moment) -> u32 {
+        let others = if now.since(self.others_at) < LOAD_TRUST { self.others } else { 0 };
+        self.mine + others
+    }
+
+    fn version(&self, model: &ModelName) -> Option<ModelVersion> {
+        let held = self.record.models.iter().find(|held| held.model == *model)?;
+        Some(held.version)
+    }
+
+    fn fits(&self, now: Moment, need: &ChoiceNeed<'_>) -> bool {
+        if self.gone || self.record.leaving || now < self.busy_until {
+            return false;
+        }
+        if need.avoid.contains(&self.record.instance) {
+            return false;
+        }
+        if need.free_slot && self.load(now) >= self.slots() {
+            return false;
+        }
+        let Some((model, floor)) = need.model else { return true };
+        self.version(model).is_some_and(|version| version >= floor)
+    }
+}
+
+/// The targets as this box knows them.
+#[derive(Debug)]
+pub struct TargetBoard {
+    domain: DomainId,
+    views: HashMap<InstanceId, TargetView>,
+    services: HashMap<ServiceName, Vec<InstanceId>>,
+}
+
+impl TargetBoard {
+    /// A board without targets, for a box of `domain`.
+    pub fn new(domain: DomainId) -> Self {
+        Self { domain, views: HashMap::new(), services: HashMap::new() }
+    }
+
+    /// Takes a target as the platform lists it now.
+    pub fn put(&mut self, record: TargetRecord) {
+        let instance = record.instance.clone();
+        if let Some(view) = self.views.get_mut(&instance) {
+            let newer = merge_models(&view.record.models, &record.models);
+            view.record = TargetRecord { models: newer, ..record };
+            return;
+        }
+        self.services.entry(record.service.clone()).or_default().push(instance.clone());
+        let view = TargetView {
+            record,
+            mine: 0,
+            others: 0,
+            others_at: Moment::START,
+            pace: 0.0,
+            failures: 0,
+            rest_until: Moment::START,
+            busy_until: Moment::START,
+            gone: false,
+        };
+        self.views.insert(instance, view);
+    }
+
+    /// Takes a target off; requests that run there go on.
+    pub fn remove(&mut self, instance: &InstanceId) {
+        let Some(view) = self.views.remove(instance) else { return };
+        if let Some(of_service) = self.services.get_mut(&view.record.service) {
+            of_service.retain(|other| other != instance);
+        }
+    }
+
+    /// All targets.
+    pub fn instances(&self) -> impl Iterator<Item = &InstanceId> {
+        self.views.keys()
+    }
+
+    /// The targets of a service.
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &TargetRecord> {
+        let instances = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        instances.iter().filter_map(|instance| self.views.get(instance)).map(|view| &view.record)
+    }
+
+    /// One target.
+    pub fn record(&self, instance: &InstanceId) -> Option<&TargetRecord> {
+        self.views.get(instance).map(|view| &view.record)
+    }
+
+    /// Requests of this box that run at a target.
+    pub fn mine(&self, instance: &InstanceId) -> u32 {
+        self.views.get(instance).map_or(0, |view| view.mine)
+    }
+
+    /// Chooses a target and counts the request there; [`Self::ended`] must follow.
+    ///
+    /// The least of (requests + 1) x pace a slot wins; ties are broken by chance. Resting
+    /// targets are taken only when no other is left.
+    pub fn choose(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        need: &ChoiceNeed<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<TargetSlot> {
+        let instances = self.services.get(service)?;
+        let fastest = self.fastest(instances);
+        let mut best: Option<(bool, f64, &TargetView)> = None;
+        for instance in instances {
+            let Some(view) = self.views.get(instance) else { continue };
+            if !view.fits(now, need) {
+                continue;
+            }
+            let resting = now < view.rest_until;
+            let cost = self.cost(now, view, fastest) + rng.random::<f64>() * 0.01;
+            let better = match best {
+                None => true,
+                Some((best_resting, best_cost, _)) => (resting, cost) < (best_resting, best_cost),
+            };
+            if better {
+                best = Some((resting, cost, view));
+            }
+        }
+        let chosen = best.map(|(_, _, view)| view.record.instance.clone())?;
+        let view = self.views.get_mut(&chosen)?;
+        view.mine += 1;
+        Some(TargetSlot {
+            instance: chosen,
+            address: view.record.address,
+            service: view.record.service.clone(),
+        })
+    }
+
+    fn fastest(&self, instances: &[InstanceId]) -> f64 {
+        let paces = instances.iter().filter_map(|instance| self.views.get(instance));
+        paces.map(|view| view.pace).filter(|pace| *pace > 0.0).fold(f64::INFINITY, f64::min)
+    }
+
+    fn cost(&self, now: Moment, view: &TargetView, fastest: f64) -> f64 {
+        let slowness =
+            if view.pace > 0.0 && fastest.is_finite() { view.pace / fastest } else { 1.0 };
+        let share = f64::from(view.load(now) + 1) / f64::from(view.slots());
+        let away = if view.record.domain == self.domain { 0.0 } else { DOMAIN_PREFERENCE };
+        share * slowness + away
+    }
+
+    /// Notes that a chosen request has ended there, well or not.
+    pub fn ended(&mut self, instance: &InstanceId) {
+        if let Some(view) = self.views.get_mut(instance) {
+            view.mine = view.mine.saturating_sub(1);
+        }
+    }
+
+    /// Takes the load that an answer told; requests of this box are taken off it.
+    pub fn told_load(&mut self, now: Moment, instance: &InstanceId, load: TargetLoad) {
+        if let Some(view) = self.views.get_mut(instance) {
+            view.others = (load.running + load.waiting).saturating_sub(view.mine);
+            view.others_at = now;
+        }
+    }
+
+    /// Takes the time that a unit of work took there.
+    pub fn told_pace(&mut self, instance: &InstanceId, unit: Duration) {
+        let Some(view) = self.views.get_mut(instance) else { return };
+        let millis = unit.as_secs_f64() * 1_000.0;
+        view.pace =
+            if view.pace == 0.0 { millis } else { view.pace + PACE_PART * (millis - view.pace) };
+    }
+
+    /// Notes good work.
+    pub fn succeeded(&mut self, instance: &InstanceId) {
+        if let Some(view) = self.views.get_mut(instance) {
+            view.failures = 0;
+            view.rest_until = Moment::START;
+        }
+    }
+
+    /// Notes a failure.
+    pub fn failed(&mut self, now: Moment, instance: &InstanceId, failure: TargetFailure) {
+        let Some(view) = self.views.get_mut(instance) else { return };
+        match failure {
+            TargetFailure::Gone => view.gone = true,
+            TargetFailure::Full => view.rest_until = now + FIRST_REST / 4,
+            TargetFailure::Broken => {
+                let doubled = 1_u32.checked_shl(view.failures).unwrap_or(u32::MAX);
+                view.rest_until = now + FIRST_REST.saturating_mul(doubled).min(MOST_REST);
+                view.failures = (view.failures + 1).min(8);
+            }
+        }
+    }
+
+    /// Notes that a target takes no new work until `until`, since it loads weights.
+    pub fn loading(&mut self, instance: &InstanceId, until: Moment) {
+        if let Some(view) = self.views.get_mut(instance) {
+            view.busy_until = until;
+        }
+    }
+
+    /// Whether a target is known to load weights.
+    pub fn is_loading(&self, now: Moment, instance: &InstanceId) -> bool {
+        self.views.get(instance).is_some_and(|view| now < view.busy_until)
+    }
+
+    /// Takes a version that an answer or a report of the target told; versions only rise
+    /// within one life.
+    pub fn told_version(&mut self, instance: &InstanceId, model: &ModelName, told: ModelVersion) {
+        let Some(view) = self.views.get_mut(instance) else { return };
+        let held = [HeldModel { model: model.clone(), version: told }];
+        view.record.models = merge_models(&view.record.models, &held);
+    }
+}
+
+/// The newer of each model's two versions: the list lags behind what answers tell.
+fn merge_models(known: &[HeldModel], listed: &[HeldModel]) -> Vec<HeldModel> {
+    let mut merged = known.to_vec();
+    for held in listed {
+        match merged.iter_mut().find(|other| other.model == held.model) {
+            Some(other) => other.version = other.version.max(held.version),
+            None => merged.push(held.clone()),
+        }
+    }
+    merged
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,13 @@
+//! Routes of a configuration, and which target gets a request.
+//!
+//! [`RouteTable`] is one version of the operator's configuration. [`TargetBoard`] is what this
+//! box knows of the targets: what the platform lists, corrected by what this box has sent and by
+//! the loads that answers tell. Nothing here does I/O; chance and time are passed in.
+
+mod board;
+mod table;
+
+pub use board::{
+    ChoiceNeed, HeldModel, TargetBoard, TargetFailure, TargetLoad, TargetRecord, TargetSlot,
+};
+pub use table::{CallerLimits, Route, RouteKind, RouteTable, ServiceSpec, WeightedService};
--- /dev/null
+++ b/crates/shards/src/context.rs
@@ -0,0 +1,110 @@
+//! What all tasks of a keeping box share.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use ids::BoxId;
+use joblog::CopyHolder;
+use links::{CallError, LinkPool};
+use node::{NodeView, StorageSettings};
+use tokio_util::sync::CancellationToken;
+use wire::peer::{Request, ShardAnswer, ShardRequest, item, request, shard_answer, shard_request};
+
+use crate::copies::OpenCopies;
+use crate::peers::PeerTable;
+
+/// Shared by all tasks of a keeping box.
+#[derive(Debug)]
+pub struct ShardContext {
+    /// The box's belief.
+    pub view: Arc<NodeView>,
+    /// Its settings.
+    pub settings: StorageSettings,
+    /// This box as others see it.
+    pub me: CopyHolder,
+    /// Connections to other boxes.
+    pub links: LinkPool,
+    /// Copies of logs on this box's disk.
+    pub copies: OpenCopies,
+    /// Which boxes are heard.
+    pub peers: PeerTable,
+    /// Set once the box is asked to stop.
+    pub stopping: CancellationToken,
+    retiring: Mutex<HashSet<BoxId>>,
+}
+
+impl ShardContext {
+    /// The context of a box that has heard nobody yet.
+    pub fn new(
+        view: Arc<NodeView>,
+        settings: StorageSettings,
+        links: LinkPool,
+        copies: OpenCopies,
+    ) -> Self {
+        let node = &settings.node;
+        let me = CopyHolder {
+            box_id: node.box_id.clone(),
+            address: node.peer.to_string(),
+            domain: node.domain.clone(),
+        };
+        let peers = PeerTable::new(view.now());
+        Self {
+            view,
+            settings,
+            me,
+            links,
+            copies,
+            peers,
+            stopping: CancellationToken::new(),
+            retiring: Mutex::default(),
+        }
+    }
+
+    /// Boxes that are to be emptied.
+    pub fn retiring(&self) -> MutexGuard<'_, HashSet<BoxId>> {
+        self.retiring.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this box gives its duties up.
+    pub fn is_leaving(&self) -> bool {
+        self.stopping.is_cancelled() || self.retiring().contains(&self.me.box_id)
+    }
+
+    /// Boxes that may hold a copy: heard a moment ago, and not leaving.
+    pub fn fit_partners(&self) -> Vec<CopyHolder> {
+        let now = self.view.now();
+        let retiring = self.retiring().clone();
+        let duties = self.view.duties();
+        let boxes = duties.boxes().filter(|copy| {
+            copy.box_id != self.me.box_id
+                && !retiring.contains(&copy.box_id)
+                && self.peers.is_fit(now, &copy.box_id)
+        });
+        boxes.cloned().collect()
+    }
+
+    /// Asks another keeping box.
+    pub async fn ask(
+        &self,
+        address: &str,
+        time: std::time::Duration,
+        body: shard_request::Body,
+    ) -> Result<shard_answer::Body, CallError> {
+        let request = Request {
+            request_id: String::new(),
+            traceparent: String::new(),
+            time_left_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+            body: Some(request::Body::Shard(ShardRequest { body: Some(body) })),
+        };
+        let called = async {
+            let stream = self.links.call(address, request).await?;
+            stream.single(time).await
+        };
+        let broken = CallError::Broken { why: "silence" };
+        let item = tokio::time::timeout(time, called).await.map_err(|_elapsed| broken)??;
+        match item.body {
+            Some(item::Body::Shard(ShardAnswer { body: Some(answer) })) => Ok(answer),
+            _ => Err(CallError::Broken { why: "an answer of another kind" }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/shards/src/dispatch.rs
@@ -0,0 +1,149 @@
+//! Starts items of a served shard at targets, and lists what is done.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{ModelName, ModelVersion, ServiceName};
+use jobs::{RewardEnd, RunEnd, RunOutcome, RunSpec};
+use rand::Rng;
+use routing::{ChoiceNeed, TargetSlot};
+use tokio::time;
+
+use crate::context::ShardContext;
+use crate::keeper::ShardKeeper;
+use crate::reward::call_reward;
+use crate::run::run_item;
+
+/// Longest pause between two looks at the items, should no change tell.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// How often given-up items and old jobs are looked for.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+
+/// What is done with an item next.
+enum NextStep {
+    /// It runs at a target.
+    Run(TargetSlot),
+    /// Its text is whole: only the reward call is missing.
+    Reward,
+}
+
+/// Starts items for as long as the box runs.
+pub async fn dispatch_items(ctx: Arc<ShardContext>, keeper: Arc<ShardKeeper>) {
+    let mut changes = keeper.changes();
+    let mut beliefs = ctx.view.changes();
+    let mut swept = time::Instant::now();
+    loop {
+        if keeper.is_proven() {
+            start_items(&ctx, &keeper);
+            if swept.elapsed() >= SWEEP_EVERY {
+                swept = time::Instant::now();
+                sweep(&ctx, &keeper);
+            }
+        }
+        tokio::select! {
+            _ = changes.changed() => {}
+            _ = beliefs.changed() => {}
+            () = time::sleep(LOOK_EVERY) => {}
+        }
+    }
+}
+
+fn sweep(ctx: &ShardContext, keeper: &ShardKeeper) {
+    let now = ctx.view.now();
+    let mut book = keeper.book();
+    let lost = book.give_up(now);
+    let dropped = book.expire(now);
+    drop(book);
+    for record in &lost {
+        log::info!(target: "jobs", shard = keeper.shard().get(), record:? = record_id(record); "item given up");
+    }
+    keeper.log(lost.into_iter().chain(dropped).collect());
+}
+
+fn record_id(record: &wire::peer::LogRecord) -> Option<(&str, &str)> {
+    match &record.body {
+        Some(wire::peer::log_record::Body::Listed(listed)) => {
+            let item = listed.result.as_ref().map_or("", |result| result.item.as_str());
+            Some((listed.job.as_str(), item))
+        }
+        _ => None,
+    }
+}
+
+fn start_items(ctx: &Arc<ShardContext>, keeper: &Arc<ShardKeeper>) {
+    let now = ctx.view.now();
+    let mut starts = Vec::new();
+    keeper.book().start_ready(now, |spec| match next_step(ctx, &spec) {
+        Some(step) => {
+            starts.push((spec, step));
+            true
+        }
+        None => false,
+    });
+    for (spec, step) in starts {
+        let (ctx, keeper) = (Arc::clone(ctx), Arc::clone(keeper));
+        let token = keeper.run_token(&spec.item.job);
+        tokio::spawn(async move {
+            let step = match step {
+                NextStep::Reward => true,
+                NextStep::Run(slot) => {
+                    let run = tokio::select! {
+                        run = run_item(&ctx, &spec, &slot) => run,
+                        () = token.cancelled() => cancelled(),
+                    };
+                    ctx.view.board().ended(&slot.instance);
+                    let whole = keeper.book().run_ended(ctx.view.now(), &spec.item, &run);
+                    keeper.wake();
+                    whole
+                }
+            };
+            if step {
+                tokio::select! {
+                    () = reward_item(&ctx, &keeper, &spec) => {}
+                    () = token.cancelled() => {}
+                }
+            }
+        });
+    }
+}
+
+const fn cancelled() -> RunEnd {
+    RunEnd { outcome: RunOutcome::Cut, events: Vec::new(), versions: Vec::new() }
+}
+
+/// A target for the item, or the reward call. `None` when the item has to wait.
+fn next_step(ctx: &ShardContext, spec: &RunSpec) -> Option<NextStep> {
+    if spec.whole {
+        return Some(NextStep::Reward);
+    }
+    let service = item_service(ctx, spec)?;
+    let model: Option<ModelName> = spec.job.model.parse().ok();
+    let floor = ModelVersion::new(spec.job.min_version);
+    let need = ChoiceNeed {
+        model: model.as_ref().map(|model| (model, floor)),
+        free_slot: true,
+        avoid: &[],
+    };
+    let now = ctx.view.now();
+    ctx.view.board().choose(now, &service, &need, &mut rand::rng()).map(NextStep::Run)
+}
+
+/// The service that the configuration in force names for an item.
+fn item_service(ctx: &ShardContext, spec: &RunSpec) -> Option<ServiceName> {
+    let table = ctx.view.table();
+    let route = table.find(&spec.job.host, &spec.request()?.path)?;
+    route.service(rand::rng().random()).cloned()
+}
+
+async fn reward_item(ctx: &Arc<ShardContext>, keeper: &Arc<ShardKeeper>, spec: &RunSpec) {
+    let known = keeper.book().known_score(&spec.item);
+    let reward = spec.request().and_then(|request| request.reward.as_ref());
+    let end = match (known, reward) {
+        (Some(score), _) => RewardEnd::Scored(score),
+        (None, None) => RewardEnd::Scored(String::new()),
+        (None, Some(reward)) => call_reward(ctx, reward).await,
+    };
+    let record = keeper.book().scored(ctx.view.now(), &spec.item, end);
+    keeper.log(record.into_iter().collect());
+    keeper.wake();
+}
--- /dev/null
+++ b/crates/shards/src/forming.rs
@@ -0,0 +1,351 @@
+//! Takes a shard over: closes a copy, gives its records to new copies, writes the plan.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use ids::{FencingToken, ShardIndex};
+use joblog::{
+    CopyHolder, DutyView, EpochId, LogCopyFile, ShardDuty, ShardPlan, choose_partners,
+    encode_record, shard_duty,
+};
+use node::duties::{PlanSighting, shard_object};
+use platform::{Kind, StoreError};
+use rand::Rng;
+use tokio::sync::mpsc;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+use wire::peer::{LogCopy, LogRecord, shard_answer, shard_request};
+
+use crate::context::ShardContext;
+use crate::keeper::{ServedEpoch, ShardKeeper};
+use crate::log_writer::{EpochLog, QUEUE, write_log};
+
+/// How often a box looks whether it should take a shard.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+/// Pause after a try that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time for a partner to take one piece of a copy.
+const PIECE_TIME: Duration = Duration::from_millis(1_500);
+/// Bytes of one piece.
+const PIECE_BYTES: usize = 1 << 20;
+/// Tries to learn whether a plan was taken before everything begins anew.
+const PLAN_TRIES: u32 = 8;
+
+/// Another box serves the shard; what this box holds of it is no longer current.
+const SUPERSEDED: &str = "another plan is in force";
+
+/// Serves a shard whenever it is this box's duty.
+pub async fn keep_shard(ctx: Arc<ShardContext>, keeper: Arc<ShardKeeper>) {
+    let shard = keeper.shard();
+    let mut no_plan_since = None;
+    let mut changes = keeper.changes();
+    loop {
+        if ctx.view.duties().is_read() && wants_shard(&ctx, &keeper, &mut no_plan_since) {
+            match form_epoch(&ctx, &keeper).await {
+                Ok(log) => {
+                    serve_epoch(&ctx, &keeper, log).await;
+                    continue;
+                }
+                Err(why) => {
+                    if why == SUPERSEDED {
+                        keeper.reset(Vec::new());
+                    }
+                    log::info!(target: "shard", shard = shard.get(), why = why; "not taken");
+                    time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+        // Either way it is looked at again soon.
+        let _elapsed = time::timeout(LOOK_EVERY, changes.changed()).await;
+    }
+}
+
+fn wants_shard(
+    ctx: &ShardContext,
+    keeper: &ShardKeeper,
+    no_plan_since: &mut Option<ids::Moment>,
+) -> bool {
+    let shard = keeper.shard();
+    let now = ctx.view.now();
+    let duties = ctx.view.duties();
+    let plan = duties.plan(shard).map(|sighting| &sighting.plan);
+    let no_plan_for = if plan.is_some() {
+        *no_plan_since = None;
+        Duration::ZERO
+    } else {
+        now.since(*no_plan_since.get_or_insert(now))
+    };
+    let boxes: Vec<_> = duties.boxes().map(|copy| copy.box_id.clone()).collect();
+    let ranked = coord::rendezvous::ranked(&shard.to_string(), &boxes, boxes.len());
+    let first_rank = ranked.iter().position(|box_id| **box_id == ctx.me.box_id);
+    let server_silent = plan.and_then(|plan| {
+        let server = plan.server()?;
+        Some(ctx.peers.silent(now, shard, &server.box_id, plan.epoch.token))
+    });
+    let view = DutyView {
+        me: &ctx.me.box_id,
+        plan,
+        has_copy: plan.is_some_and(|plan| ctx.copies.folder().has(shard, &plan.epoch)),
+        server_silent: server_silent.unwrap_or_default(),
+        first_rank: first_rank.unwrap_or(boxes.len()),
+        no_plan_for,
+        leaving: ctx.is_leaving(),
+        asked: keeper.take_asked(),
+    };
+    shard_duty(&view) == ShardDuty::Take
+}
+
+/// Writes the log until it ends, for whatever reason.
+async fn serve_epoch(ctx: &Arc<ShardContext>, keeper: &Arc<ShardKeeper>, log: EpochLog) {
+    let (sender, work) = mpsc::channel(QUEUE);
+    let ended = CancellationToken::new();
+    let epoch = log.epoch.clone();
+    let partners: Vec<CopyHolder> = log.partners.clone();
+    let counts = keeper.book().counts();
+    log::info!(
+        target: "shard", shard = keeper.shard().get(), epoch:% = epoch, jobs = counts.jobs,
+        bytes = counts.bytes;
+        "serving"
+    );
+    keeper.begin(ServedEpoch { epoch: epoch.clone(), log: sender, ended: ended.clone() });
+    let why = tokio::select! {
+        () = write_log(Arc::clone(ctx), Arc::clone(keeper), log, work) => "copy lost",
+        () = ended.cancelled() => "asked",
+        () = superseded(ctx, keeper.shard(), &epoch) => SUPERSEDED,
+        () = partner_leaves(ctx, &partners) => "partner leaves",
+    };
+    keeper.end();
+    if why == SUPERSEDED {
+        keeper.reset(Vec::new());
+    }
+    log::info!(
+        target: "shard", shard = keeper.shard().get(), epoch:% = epoch, why = why;
+        "not serving"
+    );
+}
+
+/// Returns once the store names a later plan.
+async fn superseded(ctx: &ShardContext, shard: ShardIndex, epoch: &EpochId) {
+    let mut changes = ctx.view.changes();
+    loop {
+        let later = ctx.view.duties().plan(shard).is_some_and(|sighting| {
+            sighting.plan.epoch != *epoch && sighting.plan.epoch.token >= epoch.token
+        });
+        if later || changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns once a box with a copy is to be emptied.
+async fn partner_leaves(ctx: &ShardContext, partners: &[CopyHolder]) {
+    loop {
+        time::sleep(LOOK_EVERY).await;
+        let retiring = ctx.retiring().clone();
+        if partners.iter().any(|copy| retiring.contains(&copy.box_id)) {
+            return;
+        }
+    }
+}
+
+/// Forms a new epoch that this box serves.
+async fn form_epoch(
+    ctx: &Arc<ShardContext>,
+    keeper: &Arc<ShardKeeper>,
+) -> Result<EpochLog, &'static str> {
+    let shard = keeper.shard();
+    let sighting = read_plan(ctx, shard).await?;
+    load_base(ctx, keeper, sighting.as_ref()).await?;
+    let count = ctx.settings.copies.saturating_sub(1);
+    let alive = ctx.fit_partners();
+    let partners = choose_partners(shard, &ctx.me.domain, &alive, count)
+        .ok_or("too few other boxes are heard")?;
+    let token =
+        sighting.as_ref().map_or(FencingToken::default(), |sighting| sighting.plan.epoch.token);
+    let number = rand::rng().random::<u32>();
+    let epoch =
+        EpochId { token: token.next(), number: u64::from(number), by: ctx.me.box_id.clone() };
+    let records = {
+        let mut book = keeper.book();
+        book.forget_unlogged();
+        book.snapshot()
+    };
+    let file = copy_records(ctx, shard, &epoch, records, &partners).await?;
+    let copies = std::iter::once(ctx.me.clone()).chain(partners.iter().cloned()).collect();
+    let plan = ShardPlan { epoch: epoch.clone(), copies };
+    let revision = write_plan(ctx, shard, sighting.as_ref(), &plan).await?;
+    ctx.view.duties().put_plan(shard, PlanSighting { revision, plan });
+    ctx.copies.clean(shard, epoch.clone()).await;
+    Ok(EpochLog { epoch, file: Some(file), partners })
+}
+
+async fn read_plan(
+    ctx: &ShardContext,
+    shard: ShardIndex,
+) -> Result<Option<PlanSighting>, &'static str> {
+    ctx.view.metrics.store_call();
+    let stored = ctx.view.store.get(Kind::Duties, &shard_object(shard)).await;
+    let stored = stored.map_err(|error| {
+        log::debug!(target: "shard", shard = shard.get(), error:% = error; "plan not read");
+        "the store does not answer"
+    })?;
+    let Some(stored) = stored else { return Ok(None) };
+    let plan = stored.parse().map_err(|error| {
+        log::warn!(target: "shard", shard = shard.get(), error:% = error; "plan refused");
+        "the plan cannot be read"
+    })?;
+    Ok(Some(PlanSighting { revision: stored.revision, plan }))
+}
+
+/// Makes the book hold everything that was acknowledged under the plan: it does already if this
+/// box has served the plan's epoch until now; else the own copy is closed and read.
+async fn load_base(
+    ctx: &ShardContext,
+    keeper: &ShardKeeper,
+    sighting: Option<&PlanSighting>,
+) -> Result<(), &'static str> {
+    let shard = keeper.shard();
+    let Some(sighting) = sighting else {
+        keeper.reset(Vec::new());
+        return Ok(());
+    };
+    ctx.view.duties().put_plan(shard, sighting.clone());
+    let plan = &sighting.plan;
+    if plan.rank(&ctx.me.box_id).is_none() {
+        return Err(SUPERSEDED);
+    }
+    if keeper.book_epoch().as_ref() == Some(&plan.epoch) {
+        return Ok(());
+    }
+    ctx.copies.close(shard, &plan.epoch).await;
+    let (folder, epoch) = (ctx.copies.folder().clone(), plan.epoch.clone());
+    let read = tokio::task::spawn_blocking(move || folder.read(shard, &epoch)).await;
+    match read {
+        Ok(Ok(records)) => {
+            log::info!(
+                target: "shard", shard = shard.get(), epoch:% = plan.epoch, records = records.len();
+                "copy closed and read"
+            );
+            keeper.reset(records);
+            keeper.set_book_epoch(Some(plan.epoch.clone()));
+            Ok(())
+        }
+        Ok(Err(error)) => {
+            log::error!(target: "shard", shard = shard.get(), error:% = error; "copy not read");
+            Err("the own copy cannot be read")
+        }
+        Err(error) => {
+            log::error!(target: "shard", shard = shard.get(), error:% = error; "copy not read");
+            Err("the own copy cannot be read")
+        }
+    }
+}
+
+/// Writes all records to this box's new copy and to the partners', and waits for all disks.
+async fn copy_records(
+    ctx: &Arc<ShardContext>,
+    shard: ShardIndex,
+    epoch: &EpochId,
+    records: Vec<LogRecord>,
+    partners: &[CopyHolder],
+) -> Result<LogCopyFile, &'static str> {
+    let mut pieces = vec![Vec::new()];
+    for record in records {
+        if pieces.last().is_some_and(|piece| piece.len() >= PIECE_BYTES) {
+            pieces.push(Vec::new());
+        }
+        if let Some(piece) = pieces.last_mut() {
+            encode_record(&record, piece);
+        }
+    }
+    let sent =
+        join_all(partners.iter().map(|partner| send_copy(ctx, shard, epoch, &pieces, partner)));
+    let folder = ctx.copies.folder().clone();
+    let (own_epoch, own_pieces) = (epoch.clone(), pieces.clone());
+    let own = tokio::task::spawn_blocking(move || {
+        let mut file = folder.create(shard, &own_epoch)?;
+        for piece in own_pieces {
+            let offset = file.len();
+            file.append(offset, &piece)?;
+        }
+        file.sync()?;
+        Ok::<_, joblog::CopyError>(file)
+    });
+    let (own, sent) = tokio::join!(own, sent);
+    if !sent.into_iter().all(|taken| taken) {
+        return Err("a partner did not take the copy");
+    }
+    match own {
+        Ok(Ok(file)) => Ok(file),
+        Ok(Err(error)) => {
+            log::error!(target: "shard", shard = shard.get(), error:% = error; "own copy failed");
+            Err("the own copy failed")
+        }
+        Err(_panicked) => Err("the own copy failed"),
+    }
+}
+
+async fn send_copy(
+    ctx: &ShardContext,
+    shard: ShardIndex,
+    epoch: &EpochId,
+    pieces: &[Vec<u8>],
+    partner: &CopyHolder,
+) -> bool {
+    for (index, piece) in pieces.iter().enumerate() {
+        let body = shard_request::Body::Copy(LogCopy {
+            shard: shard.get(),
+            epoch: epoch.to_string(),
+            first: index == 0,
+            last: index + 1 == pieces.len(),
+            records: piece.clone(),
+        });
+        let answer = ctx.ask(&partner.address, PIECE_TIME, body).await;
+        if !matches!(answer, Ok(shard_answer::Body::Synced(_))) {
+            log::warn!(
+                target: "shard", shard = shard.get(), epoch:% = epoch, peer:% = partner.box_id;
+                "partner did not take the copy"
+            );
+            return false;
+        }
+    }
+    true
+}
+
+/// Writes the plan if the one that was read is still in force. An answer that is lost is settled
+/// by writing again: the write is the same, and its condition holds at most once.
+async fn write_plan(
+    ctx: &ShardContext,
+    shard: ShardIndex,
+    base: Option<&PlanSighting>,
+    plan: &ShardPlan,
+) -> Result<u64, &'static str> {
+    let name = shard_object(shard);
+    for _ in 0..PLAN_TRIES {
+        ctx.view.metrics.store_call();
+        let written = match base {
+            Some(base) => ctx.view.store.replace(Kind::Duties, &name, base.revision, plan).await,
+            None => ctx.view.store.create(Kind::Duties, &name, plan).await,
+        };
+        match written {
+            Ok(revision) => return Ok(revision),
+            Err(StoreError::Conflict(_)) => {
+                let current = read_plan(ctx, shard).await;
+                match current {
+                    Ok(Some(current)) if current.plan == *plan => return Ok(current.revision),
+                    Ok(Some(current)) => {
+                        ctx.view.duties().put_plan(shard, current);
+                        return Err(SUPERSEDED);
+                    }
+                    Ok(None) | Err(_) => {}
+                }
+            }
+            Err(error) => {
+                log::warn!(target: "shard", shard = shard.get(), error:% = error; "plan not written");
+            }
+        }
+        time::sleep(RETRY_PAUSE).await;
+    }
+    Err("the store does not answer")
+}
--- /dev/null
+++ b/crates/shards/src/handler.rs
@@ -0,0 +1,265 @@
+//! Answers other boxes: entry boxes about jobs, keeping boxes about logs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{JobId, ShardIndex};
+use joblog::{CopyError, EpochId};
+use jobs::reason;
+use links::{AnswerEnd, AnswerSink, PeerHandler};
+use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
+use wire::peer::{
+    Beat, Item, Job, JobAccepted, JobBytes, JobEnded, JobPage, JobRead, LogAppend, LogCopy,
+    LogRecord, LogSynced, Refused, RefusedKind, Request, ShardAnswer, ShardHandOver, item,
+    log_record, request, shard_answer, shard_request,
+};
+
+use crate::context::ShardContext;
+use crate::keeper::ShardKeeper;
+use crate::peers::own_beat;
+
+/// Longest wait for the log when a call changes something.
+const LOG_TIME: Duration = Duration::from_millis(2_500);
+/// Longest wait of a read.
+const MOST_WAIT: Duration = Duration::from_secs(1);
+
+/// Answers other boxes.
+#[derive(Debug, Clone)]
+pub struct ShardHandler {
+    ctx: Arc<ShardContext>,
+    keepers: Arc<Vec<Arc<ShardKeeper>>>,
+}
+
+type Answered = Result<shard_answer::Body, Refused>;
+
+impl PeerHandler for ShardHandler {
+    async fn request(&self, request: Request, mut sink: AnswerSink, cancel: CancellationToken) {
+        let Some(request::Body::Shard(asked)) = request.body else {
+            return sink.refuse(wrong("this box keeps shards of jobs: ask an entry box")).await;
+        };
+        let Some(body) = asked.body else {
+            return sink.refuse(wrong("the request is empty: send one of its kinds")).await;
+        };
+        let answered = tokio::select! {
+            answered = self.answer(body) => answered,
+            () = cancel.cancelled() => return,
+        };
+        match answered {
+            Ok(body) => {
+                let answer = ShardAnswer { body: Some(body) };
+                if sink.item(Item { body: Some(item::Body::Shard(answer)) }).await {
+                    sink.end(AnswerEnd::default()).await;
+                }
+            }
+            Err(refused) => sink.refuse(refused).await,
+        }
+    }
+
+    async fn beat(&self, _beat: Beat) {}
+}
+
+fn refused(kind: RefusedKind, reason: &str, message: &str) -> Refused {
+    Refused {
+        kind: kind.into(),
+        message: message.to_owned(),
+        reason: reason.to_owned(),
+        ..Refused::default()
+    }
+}
+
+fn wrong(message: &str) -> Refused {
+    refused(RefusedKind::BadRequest, "", message)
+}
+
+fn not_kept() -> Refused {
+    refused(RefusedKind::NotKept, "", "this box does not serve the shard: ask the one that does")
+}
+
+fn not_known() -> Refused {
+    refused(RefusedKind::BadRequest, reason::NO_JOB, "no such job is held: check its id")
+}
+
+fn unsure() -> Refused {
+    let message = "the log has ended meanwhile, it may be kept: ask again under the same id";
+    refused(RefusedKind::Unknown, "", message)
+}
+
+impl ShardHandler {
+    /// A handler for the shards of this box.
+    pub const fn new(ctx: Arc<ShardContext>, keepers: Arc<Vec<Arc<ShardKeeper>>>) -> Self {
+        Self { ctx, keepers }
+    }
+
+    fn keeper(&self, shard: u32) -> Result<&Arc<ShardKeeper>, Refused> {
+        let index = usize::try_from(shard).unwrap_or(usize::MAX);
+        let message = "there is no such shard: give all boxes the same number of shards";
+        self.keepers.get(index).ok_or_else(|| wrong(message))
+    }
+
+    fn served(&self, shard: u32) -> Result<&Arc<ShardKeeper>, Refused> {
+        let keeper = self.keeper(shard)?;
+        if keeper.is_proven() { Ok(keeper) } else { Err(not_kept()) }
+    }
+
+    async fn answer(&self, body: shard_request::Body) -> Answered {
+        match body {
+            shard_request::Body::Submit(submit) => match submit.job {
+                Some(job) => self.submit(submit.shard, job).await,
+                None => Err(wrong("the job is missing: send it")),
+            },
+            shard_request::Body::Read(read) => self.read(read).await,
+            shard_request::Body::BodyOf(asked) => {
+                self.item_body(asked.shard, &asked.job, &asked.item).await
+            }
+            shard_request::Body::End(end) => self.end(end.shard, &end.job).await,
+            shard_request::Body::Append(append) => self.append(append).await,
+            shard_request::Body::Copy(copy) => self.copy(copy).await,
+            shard_request::Body::Beat(beat) => {
+                self.ctx.peers.heard(self.ctx.view.now(), &beat);
+                Ok(shard_answer::Body::Beat(own_beat(&self.ctx, &self.keepers)))
+            }
+            shard_request::Body::HandOver(hand_over) => self.hand_over(&hand_over),
+        }
+    }
+
+    async fn submit(&self, shard: u32, job: Job) -> Answered {
+        let keeper = self.served(shard)?;
+        let id: JobId = job.id.parse().map_err(|_fault| wrong("the job's id is not an id"))?;
+        if keeper.book().knows(&id) {
+            return Ok(shard_answer::Body::Accepted(JobAccepted { known: true }));
+        }
+        let bytes = job.items.iter().map(|item| item.body.len()).sum();
+        if !keeper.book().has_room(bytes) {
+            let message = "the shard holds as much as it may: send the job later";
+            return Err(refused(RefusedKind::NotRun, reason::FULL, message));
+        }
+        let (items, min_version) = (job.items.len(), job.min_version);
+        let record = LogRecord { body: Some(log_record::Body::Accepted(job)) };
+        let logged = log_in_time(keeper, vec![record]).await;
+        log::info!(
+            target: "jobs", job:% = id, shard = shard, items = items, min_version = min_version,
+            outcome = if logged.is_ok() { "accepted" } else { "unknown" };
+            "job taken"
+        );
+        logged?;
+        Ok(shard_answer::Body::Accepted(JobAccepted { known: false }))
+    }
+
+    async fn read(&self, read: JobRead) -> Answered {
+        let keeper = self.served(read.shard)?;
+        let id: JobId = read.job.parse().map_err(|_fault| not_known())?;
+        let wait = Duration::from_millis(u64::from(read.wait_ms)).min(MOST_WAIT);
+        let until = Instant::now() + wait;
+        let most = usize::try_from(read.most_bytes).unwrap_or(usize::MAX);
+        let mut changes = keeper.changes();
+        loop {
+            let page = keeper.book().page(&id, read.from, most);
+            let Some(page) = page else { return Err(self.surely_unknown(keeper).await) };
+            let whole = u32::try_from(page.results.len()).unwrap_or(u32::MAX);
+            let more = read.from.saturating_add(whole) < page.total;
+            if !page.results.is_empty() || !more || Instant::now() >= until {
+                return Self::page(keeper, page);
+            }
+            // Whether it changed or the time is over, the page is looked at once more.
+            let _elapsed = time::timeout_at(until, changes.changed()).await;
+        }
+    }
+
+    /// A page may be shown only while this box surely serves the shard.
+    fn page(keeper: &ShardKeeper, page: JobPage) -> Answered {
+        if keeper.is_proven() { Ok(shard_answer::Body::Page(page)) } else { Err(not_kept()) }
+    }
+
+    /// The refusal for a job that is not held, once it is certain that no other box has taken it.
+    async fn surely_unknown(&self, keeper: &ShardKeeper) -> Refused {
+        match log_in_time(keeper, Vec::new()).await {
+            Ok(()) => not_known(),
+            Err(_unsure) => not_kept(),
+        }
+    }
+
+    async fn item_body(&self, shard: u32, job: &str, item: &str) -> Answered {
+        let keeper = self.served(shard)?;
+        let id: JobId = job.parse().map_err(|_fault| not_known())?;
+        let (known, body) = {
+            let book = keeper.book();
+            (book.knows(&id), book.body(&id, item))
+        };
+        match body {
+            Some(body) => Ok(shard_answer::Body::Bytes(JobBytes { body })),
+            None if known => {
+                let message = "the job has no such item: check its id";
+                Err(refused(RefusedKind::BadRequest, reason::NO_ITEM, message))
+            }
+            None => Err(self.surely_unknown(keeper).await),
+        }
+    }
+
+    async fn end(&self, shard: u32, job: &str) -> Answered {
+        let keeper = self.served(shard)?;
+        let id: JobId = job.parse().map_err(|_fault| not_known())?;
+        if !keeper.book().knows(&id) {
+            return Err(self.surely_unknown(keeper).await);
+        }
+        let records = keeper.book().end(&id);
+        keeper.cancel_runs(&id);
+        // Without a record this waits for an end that is under way.
+        let logged = log_in_time(keeper, records.into_iter().collect()).await;
+        log::info!(
+            target: "jobs", job:% = id, shard = shard,
+            outcome = if logged.is_ok() { "ended" } else { "unknown" };
+            "job ended"
+        );
+        logged?;
+        Ok(shard_answer::Body::Ended(JobEnded {}))
+    }
+
+    async fn append(&self, append: LogAppend) -> Answered {
+        let epoch = parse_epoch(&append.epoch)?;
+        let shard = ShardIndex::new(append.shard);
+        let appended = self.ctx.copies.append(shard, &epoch, append.offset, append.records).await;
+        synced(appended)
+    }
+
+    async fn copy(&self, copy: LogCopy) -> Answered {
+        let epoch = parse_epoch(&copy.epoch)?;
+        let shard = ShardIndex::new(copy.shard);
+        if self.ctx.is_leaving() {
+            return Err(refused(RefusedKind::NotRun, "leaving", "this box leaves: choose another"));
+        }
+        let received =
+            self.ctx.copies.receive(shard, epoch, copy.first, copy.last, copy.records).await;
+        synced(received)
+    }
+
+    fn hand_over(&self, hand_over: &ShardHandOver) -> Answered {
+        let keeper = self.keeper(hand_over.shard)?;
+        log::info!(target: "shard", shard = hand_over.shard, token = hand_over.token; "asked to serve");
+        keeper.ask();
+        Ok(shard_answer::Body::Synced(LogSynced::default()))
+    }
+}
+
+fn parse_epoch(text: &str) -> Result<EpochId, Refused> {
+    text.parse()
+        .map_err(|_fault| wrong("the epoch cannot be read: check that all boxes run one release"))
+}
+
+fn synced(done: Option<Result<u64, CopyError>>) -> Answered {
+    match done {
+        Some(Ok(length)) => Ok(shard_answer::Body::Synced(LogSynced { length })),
+        Some(Err(error)) => Err(refused(RefusedKind::Unknown, "disk", &error.to_string())),
+        None => {
+            let message = "the epoch is not open here: form a new one";
+            Err(refused(RefusedKind::NotKept, "closed", message))
+        }
+    }
+}
+
+async fn log_in_time(keeper: &ShardKeeper, records: Vec<LogRecord>) -> Result<(), Refused> {
+    match time::timeout(LOG_TIME, keeper.log_and_wait(records)).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) | Err(_) => Err(unsure()),
+    }
+}
--- /dev/null
+++ b/crates/shards/src/keeper.rs
@@ -0,0 +1,226 @@
+//! One shard on this box: the book of jobs, and whether it is served here.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ids::{FencingToken, JobId, Moment, ShardIndex};
+use joblog::EpochId;
+use jobs::{JobBook, JobLimits};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+use wire::peer::LogRecord;
+
+use crate::context::ShardContext;
+use crate::log_writer::LogWork;
+
+/// After this long without a proof that all copies still take appends, another box may serve
+/// the shard: reads are turned away and nothing new is started.
+const PROOF_TRUST: Duration = Duration::from_millis(1_000);
+
+/// The epoch under which this box serves the shard.
+#[derive(Debug, Clone)]
+pub struct ServedEpoch {
+    /// The epoch.
+    pub epoch: EpochId,
+    /// Work for the log.
+    pub log: mpsc::Sender<LogWork>,
+    /// Ends when the log can take no more.
+    pub ended: CancellationToken,
+}
+
+/// Why a record is not on all copies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the shard's log has ended before the record was on all copies: it may be kept or not")]
+pub struct NotLogged;
+
+/// One shard on this box.
+#[derive(Debug)]
+pub struct ShardKeeper {
+    shard: ShardIndex,
+    ctx: Arc<ShardContext>,
+    book: Mutex<JobBook>,
+    serving: Mutex<Option<ServedEpoch>>,
+    proven_at: Mutex<Moment>,
+    /// Changes whenever records were applied or an item may start.
+    changed: watch::Sender<u64>,
+    /// One for each job whose items run; cancelled when the job ends.
+    runs: Mutex<HashMap<JobId, CancellationToken>>,
+    /// Set when the shard's server asks this box to go on in its place.
+    asked: Mutex<bool>,
+    /// The epoch whose acknowledged records the book holds.
+    book_epoch: Mutex<Option<EpochId>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl ShardKeeper {
+    /// A shard that is not served here.
+    pub fn new(ctx: Arc<ShardContext>, shard: ShardIndex) -> Self {
+        let book = JobBook::new(limits(&ctx));
+        Self {
+            shard,
+            ctx,
+            book: Mutex::new(book),
+            serving: Mutex::default(),
+            proven_at: Mutex::new(Moment::START),
+            changed: watch::Sender::new(0),
+            runs: Mutex::default(),
+            asked: Mutex::new(false),
+            book_epoch: Mutex::default(),
+        }
+    }
+
+    /// Which shard it is.
+    pub const fn shard(&self) -> ShardIndex {
+        self.shard
+    }
+
+    /// The jobs; held only for a moment.
+    pub fn book(&self) -> MutexGuard<'_, JobBook> {
+        lock(&self.book)
+    }
+
+    /// Replaces the jobs by those of a log that was read, or by none. Runs of the jobs before
+    /// are broken off.
+    pub fn reset(&self, records: Vec<LogRecord>) {
+        for (_, token) in lock(&self.runs).drain() {
+            token.cancel();
+        }
+        let mut book = JobBook::new(limits(&self.ctx));
+        let now = self.ctx.view.now();
+        for record in records {
+            book.apply(now, record);
+        }
+        *self.book() = book;
+        self.set_book_epoch(None);
+    }
+
+    /// The epoch whose acknowledged records the book holds.
+    pub fn book_epoch(&self) -> Option<EpochId> {
+        lock(&self.book_epoch).clone()
+    }
+
+    /// Notes the epoch whose acknowledged records the book holds.
+    pub fn set_book_epoch(&self, epoch: Option<EpochId>) {
+        *lock(&self.book_epoch) = epoch;
+    }
+
+    /// Begins to serve under an epoch.
+    pub fn begin(&self, served: ServedEpoch) {
+        *lock(&self.proven_at) = self.ctx.view.now();
+        self.set_book_epoch(Some(served.epoch.clone()));
+        *lock(&self.serving) = Some(served);
+        self.wake();
+    }
+
+    /// Stops serving. `true` when it was served.
+    pub fn end(&self) -> bool {
+        let served = lock(&self.serving).take();
+        if let Some(served) = &served {
+            served.ended.cancel();
+        }
+        self.wake();
+        served.is_some()
+    }
+
+    /// The epoch under which the shard is served here.
+    pub fn served(&self) -> Option<ServedEpoch> {
+        lock(&self.serving).clone()
+    }
+
+    /// The token under which the shard is served here, if that was proven a moment ago.
+    pub fn served_token(&self) -> Option<FencingToken> {
+        let token = self.served()?.epoch.token;
+        let proven = self.ctx.view.now().since(*lock(&self.proven_at)) < PROOF_TRUST;
+        proven.then_some(token)
+    }
+
+    /// Whether answers from here are those of the shard's one server.
+    pub fn is_proven(&self) -> bool {
+        self.served_token().is_some()
+    }
+
+    /// Applies records that are on all copies.
+    pub fn apply(&self, records: Vec<LogRecord>) {
+        let now = self.ctx.view.now();
+        *lock(&self.proven_at) = now;
+        if records.is_empty() {
+            return;
+        }
+        let mut book = self.book();
+        for record in records {
+            book.apply(now, record);
+        }
+        let counts = book.counts();
+        drop(book);
+        self.ctx.view.metrics.jobs(counts.jobs, counts.waiting, counts.bytes);
+        self.wake();
+    }
+
+    /// Sends records to the log without waiting. While the shard is not served they are
+    /// forgotten, and the next epoch begins without them.
+    pub fn log(&self, records: Vec<LogRecord>) {
+        if records.is_empty() {
+            return;
+        }
+        let Some(served) = self.served() else { return };
+        let work = LogWork { records, done: None };
+        if served.log.try_send(work).is_err() {
+            // The queue is bounded far above what a shard's items can fill; if it is full all
+            // the same, the log does not move, and a new epoch lists these items again.
+            log::error!(target: "shard", shard = self.shard.get(); "log queue full, new epoch");
+            served.ended.cancel();
+        }
+    }
+
+    /// Writes records and waits until they are on all copies; none asks for the proof alone.
+    pub async fn log_and_wait(&self, records: Vec<LogRecord>) -> Result<(), NotLogged> {
+        let served = self.served().ok_or(NotLogged)?;
+        let (done, waiter) = oneshot::channel();
+        let work = LogWork { records, done: Some(done) };
+        served.log.send(work).await.map_err(|_ended| NotLogged)?;
+        waiter.await.map_err(|_ended| NotLogged)
+    }
+
+    /// Wakes whoever waits for results or for items to start.
+    pub fn wake(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Tells each change.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// The token of a job's runs.
+    pub fn run_token(&self, job: &JobId) -> CancellationToken {
+        lock(&self.runs).entry(job.clone()).or_default().clone()
+    }
+
+    /// Breaks off the runs of a job that has ended.
+    pub fn cancel_runs(&self, job: &JobId) {
+        if let Some(token) = lock(&self.runs).remove(job) {
+            token.cancel();
+        }
+    }
+
+    /// Notes that the shard's server asks this box to go on in its place.
+    pub fn ask(&self) {
+        *lock(&self.asked) = true;
+        self.wake();
+    }
+
+    /// Whether it was asked, since the last call.
+    pub fn take_asked(&self) -> bool {
+        std::mem::take(&mut *lock(&self.asked))
+    }
+}
+
+fn limits(ctx: &ShardContext) -> JobLimits {
+    let shards = usize::try_from(ctx.settings.node.shards).unwrap_or(1);
+    // Any box may come to serve every shard.
+    JobLimits { retention: ctx.settings.retention, most_bytes: ctx.settings.job_bytes / shards }
+}
--- /dev/null
+++ b/crates/shards/src/lib.rs
@@ -0,0 +1,24 @@
+//! The keeping role: shards of jobs, their logs, runs of items, orders to engines.
+//!
+//! A box with a disk may serve some shards and hold copies of others' logs. For each shard a
+//! [`ShardKeeper`] follows the plan in the store and serves the shard while the plan names this
+//! box. The box that serves the shard of a service's name also orders that service's engines to
+//! load weights, under a lease.
+
+mod conductor;
+mod context;
+mod copies;
+mod dispatch;
+mod forming;
+mod handler;
+mod keeper;
+mod log_writer;
+mod order;
+mod peers;
+mod reward;
+mod role;
+mod run;
+
+pub use context::ShardContext;
+pub use keeper::ShardKeeper;
+pub use role::run_storage;
--- /dev/null
+++ b/crates/shards/src/peers.rs
@@ -0,0 +1,153 @@
+//! Beats between the boxes that keep data.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ids::{BoxId, FencingToken, Moment, ShardIndex};
+use tokio::time;
+use wire::peer::{ServedShard, ShardBeat, shard_answer, shard_request};
+
+use crate::context::ShardContext;
+use crate::keeper::ShardKeeper;
+
+/// Time between beats.
+const BEAT_EVERY: Duration = Duration::from_millis(300);
+/// Longest wait for the answer to a beat.
+const BEAT_TIME: Duration = Duration::from_millis(500);
+/// A box heard within this time may be given a copy.
+const FIT_TIME: Duration = Duration::from_millis(700);
+/// A box silent for this long is asked less often.
+const SILENT_TIME: Duration = Duration::from_secs(10);
+/// One beat in this many goes to a box that has been silent for long.
+const SILENT_BEATS: u64 = 10;
+
+#[derive(Debug, Clone)]
+struct PeerState {
+    heard_at: Moment,
+    leaving: bool,
+    store_reached: bool,
+}
+
+#[derive(Debug, Default)]
+struct PeerStates {
+    peers: HashMap<BoxId, PeerState>,
+    /// When a box last said that it serves a shard, and under which token.
+    served: HashMap<(ShardIndex, BoxId), (FencingToken, Moment)>,
+}
+
+/// Which boxes are heard, and what they say of themselves.
+#[derive(Debug)]
+pub struct PeerTable {
+    started: Moment,
+    states: Mutex<PeerStates>,
+}
+
+impl PeerTable {
+    /// A table that has heard nobody.
+    pub fn new(started: Moment) -> Self {
+        Self { started, states: Mutex::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PeerStates> {
+        self.states.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes what a box says of itself.
+    pub fn heard(&self, now: Moment, beat: &ShardBeat) {
+        let Ok(box_id) = beat.box_id.parse::<BoxId>() else { return };
+        let mut states = self.lock();
+        let state =
+            PeerState { heard_at: now, leaving: beat.leaving, store_reached: beat.store_reached };
+        states.peers.insert(box_id.clone(), state);
+        for served in &beat.served {
+            let key = (ShardIndex::new(served.shard), box_id.clone());
+            states.served.insert(key, (FencingToken::new(served.token), now));
+        }
+    }
+
+    /// Whether a box may be given a copy.
+    pub fn is_fit(&self, now: Moment, box_id: &BoxId) -> bool {
+        let states = self.lock();
+        states
+            .peers
+            .get(box_id)
+            .is_some_and(|state| !state.leaving && now.since(state.heard_at) < FIT_TIME)
+    }
+
+    /// Whether a box has told a moment ago that the store answers it.
+    pub fn reaches_store(&self, now: Moment, box_id: &BoxId) -> bool {
+        let states = self.lock();
+        states.peers.get(box_id).is_some_and(|state| {
+            state.store_reached && !state.leaving && now.since(state.heard_at) < FIT_TIME
+        })
+    }
+
+    /// How long a box has not said that it serves a shard under `token` or a later one.
+    pub fn silent(
+        &self,
+        now: Moment,
+        shard: ShardIndex,
+        box_id: &BoxId,
+        token: FencingToken,
+    ) -> Duration {
+        let states = self.lock();
+        let told = states.served.get(&(shard, box_id.clone()));
+        let at = told.filter(|(served, _)| *served >= token).map_or(self.started, |(_, at)| *at);
+        now.since(at)
+    }
+
+    fn silent_long(&self, now: Moment, box_id: &BoxId) -> bool {
+        let heard_at = self.lock().peers.get(box_id).map_or(self.started, |state| state.heard_at);
+        now.since(heard_at) > SILENT_TIME
+    }
+}
+
+/// What this box says of itself.
+pub fn own_beat(ctx: &ShardContext, keepers: &[Arc<ShardKeeper>]) -> ShardBeat {
+    let served = keepers.iter().filter_map(|keeper| {
+        let token = keeper.served_token()?;
+        Some(ServedShard { shard: keeper.shard().get(), token: token.get() })
+    });
+    ShardBeat {
+        box_id: ctx.me.box_id.to_string(),
+        served: served.collect(),
+        leaving: ctx.is_leaving(),
+        store_reached: ctx.view.store_state().up,
+        domain: ctx.me.domain.to_string(),
+    }
+}
+
+/// Sends beats to all other boxes until the box ends.
+pub async fn send_beats(ctx: Arc<ShardContext>, keepers: Arc<Vec<Arc<ShardKeeper>>>) {
+    let mut turn: u64 = 0;
+    loop {
+        turn += 1;
+        let now = ctx.view.now();
+        let others: Vec<_> = ctx
+            .view
+            .duties()
+            .boxes()
+            .filter(|copy| copy.box_id != ctx.me.box_id)
+            .cloned()
+            .collect();
+        for other in others {
+            if ctx.peers.silent_long(now, &other.box_id) && !turn.is_multiple_of(SILENT_BEATS) {
+                continue;
+            }
+            let (ctx, keepers) = (Arc::clone(&ctx), Arc::clone(&keepers));
+            tokio::spawn(async move {
+                let beat = shard_request::Body::Beat(own_beat(&ctx, &keepers));
+                match ctx.ask(&other.address, BEAT_TIME, beat).await {
+                    Ok(shard_answer::Body::Beat(beat)) => ctx.peers.heard(ctx.view.now(), &beat),
+                    Ok(_) => {}
+                    // Silence is what the table tells.
+                    Err(error) => {
+                        log::debug!(target: "shard", peer:% = other.box_id, error:% = error; "beat unanswered")
+                    }
+                }
+            });
+        }
+        time::sleep(BEAT_EVERY).await;
+    }
+}
--- /dev/null
+++ b/crates/shards/src/run.rs
@@ -0,0 +1,198 @@
+//! One run of an item at an engine.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
+use http_body_util::Full;
+use ids::{ModelName, ModelVersion};
+use jobs::{RunEnd, RunOutcome, RunSpec};
+use platform::events::EventReader;
+use platform::headers;
+use routing::{TargetFailure, TargetSlot};
+use tokio::time::{self, Instant};
+use upstream::{SendError, TargetAnswer};
+
+use crate::context::ShardContext;
+
+/// Longest silence of a run. Weights take about a second to load, during which a run that goes
+/// on under the new version is silent; a target that is dark is left after this.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+struct RunState<'a> {
+    ctx: &'a ShardContext,
+    spec: &'a RunSpec,
+    slot: &'a TargetSlot,
+    model: Option<ModelName>,
+    version: Option<u64>,
+    events: Vec<Vec<u8>>,
+    versions: Vec<u64>,
+    first_at: Option<Instant>,
+}
+
+/// Runs an item from its last whole event on; whatever came whole is in the answer.
+pub async fn run_item(ctx: &ShardContext, spec: &RunSpec, slot: &TargetSlot) -> RunEnd {
+    let mut state = RunState {
+        ctx,
+        spec,
+        slot,
+        model: spec.job.model.parse().ok(),
+        version: None,
+        events: Vec::new(),
+        versions: Vec::new(),
+        first_at: None,
+    };
+    let started = Instant::now();
+    let (outcome, why) = state.run().await;
+    state.note(outcome, why, started);
+    RunEnd { outcome, events: state.events, versions: state.versions }
+}
+
+impl RunState<'_> {
+    fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let item = self.spec.request()?;
+        let mut sent = HeaderMap::new();
+        for header in &item.headers {
+            let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+            sent.insert(name, HeaderValue::from_str(&header.value).ok()?);
+        }
+        sent.insert(http::header::HOST, HeaderValue::from_str(&self.spec.job.host).ok()?);
+        sent.insert(headers::REQUEST_ID, HeaderValue::from_str(&item.id).ok()?);
+        headers::set_instance(&mut sent, &self.slot.instance);
+        if self.spec.events > 0 {
+            headers::set_last_event(&mut sent, self.spec.events);
+        }
+        let mut request = Request::new(Full::new(Bytes::from(item.body.clone())));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = item.path.parse().ok()?;
+        *request.headers_mut() = sent;
+        Some(request)
+    }
+
+    async fn run(&mut self) -> (RunOutcome, &'static str) {
+        let Some(request) = self.request() else {
+            return (RunOutcome::Impossible, "the item's request cannot be written");
+        };
+        let sent = self.ctx.view.pool.send(self.slot.address, request);
+        let answer = match time::timeout(SILENCE, sent).await {
+            Err(_elapsed) => return (RunOutcome::Cut, "silent before the head"),
+            Ok(Err(SendError::NotSent(_))) => return (RunOutcome::NotRun, "not sent"),
+            Ok(Err(SendError::Broken(_))) => return (RunOutcome::Cut, "broken before the head"),
+            Ok(Ok(answer)) => answer,
+        };
+        self.read(answer).await
+    }
+
+    async fn read(&mut self, answer: TargetAnswer) -> (RunOutcome, &'static str) {
+        let view = &self.ctx.view;
+        let facts = headers::answer_facts(answer.headers());
+        let item = self.spec.request().map_or("", |item| item.id.as_str());
+        if facts.request_id.as_deref().is_some_and(|id| id != item) {
+            return (RunOutcome::Cut, "answer to another request");
+        }
+        if let Some(load) = facts.load {
+            view.board().told_load(view.now(), &self.slot.instance, load);
+        }
+        match answer.status() {
+            StatusCode::MISDIRECTED_REQUEST => return (RunOutcome::NotRun, "another target"),
+            _ if facts.not_run => return (RunOutcome::NotRun, "full or loading"),
+            StatusCode::UNPROCESSABLE_ENTITY => return (RunOutcome::Impossible, "impossible"),
+            status if status.is_server_error() => {
+                return (RunOutcome::Failed, "error of the target");
+            }
+            status if !status.is_success() => return (RunOutcome::Cut, "odd status"),
+            _ => {}
+        }
+        if facts.signature.is_none() {
+            return (RunOutcome::Cut, "unsigned");
+        }
+        self.version = facts.version;
+        self.told_version();
+        if facts.version.is_some_and(|version| version < self.spec.job.min_version) {
+            return (RunOutcome::NotRun, "weights too old");
+        }
+        self.read_events(answer).await
+    }
+
+    fn told_version(&self) {
+        let (Some(model), Some(version)) = (&self.model, self.version) else { return };
+        let version = ModelVersion::new(version);
+        self.ctx.view.board().told_version(&self.slot.instance, model, version);
+    }
+
+    async fn read_events(&mut self, mut answer: TargetAnswer) -> (RunOutcome, &'static str) {
+        let mut reader = EventReader::default();
+        loop {
+            let bytes = match time::timeout(SILENCE, answer.next()).await {
+                Err(_elapsed) => return (RunOutcome::Cut, "silent"),
+                Ok(Err(_broken)) => return (RunOutcome::Cut, "broken"),
+                Ok(Ok(None)) => break,
+                Ok(Ok(Some(bytes))) => bytes,
+            };
+            let Ok(events) = reader.push(&bytes) else {
+                return (RunOutcome::Cut, "no events");
+            };
+            for event in events {
+                let expected = self.spec.events + u32::try_from(self.events.len()).unwrap_or(0) + 1;
+                if event.id != Some(expected) {
+                    return (RunOutcome::Cut, "an event is missing");
+                }
+                if event.version.is_some() {
+                    self.version = event.version;
+                    self.told_version();
+                }
+                let Some(version) = self.version else {
+                    return (RunOutcome::Cut, "no version told");
+                };
+                if self.versions.last() != Some(&version) {
+                    self.versions.push(version);
+                }
+                self.first_at.get_or_insert_with(Instant::now);
+                self.events.push(event.data);
+            }
+        }
+        if reader.has_rest() {
+            return (RunOutcome::Cut, "ended within an event");
+        }
+        answer.reuse();
+        (RunOutcome::Whole, "whole")
+    }
+
+    fn note(&self, outcome: RunOutcome, why: &'static str, started: Instant) {
+        let view = &self.ctx.view;
+        view.metrics.ended("run", why);
+        let now = view.now();
+        let mut board = view.board();
+        let instance = &self.slot.instance;
+        match (outcome, why) {
+            (RunOutcome::Whole, _) => board.succeeded(instance),
+            (RunOutcome::NotRun, "another target") => {
+                board.failed(now, instance, TargetFailure::Gone);
+            }
+            (RunOutcome::NotRun, "full or loading" | "weights too old") => {
+                board.failed(now, instance, TargetFailure::Full);
+            }
+            (RunOutcome::Cut | RunOutcome::NotRun, _) => {
+                board.failed(now, instance, TargetFailure::Broken);
+            }
+            _ => {}
+        }
+        if let Some(first_at) = self.first_at
+            && self.events.len() > 1
+        {
+            let gaps = u32::try_from(self.events.len() - 1).unwrap_or(u32::MAX);
+            board.told_pace(instance, first_at.elapsed() / gaps);
+        }
+        drop(board);
+        let level = if outcome == RunOutcome::Whole { log::Level::Debug } else { log::Level::Info };
+        let item = self.spec.request().map_or("", |item| item.id.as_str());
+        log::log!(
+            target: "jobs", level, job:% = self.spec.item.job, item = item,
+            target:% = instance, from_event = self.spec.events, events = self.events.len(),
+            weight_version = self.version.unwrap_or(0), min_version = self.spec.job.min_version,
+            took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX),
+            outcome = why;
+            "run ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/pool.rs
@@ -0,0 +1,167 @@
+//! Connections kept for reuse, by address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::{self, Instant};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::TargetAnswer;
+
+/// Longest wait for a connection; targets answer in about a millisecond, and a lost opening
+/// packet is repeated only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a connection may rest where the target does not say.
+const IDLE_TIME: Duration = Duration::from_secs(8);
+/// Connections kept for one target; more are closed after use.
+const MOST_IDLE: usize = 16;
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// Nothing was sent.
+    #[error("the target at {0} cannot be reached, nothing was sent: choose another")]
+    NotSent(SocketAddr),
+    /// It was sent, and may have run.
+    #[error("the target broke off ({0}): the request may have run")]
+    Broken(String),
+}
+
+pub(crate) struct Connection {
+    pub sender: SendRequest<Full<Bytes>>,
+    /// Closes the connection when it is dropped.
+    #[expect(dead_code, reason = "held for its drop, which closes the connection")]
+    pub open: DropGuard,
+    idle_until: Instant,
+}
+
+type Idle = Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>;
+
+/// Connections to targets.
+#[derive(Clone, Default)]
+pub struct TargetPool {
+    idle: Idle,
+}
+
+impl std::fmt::Debug for TargetPool {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("TargetPool").field("targets", &self.lock().len()).finish()
+    }
+}
+
+impl TargetPool {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a request and waits for the head of its answer. Nothing is repeated here, except
+    /// on a connection that was closed before it took the request.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<TargetAnswer, SendError> {
+        let mut request = request;
+        while let Some(mut connection) = self.take(address) {
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.answer(address, connection, response)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendError::Broken(error.into_error().to_string())),
+                },
+            }
+        }
+        self.send_fresh(address, request).await
+    }
+
+    /// Sends a request on a connection of its own.
+    pub async fn send_fresh(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<TargetAnswer, SendError> {
+        let connected = time::timeout(CONNECT_TIMEOUT, connect(address)).await;
+        let Ok(Some(mut connection)) = connected else {
+            return Err(SendError::NotSent(address));
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok(self.answer(address, connection, response)),
+            Err(mut error) => match error.take_message() {
+                Some(_unsent) => Err(SendError::NotSent(address)),
+                None => Err(SendError::Broken(error.into_error().to_string())),
+            },
+        }
+    }
+
+    fn answer(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        response: Response<Incoming>,
+    ) -> TargetAnswer {
+        TargetAnswer::new(self.clone(), address, connection, response)
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(connection) = connections.pop() {
+            if now < connection.idle_until && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer came whole; `keep` is what the target allows.
+    pub(crate) fn put_back(
+        &self,
+        address: SocketAddr,
+        mut connection: Connection,
+        keep: Option<Duration>,
+    ) {
+        let now = Instant::now();
+        connection.idle_until = now + keep.unwrap_or(IDLE_TIME);
+        let mut idle = self.lock();
+        let connections = idle.entry(address).or_default();
+        connections.retain(|other| now < other.idle_until && !other.sender.is_closed());
+        if connections.len() < MOST_IDLE {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes connections that have rested too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.lock().retain(|_, connections| {
+            connections.retain(|other| now < other.idle_until && !other.sender.is_closed());
+            !connections.is_empty()
+        });
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<Connection> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let closed = CancellationToken::new();
+    let open = closed.clone().drop_guard();
+    tokio::spawn(async move {
+        tokio::select! {
+            // An error here shows to whoever waits for the answer; an idle one only ends.
+            _ended = connection => {}
+            () = closed.cancelled() => {}
+        }
+    });
+    Some(Connection { sender, open, idle_until: Instant::now() })
+}
