Resume orders sooner after a change of holder

Change: beats tell a holder's last write, so a taker counts the term from then; the gap counts from the last moment the earlier holder may have acted; the term is 1.5 s; what is left of the gap stands in the lease, so a restarted holder keeps it; silence counts from when a plan was learnt; a box between two of its own epochs keeps the lease.

Ruled out: taking the lease at once with the shard, since engines do not check tokens.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -39,6 +39,9 @@
     pub write: u64,
     /// Whether the holder gave the lease up; a released lease may be taken at once.
     pub released: bool,
+    /// How long after this write the holder still keeps quiet because of the one before it.
+    #[serde(default)]
+    pub quiet_ms: u64,
 }
 
 /// A record as read, with the version a conditional update must name.
@@ -64,6 +67,25 @@
     },
 }
 
+/// A write of another holder, heard from itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseNote {
+    /// The holder.
+    pub holder: BoxId,
+    /// The token it holds the lease under.
+    pub token: FencingToken,
+    /// Number of its last write that took effect.
+    pub write: u64,
+    /// When this was first heard; the write is older.
+    pub heard_at: Moment,
+}
+
+impl LeaseNote {
+    fn is_of(&self, record: &LeaseRecord) -> bool {
+        (&self.holder, self.token, self.write) == (&record.holder, record.token, record.write)
+    }
+}
+
 /// How a read ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReadOutcome {
@@ -142,6 +164,7 @@
     address: String,
     term: Duration,
     writes: u64,
+    applied_write: u64,
     held: Option<Held>,
     watched: Option<Watched>,
     other: Option<LeaseRecord>,
@@ -149,6 +172,11 @@
     takeable: Option<(ObjectVersion, FencingToken)>,
     /// Tokens up to this one have been seen in use, whatever the object says.
     seen: FencingToken,
+    note: Option<LeaseNote>,
+    /// Least time between the last act of one holder and the first of another.
+    gap: Duration,
+    /// Before this moment a holder keeps quiet because of the one before it.
+    quiet_until: Moment,
     next_at: Moment,
     pending: Pending,
 }
@@ -162,12 +190,16 @@
             address,
             term,
             writes: 0,
+            applied_write: 0,
             held: None,
             watched: None,
             other: None,
             lost_write: None,
             takeable: None,
             seen: FencingToken::default(),
+            note: None,
+            gap: Duration::ZERO,
+            quiet_until: Moment::START,
             next_at: Moment::START,
             pending: Pending::Nothing,
         }
@@ -186,6 +218,36 @@
         self.other.as_ref()
     }
 
+    /// Number of the last write that took effect, while this box holds the lease.
+    pub fn held_write(&self) -> Option<u64> {
+        self.held.map(|_| self.applied_write)
+    }
+
+    /// Sets the least time between the last act of one holder and the first of another.
+    #[must_use]
+    pub const fn with_gap(mut self, gap: Duration) -> Self {
+        self.gap = gap;
+        self
+    }
+
+    /// From when on a holder may act: the one before it has been quiet for the gap by then.
+    pub const fn quiet_until(&self) -> Moment {
+        self.quiet_until
+    }
+
+    /// Takes what a holder said of its own last write. If the object still holds that write when
+    /// it is read, it has been unchanged since then, and the wait for the term is the shorter.
+    pub fn note(&mut self, note: LeaseNote) {
+        if self
+            .note
+            .as_ref()
+            .is_some_and(|known| known.write == note.write && known.token == note.token)
+        {
+            return;
+        }
+        self.note = Some(note);
+    }
+
     /// Notes a token seen in use; the next one taken is higher. A holder under a lower token
     /// takes its own lease anew, above the one seen.
     pub fn raise(&mut self, now: Moment, seen: FencingToken) {
@@ -278,7 +340,10 @@
         };
         self.pending = Pending::Nothing;
         match outcome {
-            WriteOutcome::Applied(version) => self.hold(token, version, sent_at),
+            WriteOutcome::Applied(version) => {
+                self.applied_write = write;
+                self.hold(token, version, sent_at);
+            }
             WriteOutcome::Conflict => {
                 // Perhaps an earlier write of ours, whose answer was lost: only a read tells.
                 self.lost_write = Some((token, write, sent_at));
@@ -320,9 +385,10 @@
             incarnation: self.incarnation,
             token,
             address: self.address.clone(),
-            term_ms: u64::try_from(self.term.as_millis()).unwrap_or(u64::MAX),
+            term_ms: millis(self.term),
             write: self.writes,
             released,
+            quiet_ms: millis(self.quiet_until.since(now)),
         };
         LeaseAction::Write { expect, record }
     }
@@ -348,9 +414,11 @@
         if let Some((_, write, sent_at)) = lost
             && write == sighting.record.write
         {
+            self.applied_write = write;
             self.hold(token, sighting.version, sent_at);
             return;
         }
+        self.applied_write = sighting.record.write;
         // Ours, but from an earlier write: keep the earlier count and renew at once.
         let counted_from = self.held.map_or(Moment::START, |held| held.counted_from);
         self.hold(token, sighting.version, counted_from);
@@ -362,15 +430,28 @@
             Some(watched) if watched.version == sighting.version => watched.unchanged_since,
             _ => now,
         };
+        let noted = self.note.as_ref().filter(|note| note.is_of(&sighting.record));
+        let unchanged_since =
+            noted.map_or(unchanged_since, |note| note.heard_at.min(unchanged_since));
         self.watched = Some(Watched { version: sighting.version, unchanged_since });
         let term = Duration::from_millis(sighting.record.term_ms);
         let token = sighting.record.token.next();
         // One box runs one process at a time: an earlier life of this box acts no more.
         let earlier_life = sighting.record.holder == self.me;
-        if sighting.record.released || earlier_life || now.since(unchanged_since) >= term {
+        let free = sighting.record.released || earlier_life;
+        if free || now.since(unchanged_since) >= term {
+            let acted_until = unchanged_since + term.saturating_sub(term / MARGIN_PARTS);
+            self.quiet_until = if earlier_life {
+                now + Duration::from_millis(sighting.record.quiet_ms)
+            } else if sighting.record.released {
+                now + self.gap
+            } else {
+                acted_until + self.gap
+            };
             self.take_soon(now, sighting.version, token);
         } else {
-            self.next_at = now + term / READS_PER_TERM;
+            let due = unchanged_since + term;
+            self.next_at = due.min(now + term / READS_PER_TERM);
         }
         self.other = Some(sighting.record);
     }
@@ -380,3 +461,7 @@
         self.next_at = now;
     }
 }
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/keeping/tests/keeper.rs
+++ b/crates/keeping/tests/keeper.rs
@@ -65,6 +65,7 @@
         term_ms: 1_000,
         write: 1,
         released: false,
+        quiet_ms: 0,
     };
     ReadOutcome::Found(LeaseSighting { version: ObjectVersion::new(version), record })
 }
--- a/crates/node/src/duties.rs
+++ b/crates/node/src/duties.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use ids::{BoxId, ShardIndex};
+use ids::{BoxId, Moment, ShardIndex};
 use joblog::{CopyHolder, ShardPlan};
 use platform::{Changed, Listing, Stored};
 
@@ -30,6 +30,8 @@
     pub revision: u64,
     /// The plan.
     pub plan: ShardPlan,
+    /// When this box first saw a plan of this epoch.
+    pub seen_at: Moment,
 }
 
 /// What the store tells of duties.
@@ -63,12 +65,15 @@
     }
 
     /// Takes a plan unless a later one is known.
-    pub fn put_plan(&mut self, shard: ShardIndex, sighting: PlanSighting) {
+    pub fn put_plan(&mut self, shard: ShardIndex, mut sighting: PlanSighting) {
         let known = self.plans.get(&shard);
         if known.is_some_and(|known| known.revision > sighting.revision) {
             return;
         }
-        if known.is_none_or(|known| known.plan.epoch != sighting.plan.epoch) {
+        let same_epoch = known.filter(|known| known.plan.epoch == sighting.plan.epoch);
+        if let Some(known) = same_epoch {
+            sighting.seen_at = known.seen_at;
+        } else {
             let plan = &sighting.plan;
             log::info!(
                 target: "shard", shard = shard.get(), token = plan.epoch.token.get(),
@@ -80,12 +85,13 @@
         self.plans.insert(shard, sighting);
     }
 
-    fn put(&mut self, stored: &Stored) {
+    fn put(&mut self, now: Moment, stored: &Stored) {
         if let Some(shard) = stored.name.strip_prefix(SHARD_PREFIX) {
             let Ok(shard) = shard.parse() else { return };
             match stored.parse() {
                 Ok(plan) => {
-                    self.put_plan(shard, PlanSighting { revision: stored.revision, plan });
+                    let revision = stored.revision;
+                    self.put_plan(shard, PlanSighting { revision, plan, seen_at: now });
                 }
                 Err(error) => log::warn!(target: "shard", error:% = error; "plan refused"),
             }
@@ -112,9 +118,10 @@
 
 impl KindSink for DutySink {
     fn listed(&mut self, listing: &Listing) {
+        let now = self.0.now();
         let mut duties = self.0.duties();
         for stored in &listing.objects {
-            duties.put(stored);
+            duties.put(now, stored);
         }
         duties.read = true;
         drop(duties);
@@ -123,7 +130,10 @@
 
     fn changed(&mut self, change: &Changed) {
         match change {
-            Changed::Put(stored) => self.0.duties().put(stored),
+            Changed::Put(stored) => {
+                let now = self.0.now();
+                self.0.duties().put(now, stored);
+            }
             Changed::Removed(name) => self.0.duties().remove(name),
         }
         self.0.wake();
--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -17,6 +17,7 @@
 use platform::{Kind, StoreError};
 use routing::{RouteKind, TargetRecord};
 use tokio::time;
+use wire::peer::HeldLease;
 
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
@@ -24,7 +25,7 @@
 
 /// Term of the lease. A holder that is gone delays orders by this and by the gap between
 /// holders; each renewal is a priced call.
-const TERM: Duration = Duration::from_millis(3_000);
+const TERM: Duration = Duration::from_millis(1_500);
 /// Beyond the gap that the platform asks for between two holders: the way of an order.
 const GAP_SLACK: Duration = Duration::from_millis(300);
 /// How often engines are looked at.
@@ -37,8 +38,6 @@
 struct ServiceClaim {
     service: ServiceName,
     claim: Mutex<LeaseClaim>,
-    /// Earliest moment of an order under the present hold.
-    order_from: Mutex<Moment>,
     /// Engines that an order is under way to.
     ordered: Mutex<HashSet<InstanceId>>,
 }
@@ -54,21 +53,15 @@
         let millis = since.map_or(0, |since| since.as_millis());
         let incarnation = Incarnation::new(u64::try_from(millis).unwrap_or(u64::MAX));
         let me = &ctx.me;
-        let claim = LeaseClaim::new(me.box_id.clone(), incarnation, me.address.clone(), TERM);
-        Self {
-            service,
-            claim: Mutex::new(claim),
-            order_from: Mutex::new(Moment::NEVER),
-            ordered: Mutex::default(),
-        }
+        let claim = LeaseClaim::new(me.box_id.clone(), incarnation, me.address.clone(), TERM)
+            .with_gap(ctx.settings.order_gap + GAP_SLACK);
+        Self { service, claim: Mutex::new(claim), ordered: Mutex::default() }
     }
 
     /// The token under which an order may be sent now.
     fn token(&self, now: Moment) -> Option<FencingToken> {
-        if now < *lock(&self.order_from) {
-            return None;
-        }
-        lock(&self.claim).held(now)
+        let claim = lock(&self.claim);
+        claim.held(now).filter(|_| now >= claim.quiet_until())
     }
 }
 
@@ -79,7 +72,7 @@
         for (service, _) in ctx.view.engine_services() {
             let shard = shard_of(service.as_str(), ctx.settings.node.shards);
             let index = usize::try_from(shard.get()).unwrap_or(usize::MAX);
-            let serves = keepers.get(index).is_some_and(|keeper| keeper.is_proven());
+            let serves = keepers.get(index).is_some_and(|keeper| keeper.is_candidate());
             let at = claims.iter().position(|claim| claim.service == service);
             match (serves, at) {
                 (true, None) => {
@@ -110,7 +103,14 @@
     loop {
         let Some(held) = claim.upgrade() else { return };
         let now = ctx.view.now();
-        let action = lock(&held.claim).poll(now);
+        let note = ctx.peers.lease_note(&lease_object(&held.service));
+        let action = {
+            let mut claim = lock(&held.claim);
+            if let Some(note) = note.filter(|note| note.holder != ctx.me.box_id) {
+                claim.note(note);
+            }
+            claim.poll(now)
+        };
         match action {
             Some(action) => carry_out(&ctx, &held, action).await,
             None => {
@@ -158,7 +158,17 @@
                 Err(_) => WriteOutcome::Unknown,
             };
             let now = ctx.view.now();
-            lock(&held.claim).write_done(now, outcome);
+            let token = {
+                let mut claim = lock(&held.claim);
+                claim.write_done(now, outcome);
+                claim.held(now).zip(claim.held_write())
+            };
+            let told = token.map(|(token, write)| HeldLease {
+                name: name.clone(),
+                token: token.get(),
+                write,
+            });
+            ctx.note_lease(&name, told);
             if !was_held && !record.released {
                 note_hold(ctx, held, before.as_ref());
             }
@@ -169,24 +179,21 @@
 /// Notes a new hold; after another box, its orders must be long past.
 fn note_hold(ctx: &ShardContext, held: &ServiceClaim, before: Option<&LeaseRecord>) {
     let now = ctx.view.now();
-    let Some(token) = lock(&held.claim).held(now) else { return };
-    let mut order_from = lock(&held.order_from);
-    let other = before.is_some_and(|record| record.holder != ctx.me.box_id);
-    if other || *order_from == Moment::NEVER && token > FencingToken::new(1) && before.is_none() {
-        *order_from = now + ctx.settings.order_gap + GAP_SLACK;
-    } else if *order_from == Moment::NEVER {
-        *order_from = now;
-    }
+    let claim = lock(&held.claim);
+    let Some(token) = claim.held(now) else { return };
+    let from = claim.quiet_until();
+    drop(claim);
     log::info!(
         target: "conductor", service:% = held.service, token = token.get(),
         after:% = before.map_or("none", |record| record.holder.as_str()),
-        wait_ms = u64::try_from(order_from.since(now).as_millis()).unwrap_or(u64::MAX);
+        wait_ms = u64::try_from(from.since(now).as_millis()).unwrap_or(u64::MAX);
         "lease held"
     );
 }
 
 async fn release(ctx: Arc<ShardContext>, held: Arc<ServiceClaim>) {
     let action = lock(&held.claim).release(ctx.view.now());
+    ctx.note_lease(&lease_object(&held.service), None);
     if let Some(action) = action {
         log::info!(target: "conductor", service:% = held.service; "lease released");
         carry_out(&ctx, &held, action).await;
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -1,6 +1,6 @@
 //! What all tasks of a keeping box share.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use ids::BoxId;
@@ -8,7 +8,9 @@
 use links::{CallError, LinkPool};
 use node::{NodeView, StorageSettings};
 use tokio_util::sync::CancellationToken;
-use wire::peer::{Request, ShardAnswer, ShardRequest, item, request, shard_answer, shard_request};
+use wire::peer::{
+    HeldLease, Request, ShardAnswer, ShardRequest, item, request, shard_answer, shard_request,
+};
 
 use crate::copies::OpenCopies;
 use crate::peers::PeerTable;
@@ -31,6 +33,7 @@
     /// Set once the box is asked to stop.
     pub stopping: CancellationToken,
     retiring: Mutex<HashSet<BoxId>>,
+    leases: Mutex<HashMap<String, HeldLease>>,
 }
 
 impl ShardContext {
@@ -57,6 +60,7 @@
             peers,
             stopping: CancellationToken::new(),
             retiring: Mutex::default(),
+            leases: Mutex::default(),
         }
     }
 
@@ -70,6 +74,20 @@
         self.stopping.is_cancelled() || self.retiring().contains(&self.me.box_id)
     }
 
+    /// Leases that this box holds, as beats tell them.
+    pub fn held_leases(&self) -> Vec<HeldLease> {
+        self.leases.lock().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
+    }
+
+    /// Notes the last write to a lease that this box holds, or that it holds it no more.
+    pub fn note_lease(&self, name: &str, held: Option<HeldLease>) {
+        let mut leases = self.leases.lock().unwrap_or_else(PoisonError::into_inner);
+        match held {
+            Some(held) => leases.insert(name.to_owned(), held),
+            None => leases.remove(name),
+        };
+    }
+
     /// Boxes that may hold a copy: heard a moment ago, and not leaving.
     pub fn fit_partners(&self) -> Vec<CopyHolder> {
         let now = self.view.now();
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -70,6 +70,7 @@
     let now = ctx.view.now();
     let duties = ctx.view.duties();
     let plan = duties.plan(shard).map(|sighting| &sighting.plan);
+    let seen_at = duties.plan(shard).map_or(now, |sighting| sighting.seen_at);
     let no_plan_for = if plan.is_some() {
         *no_plan_since = None;
         Duration::ZERO
@@ -81,7 +82,9 @@
     let first_rank = ranked.iter().position(|box_id| **box_id == ctx.me.box_id);
     let server_silent = plan.and_then(|plan| {
         let server = plan.server()?;
-        Some(ctx.peers.silent(now, shard, &server.box_id, plan.epoch.token))
+        let silent = ctx.peers.silent(now, shard, &server.box_id, plan.epoch.token);
+        // A plan that was just learnt: its server has had no time to tell that it serves.
+        Some(silent.min(now.since(seen_at)))
     });
     let view = DutyView {
         me: &ctx.me.box_id,
@@ -175,7 +178,8 @@
     let copies = std::iter::once(ctx.me.clone()).chain(partners.iter().cloned()).collect();
     let plan = ShardPlan { epoch: epoch.clone(), copies };
     let revision = write_plan(ctx, shard, sighting.as_ref(), &plan).await?;
-    ctx.view.duties().put_plan(shard, PlanSighting { revision, plan });
+    let seen_at = ctx.view.now();
+    ctx.view.duties().put_plan(shard, PlanSighting { revision, plan, seen_at });
     ctx.copies.clean(shard, epoch.clone()).await;
     Ok(EpochLog { epoch, file: Some(file), partners })
 }
@@ -195,7 +199,8 @@
         log::warn!(target: "shard", shard = shard.get(), error:% = error; "plan refused");
         "the plan cannot be read"
     })?;
-    Ok(Some(PlanSighting { revision: stored.revision, plan }))
+    let seen_at = ctx.view.now();
+    Ok(Some(PlanSighting { revision: stored.revision, plan, seen_at }))
 }
 
 /// Makes the book hold everything that was acknowledged under the plan: it does already if this
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use coord::lease::LeaseNote;
 use ids::{BoxId, FencingToken, Moment, ShardIndex};
 use tokio::time;
 use wire::peer::{ServedShard, ShardBeat, shard_answer, shard_request};
@@ -34,6 +35,8 @@
     peers: HashMap<BoxId, PeerState>,
     /// When a box last said that it serves a shard, and under which token.
     served: HashMap<(ShardIndex, BoxId), (FencingToken, Moment)>,
+    /// What the holder of a lease last said of its writes.
+    notes: HashMap<String, LeaseNote>,
 }
 
 /// Which boxes are heard, and what they say of themselves.
@@ -64,6 +67,21 @@
             let key = (ShardIndex::new(served.shard), box_id.clone());
             states.served.insert(key, (FencingToken::new(served.token), now));
         }
+        for held in &beat.leases {
+            let token = FencingToken::new(held.token);
+            let known = states.notes.get(&held.name);
+            if known.is_some_and(|note| (note.token, note.write) >= (token, held.write)) {
+                continue;
+            }
+            let note =
+                LeaseNote { holder: box_id.clone(), token, write: held.write, heard_at: now };
+            states.notes.insert(held.name.clone(), note);
+        }
+    }
+
+    /// What the holder of a lease last said of its writes.
+    pub fn lease_note(&self, name: &str) -> Option<LeaseNote> {
+        self.lock().notes.get(name).cloned()
     }
 
     /// Whether a box may be given a copy.
@@ -115,6 +133,7 @@
         leaving: ctx.is_leaving(),
         store_reached: ctx.view.store_state().up,
         domain: ctx.me.domain.to_string(),
+        leases: ctx.held_leases(),
     }
 }
 
