Move runs away from slow engines

Cause: a run at an engine that turned four times as slow holds its step for up to 20 s, while reading its prompt and text again elsewhere takes some 5 ms. Change: each run takes its pace every four events; when an engine with a free slot is faster by 1.8 it breaks off and goes on there after its last whole event. Ruled out: a fixed limit on a run's time, since lengths differ by fifty times.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -204,7 +204,12 @@
     });
     match client.ask(shard, job, wait + READ_SLACK, &body).await {
         Ok(shard_answer::Body::Page(page)) => {
+            let results = page.results.len();
             let page = calls::write_page(&page, from);
+            log::debug!(
+                target: "entry", job = job, from = from, results = results, bytes = page.len();
+                "page read"
+            );
             answer::whole(StatusCode::OK, "application/json", Bytes::from(page))
         }
         Ok(_) => uncertain(client, "read", job, ShardFault::Unknown),
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -261,6 +261,37 @@
         share * slowness + away
     }
 
+    /// Whether a request that runs at `instance` had better go on elsewhere: another target that
+    /// fits has a free slot and is faster by `factor`, counting `pace` as the present one's.
+    pub fn has_faster(
+        &self,
+        now: Moment,
+        instance: &InstanceId,
+        pace: Duration,
+        factor: f64,
+        need: &ChoiceNeed<'_>,
+    ) -> bool {
+        let Some(here) = self.views.get(instance) else { return false };
+        let Some(others) = self.services.get(&here.record.service) else { return false };
+        let millis = pace.as_secs_f64() * 1_000.0;
+        others.iter().filter(|other| *other != instance).any(|other| {
+            let Some(view) = self.views.get(other) else { return false };
+            let known = view.pace > 0.0 && view.pace * factor < millis;
+            known && now >= view.rest_until && view.fits(now, need)
+        })
+    }
+
+    /// Slots that are free at targets which fit, `instance` left out.
+    pub fn free_elsewhere(&self, now: Moment, instance: &InstanceId, need: &ChoiceNeed<'_>) -> u32 {
+        let Some(here) = self.views.get(instance) else { return 0 };
+        let Some(others) = self.services.get(&here.record.service) else { return 0 };
+        let views = others.iter().filter(|other| *other != instance);
+        let fit = views
+            .filter_map(|other| self.views.get(other))
+            .filter(|view| now >= view.rest_until && view.fits(now, need));
+        fit.map(|view| view.slots().saturating_sub(view.load(now))).sum()
+    }
+
     /// Notes that a chosen request has ended there, well or not.
     pub fn ended(&mut self, instance: &InstanceId) {
         if let Some(view) = self.views.get_mut(instance) {
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -9,7 +9,7 @@
 use jobs::{RunEnd, RunOutcome, RunSpec};
 use platform::events::EventReader;
 use platform::headers;
-use routing::{TargetFailure, TargetSlot};
+use routing::{ChoiceNeed, TargetFailure, TargetSlot};
 use tokio::time::{self, Instant};
 use upstream::{SendError, TargetAnswer};
 
@@ -18,6 +18,14 @@
 /// Longest silence of a run. Weights take about a second to load, during which a run that goes
 /// on under the new version is silent; a target that is dark is left after this.
 const SILENCE: Duration = Duration::from_millis(2_500);
+/// Events over which a run's pace is taken.
+const PACE_EVENTS: u32 = 4;
+/// A run moves when another engine is faster by this factor: less is within what the batch's
+/// size does to the pace, and a move costs a prompt read again.
+const MOVE_FACTOR: f64 = 1.8;
+
+/// Why a run was moved away from a slow engine.
+const SLOW: &str = "slow engine";
 
 struct RunState<'a> {
     ctx: &'a ShardContext,
@@ -27,7 +35,8 @@
     version: Option<u64>,
     events: Vec<Vec<u8>>,
     versions: Vec<u64>,
-    first_at: Option<Instant>,
+    /// When the pace was last taken, and at how many events.
+    paced_at: Option<(Instant, usize)>,
 }
 
 /// Runs an item from its last whole event on; whatever came whole is in the answer.
@@ -40,7 +49,7 @@
         version: None,
         events: Vec::new(),
         versions: Vec::new(),
-        first_at: None,
+        paced_at: None,
     };
     let started = Instant::now();
     let (outcome, why) = state.run().await;
@@ -147,9 +156,11 @@
                 if self.versions.last() != Some(&version) {
                     self.versions.push(version);
                 }
-                self.first_at.get_or_insert_with(Instant::now);
                 self.events.push(event.data);
             }
+            if self.take_pace() {
+                return (RunOutcome::Cut, SLOW);
+            }
         }
         if reader.has_rest() {
             return (RunOutcome::Cut, "ended within an event");
@@ -158,6 +169,31 @@
         (RunOutcome::Whole, "whole")
     }
 
+    /// Takes the pace every few events. `true` when the run had better go on elsewhere.
+    fn take_pace(&mut self) -> bool {
+        let now = Instant::now();
+        let Some((since, at)) = self.paced_at else {
+            self.paced_at = Some((now, self.events.len()));
+            return false;
+        };
+        let events = u32::try_from(self.events.len() - at).unwrap_or(u32::MAX);
+        if events < PACE_EVENTS {
+            return false;
+        }
+        self.paced_at = Some((now, self.events.len()));
+        let pace = now.duration_since(since) / events;
+        let view = &self.ctx.view;
+        let floor = ModelVersion::new(self.spec.job.min_version);
+        let need = ChoiceNeed {
+            model: self.model.as_ref().map(|model| (model, floor)),
+            free_slot: true,
+            avoid: &[],
+        };
+        let mut board = view.board();
+        board.told_pace(&self.slot.instance, pace);
+        board.has_faster(view.now(), &self.slot.instance, pace, MOVE_FACTOR, &need)
+    }
+
     fn note(&self, outcome: RunOutcome, why: &'static str, started: Instant) {
         let view = &self.ctx.view;
         view.metrics.ended("run", why);
@@ -166,6 +202,7 @@
         let instance = &self.slot.instance;
         match (outcome, why) {
             (RunOutcome::Whole, _) => board.succeeded(instance),
+            (RunOutcome::Cut, SLOW) => {}
             (RunOutcome::NotRun, "another target") => {
                 board.failed(now, instance, TargetFailure::Gone);
             }
@@ -177,12 +214,6 @@
             }
             _ => {}
         }
-        if let Some(first_at) = self.first_at
-            && self.events.len() > 1
-        {
-            let gaps = u32::try_from(self.events.len() - 1).unwrap_or(u32::MAX);
-            board.told_pace(instance, first_at.elapsed() / gaps);
-        }
         drop(board);
         let level = if outcome == RunOutcome::Whole { log::Level::Debug } else { log::Level::Info };
         let item = self.spec.request().map_or("", |item| item.id.as_str());
