--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -18,6 +18,9 @@
 /// Longest silence of a run. Weights take about a second to load, during which a run that goes
 /// on under the new version is silent; a target that is dark is left after this.
 const SILENCE: Duration = Duration::from_millis(2_500);
+/// A run that is silent for this long looks whether its engine loads weights. Events come every
+/// 40 ms or so.
+const LOOK_TIME: Duration = Duration::from_millis(150);
 /// Events over which a run's pace is taken.
 const PACE_EVENTS: u32 = 4;
 /// A run moves when another engine is faster by this factor: less is within what the batch's
@@ -27,6 +30,9 @@
 /// Why a run was moved away from a slow engine.
 const SLOW: &str = "slow engine";
 
+/// Why a run was moved away from an engine that loads weights.
+const LOADS: &str = "engine loads";
+
 struct RunState<'a> {
     ctx: &'a ShardContext,
     spec: &'a RunSpec,
@@ -131,13 +137,19 @@
 
     async fn read_events(&mut self, mut answer: TargetAnswer) -> (RunOutcome, &'static str) {
         let mut reader = EventReader::default();
+        let mut last_at = Instant::now();
         loop {
-            let bytes = match time::timeout(SILENCE, answer.next()).await {
-                Err(_elapsed) => return (RunOutcome::Cut, "silent"),
+            let bytes = match time::timeout(LOOK_TIME, answer.next()).await {
+                Err(_elapsed) if self.should_leave() => return (RunOutcome::Cut, LOADS),
+                Err(_elapsed) if last_at.elapsed() >= SILENCE => {
+                    return (RunOutcome::Cut, "silent");
+                }
+                Err(_elapsed) => continue,
                 Ok(Err(_broken)) => return (RunOutcome::Cut, "broken"),
                 Ok(Ok(None)) => break,
                 Ok(Ok(Some(bytes))) => bytes,
             };
+            last_at = Instant::now();
             let Ok(events) = reader.push(&bytes) else {
                 return (RunOutcome::Cut, "no events");
             };
@@ -183,15 +195,26 @@
         self.paced_at = Some((now, self.events.len()));
         let pace = now.duration_since(since) / events;
         let view = &self.ctx.view;
+        let mut board = view.board();
+        board.told_pace(&self.slot.instance, pace);
+        board.has_faster(view.now(), &self.slot.instance, pace, MOVE_FACTOR, &self.need())
+    }
+
+    fn need(&self) -> ChoiceNeed<'_> {
         let floor = ModelVersion::new(self.spec.job.min_version);
-        let need = ChoiceNeed {
+        ChoiceNeed {
             model: self.model.as_ref().map(|model| (model, floor)),
             free_slot: true,
             avoid: &[],
-        };
-        let mut board = view.board();
-        board.told_pace(&self.slot.instance, pace);
-        board.has_faster(view.now(), &self.slot.instance, pace, MOVE_FACTOR, &need)
+        }
+    }
+
+    /// Whether a silent run's engine loads weights while another has a free slot.
+    fn should_leave(&self) -> bool {
+        let view = &self.ctx.view;
+        let (now, board) = (view.now(), view.board());
+        board.is_loading(now, &self.slot.instance)
+            && board.free_elsewhere(now, &self.slot.instance, &self.need()) > 0
     }
 
     fn note(&self, outcome: RunOutcome, why: &'static str, started: Instant) {
@@ -202,7 +225,7 @@
         let instance = &self.slot.instance;
         match (outcome, why) {
             (RunOutcome::Whole, _) => board.succeeded(instance),
-            (RunOutcome::Cut, SLOW) => {}
+            (RunOutcome::Cut, SLOW | LOADS) => {}
             (RunOutcome::NotRun, "another target") => {
                 board.failed(now, instance, TargetFailure::Gone);
             }
