Keep long texts in the log while they run; take over sooner

Change: a run gives its events to the log 16 at a time, and the next server goes on after them; run numbers tell a late end from an earlier run. A silent box is left after 0.85 s; one that refuses connections, whose process restarts, after 0.7 s more, since it may order engines at once.

Ruled out: listing in parts, since positions must never change; runs outside the keeping box, which would cost a hop for every text.

--- a/crates/joblog/src/duty.rs
+++ b/crates/joblog/src/duty.rs
@@ -7,9 +7,12 @@
 
 use crate::{CopyHolder, ShardPlan};
 
-/// Silence after which the next copy's box takes the shard over. Beats come every 300 ms; three
+/// Silence after which the next copy's box takes the shard over. Beats come every 250 ms; two
 /// of them may be lost or late.
-pub const TAKE_AFTER: Duration = Duration::from_millis(1_200);
+pub const TAKE_AFTER: Duration = Duration::from_millis(850);
+/// Further patience when the server's box refuses connections: its process is started again
+/// within about a second, and may go on without the wait that follows a change of holder.
+pub const RESTART_PATIENCE: Duration = Duration::from_millis(700);
 
 /// Patience of a box that has just given the shard up and would rather not serve it again.
 pub const LEAVING_PATIENCE: Duration = Duration::from_millis(3_000);
@@ -31,6 +34,8 @@
     pub has_copy: bool,
     /// How long the plan's server has not said that it serves the shard.
     pub server_silent: Duration,
+    /// Whether the server's box refuses connections since it was last heard.
+    pub server_restarts: bool,
     /// Place of this box among those that could begin a shard without a plan.
     pub first_rank: usize,
     /// How long this box has known that there is no plan.
@@ -60,6 +65,8 @@
         Some(plan) => match plan.rank(view.me) {
             Some(rank) if view.has_copy => {
                 let extra = if view.leaving { LEAVING_PATIENCE } else { Duration::ZERO };
+                let restart = if view.server_restarts { RESTART_PATIENCE } else { Duration::ZERO };
+                let extra = if rank > 0 { extra + restart } else { extra };
                 let patience = TAKE_AFTER * u32::try_from(rank).unwrap_or(u32::MAX) + extra;
                 view.asked || view.server_silent >= patience
             }
--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -23,7 +23,8 @@
 
 pub use copy::{CopyError, CopyFolder, LogCopyFile};
 pub use duty::{
-    DutyView, LEAVING_PATIENCE, ShardDuty, TAKE_AFTER, choose_partners, shard_duty, shard_of,
+    DutyView, LEAVING_PATIENCE, RESTART_PATIENCE, ShardDuty, TAKE_AFTER, choose_partners,
+    shard_duty, shard_of,
 };
 pub use plan::{CopyHolder, EpochError, EpochId, ShardPlan};
 pub use record::{decode_records, encode_record};
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -6,7 +6,7 @@
 
 use ids::{JobId, Moment};
 use wire::peer::log_record::Body;
-use wire::peer::{EndedJob, Job, JobPage, JobResult, ListedResult, LogRecord};
+use wire::peer::{EndedJob, ItemProgress, Job, JobPage, JobResult, ListedResult, LogRecord};
 
 use crate::item::{ItemPhase, ItemState};
 use crate::{ItemRef, RewardEnd, RunEnd, RunOutcome, RunSpec, run_order};
@@ -108,6 +108,7 @@
             Some(Body::Listed(listed)) => self.apply_listed(listed),
             Some(Body::Ended(ended)) => self.apply_ended(&ended.job),
             Some(Body::Dropped(dropped)) => self.apply_dropped(&dropped.job),
+            Some(Body::Progress(progress)) => self.apply_progress(&progress),
             None => {}
         }
     }
@@ -192,6 +193,16 @@
         self.bytes += bytes;
     }
 
+    fn apply_progress(&mut self, progress: &ItemProgress) {
+        let Some(state) = self.state_mut(&progress.job) else { return };
+        let Some(item) = state.items.get_mut(progress.index as usize) else { return };
+        if item.phase == ItemPhase::Listed || item.events != progress.from_event {
+            return;
+        }
+        item.add_text(&progress.text, progress.events, &progress.versions);
+        item.whole |= progress.whole;
+    }
+
     fn apply_ended(&mut self, job: &str) {
         let Some(state) = self.state_mut(job) else { return };
         state.ended = true;
@@ -233,6 +244,8 @@
             }
             if state.ended {
                 records.push(record(Body::Ended(EndedJob { job })));
+            } else {
+                records.extend(unlisted_text(&job, &state.items));
             }
         }
         records
@@ -286,11 +299,14 @@
                     events: item.events,
                     newest: item.versions.last().copied(),
                     whole: item.whole,
+                    run: item.run + 1,
                 };
                 if !start(spec) {
                     break;
                 }
-                state.items[index as usize].phase = ItemPhase::Running;
+                let item = &mut state.items[index as usize];
+                item.phase = ItemPhase::Running;
+                item.run += 1;
                 state.waiting.remove(at);
             }
         }
@@ -312,17 +328,20 @@
     }
 
     /// Takes the end of a run. `true` when the text is whole and its reward call is due.
-    pub fn run_ended(&mut self, now: Moment, item: &ItemRef, run: &RunEnd) -> bool {
+    pub fn run_ended(&mut self, now: Moment, spec: &RunSpec, run: &RunEnd) -> bool {
+        let item = &spec.item;
         let Some(state) = self.jobs.get_mut(&item.job) else { return false };
         let job = Arc::clone(&state.job);
         let Some(entry) = state.items.get_mut(item.index as usize) else { return false };
-        if entry.phase == ItemPhase::Listed {
+        if entry.phase != ItemPhase::Running || entry.run != spec.run {
             return false;
         }
-        if run.outcome == RunOutcome::Unusable {
+        if run.outcome == RunOutcome::Unusable || entry.events < spec.events {
             entry.forget_text();
         } else {
-            entry.add(&run.events, &run.versions);
+            // Some of the events may have come through the log already.
+            let kept = (entry.events - spec.events) as usize;
+            entry.add(run.events.get(kept..).unwrap_or_default());
             if !ItemState::fits(&entry.versions, &job) {
                 entry.forget_text();
                 return self.again(now, item, RETRY_PAUSE);
@@ -351,7 +370,7 @@
     pub fn scored(&mut self, now: Moment, item: &ItemRef, end: RewardEnd) -> Option<LogRecord> {
         let state = self.jobs.get_mut(&item.job)?;
         let entry = state.items.get_mut(item.index as usize)?;
-        if entry.phase == ItemPhase::Listed || state.ending {
+        if entry.phase != ItemPhase::Running || state.ending {
             return None;
         }
         match end {
@@ -471,6 +490,26 @@
     }
 }
 
+/// The text of items that are not listed yet.
+fn unlisted_text<'a>(
+    job: &'a str,
+    items: &'a [ItemState],
+) -> impl Iterator<Item = LogRecord> + use<'a> {
+    let held = items.iter().enumerate();
+    let held = held.filter(|(_, item)| item.phase != ItemPhase::Listed && item.events > 0);
+    held.map(|(index, item)| {
+        record(Body::Progress(ItemProgress {
+            job: job.to_owned(),
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+            from_event: 0,
+            events: item.events,
+            text: item.text.clone(),
+            versions: item.versions.clone(),
+            whole: item.whole,
+        }))
+    })
+}
+
 fn record(body: Body) -> LogRecord {
     LogRecord { body: Some(body) }
 }
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use ids::{JobId, Moment};
-use wire::peer::{Job, JobItem};
+use wire::peer::log_record::Body;
+use wire::peer::{ItemProgress, Job, JobItem, LogRecord};
 
 /// Names an item by its job and index.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -27,9 +28,28 @@
     pub newest: Option<u64>,
     /// Whether the text is whole, and only the reward call is missing.
     pub whole: bool,
+    /// Number of this run of the item; the end of an earlier one says nothing.
+    pub run: u32,
 }
 
 impl RunSpec {
+    /// The record that keeps events of a run which goes on; `sent` of them were kept before.
+    pub fn progress(&self, events: &[RunEvent], sent: usize) -> LogRecord {
+        let count = |events: usize| u32::try_from(events).unwrap_or(u32::MAX);
+        let mut state = ItemState::new();
+        state.add(&events[sent..]);
+        let progress = ItemProgress {
+            job: self.item.job.to_string(),
+            index: self.item.index,
+            from_event: self.events + count(sent),
+            events: state.events,
+            text: state.text,
+            versions: state.versions,
+            whole: false,
+        };
+        LogRecord { body: Some(Body::Progress(progress)) }
+    }
+
     /// The item's own request.
     pub fn request(&self) -> Option<&JobItem> {
         self.job.items.get(self.item.index as usize)
@@ -58,10 +78,17 @@
 pub struct RunEnd {
     /// How it ended.
     pub outcome: RunOutcome,
-    /// Data of the whole events that came, in order.
-    pub events: Vec<Vec<u8>>,
-    /// Versions that made these events, in order, without repeats.
-    pub versions: Vec<u64>,
+    /// The whole events that came, in order.
+    pub events: Vec<RunEvent>,
+}
+
+/// One whole event of a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunEvent {
+    /// Its data.
+    pub data: Vec<u8>,
+    /// Version of the weights that made it.
+    pub version: u64,
 }
 
 /// How a reward call ended.
@@ -92,6 +119,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct ItemState {
     pub phase: ItemPhase,
+    /// Number of the last run.
+    pub run: u32,
     pub not_before: Moment,
     pub failures: u32,
     pub reward_failures: u32,
@@ -108,6 +137,7 @@
     pub(crate) const fn new() -> Self {
         Self {
             phase: ItemPhase::Waiting,
+            run: 0,
             not_before: Moment::START,
             failures: 0,
             reward_failures: 0,
@@ -120,14 +150,22 @@
         }
     }
 
-    pub(crate) fn add(&mut self, events: &[Vec<u8>], versions: &[u64]) {
+    pub(crate) fn add(&mut self, events: &[RunEvent]) {
         for event in events {
-            if self.events > 0 {
-                self.text.push(b'\n');
-            }
-            self.text.extend_from_slice(event);
-            self.events += 1;
+            self.add_text(&event.data, 1, &[event.version]);
+        }
+    }
+
+    /// Adds `events` events whose data is joined already.
+    pub(crate) fn add_text(&mut self, text: &[u8], events: u32, versions: &[u64]) {
+        if events == 0 {
+            return;
+        }
+        if self.events > 0 {
+            self.text.push(b'\n');
         }
+        self.text.extend_from_slice(text);
+        self.events += events;
         for version in versions {
             if self.versions.last() != Some(version) {
                 self.versions.push(*version);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,7 +15,7 @@
 mod order;
 
 pub use book::{JobBook, JobCounts, JobLimits};
-pub use item::{ItemRef, RewardEnd, RunEnd, RunOutcome, RunSpec};
+pub use item::{ItemRef, RewardEnd, RunEnd, RunEvent, RunOutcome, RunSpec};
 pub use order::run_order;
 
 /// Short names of the reasons for which a shard's server refuses a call.
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -88,11 +88,11 @@
                 NextStep::Reward => true,
                 NextStep::Run(slot) => {
                     let run = tokio::select! {
-                        run = run_item(&ctx, &spec, &slot) => run,
+                        run = run_item(&ctx, &keeper, &spec, &slot) => run,
                         () = token.cancelled() => cancelled(),
                     };
                     ctx.view.board().ended(&slot.instance);
-                    let whole = keeper.book().run_ended(ctx.view.now(), &spec.item, &run);
+                    let whole = keeper.book().run_ended(ctx.view.now(), &spec, &run);
                     keeper.wake();
                     whole
                 }
@@ -108,7 +108,7 @@
 }
 
 const fn cancelled() -> RunEnd {
-    RunEnd { outcome: RunOutcome::Cut, events: Vec::new(), versions: Vec::new() }
+    RunEnd { outcome: RunOutcome::Cut, events: Vec::new() }
 }
 
 /// A target for the item, or the reward call. `None` when the item has to wait.
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -91,6 +91,9 @@
         plan,
         has_copy: plan.is_some_and(|plan| ctx.copies.folder().has(shard, &plan.epoch)),
         server_silent: server_silent.unwrap_or_default(),
+        server_restarts: plan
+            .and_then(ShardPlan::server)
+            .is_some_and(|server| ctx.peers.restarts(&server.box_id)),
         first_rank: first_rank.unwrap_or(boxes.len()),
         no_plan_for,
         leaving: ctx.is_leaving(),
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -6,6 +6,7 @@
 
 use coord::lease::LeaseNote;
 use ids::{BoxId, FencingToken, Moment, ShardIndex};
+use links::CallError;
 use tokio::time;
 use wire::peer::{ServedShard, ShardBeat, shard_answer, shard_request};
 
@@ -13,13 +14,15 @@
 use crate::keeper::ShardKeeper;
 
 /// Time between beats.
-const BEAT_EVERY: Duration = Duration::from_millis(300);
+const BEAT_EVERY: Duration = Duration::from_millis(250);
 /// Longest wait for the answer to a beat.
 const BEAT_TIME: Duration = Duration::from_millis(500);
 /// A box heard within this time may be given a copy.
 const FIT_TIME: Duration = Duration::from_millis(700);
 /// A box silent for this long is asked less often.
 const SILENT_TIME: Duration = Duration::from_secs(10);
+/// A connection that fails sooner than this was refused: the box runs, its process does not.
+const REFUSED_TIME: Duration = Duration::from_millis(100);
 /// One beat in this many goes to a box that has been silent for long.
 const SILENT_BEATS: u64 = 10;
 
@@ -37,6 +40,8 @@
     served: HashMap<(ShardIndex, BoxId), (FencingToken, Moment)>,
     /// What the holder of a lease last said of its writes.
     notes: HashMap<String, LeaseNote>,
+    /// When a box last refused connections.
+    refused: HashMap<BoxId, Moment>,
 }
 
 /// Which boxes are heard, and what they say of themselves.
@@ -84,6 +89,18 @@
         self.lock().notes.get(name).cloned()
     }
 
+    /// Notes that a box refuses connections: its process has ended and will be started again.
+    pub fn refused(&self, now: Moment, box_id: &BoxId) {
+        self.lock().refused.insert(box_id.clone(), now);
+    }
+
+    /// Whether a box has refused connections since it was last heard.
+    pub fn restarts(&self, box_id: &BoxId) -> bool {
+        let states = self.lock();
+        let heard_at = states.peers.get(box_id).map_or(self.started, |state| state.heard_at);
+        states.refused.get(box_id).is_some_and(|refused_at| *refused_at > heard_at)
+    }
+
     /// Whether a box may be given a copy.
     pub fn is_fit(&self, now: Moment, box_id: &BoxId) -> bool {
         let states = self.lock();
@@ -156,10 +173,14 @@
             }
             let (ctx, keepers) = (Arc::clone(&ctx), Arc::clone(&keepers));
             tokio::spawn(async move {
+                let asked_at = time::Instant::now();
                 let beat = shard_request::Body::Beat(own_beat(&ctx, &keepers));
                 match ctx.ask(&other.address, BEAT_TIME, beat).await {
                     Ok(shard_answer::Body::Beat(beat)) => ctx.peers.heard(ctx.view.now(), &beat),
                     Ok(_) => {}
+                    Err(CallError::NotSent { .. }) if asked_at.elapsed() < REFUSED_TIME => {
+                        ctx.peers.refused(ctx.view.now(), &other.box_id);
+                    }
                     // Silence is what the table tells.
                     Err(error) => {
                         log::debug!(target: "shard", peer:% = other.box_id, error:% = error; "beat unanswered")
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 use ids::{ModelName, ModelVersion};
-use jobs::{RunEnd, RunOutcome, RunSpec};
+use jobs::{RunEnd, RunEvent, RunOutcome, RunSpec};
 use platform::events::EventReader;
 use platform::headers;
 use routing::{ChoiceNeed, TargetFailure, TargetSlot};
@@ -14,6 +14,7 @@
 use upstream::{SendError, TargetAnswer};
 
 use crate::context::ShardContext;
+use crate::keeper::ShardKeeper;
 
 /// Longest silence of a run. Weights take about a second to load, during which a run that goes
 /// on under the new version is silent; a target that is dark is left after this.
@@ -21,6 +22,9 @@
 /// A run that is silent for this long looks whether its engine loads weights. Events come every
 /// 40 ms or so.
 const LOOK_TIME: Duration = Duration::from_millis(150);
+/// Events that gather before they are given to the log: some 0.6 s of a run. Most texts are
+/// shorter, and are logged once, when they are listed.
+const PROGRESS_EVENTS: usize = 16;
 /// Events over which a run's pace is taken.
 const PACE_EVENTS: u32 = 4;
 /// A run moves when another engine is faster by this factor: less is within what the batch's
@@ -35,32 +39,40 @@
 
 struct RunState<'a> {
     ctx: &'a ShardContext,
+    keeper: &'a ShardKeeper,
     spec: &'a RunSpec,
     slot: &'a TargetSlot,
     model: Option<ModelName>,
     version: Option<u64>,
-    events: Vec<Vec<u8>>,
-    versions: Vec<u64>,
+    events: Vec<RunEvent>,
+    /// Events that were given to the log.
+    logged: usize,
     /// When the pace was last taken, and at how many events.
     paced_at: Option<(Instant, usize)>,
 }
 
 /// Runs an item from its last whole event on; whatever came whole is in the answer.
-pub async fn run_item(ctx: &ShardContext, spec: &RunSpec, slot: &TargetSlot) -> RunEnd {
+pub async fn run_item(
+    ctx: &ShardContext,
+    keeper: &ShardKeeper,
+    spec: &RunSpec,
+    slot: &TargetSlot,
+) -> RunEnd {
     let mut state = RunState {
         ctx,
+        keeper,
         spec,
         slot,
         model: spec.job.model.parse().ok(),
         version: None,
         events: Vec::new(),
-        versions: Vec::new(),
+        logged: 0,
         paced_at: None,
     };
     let started = Instant::now();
     let (outcome, why) = state.run().await;
     state.note(outcome, why, started);
-    RunEnd { outcome, events: state.events, versions: state.versions }
+    RunEnd { outcome, events: state.events }
 }
 
 impl RunState<'_> {
@@ -165,11 +177,9 @@
                 let Some(version) = self.version else {
                     return (RunOutcome::Cut, "no version told");
                 };
-                if self.versions.last() != Some(&version) {
-                    self.versions.push(version);
-                }
-                self.events.push(event.data);
+                self.events.push(RunEvent { data: event.data, version });
             }
+            self.log_progress();
             if self.take_pace() {
                 return (RunOutcome::Cut, SLOW);
             }
@@ -181,6 +191,15 @@
         (RunOutcome::Whole, "whole")
     }
 
+    /// Gives new events to the log now and then, so that a long text survives this box.
+    fn log_progress(&mut self) {
+        if self.events.len() - self.logged < PROGRESS_EVENTS || self.spec.job.single_version {
+            return;
+        }
+        self.keeper.log(vec![self.spec.progress(&self.events, self.logged)]);
+        self.logged = self.events.len();
+    }
+
     /// Takes the pace every few events. `true` when the run had better go on elsewhere.
     fn take_pace(&mut self) -> bool {
         let now = Instant::now();
