Keep the lease on engines when a shard moves, and take it up again after a restart

Change: a holder that is well keeps its lease; a restarted box takes its own lease up at once; a taker takes only shortly before the gap is over, since it could not act before. A box that is heard in beats to hold the lease needs no look at it. Jobs of a superseded epoch are forgotten.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -19,6 +19,9 @@
 const MARGIN_PARTS: u32 = 5;
 /// The holder renews after one part in this many of the term, leaving two tries to spare.
 const RENEW_PARTS: u32 = 3;
+/// A lease is taken this long before the gap after its last holder is over: the time that a read
+/// and a write take in a store that is slow.
+const TAKE_LEAD: Duration = Duration::from_millis(500);
 /// A waiting claim reads the object this many times in a term.
 const READS_PER_TERM: u32 = 4;
 
@@ -213,6 +216,17 @@
         (now < acts_until).then_some(held.token)
     }
 
+    /// Whether the lease was last read in the hands of an earlier life of this box.
+    pub fn takes_own(&self) -> bool {
+        self.other.as_ref().is_some_and(|record| record.holder == self.me)
+    }
+
+    /// Whether this box holds the lease for all it knows, though perhaps not for long enough
+    /// to act.
+    pub const fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// The other holder last read, while this box does not hold the lease.
     pub fn other_holder(&self) -> Option<&LeaseRecord> {
         self.other.as_ref()
@@ -439,8 +453,12 @@
         // One box runs one process at a time: an earlier life of this box acts no more.
         let earlier_life = sighting.record.holder == self.me;
         let free = sighting.record.released || earlier_life;
-        if free || now.since(unchanged_since) >= term {
-            let acted_until = unchanged_since + term.saturating_sub(term / MARGIN_PARTS);
+        let acted_until = unchanged_since + term.saturating_sub(term / MARGIN_PARTS);
+        // Before the gap is over a taker could not act anyway, while the holder, should it come
+        // back, could at once: so it is left the lease until shortly before.
+        let worth_taking = acted_until + self.gap.saturating_sub(TAKE_LEAD);
+        let due = worth_taking.max(unchanged_since + term);
+        if free || now >= due {
             self.quiet_until = if earlier_life {
                 now + Duration::from_millis(sighting.record.quiet_ms)
             } else if sighting.record.released {
@@ -450,7 +468,6 @@
             };
             self.take_soon(now, sighting.version, token);
         } else {
-            let due = unchanged_since + term;
             self.next_at = due.min(now + term / READS_PER_TERM);
         }
         self.other = Some(sighting.record);
--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -28,7 +28,7 @@
 const TERM: Duration = Duration::from_millis(1_500);
 /// Beyond the gap that the platform asks for between two holders: the way of an order.
 const GAP_SLACK: Duration = Duration::from_millis(300);
-/// How often engines are looked at.
+/// How often engines and leases are looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Pause before an engine that was busy or in doubt is ordered again.
 const AGAIN_PAUSE: Duration = Duration::from_millis(250);
@@ -38,6 +38,10 @@
 struct ServiceClaim {
     service: ServiceName,
     claim: Mutex<LeaseClaim>,
+    /// Whether another box was read to hold it.
+    others: Mutex<bool>,
+    /// Set while an action on the lease is under way.
+    busy: Mutex<bool>,
     /// Engines that an order is under way to.
     ordered: Mutex<HashSet<InstanceId>>,
 }
@@ -55,7 +59,18 @@
         let me = &ctx.me;
         let claim = LeaseClaim::new(me.box_id.clone(), incarnation, me.address.clone(), TERM)
             .with_gap(ctx.settings.order_gap + GAP_SLACK);
-        Self { service, claim: Mutex::new(claim), ordered: Mutex::default() }
+        Self {
+            service,
+            claim: Mutex::new(claim),
+            others: Mutex::new(false),
+            busy: Mutex::new(false),
+            ordered: Mutex::default(),
+        }
+    }
+
+    /// Whether the lease is held here, or may be for all that has been read of it.
+    fn may_be_mine(&self) -> bool {
+        !*lock(&self.others)
     }
 
     /// The token under which an order may be sent now.
@@ -65,62 +80,74 @@
     }
 }
 
-/// Conducts the engines of all services whose name's shard is served here.
+/// Conducts engines: those of a service whose name's shard is served here, and those that this
+/// box holds the lease of already. A holder that is well keeps its lease when the shard moves,
+/// and takes it up again after a restart, since every change of holder costs a pause.
 pub async fn conduct(ctx: Arc<ShardContext>, keepers: Arc<Vec<Arc<ShardKeeper>>>) {
     let mut claims: Vec<Arc<ServiceClaim>> = Vec::new();
     loop {
         for (service, _) in ctx.view.engine_services() {
-            let shard = shard_of(service.as_str(), ctx.settings.node.shards);
-            let index = usize::try_from(shard.get()).unwrap_or(usize::MAX);
-            let serves = keepers.get(index).is_some_and(|keeper| keeper.is_candidate());
-            let at = claims.iter().position(|claim| claim.service == service);
-            match (serves, at) {
-                (true, None) => {
-                    let claim = Arc::new(ServiceClaim::new(&ctx, service));
-                    tokio::spawn(hold_lease(Arc::clone(&ctx), Arc::downgrade(&claim)));
-                    claims.push(claim);
-                }
-                (false, Some(at)) => {
-                    let claim = claims.swap_remove(at);
-                    tokio::spawn(release(Arc::clone(&ctx), claim));
-                }
-                _ => {}
+            if claims.iter().all(|claim| claim.service != service) {
+                claims.push(Arc::new(ServiceClaim::new(&ctx, service)));
             }
         }
         for claim in &claims {
-            order_due(&ctx, claim);
+            let serves = serves_shard(&ctx, &keepers, claim);
+            if ctx.is_leaving() {
+                release(&ctx, claim);
+            } else if serves || claim.may_be_mine() {
+                poll_claim(&ctx, claim);
+                order_due(&ctx, claim);
+            }
         }
         time::sleep(LOOK_EVERY).await;
     }
 }
 
+fn serves_shard(ctx: &ShardContext, keepers: &[Arc<ShardKeeper>], claim: &ServiceClaim) -> bool {
+    let shard = shard_of(claim.service.as_str(), ctx.settings.node.shards);
+    let index = usize::try_from(shard.get()).unwrap_or(usize::MAX);
+    keepers.get(index).is_some_and(|keeper| keeper.is_proven())
+}
+
 fn lease_object(service: &ServiceName) -> String {
     format!("engines-{service}")
 }
 
-/// Polls the claim until it is dropped.
-async fn hold_lease(ctx: Arc<ShardContext>, claim: std::sync::Weak<ServiceClaim>) {
-    loop {
-        let Some(held) = claim.upgrade() else { return };
-        let now = ctx.view.now();
-        let note = ctx.peers.lease_note(&lease_object(&held.service));
-        let action = {
-            let mut claim = lock(&held.claim);
-            if let Some(note) = note.filter(|note| note.holder != ctx.me.box_id) {
-                claim.note(note);
-            }
-            claim.poll(now)
-        };
-        match action {
-            Some(action) => carry_out(&ctx, &held, action).await,
-            None => {
-                drop(held);
-                time::sleep(LOOK_EVERY).await;
-            }
+/// Starts what the claim wants done, one action at a time.
+fn poll_claim(ctx: &Arc<ShardContext>, held: &Arc<ServiceClaim>) {
+    if *lock(&held.busy) {
+        return;
+    }
+    let now = ctx.view.now();
+    let name = lease_object(&held.service);
+    let note = ctx.peers.lease_note(&name).filter(|note| note.holder != ctx.me.box_id);
+    let action = {
+        let mut claim = lock(&held.claim);
+        // A holder that is heard needs no look at its lease.
+        let heard = note.as_ref().is_some_and(|note| now.since(note.heard_at) < TERM);
+        if heard && !claim.is_held() && !held.may_be_mine() {
+            return;
+        }
+        if let Some(note) = note {
+            claim.note(note);
         }
+        claim.poll(now)
+    };
+    if let Some(action) = action {
+        start_action(ctx, held, action);
     }
 }
 
+fn start_action(ctx: &Arc<ShardContext>, held: &Arc<ServiceClaim>, action: LeaseAction) {
+    *lock(&held.busy) = true;
+    let (ctx, held) = (Arc::clone(ctx), Arc::clone(held));
+    tokio::spawn(async move {
+        carry_out(&ctx, &held, action).await;
+        *lock(&held.busy) = false;
+    });
+}
+
 async fn carry_out(ctx: &ShardContext, held: &ServiceClaim, action: LeaseAction) {
     let name = lease_object(&held.service);
     ctx.view.metrics.store_call();
@@ -140,7 +167,10 @@
                 Ok(None) => ReadOutcome::Absent,
                 Err(_failed) => ReadOutcome::NoAnswer,
             };
-            lock(&held.claim).read_done(ctx.view.now(), outcome);
+            let mut claim = lock(&held.claim);
+            claim.read_done(ctx.view.now(), outcome);
+            // None to be seen is no claim of this box's either: the one that serves takes it.
+            *lock(&held.others) = !claim.is_held() && !claim.takes_own();
         }
         LeaseAction::Write { expect, record } => {
             let before = lock(&held.claim).other_holder().cloned();
@@ -169,6 +199,7 @@
                 write,
             });
             ctx.note_lease(&name, told);
+            *lock(&held.others) = !lock(&held.claim).is_held();
             if !was_held && !record.released {
                 note_hold(ctx, held, before.as_ref());
             }
@@ -191,12 +222,16 @@
     );
 }
 
-async fn release(ctx: Arc<ShardContext>, held: Arc<ServiceClaim>) {
+/// Gives the lease up, if it is held.
+fn release(ctx: &Arc<ShardContext>, held: &Arc<ServiceClaim>) {
+    if *lock(&held.busy) {
+        return;
+    }
     let action = lock(&held.claim).release(ctx.view.now());
-    ctx.note_lease(&lease_object(&held.service), None);
     if let Some(action) = action {
+        ctx.note_lease(&lease_object(&held.service), None);
         log::info!(target: "conductor", service:% = held.service; "lease released");
-        carry_out(&ctx, &held, action).await;
+        start_action(ctx, held, action);
     }
 }
 
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -41,6 +41,7 @@
     let mut no_plan_since = None;
     let mut changes = keeper.changes();
     loop {
+        drop_superseded(&ctx, &keeper);
         if ctx.view.duties().is_read() && wants_shard(&ctx, &keeper, &mut no_plan_since) {
             match form_epoch(&ctx, &keeper).await {
                 Ok(log) => {
@@ -61,6 +62,20 @@
     }
 }
 
+/// Forgets the jobs of a shard that another box serves under a later plan.
+fn drop_superseded(ctx: &ShardContext, keeper: &ShardKeeper) {
+    let Some(held) = keeper.book_epoch() else { return };
+    let superseded = ctx.view.duties().plan(keeper.shard()).is_some_and(|sighting| {
+        let plan = &sighting.plan;
+        plan.epoch != held
+            && plan.epoch.token > held.token
+            && plan.server().is_none_or(|server| server.box_id != ctx.me.box_id)
+    });
+    if superseded {
+        keeper.reset(Vec::new());
+    }
+}
+
 fn wants_shard(
     ctx: &ShardContext,
     keeper: &ShardKeeper,
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -48,7 +48,6 @@
     runs: Mutex<HashMap<JobId, CancellationToken>>,
     /// Set when the shard's server asks this box to go on in its place.
     asked: Mutex<bool>,
-    handed_over: Mutex<bool>,
     /// The epoch whose acknowledged records the book holds.
     book_epoch: Mutex<Option<EpochId>>,
 }
@@ -70,7 +69,6 @@
             changed: watch::Sender::new(0),
             runs: Mutex::default(),
             asked: Mutex::new(false),
-            handed_over: Mutex::new(false),
             book_epoch: Mutex::default(),
         }
     }
@@ -114,7 +112,6 @@
     pub fn begin(&self, served: ServedEpoch) {
         *lock(&self.proven_at) = self.ctx.view.now();
         self.set_book_epoch(Some(served.epoch.clone()));
-        self.set_handed_over(false);
         *lock(&self.serving) = Some(served);
         self.wake();
     }
@@ -146,17 +143,6 @@
         self.served_token().is_some()
     }
 
-    /// Whether the shard is served here, or will be again unless another box is first: the time
-    /// between two epochs of the same box is no reason to give up its other duties.
-    pub fn is_candidate(&self) -> bool {
-        self.book_epoch().is_some() && !*lock(&self.handed_over)
-    }
-
-    /// Notes that the shard is given to another box, or served here after all.
-    pub fn set_handed_over(&self, handed_over: bool) {
-        *lock(&self.handed_over) = handed_over;
-    }
-
     /// Applies records that are on all copies.
     pub fn apply(&self, records: Vec<LogRecord>) {
         let now = self.ctx.view.now();
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -148,7 +148,6 @@
             plan.and_then(|plan| plan.copies.into_iter().find(|copy| copy.box_id != ctx.me.box_id))
         };
         let Some(next) = next else { continue };
-        keeper.set_handed_over(true);
         keeper.end();
         let body = shard_request::Body::HandOver(ShardHandOver {
             shard: keeper.shard().get(),
