--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod copy;
 mod duty;
+mod former;
 mod plan;
 mod record;
 
@@ -26,5 +27,6 @@
     DutyView, LEAVING_PATIENCE, RESTART_PATIENCE, ShardDuty, TAKE_AFTER, choose_partners,
     shard_duty, shard_of,
 };
+pub use former::{EpochFormer, FormFault, FormStep, PlanWrite, ReadPlan};
 pub use plan::{CopyHolder, EpochError, EpochId, ShardPlan};
 pub use record::{decode_records, encode_record};
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -196,7 +196,8 @@
     fn apply_progress(&mut self, progress: &ItemProgress) {
         let Some(state) = self.state_mut(&progress.job) else { return };
         let Some(item) = state.items.get_mut(progress.index as usize) else { return };
-        if item.phase == ItemPhase::Listed || item.events != progress.from_event {
+        let known = item.whole || item.phase == ItemPhase::Listed;
+        if known || item.events != progress.from_event {
             return;
         }
         item.add_text(&progress.text, progress.events, &progress.versions);
@@ -496,13 +497,15 @@
     items: &'a [ItemState],
 ) -> impl Iterator<Item = LogRecord> + use<'a> {
     let held = items.iter().enumerate();
-    let held = held.filter(|(_, item)| item.phase != ItemPhase::Listed && item.events > 0);
+    let held = held.filter(|(_, item)| item.phase != ItemPhase::Listed);
+    let held = held.filter(|(_, item)| item.events > 0 || item.whole);
     held.map(|(index, item)| {
         record(Body::Progress(ItemProgress {
             job: job.to_owned(),
             index: u32::try_from(index).unwrap_or(u32::MAX),
             from_event: 0,
-            events: item.events,
+            // How many events made a whole text that was carried over does not matter any more.
+            events: item.events.max(1),
             text: item.text.clone(),
             versions: item.versions.clone(),
             whole: item.whole,
--- /dev/null
+++ b/crates/jobs/tests/book.rs
@@ -0,0 +1,284 @@
+//! What a book of jobs promises: positions, texts, versions, giving up.
+
+mod common;
+
+use common::{accepted, at, book, events, job, run, start_all, text_of};
+use ids::JobId;
+use jobs::{JobBook, RewardEnd, RunOutcome, run_order};
+use wire::peer::log_record::Body;
+use wire::peer::{ItemProgress, JobItem, LogRecord};
+
+fn id(text: &str) -> JobId {
+    text.parse().expect("an id")
+}
+
+fn scored() -> RewardEnd {
+    RewardEnd::Scored("signature".to_owned())
+}
+
+/// Runs an item to its end and gives the record that lists it.
+fn finish(book: &mut JobBook, spec: &jobs::RunSpec, events_of: Vec<jobs::RunEvent>) -> LogRecord {
+    assert!(book.run_ended(at(10), spec, &run(RunOutcome::Whole, events_of)));
+    book.scored(at(11), &spec.item, scored()).expect("it is listed")
+}
+
+#[test]
+fn a_result_is_read_only_after_its_record_was_applied() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    let specs = start_all(&mut book, at(1));
+    let record = finish(&mut book, &specs[0], events(1, 2, 3));
+    assert_eq!(text_of(&book, "j"), Vec::<String>::new());
+    book.apply(at(12), record.clone());
+    assert_eq!(text_of(&book, "j"), ["e1\ne2"]);
+    // Applied twice, as after a replay, it changes nothing.
+    book.apply(at(13), record);
+    assert_eq!(text_of(&book, "j").len(), 1);
+}
+
+#[test]
+fn a_cut_run_goes_on_after_its_last_whole_event() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    let first = start_all(&mut book, at(1)).remove(0);
+    assert!(!book.run_ended(at(2), &first, &run(RunOutcome::Cut, events(1, 3, 3))));
+    let again = start_all(&mut book, at(500)).remove(0);
+    assert_eq!((again.item.clone(), again.events), (first.item, 3));
+    let record = finish(&mut book, &again, events(4, 1, 4));
+    book.apply(at(12), record);
+    assert_eq!(text_of(&book, "j"), ["e1\ne2\ne3\ne4"]);
+    let page = book.page(&id("j"), 0, usize::MAX).expect("held");
+    assert_eq!(page.results[0].versions, [3, 4]);
+}
+
+#[test]
+fn events_that_came_through_the_log_are_not_added_again() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    let spec = start_all(&mut book, at(1)).remove(0);
+    let all = events(1, 5, 3);
+    book.apply(at(2), spec.progress(&all, 0));
+    book.apply(at(3), spec.progress(&all, 0));
+    let record = finish(&mut book, &spec, events(1, 7, 3));
+    book.apply(at(12), record);
+    assert_eq!(text_of(&book, "j"), ["e1\ne2\ne3\ne4\ne5\ne6\ne7"]);
+}
+
+#[test]
+fn another_box_goes_on_with_text_that_was_logged() {
+    let mut first = book();
+    let mut log = vec![accepted(job("j", 1))];
+    first.apply(at(0), log[0].clone());
+    let spec = start_all(&mut first, at(1)).remove(0);
+    log.push(spec.progress(&events(1, 4, 3), 0));
+
+    let mut second = book();
+    for record in log {
+        second.apply(at(0), record);
+    }
+    let again = start_all(&mut second, at(1)).remove(0);
+    assert_eq!((again.events, again.newest), (4, Some(3)));
+}
+
+#[test]
+fn the_end_of_an_earlier_run_says_nothing() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    let first = start_all(&mut book, at(1)).remove(0);
+    book.run_ended(at(2), &first, &run(RunOutcome::Cut, events(1, 1, 3)));
+    let second = start_all(&mut book, at(500)).remove(0);
+    // The first run's end comes once more, late.
+    assert!(!book.run_ended(at(501), &first, &run(RunOutcome::Whole, events(1, 9, 3))));
+    let record = finish(&mut book, &second, events(2, 1, 3));
+    book.apply(at(12), record);
+    assert_eq!(text_of(&book, "j"), ["e1\ne2"]);
+}
+
+#[test]
+fn text_older_than_the_job_allows_is_dropped() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    let spec = start_all(&mut book, at(1)).remove(0);
+    assert!(!book.run_ended(at(2), &spec, &run(RunOutcome::Whole, events(1, 2, 2))));
+    let again = start_all(&mut book, at(500)).remove(0);
+    assert_eq!(again.events, 0);
+}
+
+#[test]
+fn a_sample_of_one_version_is_not_continued_under_another() {
+    let mut book = book();
+    let mut single = job("j", 1);
+    single.single_version = true;
+    book.apply(at(0), accepted(single));
+    let spec = start_all(&mut book, at(1)).remove(0);
+    book.run_ended(at(2), &spec, &run(RunOutcome::Cut, events(1, 2, 3)));
+    let again = start_all(&mut book, at(500)).remove(0);
+    assert!(!book.run_ended(at(501), &again, &run(RunOutcome::Whole, events(3, 2, 4))));
+    assert_eq!(start_all(&mut book, at(900)).remove(0).events, 0);
+}
+
+#[test]
+fn nothing_starts_or_is_listed_after_the_end() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 2)));
+    let mut specs = start_all(&mut book, at(1));
+    let spec = specs.remove(0);
+    book.run_ended(at(2), &specs[0], &run(RunOutcome::Cut, Vec::new()));
+    let end = book.end(&id("j")).expect("a record");
+    assert!(book.is_moot(&spec.item));
+    assert!(start_all(&mut book, at(900)).is_empty());
+    book.run_ended(at(901), &spec, &run(RunOutcome::Whole, events(1, 1, 3)));
+    assert_eq!(book.scored(at(902), &spec.item, scored()), None);
+    assert_eq!(book.end(&id("j")), None);
+    book.apply(at(903), end);
+    assert_eq!(book.is_ended(&id("j")), Some(true));
+}
+
+#[test]
+fn an_item_is_given_up_after_its_attempts_and_not_before() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    for attempt in 0..3_u64 {
+        assert!(book.give_up(at(attempt * 500)).is_empty());
+        let spec = start_all(&mut book, at(attempt * 500 + 400)).remove(0);
+        book.run_ended(at(attempt * 500 + 450), &spec, &run(RunOutcome::Failed, Vec::new()));
+    }
+    assert_eq!(book.give_up(at(1_600)).len(), 1);
+}
+
+#[test]
+fn failed_reward_calls_count_by_their_own_route() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    let spec = start_all(&mut book, at(1)).remove(0);
+    book.run_ended(at(2), &spec, &run(RunOutcome::Whole, events(1, 1, 3)));
+    let failed = RewardEnd::Failed { attempts: 4 };
+    for attempt in 1..=4_u64 {
+        assert!(book.give_up(at(attempt * 500)).is_empty());
+        assert_eq!(book.scored(at(attempt * 500), &spec.item, failed.clone()), None);
+        let again = start_all(&mut book, at(attempt * 500 + 400));
+        assert!(again.iter().any(|other| other.item == spec.item && other.whole));
+    }
+    book.scored(at(2_500), &spec.item, failed);
+    assert_eq!(book.give_up(at(2_600)).len(), 1);
+}
+
+#[test]
+fn items_wait_their_whole_time_before_they_are_given_up() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    assert!(book.give_up(at(40_900)).is_empty());
+    assert_eq!(book.give_up(at(41_100)).len(), 2);
+}
+
+#[test]
+fn unlogged_results_are_listed_again_after_a_new_epoch() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    let spec = start_all(&mut book, at(1)).remove(0);
+    let lost = finish(&mut book, &spec, events(1, 2, 3));
+    book.forget_unlogged();
+    let again = start_all(&mut book, at(2)).remove(0);
+    assert!(again.whole, "its text is held, only the listing was lost");
+    let record = book.scored(at(3), &again.item, scored()).expect("listed again");
+    assert_eq!(record, lost);
+}
+
+#[test]
+fn runs_under_way_are_not_started_again_by_a_new_epoch() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    assert_eq!(start_all(&mut book, at(1)).len(), 2);
+    book.forget_unlogged();
+    assert!(start_all(&mut book, at(2)).is_empty());
+}
+
+#[test]
+fn whole_text_of_an_earlier_job_is_used_when_its_versions_fit() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("one", 1)));
+    let specs = start_all(&mut book, at(1));
+    let record = finish(&mut book, &specs[0], events(1, 2, 3));
+    book.apply(at(12), record);
+    book.run_ended(at(13), &specs[1], &run(RunOutcome::Cut, events(1, 1, 4)));
+    let end = book.end(&id("one")).expect("a record");
+    book.apply(at(14), end);
+
+    let mut second = job("two", 1);
+    second.min_version = 4;
+    book.apply(at(15), accepted(second));
+    let carried = start_all(&mut book, at(16));
+    let events_of = |item: u32| {
+        carried.iter().find(|spec| spec.item.index == item).map(|spec| (spec.events, spec.whole))
+    };
+    assert_eq!(events_of(0), Some((0, false)), "made by version 3, too old now");
+    assert_eq!(events_of(1), Some((1, false)), "made by version 4");
+}
+
+#[test]
+fn pages_hold_at_least_one_result_and_no_more_than_asked() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 2)));
+    for spec in start_all(&mut book, at(1)) {
+        let record = finish(&mut book, &spec, events(1, 3, 3));
+        book.apply(at(12), record);
+    }
+    let page = book.page(&id("j"), 1, 1).expect("held");
+    assert_eq!((page.total, page.results.len()), (4, 1));
+    assert_eq!(book.page(&id("j"), 4, 100).expect("held").results.len(), 0);
+    assert_eq!(book.page(&id("other"), 0, 100), None);
+}
+
+#[test]
+fn a_full_book_takes_no_more_and_drops_old_jobs() {
+    let mut book = book();
+    assert!(!book.has_room(2 << 20));
+    book.apply(at(0), accepted(job("j", 1)));
+    let end = book.end(&id("j")).expect("a record");
+    book.apply(at(1), end);
+    assert!(book.expire(at(100_000)).is_empty());
+    let dropped = book.expire(at(121_000));
+    assert_eq!(dropped.len(), 1);
+    assert!(book.expire(at(121_001)).is_empty(), "one record is enough");
+    book.apply(at(121_002), dropped[0].clone());
+    assert!(!book.knows(&id("j")));
+    assert_eq!(book.counts().bytes, 0);
+}
+
+#[test]
+fn progress_that_does_not_follow_is_left_out() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    let hole = ItemProgress {
+        job: "j".to_owned(),
+        index: 0,
+        from_event: 4,
+        events: 2,
+        text: b"x\ny".to_vec(),
+        versions: vec![3],
+        whole: false,
+    };
+    book.apply(at(1), LogRecord { body: Some(Body::Progress(hole)) });
+    assert_eq!(start_all(&mut book, at(2)).remove(0).events, 0);
+}
+
+#[test]
+fn carried_groups_start_first_and_the_longest_others_last() {
+    let mut long = job("j", 10);
+    for (index, item) in long.items.iter_mut().enumerate() {
+        item.length_hint = u32::try_from(index).expect("small");
+    }
+    let order = run_order(&long, |item| item == "item-4");
+    let groups: Vec<&str> = order
+        .iter()
+        .step_by(2)
+        .map(|index| {
+            let item: &JobItem = &long.items[*index as usize];
+            item.group.as_str()
+        })
+        .collect();
+    assert_eq!(groups[0], "group-2", "left over from an earlier job");
+    assert_eq!(groups[1], "group-8", "the longest but one");
+    assert_eq!(groups[9], "group-9", "the longest of all");
+    assert_eq!(order.len(), 20);
+}
--- /dev/null
+++ b/crates/jobs/tests/common/mod.rs
@@ -0,0 +1,68 @@
+//! Jobs for the tests.
+
+#![expect(dead_code, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use ids::Moment;
+use jobs::{JobBook, JobLimits, RunEnd, RunEvent, RunOutcome, RunSpec};
+use wire::peer::log_record::Body;
+use wire::peer::{Job, JobItem, LogRecord, RewardCall};
+
+pub fn book() -> JobBook {
+    JobBook::new(JobLimits { retention: Duration::from_secs(120), most_bytes: 1 << 20 })
+}
+
+pub fn at(millis: u64) -> Moment {
+    Moment::START + Duration::from_millis(millis)
+}
+
+/// A job of `groups` groups of two items.
+pub fn job(id: &str, groups: usize) -> Job {
+    let items = (0..groups * 2).map(|index| JobItem {
+        id: format!("item-{index}"),
+        path: "/a/b".to_owned(),
+        body: vec![1, 2, 3],
+        group: format!("group-{}", index / 2),
+        reward: Some(RewardCall { id: format!("reward-{index}"), ..RewardCall::default() }),
+        ..JobItem::default()
+    });
+    Job {
+        id: id.to_owned(),
+        host: "jobs.example".to_owned(),
+        min_version: 3,
+        items: items.collect(),
+        attempts: 3,
+        max_wait_ms: 40_000,
+        ..Job::default()
+    }
+}
+
+pub fn accepted(job: Job) -> LogRecord {
+    LogRecord { body: Some(Body::Accepted(job)) }
+}
+
+pub fn events(from: u32, count: u32, version: u64) -> Vec<RunEvent> {
+    (from..from + count)
+        .map(|number| RunEvent { data: format!("e{number}").into_bytes(), version })
+        .collect()
+}
+
+pub fn run(outcome: RunOutcome, events: Vec<RunEvent>) -> RunEnd {
+    RunEnd { outcome, events }
+}
+
+/// Starts everything that may start.
+pub fn start_all(book: &mut JobBook, now: Moment) -> Vec<RunSpec> {
+    let mut started = Vec::new();
+    book.start_ready(now, |spec| {
+        started.push(spec);
+        true
+    });
+    started
+}
+
+pub fn text_of(book: &JobBook, job: &str) -> Vec<String> {
+    let page = book.page(&job.parse().expect("an id"), 0, usize::MAX).expect("the job is held");
+    page.results.iter().map(|result| String::from_utf8_lossy(&result.text).into_owned()).collect()
+}
--- /dev/null
+++ b/crates/routing/tests/routing.rs
@@ -0,0 +1,177 @@
+//! Which route a request has, and which target it gets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ids::{Generation, InstanceId, ModelName, ModelVersion, Moment, ServiceName};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use routing::{
+    CallerLimits, ChoiceNeed, HeldModel, Route, RouteKind, RouteTable, TargetBoard, TargetFailure,
+    TargetLoad, TargetRecord, WeightedService,
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.parse().expect("an id"),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout: None,
+        goal: None,
+        attempts: 2,
+        backends: vec![
+            WeightedService { service: service("a"), weight: 90 },
+            WeightedService { service: service("b"), weight: 10 },
+        ],
+        max_wait: None,
+        single_version: false,
+    }
+}
+
+fn service(name: &str) -> ServiceName {
+    name.parse().expect("an id")
+}
+
+fn instance(name: &str) -> InstanceId {
+    name.parse().expect("an id")
+}
+
+fn model() -> ModelName {
+    "m".parse().expect("an id")
+}
+
+fn target(name: &str, domain: &str, version: u64) -> TargetRecord {
+    TargetRecord {
+        instance: instance(name),
+        service: service("a"),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        domain: domain.parse().expect("an id"),
+        slots: 4,
+        leaving: false,
+        models: vec![HeldModel { model: model(), version: ModelVersion::new(version) }],
+    }
+}
+
+fn board(targets: &[TargetRecord]) -> TargetBoard {
+    let mut board = TargetBoard::new("home".parse().expect("an id"));
+    for target in targets {
+        board.put(target.clone());
+    }
+    board
+}
+
+fn choose(board: &mut TargetBoard, now: Moment, need: &ChoiceNeed<'_>) -> Option<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    board.choose(now, &service("a"), need, &mut rng).map(|slot| slot.instance.to_string())
+}
+
+const NOW: Moment = Moment::START;
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("short", "one.example", "/a/"),
+        route("long", "one.example", "/a/b/"),
+        route("other", "two.example", "/a/b/"),
+    ];
+    let table = RouteTable::new(Generation::new(1), CallerLimits::default(), routes, Vec::new());
+    let found = |host, path| table.find(host, path).map(|route| route.name.to_string());
+    assert_eq!(found("one.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(found("one.example", "/a/c?x=/a/b/").as_deref(), Some("short"));
+    assert_eq!(found("TWO.example", "/a/b/").as_deref(), Some("other"));
+    assert_eq!(found("one.example", "/b/"), None);
+    assert_eq!(found("three.example", "/a/"), None);
+}
+
+#[test]
+fn services_get_their_share() {
+    let route = route("r", "h", "/");
+    let mut first = 0;
+    for point in 0..1_000_u32 {
+        let random = point * (u32::MAX / 1_000);
+        first += u32::from(route.service(random) == Some(&service("a")));
+    }
+    assert!((890..=910).contains(&first), "{first}");
+}
+
+#[test]
+fn leaving_gone_and_loading_targets_get_nothing() {
+    let mut leaving = target("leaving", "home", 1);
+    leaving.leaving = true;
+    let mut board = board(&[leaving, target("gone", "home", 1), target("loading", "home", 1)]);
+    board.failed(NOW, &instance("gone"), TargetFailure::Gone);
+    board.loading(&instance("loading"), NOW + Duration::from_secs(1));
+    assert_eq!(choose(&mut board, NOW, &ChoiceNeed::default()), None);
+    let later = NOW + Duration::from_secs(2);
+    assert_eq!(choose(&mut board, later, &ChoiceNeed::default()).as_deref(), Some("loading"));
+}
+
+#[test]
+fn only_versions_new_enough_are_chosen_and_none_is_taken_back() {
+    let mut board = board(&[target("old", "home", 3)]);
+    let name = model();
+    let need = |version| ChoiceNeed {
+        model: Some((&name, ModelVersion::new(version))),
+        ..ChoiceNeed::default()
+    };
+    assert_eq!(choose(&mut board, NOW, &need(4)), None);
+    board.told_version(&instance("old"), &name, ModelVersion::new(4));
+    // The platform's list lags behind what an answer told.
+    board.put(target("old", "home", 3));
+    assert_eq!(choose(&mut board, NOW, &need(4)).as_deref(), Some("old"));
+}
+
+#[test]
+fn slots_taken_by_others_count_for_a_while() {
+    let mut board = board(&[target("t", "home", 1)]);
+    let need = ChoiceNeed { free_slot: true, ..ChoiceNeed::default() };
+    board.told_load(NOW, &instance("t"), TargetLoad { running: 4, waiting: 0 });
+    assert_eq!(choose(&mut board, NOW, &need), None);
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(choose(&mut board, later, &need).as_deref(), Some("t"));
+}
+
+#[test]
+fn the_own_domain_is_preferred_until_it_is_busier() {
+    let mut board = board(&[target("near", "home", 1), target("far", "away", 1)]);
+    let chosen: Vec<Option<String>> =
+        (0..4).map(|_| choose(&mut board, NOW, &ChoiceNeed::default())).collect();
+    assert_eq!(chosen[0].as_deref(), Some("near"));
+    assert!(chosen.iter().any(|name| name.as_deref() == Some("far")));
+}
+
+#[test]
+fn slow_targets_get_less() {
+    let mut board = board(&[target("fast", "home", 1), target("slow", "home", 1)]);
+    board.told_pace(&instance("fast"), Duration::from_millis(40));
+    board.told_pace(&instance("slow"), Duration::from_millis(160));
+    let mut fast = 0;
+    for _ in 0..4 {
+        fast += u32::from(choose(&mut board, NOW, &ChoiceNeed::default()).as_deref() == Some("fast"));
+    }
+    assert!(fast >= 3, "{fast}");
+}
+
+#[test]
+fn resting_targets_are_the_last_resort() {
+    let mut board = board(&[target("broken", "home", 1), target("well", "away", 1)]);
+    board.failed(NOW, &instance("broken"), TargetFailure::Broken);
+    assert_eq!(choose(&mut board, NOW, &ChoiceNeed::default()).as_deref(), Some("well"));
+    let avoid = [instance("well")];
+    let need = ChoiceNeed { avoid: &avoid, ..ChoiceNeed::default() };
+    assert_eq!(choose(&mut board, NOW, &need).as_deref(), Some("broken"));
+}
+
+#[test]
+fn a_run_moves_only_to_a_faster_target_with_a_free_slot() {
+    let mut board = board(&[target("slow", "home", 1), target("fast", "home", 1)]);
+    let pace = Duration::from_millis(160);
+    let need = ChoiceNeed { free_slot: true, ..ChoiceNeed::default() };
+    let moves = |board: &TargetBoard| board.has_faster(NOW, &instance("slow"), pace, 1.8, &need);
+    assert!(!moves(&board), "its pace is not known");
+    board.told_pace(&instance("fast"), Duration::from_millis(40));
+    assert!(moves(&board));
+    board.told_load(NOW, &instance("fast"), TargetLoad { running: 4, waiting: 0 });
+    assert!(!moves(&board));
+}
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use ids::{FencingToken, ShardIndex};
+use ids::ShardIndex;
 use joblog::{
-    CopyHolder, DutyView, EpochId, LogCopyFile, ShardDuty, ShardPlan, choose_partners,
-    encode_record, shard_duty,
+    CopyHolder, DutyView, EpochFormer, EpochId, FormFault, FormStep, LogCopyFile, PlanWrite,
+    ReadPlan, ShardDuty, ShardPlan, choose_partners, encode_record, shard_duty,
 };
 use node::duties::{PlanSighting, shard_object};
 use platform::{Kind, StoreError};
@@ -29,10 +29,8 @@
 const PIECE_TIME: Duration = Duration::from_millis(1_500);
 /// Bytes of one piece.
 const PIECE_BYTES: usize = 1 << 20;
-/// Tries to learn whether a plan was taken before everything begins anew.
-const PLAN_TRIES: u32 = 8;
 
-/// Another box serves the shard; what this box holds of it is no longer current.
+/// Why a shard is not served any more when another box serves it.
 const SUPERSEDED: &str = "another plan is in force";
 
 /// Serves a shard whenever it is this box's duty.
@@ -48,11 +46,11 @@
                     serve_epoch(&ctx, &keeper, log).await;
                     continue;
                 }
-                Err(why) => {
-                    if why == SUPERSEDED {
+                Err(fault) => {
+                    if fault == FormFault::Superseded {
                         keeper.reset(Vec::new());
                     }
-                    log::info!(target: "shard", shard = shard.get(), why = why; "not taken");
+                    log::info!(target: "shard", shard = shard.get(), why:% = fault; "not taken");
                     time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -170,97 +168,108 @@
     }
 }
 
-/// Forms a new epoch that this box serves.
+/// Forms a new epoch that this box serves, by the steps of [`EpochFormer`].
 async fn form_epoch(
     ctx: &Arc<ShardContext>,
     keeper: &Arc<ShardKeeper>,
-) -> Result<EpochLog, &'static str> {
+) -> Result<EpochLog, FormFault> {
     let shard = keeper.shard();
-    let sighting = read_plan(ctx, shard).await?;
-    load_base(ctx, keeper, sighting.as_ref()).await?;
-    let count = ctx.settings.copies.saturating_sub(1);
-    let alive = ctx.fit_partners();
-    let partners = choose_partners(shard, &ctx.me.domain, &alive, count)
-        .ok_or("too few other boxes are heard")?;
-    let token =
-        sighting.as_ref().map_or(FencingToken::default(), |sighting| sighting.plan.epoch.token);
-    let number = rand::rng().random::<u32>();
-    let epoch =
-        EpochId { token: token.next(), number: u64::from(number), by: ctx.me.box_id.clone() };
-    let records = {
-        let mut book = keeper.book();
-        book.forget_unlogged();
-        book.snapshot()
-    };
-    let file = copy_records(ctx, shard, &epoch, records, &partners).await?;
-    let copies = std::iter::once(ctx.me.clone()).chain(partners.iter().cloned()).collect();
-    let plan = ShardPlan { epoch: epoch.clone(), copies };
-    let revision = write_plan(ctx, shard, sighting.as_ref(), &plan).await?;
+    let number = u64::from(rand::rng().random::<u32>());
+    let mut former = EpochFormer::new(ctx.me.clone(), number, keeper.book_epoch());
+    let mut file = None;
+    loop {
+        if former.wants_partners() {
+            let count = ctx.settings.copies.saturating_sub(1);
+            let partners = choose_partners(shard, &ctx.me.domain, &ctx.fit_partners(), count);
+            former.partners(partners);
+        }
+        match former.step() {
+            FormStep::ReadPlan => former.plan_read(read_plan(ctx, shard).await),
+            FormStep::BeginEmpty => {
+                keeper.reset(Vec::new());
+                former.base_read(true);
+            }
+            FormStep::CloseAndRead(epoch) => {
+                former.base_read(close_and_read(ctx, keeper, epoch).await);
+            }
+            FormStep::Copy { epoch, partners } => {
+                let records = {
+                    let mut book = keeper.book();
+                    book.forget_unlogged();
+                    book.snapshot()
+                };
+                file = copy_records(ctx, shard, &epoch, records, &partners).await;
+                former.copied(file.is_some());
+            }
+            FormStep::WritePlan { base, plan } => {
+                let end = write_plan(ctx, shard, base, &plan).await;
+                if end == PlanWrite::NoAnswer {
+                    time::sleep(RETRY_PAUSE).await;
+                }
+                former.written(end);
+            }
+            FormStep::CheckPlan => {
+                let read = read_plan(ctx, shard).await;
+                if read.is_err() {
+                    time::sleep(RETRY_PAUSE).await;
+                }
+                former.plan_read(read);
+            }
+            FormStep::Serve { revision, plan } => {
+                let (epoch, partners) = (plan.epoch.clone(), plan.copies[1..].to_vec());
+                note_plan(ctx, shard, ReadPlan { revision, plan });
+                ctx.copies.clean(shard, epoch.clone()).await;
+                return Ok(EpochLog { epoch, file, partners });
+            }
+            FormStep::Fail(fault) => return Err(fault),
+        }
+    }
+}
+
+fn note_plan(ctx: &ShardContext, shard: ShardIndex, read: ReadPlan) {
     let seen_at = ctx.view.now();
-    ctx.view.duties().put_plan(shard, PlanSighting { revision, plan, seen_at });
-    ctx.copies.clean(shard, epoch.clone()).await;
-    Ok(EpochLog { epoch, file: Some(file), partners })
+    let sighting = PlanSighting { revision: read.revision, plan: read.plan, seen_at };
+    ctx.view.duties().put_plan(shard, sighting);
 }
 
-async fn read_plan(
-    ctx: &ShardContext,
-    shard: ShardIndex,
-) -> Result<Option<PlanSighting>, &'static str> {
+async fn read_plan(ctx: &ShardContext, shard: ShardIndex) -> Result<Option<ReadPlan>, ()> {
     ctx.view.metrics.store_call();
     let stored = ctx.view.store.get(Kind::Duties, &shard_object(shard)).await;
     let stored = stored.map_err(|error| {
         log::debug!(target: "shard", shard = shard.get(), error:% = error; "plan not read");
-        "the store does not answer"
     })?;
     let Some(stored) = stored else { return Ok(None) };
     let plan = stored.parse().map_err(|error| {
         log::warn!(target: "shard", shard = shard.get(), error:% = error; "plan refused");
-        "the plan cannot be read"
     })?;
-    let seen_at = ctx.view.now();
-    Ok(Some(PlanSighting { revision: stored.revision, plan, seen_at }))
+    let read = ReadPlan { revision: stored.revision, plan };
+    note_plan(ctx, shard, read.clone());
+    Ok(Some(read))
 }
 
-/// Makes the book hold everything that was acknowledged under the plan: it does already if this
-/// box has served the plan's epoch until now; else the own copy is closed and read.
-async fn load_base(
-    ctx: &ShardContext,
-    keeper: &ShardKeeper,
-    sighting: Option<&PlanSighting>,
-) -> Result<(), &'static str> {
+/// Closes this box's copy of an epoch and makes the book hold what it holds.
+async fn close_and_read(ctx: &ShardContext, keeper: &ShardKeeper, epoch: EpochId) -> bool {
     let shard = keeper.shard();
-    let Some(sighting) = sighting else {
-        keeper.reset(Vec::new());
-        return Ok(());
-    };
-    ctx.view.duties().put_plan(shard, sighting.clone());
-    let plan = &sighting.plan;
-    if plan.rank(&ctx.me.box_id).is_none() {
-        return Err(SUPERSEDED);
-    }
-    if keeper.book_epoch().as_ref() == Some(&plan.epoch) {
-        return Ok(());
-    }
-    ctx.copies.close(shard, &plan.epoch).await;
-    let (folder, epoch) = (ctx.copies.folder().clone(), plan.epoch.clone());
-    let read = tokio::task::spawn_blocking(move || folder.read(shard, &epoch)).await;
+    ctx.copies.close(shard, &epoch).await;
+    let (folder, read_epoch) = (ctx.copies.folder().clone(), epoch.clone());
+    let read = tokio::task::spawn_blocking(move || folder.read(shard, &read_epoch)).await;
     match read {
         Ok(Ok(records)) => {
             log::info!(
-                target: "shard", shard = shard.get(), epoch:% = plan.epoch, records = records.len();
+                target: "shard", shard = shard.get(), epoch:% = epoch, records = records.len();
                 "copy closed and read"
             );
             keeper.reset(records);
-            keeper.set_book_epoch(Some(plan.epoch.clone()));
-            Ok(())
+            keeper.set_book_epoch(Some(epoch));
+            true
         }
         Ok(Err(error)) => {
             log::error!(target: "shard", shard = shard.get(), error:% = error; "copy not read");
-            Err("the own copy cannot be read")
+            false
         }
         Err(error) => {
             log::error!(target: "shard", shard = shard.get(), error:% = error; "copy not read");
-            Err("the own copy cannot be read")
+            false
         }
     }
 }
@@ -272,7 +281,7 @@
     epoch: &EpochId,
     records: Vec<LogRecord>,
     partners: &[CopyHolder],
-) -> Result<LogCopyFile, &'static str> {
+) -> Option<LogCopyFile> {
     let mut pieces = vec![Vec::new()];
     for record in records {
         if pieces.last().is_some_and(|piece| piece.len() >= PIECE_BYTES) {
@@ -297,15 +306,18 @@
     });
     let (own, sent) = tokio::join!(own, sent);
     if !sent.into_iter().all(|taken| taken) {
-        return Err("a partner did not take the copy");
+        return None;
     }
     match own {
-        Ok(Ok(file)) => Ok(file),
+        Ok(Ok(file)) => Some(file),
         Ok(Err(error)) => {
             log::error!(target: "shard", shard = shard.get(), error:% = error; "own copy failed");
-            Err("the own copy failed")
+            None
+        }
+        Err(error) => {
+            log::error!(target: "shard", shard = shard.get(), error:% = error; "own copy failed");
+            None
         }
-        Err(_panicked) => Err("the own copy failed"),
     }
 }
 
@@ -336,39 +348,25 @@
     true
 }
 
-/// Writes the plan if the one that was read is still in force. An answer that is lost is settled
-/// by writing again: the write is the same, and its condition holds at most once.
+/// Writes the plan if the one that was read is still in force.
 async fn write_plan(
     ctx: &ShardContext,
     shard: ShardIndex,
-    base: Option<&PlanSighting>,
+    base: Option<u64>,
     plan: &ShardPlan,
-) -> Result<u64, &'static str> {
+) -> PlanWrite {
     let name = shard_object(shard);
-    for _ in 0..PLAN_TRIES {
-        ctx.view.metrics.store_call();
-        let written = match base {
-            Some(base) => ctx.view.store.replace(Kind::Duties, &name, base.revision, plan).await,
-            None => ctx.view.store.create(Kind::Duties, &name, plan).await,
-        };
-        match written {
-            Ok(revision) => return Ok(revision),
-            Err(StoreError::Conflict(_)) => {
-                let current = read_plan(ctx, shard).await;
-                match current {
-                    Ok(Some(current)) if current.plan == *plan => return Ok(current.revision),
-                    Ok(Some(current)) => {
-                        ctx.view.duties().put_plan(shard, current);
-                        return Err(SUPERSEDED);
-                    }
-                    Ok(None) | Err(_) => {}
-                }
-            }
-            Err(error) => {
-                log::warn!(target: "shard", shard = shard.get(), error:% = error; "plan not written");
-            }
+    ctx.view.metrics.store_call();
+    let written = match base {
+        Some(base) => ctx.view.store.replace(Kind::Duties, &name, base, plan).await,
+        None => ctx.view.store.create(Kind::Duties, &name, plan).await,
+    };
+    match written {
+        Ok(revision) => PlanWrite::Done(revision),
+        Err(StoreError::Conflict(_)) => PlanWrite::Conflict,
+        Err(error) => {
+            log::warn!(target: "shard", shard = shard.get(), error:% = error; "plan not written");
+            PlanWrite::NoAnswer
         }
-        time::sleep(RETRY_PAUSE).await;
     }
-    Err("the store does not answer")
 }
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -41,7 +41,8 @@
     ctx: Arc<ShardContext>,
     book: Mutex<JobBook>,
     serving: Mutex<Option<ServedEpoch>>,
-    proven_at: Mutex<Moment>,
+    /// When all copies last took an append, or a proof, under the epoch served.
+    proven_at: Mutex<Option<Moment>>,
     /// Changes whenever records were applied or an item may start.
     changed: watch::Sender<u64>,
     /// One for each job whose items run; cancelled when the job ends.
@@ -65,7 +66,7 @@
             ctx,
             book: Mutex::new(book),
             serving: Mutex::default(),
-            proven_at: Mutex::new(Moment::START),
+            proven_at: Mutex::default(),
             changed: watch::Sender::new(0),
             runs: Mutex::default(),
             asked: Mutex::new(false),
@@ -110,7 +111,7 @@
 
     /// Begins to serve under an epoch.
     pub fn begin(&self, served: ServedEpoch) {
-        *lock(&self.proven_at) = self.ctx.view.now();
+        *lock(&self.proven_at) = None;
         self.set_book_epoch(Some(served.epoch.clone()));
         *lock(&self.serving) = Some(served);
         self.wake();
@@ -134,8 +135,8 @@
     /// The token under which the shard is served here, if that was proven a moment ago.
     pub fn served_token(&self) -> Option<FencingToken> {
         let token = self.served()?.epoch.token;
-        let proven = self.ctx.view.now().since(*lock(&self.proven_at)) < PROOF_TRUST;
-        proven.then_some(token)
+        let proven_at = (*lock(&self.proven_at))?;
+        (self.ctx.view.now().since(proven_at) < PROOF_TRUST).then_some(token)
     }
 
     /// Whether answers from here are those of the shard's one server.
@@ -146,7 +147,10 @@
     /// Applies records that are on all copies.
     pub fn apply(&self, records: Vec<LogRecord>) {
         let now = self.ctx.view.now();
-        *lock(&self.proven_at) = now;
+        let first = lock(&self.proven_at).replace(now).is_none();
+        if first {
+            self.wake();
+        }
         if records.is_empty() {
             return;
         }
--- a/crates/shards/src/log_writer.rs
+++ b/crates/shards/src/log_writer.rs
@@ -51,12 +51,15 @@
     mut log: EpochLog,
     mut work: mpsc::Receiver<LogWork>,
 ) {
+    // The first proof is due at once: nothing may be shown before it.
+    let mut patience = Duration::ZERO;
     loop {
-        let first = match time::timeout(PROOF_EVERY, work.recv()).await {
+        let first = match time::timeout(patience, work.recv()).await {
             Ok(Some(first)) => Some(first),
             Ok(None) => return,
             Err(_elapsed) => None,
         };
+        patience = PROOF_EVERY;
         let mut round = LogRound::default();
         if let Some(first) = first {
             round.add(first);
