--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -22,4 +22,4 @@
 /// Header of a plain answer that carries the digest of its body.
 pub const DIGEST_HEADER: &str = "x-body-digest";
 /// Header with which a target states that it refused before running.
-pub const NOT_RUN_HEADER: &str = "x-not-run";
+pub const NOT_RUN_HEADER: &str = "x-work-not-run";
