--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,4 +11,4 @@
 mod server;
 mod stream;
 
-pub use role::run_entry;
+pub use role::{EntryListeners, run_entry};
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -7,8 +7,9 @@
 use links::{LinkPool, LinkSettings};
 use node::duties::DutySink;
 use node::follow::{ConfigSink, TargetSink, follow_kind};
-use node::{NodeSettings, NodeView, serve_metrics, wait_for_stop};
+use node::{NodeSettings, NodeView, serve_metrics};
 use platform::{Kind, ObjectStore};
+use tokio::net::TcpListener;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
@@ -27,18 +28,39 @@
 /// How often a stopping box looks whether all requests have ended.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
-/// Runs an entry box until it is asked to stop.
-pub async fn run_entry(settings: NodeSettings) -> io::Result<()> {
-    let (Some(front), Some(ready)) = (settings.front, settings.ready) else {
-        return Err(io::Error::other("--front and --ready are missing: give both as IP:PORT"));
-    };
+/// Where an entry box is asked.
+#[derive(Debug)]
+pub struct EntryListeners {
+    /// Callers.
+    pub front: TcpListener,
+    /// The platform, about readiness.
+    pub ready: TcpListener,
+}
+
+impl EntryListeners {
+    /// Binds the addresses that the settings name.
+    pub async fn bind(settings: &NodeSettings) -> io::Result<Self> {
+        let (Some(front), Some(ready)) = (settings.front, settings.ready) else {
+            return Err(io::Error::other("--front and --ready are missing: give both as IP:PORT"));
+        };
+        Ok(Self { front: TcpListener::bind(front).await?, ready: TcpListener::bind(ready).await? })
+    }
+}
+
+/// Runs an entry box until `asked` returns, and then stops calmly.
+pub async fn run_entry(
+    settings: NodeSettings,
+    listeners: EntryListeners,
+    asked: impl Future<Output = io::Result<()>>,
+) -> io::Result<()> {
+    let EntryListeners { front, ready } = listeners;
     let store = ObjectStore::new(&settings.store.to_string()).map_err(io::Error::other)?;
     let grace = settings.grace;
     let link_settings = LinkSettings { me: settings.box_id.clone(), key: settings.key.clone() };
     let metrics = settings.metrics;
     let view = Arc::new(NodeView::new(settings, store));
     let end = CancellationToken::new();
-    log::info!(target: "entry", front:% = front, store:% = view.settings.store; "started");
+    log::info!(target: "entry", front:? = front.local_addr().ok(), store:% = view.settings.store; "started");
     let follow = |kind, gather| (Arc::clone(&view), kind, gather, end.clone());
     let (v, kind, gather, stop) = follow(Kind::Configuration, Duration::ZERO);
     tokio::spawn(follow_kind(v, kind, gather, ConfigSink(Arc::clone(&view)), stop));
@@ -53,11 +75,11 @@
     let shards = ShardClient::new(Arc::clone(&view), links);
     let state = FrontState::new(view, shards, CancellationToken::new());
     let served = serve_front(state.clone(), front, end.clone());
-    let asked = serve_ready(state.clone(), ready, end.clone());
+    let readiness = serve_ready(state.clone(), ready, end.clone());
     tokio::select! {
         ended = served => return ended,
-        ended = asked => return ended,
-        stopped = async { wait_for_stop().await?; stop_calmly(&state, grace).await; Ok(()) } => {
+        ended = readiness => return ended,
+        stopped = async { asked.await?; stop_calmly(&state, grace).await; Ok(()) } => {
             end.cancel();
             stopped
         }
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -1,7 +1,6 @@
 //! Connections of callers, and the readiness page.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -91,10 +90,9 @@
 /// Serves callers until `end`.
 pub async fn serve_front(
     state: FrontState,
-    address: SocketAddr,
+    listener: TcpListener,
     end: CancellationToken,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
     loop {
         let accepted = tokio::select! {
             () = end.cancelled() => return Ok(()),
@@ -182,10 +180,9 @@
 /// Serves the readiness page until `end`.
 pub async fn serve_ready(
     state: FrontState,
-    address: SocketAddr,
+    listener: TcpListener,
     end: CancellationToken,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
     loop {
         let accepted = tokio::select! {
             () = end.cancelled() => return Ok(()),
--- a/crates/gannetwayd/src/roles.rs
+++ b/crates/gannetwayd/src/roles.rs
@@ -4,8 +4,10 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use front::EntryListeners;
 use node::logs::start_logs;
-use node::{RawNodeSettings, RawStorageSettings, SettingsError};
+use node::{RawNodeSettings, RawStorageSettings, SettingsError, wait_for_stop};
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 
 use crate::BAD_SETTINGS;
@@ -63,13 +65,19 @@
         Role::Entry(raw) => {
             let settings = raw.check()?;
             let flush = start_logs(settings.box_id.as_str(), settings.log);
-            runtime.block_on(front::run_entry(settings))?;
+            runtime.block_on(async {
+                let listeners = EntryListeners::bind(&settings).await?;
+                front::run_entry(settings, listeners, wait_for_stop()).await
+            })?;
             flush
         }
         Role::Keep(raw) => {
             let settings = raw.check()?;
             let flush = start_logs(settings.node.box_id.as_str(), settings.node.log);
-            runtime.block_on(shards::run_storage(settings))?;
+            runtime.block_on(async {
+                let listener = TcpListener::bind(settings.node.peer).await?;
+                shards::run_storage(settings, listener, wait_for_stop()).await
+            })?;
             flush
         }
     };
--- a/crates/joblog/src/former.rs
+++ b/crates/joblog/src/former.rs
@@ -114,14 +114,7 @@
     /// A try by `me`; `number` is drawn anew for each try, and `book_epoch` is the epoch that
     /// this box has served until now, if it still holds its records.
     pub const fn new(me: CopyHolder, number: u64, book_epoch: Option<EpochId>) -> Self {
-        Self {
-            me,
-            number,
-            book_epoch,
-            base: None,
-            partners: Vec::new(),
-            state: FormState::Read,
-        }
+        Self { me, number, book_epoch, base: None, partners: Vec::new(), state: FormState::Read }
     }
 
     /// The next step. [`FormStep::Serve`] and [`FormStep::Fail`] are last.
@@ -157,7 +150,8 @@
     }
 
     fn epoch(&self) -> EpochId {
-        let token = self.base.as_ref().map_or(FencingToken::default(), |base| base.plan.epoch.token);
+        let token =
+            self.base.as_ref().map_or(FencingToken::default(), |base| base.plan.epoch.token);
         EpochId { token: token.next(), number: self.number, by: self.me.box_id.clone() }
     }
 
@@ -197,8 +191,9 @@
                 let (revision, plan) = (current.revision, current.plan);
                 self.state = FormState::Done(FormStep::Serve { revision, plan });
             }
-            Ok(current) if current.as_ref().map(|current| current.revision)
-                != self.base.as_ref().map(|base| base.revision) =>
+            Ok(current)
+                if current.as_ref().map(|current| current.revision)
+                    != self.base.as_ref().map(|base| base.revision) =>
             {
                 self.fail(FormFault::Superseded);
             }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -1,7 +1,5 @@
 //! Jobs for the tests.
 
-#![expect(dead_code, reason = "each test file uses a part")]
-
 use std::time::Duration;
 
 use ids::Moment;
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -10,7 +10,7 @@
 use links::{LinkPool, LinkSettings, serve_links};
 use node::duties::{DutySink, box_object};
 use node::follow::{ConfigSink, KindSink, TargetSink, VersionSink, follow_kind};
-use node::{NodeView, StorageSettings, serve_metrics, wait_for_stop};
+use node::{NodeView, StorageSettings, serve_metrics};
 use platform::{Changed, Kind, Listing, ObjectStore, StoreError};
 use tokio::net::TcpListener;
 use tokio::time::{self, Instant};
@@ -37,12 +37,16 @@
 /// How often a retiring box looks whether it still has a duty.
 const RETIRE_LOOK: Duration = Duration::from_millis(300);
 
-/// Runs a keeping box until it is asked to stop.
-pub async fn run_storage(settings: StorageSettings) -> io::Result<()> {
+/// Runs a keeping box until `stop` returns. `listener` takes other boxes' calls at the address
+/// that the settings name.
+pub async fn run_storage(
+    settings: StorageSettings,
+    listener: TcpListener,
+    stop: impl Future<Output = io::Result<()>>,
+) -> io::Result<()> {
     let node = settings.node.clone();
     let store = ObjectStore::new(&node.store.to_string()).map_err(io::Error::other)?;
     let folder = CopyFolder::open(&settings.data_dir).map_err(io::Error::other)?;
-    let listener = TcpListener::bind(node.peer).await?;
     let view = Arc::new(NodeView::new(node.clone(), store));
     let end = CancellationToken::new();
     let link_settings = LinkSettings { me: node.box_id.clone(), key: node.key.clone() };
@@ -68,7 +72,7 @@
     if let Some(address) = node.metrics {
         tokio::spawn(serve_metrics(view, address));
     }
-    wait_for_stop().await?;
+    stop.await?;
     stop_calmly(&ctx, &keepers).await;
     end.cancel();
     Ok(())
