--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -18,7 +18,7 @@
 
 /// Changes of targets gather for this long between two watches: each watch has its price, and
 /// targets must be left within two seconds.
-const GATHER_TARGETS: Duration = Duration::from_millis(600);
+const GATHER_TARGETS: Duration = Duration::from_millis(1_200);
 /// Changes of duties gather for this long.
 const GATHER_DUTIES: Duration = Duration::from_millis(100);
 /// After a request to stop, how long the platform needs to send new callers elsewhere.
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -19,6 +19,8 @@
 /// Longest wait of one watch. An answer may be lost without a word, so a watch must end by
 /// itself soon enough for the configuration to be in force in time.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// The same for kinds that change seldom and bind no caller.
+const LONG_WAIT: Duration = Duration::from_secs(8);
 /// First pause after a failed call; doubles up to [`MOST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call: a configuration must be in force two seconds after the
@@ -95,7 +97,11 @@
         sink.listed(&listing);
         return Ok(listing.revision);
     };
-    let changes = view.store.watch(kind, revision, WATCH_WAIT).await?;
+    let wait = match kind {
+        Kind::Configuration | Kind::Targets | Kind::ModelVersions => WATCH_WAIT,
+        Kind::Duties | Kind::Retirements | Kind::Leases => LONG_WAIT,
+    };
+    let changes = view.store.watch(kind, revision, wait).await?;
     for change in &changes.changes {
         sink.changed(change);
     }
