Let full and loading engines rest longer after each refusal in a row

When one box serves the shard and another holds the lease, the first does not know which engines load, and sent a burst to each of them every 50 ms. Change: rests of 60 ms that double with each refusal in a row up to half a second; items, which may wait, are not sent to a resting engine at all; a load is read every 80 ms from 1 s on.

--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -16,6 +16,13 @@
 const FIRST_REST: Duration = Duration::from_millis(200);
 /// Longest rest, so that a target that is well again is found within seconds.
 const MOST_REST: Duration = Duration::from_secs(2);
+/// How long a target rests after it was full or loaded weights; doubles with each refusal in a
+/// row. A load takes about a second.
+const FULL_REST: Duration = Duration::from_millis(60);
+/// Longest rest of a full target.
+const MOST_FULL_REST: Duration = Duration::from_millis(500);
+/// A rest is doubled at most so many times.
+const MOST_DOUBLINGS: u32 = 8;
 /// How long a load told by an answer is believed.
 const LOAD_TRUST: Duration = Duration::from_millis(500);
 /// Weight of the newest reading in a target's pace.
@@ -79,7 +86,7 @@
 pub struct ChoiceNeed<'a> {
     /// A version of this model, at least this new.
     pub model: Option<(&'a ModelName, ModelVersion)>,
-    /// Only targets with a free slot.
+    /// Only targets with a free slot that do not rest: the request may wait.
     pub free_slot: bool,
     /// Targets already tried.
     pub avoid: &'a [InstanceId],
@@ -106,6 +113,8 @@
     /// Smoothed time of a unit of work, in milliseconds; zero before the first.
     pace: f64,
     failures: u32,
+    /// Refusals for want of room since the last good work.
+    refusals: u32,
     rest_until: Moment,
     /// Loads weights: gets no new work until then, unless told otherwise earlier.
     busy_until: Moment,
@@ -135,7 +144,8 @@
         if need.avoid.contains(&self.record.instance) {
             return false;
         }
-        if need.free_slot && self.load(now) >= self.slots() {
+        // Work that may wait does not go where it was turned away a moment ago.
+        if need.free_slot && (now < self.rest_until || self.load(now) >= self.slots()) {
             return false;
         }
         let Some((model, floor)) = need.model else { return true };
@@ -173,6 +183,7 @@
             others_at: Moment::START,
             pace: 0.0,
             failures: 0,
+            refusals: 0,
             rest_until: Moment::START,
             busy_until: Moment::START,
             gone: false,
@@ -319,6 +330,7 @@
     pub fn succeeded(&mut self, instance: &InstanceId) {
         if let Some(view) = self.views.get_mut(instance) {
             view.failures = 0;
+            view.refusals = 0;
             view.rest_until = Moment::START;
         }
     }
@@ -328,11 +340,17 @@
         let Some(view) = self.views.get_mut(instance) else { return };
         match failure {
             TargetFailure::Gone => view.gone = true,
-            TargetFailure::Full => view.rest_until = now + FIRST_REST / 4,
+            // Requests sent together are turned away together: one refusal is counted.
+            TargetFailure::Full if now < view.rest_until => {}
+            TargetFailure::Full => {
+                let rest = FULL_REST.saturating_mul(1 << view.refusals.min(MOST_DOUBLINGS));
+                view.rest_until = now + rest.min(MOST_FULL_REST);
+                view.refusals = view.refusals.saturating_add(1);
+            }
             TargetFailure::Broken => {
-                let doubled = 1_u32.checked_shl(view.failures).unwrap_or(u32::MAX);
-                view.rest_until = now + FIRST_REST.saturating_mul(doubled).min(MOST_REST);
-                view.failures = (view.failures + 1).min(8);
+                let rest = FIRST_REST.saturating_mul(1 << view.failures.min(MOST_DOUBLINGS));
+                view.rest_until = now + rest.min(MOST_REST);
+                view.failures = view.failures.saturating_add(1);
             }
         }
     }
@@ -344,6 +362,11 @@
         }
     }
 
+    /// Whether a target rests after a failure or a refusal.
+    pub fn is_resting(&self, now: Moment, instance: &InstanceId) -> bool {
+        self.views.get(instance).is_some_and(|view| now < view.rest_until)
+    }
+
     /// Whether a target is known to load weights.
     pub fn is_loading(&self, now: Moment, instance: &InstanceId) -> bool {
         self.views.get(instance).is_some_and(|view| now < view.busy_until)
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -176,3 +176,26 @@
     board.told_load(NOW, &instance("fast"), TargetLoad { running: 4, waiting: 0 });
     assert!(!moves(&board));
 }
+
+#[test]
+fn a_full_target_rests_longer_after_each_refusal_in_a_row() {
+    let mut board = board(&[target("t", "home", 1)]);
+    let well = [instance("t")];
+    let fits = |board: &TargetBoard, now: Moment| board.is_resting(now, &well[0]);
+    let mut now = NOW;
+    let mut rests = Vec::new();
+    for _ in 0..4 {
+        board.failed(now, &well[0], TargetFailure::Full);
+        // Others of the same burst say nothing new.
+        board.failed(now, &well[0], TargetFailure::Full);
+        let begun = now;
+        while fits(&board, now) {
+            now = now + Duration::from_millis(10);
+        }
+        rests.push(now.since(begun).as_millis());
+    }
+    assert_eq!(rests, [60, 120, 240, 480]);
+    board.succeeded(&well[0]);
+    board.failed(now, &well[0], TargetFailure::Full);
+    assert!(!fits(&board, now + Duration::from_millis(60)));
+}
--- a/crates/shards/src/order.rs
+++ b/crates/shards/src/order.rs
@@ -18,10 +18,10 @@
 const ANSWER_TIME: Duration = Duration::from_millis(800);
 /// Reports and orders are short.
 const MOST_ANSWER: usize = 1 << 20;
-/// Time that a load takes at least; nothing is asked before.
-const LEAST_LOAD: Duration = Duration::from_millis(900);
+/// Time that a load and the lag of a report take at least; nothing is asked before.
+const LEAST_LOAD: Duration = Duration::from_millis(1_000);
 /// Time between two readings of an engine that loads.
-const READ_EVERY: Duration = Duration::from_millis(200);
+const READ_EVERY: Duration = Duration::from_millis(80);
 /// After this long a load is taken to have failed, and the engine is ordered anew.
 const MOST_LOAD: Duration = Duration::from_secs(6);
 
