--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -77,8 +77,8 @@
     let served = serve_front(state.clone(), front, end.clone());
     let readiness = serve_ready(state.clone(), ready, end.clone());
     tokio::select! {
-        ended = served => return ended,
-        ended = readiness => return ended,
+        ended = served => ended,
+        ended = readiness => ended,
         stopped = async { asked.await?; stop_calmly(&state, grace).await; Ok(()) } => {
             end.cancel();
             stopped
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -194,7 +194,9 @@
         };
         let state = state.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |request| ready_page(state.clone(), request));
+            let service = service_fn(move |request| {
+                std::future::ready(Served::Ok(ready_page(&state, &request)))
+            });
             // A broken question is asked again a second later.
             let _ended =
                 http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -202,13 +204,11 @@
     }
 }
 
-async fn ready_page(state: FrontState, request: Request<Incoming>) -> Served {
+fn ready_page(state: &FrontState, request: &Request<Incoming>) -> Response<FrontBody> {
     if request.uri().path() != calls::READY_PATH {
         let remedy = "ask the readiness path";
-        return Ok(answer::refuse(StatusCode::NOT_FOUND, "no page", remedy, None));
+        return answer::refuse(StatusCode::NOT_FOUND, "no page", remedy, None);
     }
     let status = if state.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    let page: Response<FrontBody> =
-        answer::whole(status, "application/json", Bytes::from_static(b"{}"));
-    Ok(page)
+    answer::whole(status, "application/json", Bytes::from_static(b"{}"))
 }
--- a/crates/joblog/src/duty.rs
+++ b/crates/joblog/src/duty.rs
@@ -15,7 +15,7 @@
 pub const RESTART_PATIENCE: Duration = Duration::from_millis(700);
 
 /// Patience of a box that has just given the shard up and would rather not serve it again.
-pub const LEAVING_PATIENCE: Duration = Duration::from_millis(3_000);
+pub const LEAVING_PATIENCE: Duration = Duration::from_secs(3);
 
 /// The shard that keeps a job.
 pub fn shard_of(job: &str, shards: u32) -> ShardIndex {
@@ -23,6 +23,17 @@
     ShardIndex::new(u32::try_from(hash % u64::from(shards.max(1))).unwrap_or(0))
 }
 
+/// Whether a box should rather serve a shard or not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DutyIntent {
+    /// Neither.
+    Stays,
+    /// It is to be emptied or to stop.
+    Leaves,
+    /// The shard's server has asked it to go on in its place.
+    Asked,
+}
+
 /// What a box knows when it decides.
 #[derive(Debug, Clone, Copy)]
 pub struct DutyView<'a> {
@@ -40,10 +51,8 @@
     pub first_rank: usize,
     /// How long this box has known that there is no plan.
     pub no_plan_for: Duration,
-    /// Whether this box is to be emptied or to stop.
-    pub leaving: bool,
-    /// Whether the shard's server has asked this box to go on in its place.
-    pub asked: bool,
+    /// Whether it should rather serve or not, all else being equal.
+    pub intent: DutyIntent,
 }
 
 /// What a box should do about a shard that it does not serve.
@@ -60,15 +69,16 @@
     let take = match view.plan {
         None => {
             let patience = TAKE_AFTER * u32::try_from(view.first_rank).unwrap_or(u32::MAX);
-            !view.leaving && view.no_plan_for >= patience
+            view.intent != DutyIntent::Leaves && view.no_plan_for >= patience
         }
         Some(plan) => match plan.rank(view.me) {
             Some(rank) if view.has_copy => {
-                let extra = if view.leaving { LEAVING_PATIENCE } else { Duration::ZERO };
+                let leaves = view.intent == DutyIntent::Leaves;
+                let extra = if leaves { LEAVING_PATIENCE } else { Duration::ZERO };
                 let restart = if view.server_restarts { RESTART_PATIENCE } else { Duration::ZERO };
                 let extra = if rank > 0 { extra + restart } else { extra };
                 let patience = TAKE_AFTER * u32::try_from(rank).unwrap_or(u32::MAX) + extra;
-                view.asked || view.server_silent >= patience
+                view.intent == DutyIntent::Asked || view.server_silent >= patience
             }
             _ => false,
         },
--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -24,8 +24,8 @@
 
 pub use copy::{CopyError, CopyFolder, LogCopyFile};
 pub use duty::{
-    DutyView, LEAVING_PATIENCE, RESTART_PATIENCE, ShardDuty, TAKE_AFTER, choose_partners,
-    shard_duty, shard_of,
+    DutyIntent, DutyView, LEAVING_PATIENCE, RESTART_PATIENCE, ShardDuty, TAKE_AFTER,
+    choose_partners, shard_duty, shard_of,
 };
 pub use former::{EpochFormer, FormFault, FormStep, PlanWrite, ReadPlan};
 pub use plan::{CopyHolder, EpochError, EpochId, ShardPlan};
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -291,5 +291,5 @@
     assert_eq!(unpack_text(&packed).expect("whole"), text);
     assert_eq!(unpack_text(&pack_text(b"")).expect("empty"), b"");
     assert_eq!(unpack_text(b"").expect("of an item that was given up"), b"");
-    assert!(unpack_text(&[0xff, 0xff, 0xff]).is_err());
+    unpack_text(&[0xff, 0xff, 0xff]).expect_err("refused");
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use wire::peer::{Job, JobItem, LogRecord, RewardCall};
 
 pub fn book() -> JobBook {
-    JobBook::new(JobLimits { retention: Duration::from_secs(120), most_bytes: 1 << 20 })
+    JobBook::new(JobLimits { retention: Duration::from_mins(2), most_bytes: 1 << 20 })
 }
 
 pub fn at(millis: u64) -> Moment {
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -198,11 +198,11 @@
             board.succeeded(&slot.instance);
             board.told_pace(&slot.instance, took);
         }
-        TryEnd::Answered(_) => {}
         TryEnd::NotRun if outcome == "not sent" => {
             board.failed(view.now(), &slot.instance, TargetFailure::Broken);
         }
-        TryEnd::NotRun => {}
+        // An error of the target's own, or a refusal that was noted when it was read.
+        TryEnd::Answered(_) | TryEnd::NotRun => {}
         TryEnd::Broken => board.failed(view.now(), &slot.instance, TargetFailure::Broken),
     }
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -49,7 +49,7 @@
 }
 
 /// How long after the store's return an entry that lapsed meanwhile may be on its way back.
-const ENTRY_RETURN: Duration = Duration::from_millis(2_000);
+const ENTRY_RETURN: Duration = Duration::from_secs(2);
 
 impl NodeView {
     /// A view that believes nothing yet.
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -6,8 +6,8 @@
 use futures::future::join_all;
 use ids::ShardIndex;
 use joblog::{
-    CopyHolder, DutyView, EpochFormer, EpochId, FormFault, FormStep, LogCopyFile, PlanWrite,
-    ReadPlan, ShardDuty, ShardPlan, choose_partners, encode_record, shard_duty,
+    CopyHolder, DutyIntent, DutyView, EpochFormer, EpochId, FormFault, FormStep, LogCopyFile,
+    PlanWrite, ReadPlan, ShardDuty, ShardPlan, choose_partners, encode_record, shard_duty,
 };
 use node::duties::{PlanSighting, shard_object};
 use platform::{Kind, StoreError};
@@ -109,8 +109,13 @@
             .is_some_and(|server| ctx.peers.restarts(&server.box_id)),
         first_rank: first_rank.unwrap_or(boxes.len()),
         no_plan_for,
-        leaving: ctx.is_leaving(),
-        asked: keeper.take_asked(),
+        intent: if keeper.take_asked() {
+            DutyIntent::Asked
+        } else if ctx.is_leaving() {
+            DutyIntent::Leaves
+        } else {
+            DutyIntent::Stays
+        },
     };
     shard_duty(&view) == ShardDuty::Take
 }
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -16,7 +16,7 @@
 
 /// After this long without a proof that all copies still take appends, another box may serve
 /// the shard: reads are turned away and nothing new is started.
-const PROOF_TRUST: Duration = Duration::from_millis(1_000);
+const PROOF_TRUST: Duration = Duration::from_secs(1);
 
 /// The epoch under which this box serves the shard.
 #[derive(Debug, Clone)]
--- a/crates/shards/src/order.rs
+++ b/crates/shards/src/order.rs
@@ -19,7 +19,7 @@
 /// Reports and orders are short.
 const MOST_ANSWER: usize = 1 << 20;
 /// Time that a load and the lag of a report take at least; nothing is asked before.
-const LEAST_LOAD: Duration = Duration::from_millis(1_000);
+const LEAST_LOAD: Duration = Duration::from_secs(1);
 /// Time between two readings of an engine that loads.
 const READ_EVERY: Duration = Duration::from_millis(80);
 /// After this long a load is taken to have failed, and the engine is ordered anew.
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -183,7 +183,7 @@
                     }
                     // Silence is what the table tells.
                     Err(error) => {
-                        log::debug!(target: "shard", peer:% = other.box_id, error:% = error; "beat unanswered")
+                        log::debug!(target: "shard", peer:% = other.box_id, error:% = error; "beat unanswered");
                     }
                 }
             });
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,7 +11,12 @@
 mod tally;
 
 /// The generated messages.
-#[expect(missing_docs, clippy::pedantic, reason = "generated from proto/peer.proto")]
+#[expect(
+    missing_docs,
+    clippy::pedantic,
+    clippy::empty_structs_with_brackets,
+    reason = "generated from proto/peer.proto"
+)]
 pub mod peer {
     include!("generated/gannetway.peer.rs");
 }
--- a/crates/xtask/tests/tidy.rs
+++ b/crates/xtask/tests/tidy.rs
@@ -50,7 +50,7 @@
         let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
         if path.is_dir() && name != "target" && name != "generated" {
             rust_files(&path, files);
-        } else if name.ends_with(".rs") {
+        } else if path.extension().is_some_and(|ending| ending == "rs") {
             files.push(path);
         }
     }
