Log what a moved run had left, and give long texts to fast engines

Other samples bounced between slow engines, since the choice prefers idle ones nearby.

Change: the rest of a run that is cut or moved is logged at its end; long texts are placed by pace first; a beat follows each renewal. Ruled out: the steps' own order, since all other samples of the job had ended 4 s before. Tests: what_a_moved_run_had_not_logged_is_logged_at_its_end, where_a_fast_target_is_wanted.

--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -35,6 +35,14 @@
 }
 
 impl RunSpec {
+    /// The record for the events that a run which was cut or moved has not given to the log: the
+    /// next run begins after them, and its own records must follow what is there.
+    pub fn rest(&self, end: &RunEnd) -> Option<LogRecord> {
+        let goes_on = matches!(end.outcome, RunOutcome::Cut | RunOutcome::Moved);
+        let more = end.events.len() > end.logged && !self.job.single_version;
+        (goes_on && more).then(|| self.progress(&end.events, end.logged))
+    }
+
     /// The record that keeps events of a run which goes on; `sent` of them were kept before.
     pub fn progress(&self, events: &[RunEvent], sent: usize) -> LogRecord {
         let count = |events: usize| u32::try_from(events).unwrap_or(u32::MAX);
@@ -84,6 +92,8 @@
     pub outcome: RunOutcome,
     /// The whole events that came, in order.
     pub events: Vec<RunEvent>,
+    /// How many of them were given to the log while the run went on.
+    pub logged: usize,
 }
 
 /// One whole event of a run.
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -80,6 +80,31 @@
     assert_eq!((again.events, again.newest), (4, Some(3)));
 }
 
+#[test]
+fn what_a_moved_run_had_not_logged_is_logged_at_its_end() {
+    let mut first = book();
+    let mut log = vec![accepted(job("j", 1))];
+    first.apply(at(0), log[0].clone());
+    let spec = start_all(&mut first, at(1)).remove(0);
+    let made = events(1, 20, 3);
+    log.push(spec.progress(&made[..16], 0));
+    let mut end = run(RunOutcome::Moved, made);
+    end.logged = 16;
+    log.extend(spec.rest(&end));
+    first.run_ended(at(2), &spec, &end);
+    // The next run goes on after all of them, and so do its records.
+    let again = start_all(&mut first, at(3)).into_iter().find(|other| other.item == spec.item);
+    let again = again.expect("it goes on");
+    log.push(again.progress(&events(21, 16, 3), 0));
+
+    let mut second = book();
+    for record in log {
+        second.apply(at(0), record);
+    }
+    let held = start_all(&mut second, at(1)).into_iter().find(|other| other.item == spec.item);
+    assert_eq!(held.expect("it goes on here").events, 36);
+}
+
 #[test]
 fn the_end_of_an_earlier_run_says_nothing() {
     let mut book = book();
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -47,7 +47,7 @@
 }
 
 pub fn run(outcome: RunOutcome, events: Vec<RunEvent>) -> RunEnd {
-    RunEnd { outcome, events }
+    RunEnd { outcome, events, logged: 0 }
 }
 
 /// Starts everything that may start.
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -32,6 +32,9 @@
 /// Requests that a target of another failure domain must have fewer, as a share of its slots,
 /// to be chosen over one of the own domain: bytes between domains cost more than a short wait.
 const DOMAIN_PREFERENCE: f64 = 0.34;
+/// Weight of a target's load beside its pace where a fast one is wanted: a fuller batch makes each
+/// of its requests a little slower.
+const FAST_SHARE: f64 = 0.1;
 
 /// A model version that a target holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -88,6 +91,8 @@
     pub model: Option<(&'a ModelName, ModelVersion)>,
     /// Only targets with a free slot that do not rest: the request may wait.
     pub free_slot: bool,
+    /// Rather a fast target than an idle or a near one.
+    pub fast: bool,
     /// Targets already tried.
     pub avoid: &'a [InstanceId],
 }
@@ -240,7 +245,7 @@
                 continue;
             }
             let resting = now < view.rest_until;
-            let cost = self.cost(now, view, fastest) + rng.random::<f64>() * 0.01;
+            let cost = self.cost(now, view, fastest, need.fast) + rng.random::<f64>() * 0.01;
             let better = match best {
                 None => true,
                 Some((best_resting, best_cost, _)) => (resting, cost) < (best_resting, best_cost),
@@ -264,10 +269,13 @@
         paces.map(|view| view.pace).filter(|pace| *pace > 0.0).fold(f64::INFINITY, f64::min)
     }
 
-    fn cost(&self, now: Moment, view: &TargetView, fastest: f64) -> f64 {
+    fn cost(&self, now: Moment, view: &TargetView, fastest: f64, fast: bool) -> f64 {
         let slowness =
             if view.pace > 0.0 && fastest.is_finite() { view.pace / fastest } else { 1.0 };
         let share = f64::from(view.load(now) + 1) / f64::from(view.slots());
+        if fast {
+            return slowness + FAST_SHARE * share;
+        }
         let away = if view.record.domain == self.domain { 0.0 } else { DOMAIN_PREFERENCE };
         share * slowness + away
     }
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -154,6 +154,17 @@
     assert!(fast >= 3, "{fast}");
 }
 
+#[test]
+fn where_a_fast_target_is_wanted_it_may_be_far_and_busier() {
+    let mut board = board(&[target("near", "home", 1), target("fast", "away", 1)]);
+    board.told_pace(&instance("near"), Duration::from_millis(52));
+    board.told_pace(&instance("fast"), Duration::from_millis(40));
+    let need = ChoiceNeed { fast: true, ..ChoiceNeed::default() };
+    for _ in 0..3 {
+        assert_eq!(choose(&mut board, NOW, &need).as_deref(), Some("fast"));
+    }
+}
+
 #[test]
 fn resting_targets_are_the_last_resort() {
     let mut board = board(&[target("broken", "home", 1), target("well", "away", 1)]);
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -7,6 +7,7 @@
 use joblog::CopyHolder;
 use links::{CallError, LinkPool};
 use node::{NodeView, StorageSettings};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wire::peer::{
     HeldLease, Request, ShardAnswer, ShardRequest, item, request, shard_answer, shard_request,
@@ -34,6 +35,8 @@
     pub stopping: CancellationToken,
     retiring: Mutex<HashSet<BoxId>>,
     leases: Mutex<HashMap<String, HeldLease>>,
+    /// Told when others should hear of a lease at once.
+    pub news: Notify,
 }
 
 impl ShardContext {
@@ -61,6 +64,7 @@
             stopping: CancellationToken::new(),
             retiring: Mutex::default(),
             leases: Mutex::default(),
+            news: Notify::new(),
         }
     }
 
@@ -86,6 +90,8 @@
             Some(held) => leases.insert(name.to_owned(), held),
             None => leases.remove(name),
         };
+        // The sooner others know of a write, the shorter a taker's wait after the last one.
+        self.news.notify_one();
     }
 
     /// Boxes that may hold a copy: heard a moment ago, and not leaving.
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
 use crate::reward::call_reward;
-use crate::run::run_item;
+use crate::run::{LONG_EVENTS, run_item};
 
 /// Longest pause between two looks at the items, should no change tell.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -92,6 +92,7 @@
                         () = token.cancelled() => cancelled(),
                     };
                     ctx.view.board().ended(&slot.instance);
+                    keeper.log(spec.rest(&run).into_iter().collect());
                     let whole = keeper.book().run_ended(ctx.view.now(), &spec, &run);
                     keeper.wake();
                     whole
@@ -108,7 +109,7 @@
 }
 
 const fn cancelled() -> RunEnd {
-    RunEnd { outcome: RunOutcome::Cut, events: Vec::new() }
+    RunEnd { outcome: RunOutcome::Cut, events: Vec::new(), logged: 0 }
 }
 
 /// A target for the item, or the reward call. `None` when the item has to wait.
@@ -122,6 +123,7 @@
     let need = ChoiceNeed {
         model: model.as_ref().map(|model| (model, floor)),
         free_slot: true,
+        fast: spec.events >= LONG_EVENTS,
         avoid: &[],
     };
     let now = ctx.view.now();
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -188,6 +188,7 @@
                 }
             });
         }
-        time::sleep(BEAT_EVERY).await;
+        // Early or in time makes no difference to what a beat says.
+        let _early = time::timeout(BEAT_EVERY, ctx.news.notified()).await;
     }
 }
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -34,7 +34,7 @@
 /// ones decide when a step is whole.
 const LONG_MOVE_FACTOR: f64 = 1.25;
 /// Events from which on a text is long.
-const LONG_EVENTS: u32 = 32;
+pub const LONG_EVENTS: u32 = 32;
 
 /// Why a run was moved away from a slow engine.
 const SLOW: &str = "slow engine";
@@ -77,7 +77,7 @@
     let started = Instant::now();
     let (outcome, why) = state.run().await;
     state.note(outcome, why, started);
-    RunEnd { outcome, events: state.events }
+    RunEnd { outcome, events: state.events, logged: state.logged }
 }
 
 impl RunState<'_> {
@@ -231,6 +231,7 @@
         ChoiceNeed {
             model: self.model.as_ref().map(|model| (model, floor)),
             free_slot: true,
+            fast: false,
             avoid: &[],
         }
     }
