--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -21,6 +21,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// The same for kinds that change seldom and bind no caller.
 const LONG_WAIT: Duration = Duration::from_secs(8);
+/// Wait of the watch that finds out whether the store is back: a watch that waits for changes
+/// would tell it only seconds later.
+const PROBE_WAIT: Duration = Duration::from_millis(20);
 /// First pause after a failed call; doubles up to [`MOST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call: a configuration must be in force two seconds after the
@@ -46,11 +49,13 @@
     let followed = async {
         let mut revision = None;
         let mut pause = FIRST_PAUSE;
+        let mut wait = usual_wait(kind);
         loop {
-            match follow_once(&view, kind, revision, &mut sink).await {
+            match follow_once(&view, kind, revision, wait, &mut sink).await {
                 Ok(next) => {
                     view.store_answered(true);
                     pause = FIRST_PAUSE;
+                    wait = usual_wait(kind);
                     let news = revision.is_none_or(|last| last != next);
                     revision = Some(next);
                     if news && !gather.is_zero() {
@@ -63,6 +68,7 @@
                 }
                 Err(error) => {
                     view.store_answered(false);
+                    wait = PROBE_WAIT;
                     log::debug!(target: "node", kind:% = kind, error:% = error; "store call failed");
                     time::sleep(pause).await;
                     pause = (pause * 2).min(MOST_PAUSE);
@@ -85,10 +91,18 @@
     let _closed = states.wait_for(|state| state.up).await;
 }
 
+const fn usual_wait(kind: Kind) -> Duration {
+    match kind {
+        Kind::Configuration | Kind::Targets | Kind::ModelVersions => WATCH_WAIT,
+        Kind::Duties | Kind::Retirements | Kind::Leases => LONG_WAIT,
+    }
+}
+
 async fn follow_once(
     view: &NodeView,
     kind: Kind,
     revision: Option<u64>,
+    wait: Duration,
     sink: &mut impl KindSink,
 ) -> Result<u64, StoreError> {
     view.metrics.store_call();
@@ -97,10 +111,6 @@
         sink.listed(&listing);
         return Ok(listing.revision);
     };
-    let wait = match kind {
-        Kind::Configuration | Kind::Targets | Kind::ModelVersions => WATCH_WAIT,
-        Kind::Duties | Kind::Retirements | Kind::Leases => LONG_WAIT,
-    };
     let changes = view.store.watch(kind, revision, wait).await?;
     for change in &changes.changes {
         sink.changed(change);
