--- a/crates/joblog/src/copy.rs
+++ b/crates/joblog/src/copy.rs
@@ -11,6 +11,8 @@
 
 use crate::{EpochId, decode_records};
 
+/// Bytes read at a time: a copy may be much larger than what a box can hold twice.
+const READ_BYTES: u64 = 1 << 20;
 /// Ending of a copy's file.
 const ENDING: &str = ".log";
 
@@ -65,11 +67,26 @@
         Ok(LogCopyFile { file, len: 0 })
     }
 
-    /// The records of a copy, up to the first that is not whole.
-    pub fn read(&self, shard: ShardIndex, epoch: &EpochId) -> Result<Vec<LogRecord>, CopyError> {
+    /// Gives each record of a copy to `take`, up to the first that is not whole; says how many.
+    pub fn read(
+        &self,
+        shard: ShardIndex,
+        epoch: &EpochId,
+        mut take: impl FnMut(LogRecord),
+    ) -> Result<usize, CopyError> {
+        let mut file = File::open(self.path(shard, epoch))?;
         let mut bytes = Vec::new();
-        File::open(self.path(shard, epoch))?.read_to_end(&mut bytes)?;
-        Ok(decode_records(&bytes).0)
+        let mut count = 0;
+        loop {
+            let more = Read::by_ref(&mut file).take(READ_BYTES).read_to_end(&mut bytes)?;
+            let (records, used) = decode_records(&bytes);
+            bytes.drain(..used);
+            count += records.len();
+            records.into_iter().for_each(&mut take);
+            if more == 0 {
+                return Ok(count);
+            }
+        }
     }
 
     /// The epochs of a shard that lie here.
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ids::{JobId, Moment};
+use prost::Message;
 use wire::peer::log_record::Body;
 use wire::peer::{EndedJob, ItemProgress, Job, JobPage, JobResult, ListedResult, LogRecord};
 
@@ -57,6 +58,37 @@
     bytes: usize,
 }
 
+/// How far a snapshot has come.
+#[derive(Debug, Clone)]
+pub struct SnapshotCursor {
+    jobs: Vec<JobId>,
+    job: usize,
+    record: usize,
+}
+
+impl JobState {
+    /// The record of the job itself, or of the result before position `number`.
+    fn logged_record(&self, id: &JobId, number: usize) -> LogRecord {
+        let Some(position) = number.checked_sub(1) else {
+            return record(Body::Accepted(self.job.as_ref().clone()));
+        };
+        record(Body::Listed(ListedResult {
+            job: id.to_string(),
+            position: u32::try_from(position).unwrap_or(u32::MAX),
+            result: self.listed.get(position).cloned(),
+        }))
+    }
+
+    /// The records after those of all results.
+    fn last_records(&self, id: &JobId) -> Vec<LogRecord> {
+        let job = id.to_string();
+        if self.ended {
+            return vec![record(Body::Ended(EndedJob { job }))];
+        }
+        unlisted_text(&job, &self.items).collect()
+    }
+}
+
 /// The jobs of one shard.
 #[derive(Debug)]
 pub struct JobBook {
@@ -227,29 +259,34 @@
         self.jobs.get_mut(&id)
     }
 
-    /// Records that give the same book when they are replayed, in order.
-    pub fn snapshot(&self) -> Vec<LogRecord> {
-        let mut ids: Vec<&JobId> = self.jobs.keys().collect();
-        ids.sort_by_key(|id| (self.jobs[*id].taken_at, (*id).clone()));
+    /// Begins a snapshot: records that give the same book when they are replayed, in order.
+    pub fn snapshot_cursor(&self) -> SnapshotCursor {
+        let mut jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
+        jobs.sort_by_key(|id| (self.jobs[id].taken_at, id.clone()));
+        SnapshotCursor { jobs, job: 0, record: 0 }
+    }
+
+    /// The next records of a snapshot, about `most_bytes` of them; none after the last. Between
+    /// two pieces no record may be applied.
+    pub fn snapshot_piece(&self, cursor: &mut SnapshotCursor, most_bytes: usize) -> Vec<LogRecord> {
         let mut records = Vec::new();
-        for id in ids {
-            let state = &self.jobs[id];
-            let job = id.to_string();
-            records.push(record(Body::Accepted(state.job.as_ref().clone())));
-            for (position, result) in state.listed.iter().enumerate() {
-                let position = u32::try_from(position).unwrap_or(u32::MAX);
-                let result = Some(result.clone());
-                records.push(record(Body::Listed(ListedResult {
-                    job: job.clone(),
-                    position,
-                    result,
-                })));
-            }
-            if state.ended {
-                records.push(record(Body::Ended(EndedJob { job })));
-            } else {
-                records.extend(unlisted_text(&job, &state.items));
+        let mut bytes = 0;
+        while bytes < most_bytes
+            && let Some(id) = cursor.jobs.get(cursor.job)
+        {
+            let from = records.len();
+            match self.jobs.get(id) {
+                Some(state) if cursor.record <= state.listed.len() => {
+                    records.push(state.logged_record(id, cursor.record));
+                    cursor.record += 1;
+                }
+                held => {
+                    records.extend(held.into_iter().flat_map(|state| state.last_records(id)));
+                    cursor.job += 1;
+                    cursor.record = 0;
+                }
             }
+            bytes += records[from..].iter().map(Message::encoded_len).sum::<usize>();
         }
         records
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,7 +15,7 @@
 mod order;
 mod packed;
 
-pub use book::{JobBook, JobCounts, JobLimits};
+pub use book::{JobBook, JobCounts, JobLimits, SnapshotCursor};
 pub use item::{ItemRef, RewardEnd, RunEnd, RunEvent, RunOutcome, RunSpec};
 pub use order::run_order;
 pub use packed::{UnpackError, pack_text, unpack_text};
--- a/crates/jobs/tests/replay.rs
+++ b/crates/jobs/tests/replay.rs
@@ -85,8 +85,16 @@
         }
         assert_eq!(texts(&replayed), texts(&lived), "seed {seed}");
         let mut copied = book();
-        for record in lived.snapshot() {
-            copied.apply(at(0), record);
+        let mut cursor = lived.snapshot_cursor();
+        // Small pieces: each job is cut in many places.
+        loop {
+            let piece = lived.snapshot_piece(&mut cursor, 100);
+            if piece.is_empty() {
+                break;
+            }
+            for record in piece {
+                copied.apply(at(0), record);
+            }
         }
         assert_eq!(texts(&copied), texts(&lived), "seed {seed}, from a snapshot");
         listed += texts(&lived).iter().map(Vec::len).sum::<usize>();
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
-use wire::peer::{LogCopy, LogRecord, shard_answer, shard_request};
+use wire::peer::{LogCopy, shard_answer, shard_request};
 
 use crate::context::ShardContext;
 use crate::keeper::{ServedEpoch, ShardKeeper};
@@ -48,7 +48,7 @@
                 }
                 Err(fault) => {
                     if fault == FormFault::Superseded {
-                        keeper.reset(Vec::new());
+                        keeper.reset();
                     }
                     log::info!(target: "shard", shard = shard.get(), why:% = fault; "not taken");
                     time::sleep(RETRY_PAUSE).await;
@@ -70,7 +70,7 @@
             && plan.server().is_none_or(|server| server.box_id != ctx.me.box_id)
     });
     if superseded {
-        keeper.reset(Vec::new());
+        keeper.reset();
     }
 }
 
@@ -141,7 +141,7 @@
     };
     keeper.end();
     if why == SUPERSEDED {
-        keeper.reset(Vec::new());
+        keeper.reset();
     }
     log::info!(
         target: "shard", shard = keeper.shard().get(), epoch:% = epoch, why = why;
@@ -191,19 +191,15 @@
         match former.step() {
             FormStep::ReadPlan => former.plan_read(read_plan(ctx, shard).await),
             FormStep::BeginEmpty => {
-                keeper.reset(Vec::new());
+                keeper.reset();
                 former.base_read(true);
             }
             FormStep::CloseAndRead(epoch) => {
                 former.base_read(close_and_read(ctx, keeper, epoch).await);
             }
             FormStep::Copy { epoch, partners } => {
-                let records = {
-                    let mut book = keeper.book();
-                    book.forget_unlogged();
-                    book.snapshot()
-                };
-                file = copy_records(ctx, shard, &epoch, records, &partners).await;
+                keeper.book().forget_unlogged();
+                file = copy_book(ctx, keeper, &epoch, &partners).await;
                 former.copied(file.is_some());
             }
             FormStep::WritePlan { base, plan } => {
@@ -253,18 +249,21 @@
 }
 
 /// Closes this box's copy of an epoch and makes the book hold what it holds.
-async fn close_and_read(ctx: &ShardContext, keeper: &ShardKeeper, epoch: EpochId) -> bool {
+async fn close_and_read(ctx: &ShardContext, keeper: &Arc<ShardKeeper>, epoch: EpochId) -> bool {
     let shard = keeper.shard();
     ctx.copies.close(shard, &epoch).await;
     let (folder, read_epoch) = (ctx.copies.folder().clone(), epoch.clone());
-    let read = tokio::task::spawn_blocking(move || folder.read(shard, &read_epoch)).await;
-    match read {
+    keeper.reset();
+    let (now, loaded) = (ctx.view.now(), Arc::clone(keeper));
+    let read = tokio::task::spawn_blocking(move || {
+        folder.read(shard, &read_epoch, |record| loaded.book().apply(now, record))
+    });
+    match read.await {
         Ok(Ok(records)) => {
             log::info!(
-                target: "shard", shard = shard.get(), epoch:% = epoch, records = records.len();
+                target: "shard", shard = shard.get(), epoch:% = epoch, records = records;
                 "copy closed and read"
             );
-            keeper.reset(records);
             keeper.set_book_epoch(Some(epoch));
             true
         }
@@ -279,41 +278,72 @@
     }
 }
 
-/// Writes all records to this box's new copy and to the partners', and waits for all disks.
-async fn copy_records(
+/// Writes the book to this box's new copy and to the partners', piece by piece, and waits for all
+/// disks. Nothing is applied to the book meanwhile, since the shard is not served.
+async fn copy_book(
     ctx: &Arc<ShardContext>,
-    shard: ShardIndex,
+    keeper: &ShardKeeper,
     epoch: &EpochId,
-    records: Vec<LogRecord>,
     partners: &[CopyHolder],
 ) -> Option<LogCopyFile> {
-    let mut pieces = vec![Vec::new()];
-    for record in records {
-        if pieces.last().is_some_and(|piece| piece.len() >= PIECE_BYTES) {
-            pieces.push(Vec::new());
+    let shard = keeper.shard();
+    let mut cursor = keeper.book().snapshot_cursor();
+    let mut next = || {
+        let records = keeper.book().snapshot_piece(&mut cursor, PIECE_BYTES);
+        let mut piece = Vec::new();
+        for record in &records {
+            encode_record(record, &mut piece);
         }
-        if let Some(piece) = pieces.last_mut() {
-            encode_record(&record, piece);
+        piece
+    };
+    let mut file = None;
+    let mut piece = next();
+    loop {
+        let following = next();
+        let copy = LogCopy {
+            shard: shard.get(),
+            epoch: epoch.to_string(),
+            first: file.is_none(),
+            last: following.is_empty(),
+            records: piece,
+        };
+        let own = write_piece(ctx, shard, epoch, file.take(), &copy);
+        let sent = join_all(partners.iter().map(|partner| send_piece(ctx, &copy, partner)));
+        let (own, sent) = tokio::join!(own, sent);
+        if !sent.into_iter().all(|taken| taken) {
+            return None;
+        }
+        file = Some(own?);
+        if copy.last {
+            return file;
         }
+        piece = following;
     }
-    let sent =
-        join_all(partners.iter().map(|partner| send_copy(ctx, shard, epoch, &pieces, partner)));
-    let folder = ctx.copies.folder().clone();
-    let (own_epoch, own_pieces) = (epoch.clone(), pieces.clone());
-    let own = tokio::task::spawn_blocking(move || {
-        let mut file = folder.create(shard, &own_epoch)?;
-        for piece in own_pieces {
-            let offset = file.len();
-            file.append(offset, &piece)?;
+}
+
+/// Writes a piece to this box's own copy; the last one is synced.
+async fn write_piece(
+    ctx: &ShardContext,
+    shard: ShardIndex,
+    epoch: &EpochId,
+    file: Option<LogCopyFile>,
+    copy: &LogCopy,
+) -> Option<LogCopyFile> {
+    let (folder, epoch) = (ctx.copies.folder().clone(), epoch.clone());
+    let (records, last) = (copy.records.clone(), copy.last);
+    let written = tokio::task::spawn_blocking(move || {
+        let mut file = match file {
+            Some(file) => file,
+            None => folder.create(shard, &epoch)?,
+        };
+        let offset = file.len();
+        file.append(offset, &records)?;
+        if last {
+            file.sync()?;
         }
-        file.sync()?;
         Ok::<_, joblog::CopyError>(file)
     });
-    let (own, sent) = tokio::join!(own, sent);
-    if !sent.into_iter().all(|taken| taken) {
-        return None;
-    }
-    match own {
+    match written.await {
         Ok(Ok(file)) => Some(file),
         Ok(Err(error)) => {
             log::error!(target: "shard", shard = shard.get(), error:% = error; "own copy failed");
@@ -326,31 +356,18 @@
     }
 }
 
-async fn send_copy(
-    ctx: &ShardContext,
-    shard: ShardIndex,
-    epoch: &EpochId,
-    pieces: &[Vec<u8>],
-    partner: &CopyHolder,
-) -> bool {
-    for (index, piece) in pieces.iter().enumerate() {
-        let body = shard_request::Body::Copy(LogCopy {
-            shard: shard.get(),
-            epoch: epoch.to_string(),
-            first: index == 0,
-            last: index + 1 == pieces.len(),
-            records: piece.clone(),
-        });
-        let answer = ctx.ask(&partner.address, PIECE_TIME, body).await;
-        if !matches!(answer, Ok(shard_answer::Body::Synced(_))) {
-            log::warn!(
-                target: "shard", shard = shard.get(), epoch:% = epoch, peer:% = partner.box_id;
-                "partner did not take the copy"
-            );
-            return false;
-        }
+async fn send_piece(ctx: &ShardContext, copy: &LogCopy, partner: &CopyHolder) -> bool {
+    let body = shard_request::Body::Copy(copy.clone());
+    let answer = ctx.ask(&partner.address, PIECE_TIME, body).await;
+    let taken = matches!(answer, Ok(shard_answer::Body::Synced(_)));
+    if !taken {
+        log::warn!(
+            target: "shard", shard = copy.shard, epoch = copy.epoch.as_str(),
+            peer:% = partner.box_id;
+            "partner did not take the copy"
+        );
     }
-    true
+    taken
 }
 
 /// Writes the plan if the one that was read is still in force.
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -84,18 +84,12 @@
         lock(&self.book)
     }
 
-    /// Replaces the jobs by those of a log that was read, or by none. Runs of the jobs before
-    /// are broken off.
-    pub fn reset(&self, records: Vec<LogRecord>) {
+    /// Forgets all jobs and breaks their runs off.
+    pub fn reset(&self) {
         for (_, token) in lock(&self.runs).drain() {
             token.cancel();
         }
-        let mut book = JobBook::new(limits(&self.ctx));
-        let now = self.ctx.view.now();
-        for record in records {
-            book.apply(now, record);
-        }
-        *self.book() = book;
+        *self.book() = JobBook::new(limits(&self.ctx));
         self.set_book_epoch(None);
     }
 
