--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -7,7 +7,9 @@
 use ids::{JobId, Moment};
 use prost::Message;
 use wire::peer::log_record::Body;
-use wire::peer::{EndedJob, ItemProgress, Job, JobPage, JobResult, ListedResult, LogRecord};
+use wire::peer::{
+    EndedJob, ItemProgress, Job, JobItem, JobPage, JobResult, ListedResult, LogRecord, RewardCall,
+};
 
 use crate::item::{ItemPhase, ItemState};
 use crate::{ItemRef, RewardEnd, RunEnd, RunOutcome, RunSpec, pack_text, run_order, unpack_text};
@@ -67,6 +69,24 @@
 }
 
 impl JobState {
+    /// Forgets what only a job that runs needs: requests and bodies. Says how many bytes.
+    fn strip(&mut self) -> usize {
+        let mut job = self.job.as_ref().clone();
+        let freed = request_bytes(&job);
+        for item in &mut job.items {
+            let reward = item.reward.take();
+            *item = JobItem {
+                id: std::mem::take(&mut item.id),
+                // By its id a later job tells whether a score may be used again.
+                reward: reward.map(|reward| RewardCall { id: reward.id, ..RewardCall::default() }),
+                ..JobItem::default()
+            };
+        }
+        self.job = Arc::new(job);
+        self.bytes = self.bytes.saturating_sub(freed);
+        freed
+    }
+
     /// The record of the job itself, or of the result before position `number`.
     fn logged_record(&self, id: &JobId, number: usize) -> LogRecord {
         let Some(position) = number.checked_sub(1) else {
@@ -160,7 +180,7 @@
             let index = u32::try_from(index).unwrap_or(u32::MAX);
             self.holders.insert(item.id.clone(), ItemRef { job: id.clone(), index });
         }
-        let bytes = job.items.iter().map(|item| item.body.len() + item.path.len()).sum();
+        let bytes = request_bytes(&job);
         self.bytes += bytes;
         let state = JobState {
             job,
@@ -243,6 +263,8 @@
         state.ended = true;
         state.ending = true;
         state.waiting.clear();
+        let freed = state.strip();
+        self.bytes = self.bytes.saturating_sub(freed);
         self.open.retain(|open| open.as_str() != job);
     }
 
@@ -524,9 +546,9 @@
         Some(JobPage { total, results })
     }
 
-    /// The body of an item that is not listed yet.
+    /// The body of an item, until its job has ended.
     pub fn body(&self, id: &JobId, item: &str) -> Option<Vec<u8>> {
-        let state = self.jobs.get(id)?;
+        let state = self.jobs.get(id).filter(|state| !state.ended)?;
         let request = state.job.items.iter().find(|other| other.id == item)?;
         Some(request.body.clone())
     }
@@ -554,6 +576,11 @@
     })
 }
 
+/// Bytes of a job's requests.
+fn request_bytes(job: &Job) -> usize {
+    job.items.iter().map(Message::encoded_len).sum()
+}
+
 fn record(body: Body) -> LogRecord {
     LogRecord { body: Some(body) }
 }
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -308,6 +308,23 @@
     assert_eq!(order.len(), 20);
 }
 
+#[test]
+fn an_ended_job_keeps_its_results_and_frees_its_requests() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 2)));
+    let before = book.counts().bytes;
+    assert_eq!(book.body(&id("j"), "item-3"), Some(vec![1, 2, 3]));
+    let spec = start_all(&mut book, at(1)).remove(0);
+    let record = finish(&mut book, &spec, events(1, 2, 3));
+    book.apply(at(12), record);
+    let end = book.end(&id("j")).expect("a record");
+    book.apply(at(13), end);
+    assert!(book.counts().bytes < before / 2, "{} of {before}", book.counts().bytes);
+    assert_eq!(book.body(&id("j"), "item-3"), None);
+    assert_eq!(text_of(&book, "j"), ["e1\ne2"]);
+    assert_eq!(book.page(&id("j"), 0, usize::MAX).expect("held").total, 4);
+}
+
 #[test]
 fn packed_texts_come_back_whole_and_broken_ones_are_told() {
     let text: Vec<u8> = (0..10_000_u32).map(|at| b'a' + (at * at % 26) as u8).collect();
