Split the book of jobs, and write two things once

Work on copies goes through one function that logs what fails; sinks that lose nothing share how a listing is taken. Connections that rest at targets that are gone are closed with each change of the list. No behaviour changes but the last.

--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -1,17 +1,15 @@
 //! The jobs of one shard.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use ids::{JobId, Moment};
-use prost::Message;
 use wire::peer::log_record::Body;
-use wire::peer::{
-    EndedJob, ItemProgress, Job, JobItem, JobPage, JobResult, ListedResult, LogRecord, RewardCall,
-};
+use wire::peer::{EndedJob, ItemProgress, Job, JobPage, JobResult, ListedResult, LogRecord};
 
 use crate::item::{ItemPhase, ItemState};
+use crate::state::{JobState, record, request_bytes};
 use crate::{ItemRef, RewardEnd, RunEnd, RunOutcome, RunSpec, pack_text, run_order, unpack_text};
 
 /// Pause before an item that failed is started again, so that a target in trouble, or the list
@@ -42,78 +40,11 @@
     pub bytes: usize,
 }
 
-#[derive(Debug)]
-struct JobState {
-    job: Arc<Job>,
-    taken_at: Moment,
-    items: Vec<ItemState>,
-    /// Items to start, best first.
-    waiting: VecDeque<u32>,
-    /// Results that are on every copy of the log, by position.
-    listed: Vec<JobResult>,
-    /// Positions handed out, listed or on the way to the log.
-    positions: u32,
-    ended: bool,
-    /// The end is on its way to the log: nothing more is started.
-    ending: bool,
-    dropping: bool,
-    bytes: usize,
-}
-
-/// How far a snapshot has come.
-#[derive(Debug, Clone)]
-pub struct SnapshotCursor {
-    jobs: Vec<JobId>,
-    job: usize,
-    record: usize,
-}
-
-impl JobState {
-    /// Forgets what only a job that runs needs: requests and bodies. Says how many bytes.
-    fn strip(&mut self) -> usize {
-        let mut job = self.job.as_ref().clone();
-        let freed = request_bytes(&job);
-        for item in &mut job.items {
-            let reward = item.reward.take();
-            *item = JobItem {
-                id: std::mem::take(&mut item.id),
-                // By its id a later job tells whether a score may be used again.
-                reward: reward.map(|reward| RewardCall { id: reward.id, ..RewardCall::default() }),
-                ..JobItem::default()
-            };
-        }
-        self.job = Arc::new(job);
-        self.bytes = self.bytes.saturating_sub(freed);
-        freed
-    }
-
-    /// The record of the job itself, or of the result before position `number`.
-    fn logged_record(&self, id: &JobId, number: usize) -> LogRecord {
-        let Some(position) = number.checked_sub(1) else {
-            return record(Body::Accepted(self.job.as_ref().clone()));
-        };
-        record(Body::Listed(ListedResult {
-            job: id.to_string(),
-            position: u32::try_from(position).unwrap_or(u32::MAX),
-            result: self.listed.get(position).cloned(),
-        }))
-    }
-
-    /// The records after those of all results.
-    fn last_records(&self, id: &JobId) -> Vec<LogRecord> {
-        let job = id.to_string();
-        if self.ended {
-            return vec![record(Body::Ended(EndedJob { job }))];
-        }
-        unlisted_text(&job, &self.items).collect()
-    }
-}
-
 /// The jobs of one shard.
 #[derive(Debug)]
 pub struct JobBook {
     limits: JobLimits,
-    jobs: HashMap<JobId, JobState>,
+    pub(crate) jobs: HashMap<JobId, JobState>,
     /// Jobs that still run, in the order in which they were taken.
     open: Vec<JobId>,
     /// The last job that holds an item, for text that comes in use again.
@@ -281,38 +212,6 @@
         self.jobs.get_mut(&id)
     }
 
-    /// Begins a snapshot: records that give the same book when they are replayed, in order.
-    pub fn snapshot_cursor(&self) -> SnapshotCursor {
-        let mut jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
-        jobs.sort_by_key(|id| (self.jobs[id].taken_at, id.clone()));
-        SnapshotCursor { jobs, job: 0, record: 0 }
-    }
-
-    /// The next records of a snapshot, about `most_bytes` of them; none after the last. Between
-    /// two pieces no record may be applied.
-    pub fn snapshot_piece(&self, cursor: &mut SnapshotCursor, most_bytes: usize) -> Vec<LogRecord> {
-        let mut records = Vec::new();
-        let mut bytes = 0;
-        while bytes < most_bytes
-            && let Some(id) = cursor.jobs.get(cursor.job)
-        {
-            let from = records.len();
-            match self.jobs.get(id) {
-                Some(state) if cursor.record <= state.listed.len() => {
-                    records.push(state.logged_record(id, cursor.record));
-                    cursor.record += 1;
-                }
-                held => {
-                    records.extend(held.into_iter().flat_map(|state| state.last_records(id)));
-                    cursor.job += 1;
-                    cursor.record = 0;
-                }
-            }
-            bytes += records[from..].iter().map(Message::encoded_len).sum::<usize>();
-        }
-        records
-    }
-
     /// Forgets what was on the way to a log that is closed now: items whose record was not
     /// applied are listed again, or go on with the text they have.
     pub fn forget_unlogged(&mut self) {
@@ -554,37 +453,6 @@
     }
 }
 
-/// The text of items that are not listed yet.
-fn unlisted_text<'a>(
-    job: &'a str,
-    items: &'a [ItemState],
-) -> impl Iterator<Item = LogRecord> + use<'a> {
-    let held = items.iter().enumerate();
-    let held = held.filter(|(_, item)| item.phase != ItemPhase::Listed);
-    let held = held.filter(|(_, item)| item.events > 0 || item.whole);
-    held.map(|(index, item)| {
-        record(Body::Progress(ItemProgress {
-            job: job.to_owned(),
-            index: u32::try_from(index).unwrap_or(u32::MAX),
-            from_event: 0,
-            // How many events made a whole text that was carried over does not matter any more.
-            events: item.events.max(1),
-            packed_text: pack_text(&item.text),
-            versions: item.versions.clone(),
-            whole: item.whole,
-        }))
-    })
-}
-
-/// Bytes of a job's requests.
-fn request_bytes(job: &Job) -> usize {
-    job.items.iter().map(Message::encoded_len).sum()
-}
-
-fn record(body: Body) -> LogRecord {
-    LogRecord { body: Some(body) }
-}
-
 impl JobBook {
     /// Whether an item's run should be broken off: its job has ended or is not held any more.
     pub fn is_moot(&self, item: &ItemRef) -> bool {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,11 +14,14 @@
 mod item;
 mod order;
 mod packed;
+mod snapshot;
+mod state;
 
-pub use book::{JobBook, JobCounts, JobLimits, SnapshotCursor};
+pub use book::{JobBook, JobCounts, JobLimits};
 pub use item::{ItemRef, RewardEnd, RunEnd, RunEvent, RunOutcome, RunSpec};
 pub use order::run_order;
 pub use packed::{UnpackError, pack_text, unpack_text};
+pub use snapshot::SnapshotCursor;
 
 /// Short names of the reasons for which a shard's server refuses a call.
 pub mod reason {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -32,8 +32,14 @@
 
 /// Takes what a follower hears.
 pub trait KindSink: Send + 'static {
-    /// All objects of the kind, as they are now.
-    fn listed(&mut self, listing: &Listing);
+    /// All objects of the kind, as they are now. Where no object goes away, each of them is a
+    /// change like any other.
+    fn listed(&mut self, listing: &Listing) {
+        for stored in &listing.objects {
+            self.changed(&Changed::Put(stored.clone()));
+        }
+    }
+
     /// One change.
     fn changed(&mut self, change: &Changed);
 }
@@ -142,12 +148,6 @@
 }
 
 impl KindSink for ConfigSink {
-    fn listed(&mut self, listing: &Listing) {
-        for stored in &listing.objects {
-            self.offer(stored);
-        }
-    }
-
     fn changed(&mut self, change: &Changed) {
         if let Changed::Put(stored) = change {
             self.offer(stored);
@@ -172,12 +172,6 @@
 }
 
 impl KindSink for VersionSink {
-    fn listed(&mut self, listing: &Listing) {
-        for stored in &listing.objects {
-            self.offer(stored);
-        }
-    }
-
     fn changed(&mut self, change: &Changed) {
         if let Changed::Put(stored) = change {
             self.offer(stored);
@@ -276,6 +270,7 @@
             .cloned()
             .collect();
         self.missing(missing);
+        self.view.pool.sweep();
         self.view.wake();
     }
 
@@ -284,6 +279,8 @@
             Changed::Put(stored) => self.put(stored),
             Changed::Removed(name) => self.missing(name.parse().into_iter().collect()),
         }
+        // Whatever rests at targets that are gone or idle goes as well.
+        self.view.pool.sweep();
         self.view.wake();
     }
 }
--- a/crates/shards/src/copies.rs
+++ b/crates/shards/src/copies.rs
@@ -10,6 +10,25 @@
 /// A copy that takes appends.
 pub type OpenCopy = Arc<Mutex<LogCopyFile>>;
 
+/// Does something with a copy where waiting for the disk is allowed; a failure is logged.
+pub async fn on_disk<T: Send + 'static>(
+    shard: ShardIndex,
+    what: &'static str,
+    work: impl FnOnce() -> Result<T, CopyError> + Send + 'static,
+) -> Option<T> {
+    match task::spawn_blocking(work).await {
+        Ok(Ok(done)) => Some(done),
+        Ok(Err(error)) => {
+            log::error!(target: "shard", shard = shard.get(), what = what, error:% = error; "disk failed");
+            None
+        }
+        Err(error) => {
+            log::error!(target: "shard", shard = shard.get(), what = what, error:% = error; "disk failed");
+            None
+        }
+    }
+}
+
 /// The copies of this box, and which of them take appends.
 #[derive(Debug, Clone)]
 pub struct OpenCopies {
@@ -119,20 +138,17 @@
     /// Removes copies of a shard with a token lower than `keep`'s, and others of its token.
     pub async fn clean(&self, shard: ShardIndex, keep: EpochId) {
         let (folder, open) = (self.folder.clone(), Arc::clone(&self.open));
-        let cleaned = task::spawn_blocking(move || {
+        let cleaned = on_disk(shard, "remove old copies", move || {
             for epoch in folder.epochs(shard)? {
                 if epoch != keep && epoch.token <= keep.token {
                     lock(&open).remove(&(shard, epoch.clone()));
                     folder.remove(shard, &epoch)?;
                 }
             }
-            Ok::<(), CopyError>(())
+            Ok(())
         });
-        match cleaned.await {
-            Ok(Ok(())) => {}
-            Ok(Err(error)) => log::warn!(target: "shard", error:% = error; "old copy stays"),
-            Err(error) => log::warn!(target: "shard", error:% = error; "old copy stays"),
-        }
+        // What stays is removed with the next epoch.
+        let _logged = cleaned.await;
     }
 }
 
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -18,6 +18,7 @@
 use wire::peer::{LogCopy, shard_answer, shard_request};
 
 use crate::context::ShardContext;
+use crate::copies::on_disk;
 use crate::keeper::{ServedEpoch, ShardKeeper};
 use crate::log_writer::{EpochLog, QUEUE, write_log};
 
@@ -255,27 +256,16 @@
     let (folder, read_epoch) = (ctx.copies.folder().clone(), epoch.clone());
     keeper.reset();
     let (now, loaded) = (ctx.view.now(), Arc::clone(keeper));
-    let read = tokio::task::spawn_blocking(move || {
+    let read = on_disk(shard, "read own copy", move || {
         folder.read(shard, &read_epoch, |record| loaded.book().apply(now, record))
     });
-    match read.await {
-        Ok(Ok(records)) => {
-            log::info!(
-                target: "shard", shard = shard.get(), epoch:% = epoch, records = records;
-                "copy closed and read"
-            );
-            keeper.set_book_epoch(Some(epoch));
-            true
-        }
-        Ok(Err(error)) => {
-            log::error!(target: "shard", shard = shard.get(), error:% = error; "copy not read");
-            false
-        }
-        Err(error) => {
-            log::error!(target: "shard", shard = shard.get(), error:% = error; "copy not read");
-            false
-        }
-    }
+    let Some(records) = read.await else { return false };
+    log::info!(
+        target: "shard", shard = shard.get(), epoch:% = epoch, records = records;
+        "copy closed and read"
+    );
+    keeper.set_book_epoch(Some(epoch));
+    true
 }
 
 /// Writes the book to this box's new copy and to the partners', piece by piece, and waits for all
@@ -331,7 +321,7 @@
 ) -> Option<LogCopyFile> {
     let (folder, epoch) = (ctx.copies.folder().clone(), epoch.clone());
     let (records, last) = (copy.records.clone(), copy.last);
-    let written = tokio::task::spawn_blocking(move || {
+    let written = on_disk(shard, "write own copy", move || {
         let mut file = match file {
             Some(file) => file,
             None => folder.create(shard, &epoch)?,
@@ -341,19 +331,9 @@
         if last {
             file.sync()?;
         }
-        Ok::<_, joblog::CopyError>(file)
+        Ok(file)
     });
-    match written.await {
-        Ok(Ok(file)) => Some(file),
-        Ok(Err(error)) => {
-            log::error!(target: "shard", shard = shard.get(), error:% = error; "own copy failed");
-            None
-        }
-        Err(error) => {
-            log::error!(target: "shard", shard = shard.get(), error:% = error; "own copy failed");
-            None
-        }
-    }
+    written.await
 }
 
 async fn send_piece(ctx: &ShardContext, copy: &LogCopy, partner: &CopyHolder) -> bool {
--- a/crates/shards/src/log_writer.rs
+++ b/crates/shards/src/log_writer.rs
@@ -7,11 +7,11 @@
 use ids::ShardIndex;
 use joblog::{CopyHolder, EpochId, LogCopyFile, encode_record};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task;
 use tokio::time;
 use wire::peer::{LogAppend, LogRecord, shard_answer, shard_request};
 
 use crate::context::ShardContext;
+use crate::copies::on_disk;
 use crate::keeper::ShardKeeper;
 
 /// Longest time for all copies to have a round on disk. A box that is slower is replaced.
@@ -135,23 +135,13 @@
         if bytes.is_empty() {
             return Some(file);
         }
-        let written = task::spawn_blocking(move || {
+        let written = on_disk(shard, "append to own copy", move || {
             let mut file = file;
             file.append(offset, &bytes)?;
             file.sync()?;
-            Ok::<_, joblog::CopyError>(file)
+            Ok(file)
         });
-        match written.await {
-            Ok(Ok(file)) => Some(file),
-            Ok(Err(error)) => {
-                log::error!(target: "shard", shard = shard.get(), error:% = error; "own copy failed");
-                None
-            }
-            Err(error) => {
-                log::error!(target: "shard", shard = shard.get(), error:% = error; "own copy failed");
-                None
-            }
-        }
+        written.await
     };
     let (own, others) = tokio::join!(own, join_all(appends));
     own.filter(|_| others.into_iter().all(|taken| taken))
