Hear of the store from one box of each failure domain

Change: the first keeping box of a failure domain watches for itself and tells the others (`node::feed`); each answer says how old its proof of the store is, and whoever hears nothing fresh for 1.7 s asks for itself. Targets that lapse in an outage are awaited by the watch, without listings. A watch whose answer is overdue is begun again at once. The beats' word on the store, which nobody read, is gone.

Ruled out: a shorter wait of the watches themselves (more calls); stale reads of the store (may be older than the configuration's bound).

--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -6,7 +6,8 @@
 
 use links::{LinkPool, LinkSettings};
 use node::duties::DutySink;
-use node::follow::{ConfigSink, TargetSink, follow_kind};
+use node::feed::follow_feed;
+use node::follow::{ConfigSink, KindFollower, TargetSink};
 use node::{NodeSettings, NodeView, serve_metrics};
 use platform::{Kind, ObjectStore};
 use tokio::net::TcpListener;
@@ -61,17 +62,11 @@
     let view = Arc::new(NodeView::new(settings, store));
     let end = CancellationToken::new();
     log::info!(target: "entry", front:? = front.local_addr().ok(), store:% = view.settings.store; "started");
-    let follow = |kind, gather| (Arc::clone(&view), kind, gather, end.clone());
-    let (v, kind, gather, stop) = follow(Kind::Configuration, Duration::ZERO);
-    tokio::spawn(follow_kind(v, kind, gather, ConfigSink(Arc::clone(&view)), stop));
-    let (v, kind, gather, stop) = follow(Kind::Targets, GATHER_TARGETS);
-    tokio::spawn(follow_kind(v, kind, gather, TargetSink::new(Arc::clone(&view)), stop));
-    let (v, kind, gather, stop) = follow(Kind::Duties, GATHER_DUTIES);
-    tokio::spawn(follow_kind(v, kind, gather, DutySink(Arc::clone(&view)), stop));
     if let Some(address) = metrics {
         tokio::spawn(serve_metrics(Arc::clone(&view), address));
     }
     let links = LinkPool::new(link_settings, end.clone());
+    start_followers(&view, &links, &end);
     let shards = ShardClient::new(Arc::clone(&view), links);
     let state = FrontState::new(view, shards, CancellationToken::new());
     let served = serve_front(state.clone(), front, end.clone());
@@ -86,6 +81,20 @@
     }
 }
 
+/// Follows what an entry box needs to know, told by a box that keeps data where one tells.
+fn start_followers(view: &Arc<NodeView>, links: &LinkPool, end: &CancellationToken) {
+    let v = || Arc::clone(view);
+    let none = Duration::ZERO;
+    let mut config = KindFollower::new(view, Kind::Configuration, none, ConfigSink(v()));
+    let mut targets = KindFollower::new(view, Kind::Targets, GATHER_TARGETS, TargetSink::new(v()));
+    let mut duties = KindFollower::new(view, Kind::Duties, GATHER_DUTIES, DutySink(v()));
+    let fed = vec![config.feed(), targets.feed(), duties.feed()];
+    tokio::spawn(config.run(end.clone()));
+    tokio::spawn(targets.run(end.clone()));
+    tokio::spawn(duties.run(end.clone()));
+    tokio::spawn(follow_feed(v(), links.clone(), fed, end.clone()));
+}
+
 /// Turns new callers away and lets requests in flight end.
 async fn stop_calmly(state: &FrontState, grace: Duration) {
     let asked = Instant::now();
--- /dev/null
+++ b/crates/node/src/feed/client.rs
@@ -0,0 +1,210 @@
+//! Hears from another box what has changed in the store.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::BoxId;
+use joblog::CopyHolder;
+use links::LinkPool;
+use platform::{Changed, Changes, Kind, Listing, Stored};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
+use wire::peer::{
+    FeedCursor, FeedKind, FeedPage, FeedRead, Request, ShardAnswer, ShardRequest, item, request,
+    shard_answer, shard_request,
+};
+
+use super::{FEED_WAIT, HEAR_TRUST, kind_of, number_of};
+use crate::NodeView;
+
+/// Room for an answer beyond the wait that was asked for.
+const ANSWER_SLACK: Duration = Duration::from_millis(300);
+/// A box that did not tell is left alone for this long. Short, since after an outage of the store
+/// all boxes of the domain would ask it in place of the one that tells.
+const SILENT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause while no box of the domain can tell.
+const LOOK_EVERY: Duration = Duration::from_millis(300);
+
+/// News of one kind, for the task that keeps it.
+#[derive(Debug)]
+pub(crate) enum FedNews {
+    Listed(Listing),
+    Changed(Changes),
+}
+
+/// One kind that is heard.
+#[derive(Debug)]
+pub struct FedKind {
+    pub(crate) kind: Kind,
+    /// Up to which revision the kind is known; zero for not at all.
+    pub(crate) revision: watch::Receiver<u64>,
+    pub(crate) news: mpsc::Sender<FedNews>,
+}
+
+/// Hears all `kinds` from boxes of this failure domain that keep data, one at a time, until `stop`.
+/// While none tells, the kinds' own watches go on.
+pub async fn follow_feed(
+    view: Arc<NodeView>,
+    links: LinkPool,
+    kinds: Vec<FedKind>,
+    stop: CancellationToken,
+) {
+    let mut listener = FeedListener { view, links, kinds, silent: HashMap::new(), heard: None };
+    tokio::select! {
+        () = listener.run() => {}
+        () = stop.cancelled() => {}
+    }
+}
+
+struct FeedListener {
+    view: Arc<NodeView>,
+    links: LinkPool,
+    kinds: Vec<FedKind>,
+    /// When boxes last failed to tell.
+    silent: HashMap<BoxId, Instant>,
+    /// When the store last proved to be within reach of the box that tells.
+    heard: Option<Instant>,
+}
+
+impl FeedListener {
+    async fn run(&mut self) {
+        loop {
+            self.expire();
+            let Some(teller) = self.teller() else {
+                time::sleep(LOOK_EVERY).await;
+                continue;
+            };
+            let asked_at = Instant::now();
+            let wait = if self.view.feed.is_fed() { FEED_WAIT } else { Duration::ZERO };
+            if let Some(page) = self.ask(&teller, wait).await {
+                self.silent.remove(&teller.box_id);
+                self.take(&teller, asked_at, page).await;
+                if !self.view.feed.is_fed() {
+                    time::sleep(LOOK_EVERY).await;
+                }
+            } else {
+                self.view.metrics.ended("feed", "not told");
+                self.silent.insert(teller.box_id, Instant::now());
+            }
+        }
+    }
+
+    /// Ends the trust in what was heard once its proof is too old.
+    fn expire(&mut self) {
+        let fresh = self.heard.is_some_and(|proven_at| proven_at.elapsed() < HEAR_TRUST);
+        if !fresh && self.view.feed.set_fed(false) {
+            log::warn!(target: "node", dependency = "feed"; "lost");
+        }
+    }
+
+    /// The box to ask: the same for all boxes of the domain, as long as it tells.
+    fn teller(&self) -> Option<CopyHolder> {
+        let duties = self.view.duties();
+        let here = duties.boxes().filter(|copy| copy.domain == self.view.settings.domain);
+        let here: Vec<&CopyHolder> = here.collect();
+        let ids = here.iter().map(|copy| &copy.box_id);
+        let ranked = coord::rendezvous::ranked(self.view.settings.domain.as_str(), ids, here.len());
+        let me = &self.view.settings.box_id;
+        // A box that keeps data is told by those before it only; the first one asks the store.
+        let mut before = ranked.into_iter().take_while(|box_id| *box_id != me);
+        let able = before.find(|box_id| {
+            self.silent.get(*box_id).is_none_or(|at| at.elapsed() >= SILENT_PAUSE)
+        })?;
+        here.iter().find(|copy| copy.box_id == *able).map(|copy| (*copy).clone())
+    }
+
+    async fn ask(&self, teller: &CopyHolder, wait: Duration) -> Option<FeedPage> {
+        let cursors = self.kinds.iter().filter_map(|fed| {
+            Some(FeedCursor { kind: number_of(fed.kind)?, revision: *fed.revision.borrow() })
+        });
+        let read = FeedRead {
+            cursors: cursors.collect(),
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        };
+        let time = wait + ANSWER_SLACK;
+        let request = Request {
+            request_id: String::new(),
+            traceparent: String::new(),
+            time_left_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+            body: Some(request::Body::Shard(ShardRequest {
+                body: Some(shard_request::Body::Feed(read)),
+            })),
+        };
+        let called = async {
+            let stream = self.links.call(&teller.address, request).await?;
+            stream.single(time).await
+        };
+        let item = match time::timeout(time, called).await {
+            Ok(Ok(item)) => item,
+            Ok(Err(error)) => {
+                log::debug!(target: "node", peer:% = teller.box_id, error:% = error; "not told");
+                return None;
+            }
+            Err(_elapsed) => return None,
+        };
+        match item.body {
+            Some(item::Body::Shard(ShardAnswer { body: Some(shard_answer::Body::Feed(page)) })) => {
+                Some(page)
+            }
+            _ => None,
+        }
+    }
+
+    async fn take(&mut self, teller: &CopyHolder, asked_at: Instant, page: FeedPage) {
+        let held = Duration::from_millis(u64::from(page.held_ms));
+        let age = Duration::from_millis(u64::from(page.age_ms));
+        // Whatever the answer took on its way counts as age.
+        let proven_at = (asked_at + held).checked_sub(age);
+        for kind in page.kinds {
+            self.take_kind(kind).await;
+        }
+        let all_known = self.kinds.iter().all(|fed| *fed.revision.borrow() > 0);
+        if !all_known || proven_at.is_none_or(|at| at.elapsed() >= HEAR_TRUST) {
+            return;
+        }
+        self.heard = proven_at;
+        self.view.store_answered(true);
+        if self.view.feed.set_fed(true) {
+            log::info!(
+                target: "node", dependency = "feed", peer:% = teller.box_id, age_ms = page.age_ms;
+                "regained"
+            );
+        }
+    }
+
+    async fn take_kind(&self, told: FeedKind) {
+        let fed =
+            kind_of(told.kind).and_then(|kind| self.kinds.iter().find(|fed| fed.kind == kind));
+        let Some(fed) = fed else { return };
+        if told.revision <= *fed.revision.borrow() {
+            return;
+        }
+        let mut objects = Vec::with_capacity(told.objects.len());
+        for object in told.objects {
+            match serde_json::from_slice(&object.value) {
+                Ok(value) => {
+                    objects.push(Stored { name: object.name, revision: object.revision, value });
+                }
+                Err(error) => {
+                    log::warn!(target: "node", kind:% = fed.kind, error:% = error; "news refused");
+                    return;
+                }
+            }
+        }
+        let revision = told.revision;
+        let news = if told.whole {
+            FedNews::Listed(Listing { objects, revision })
+        } else {
+            let removed = told.removed.into_iter().map(Changed::Removed);
+            let changes = removed.chain(objects.into_iter().map(Changed::Put)).collect();
+            FedNews::Changed(Changes { changes, revision })
+        };
+        // The task that keeps the kind ends with this box only.
+        let _ended = fed.news.send(news).await;
+        let mut known = fed.revision.clone();
+        // Asked again before the task has taken it, the same would be told twice.
+        let _taken = time::timeout(FEED_WAIT, known.wait_for(|known| *known >= revision)).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/feed/mod.rs
@@ -0,0 +1,137 @@
+//! What boxes of one failure domain hear of the store from one of their own.
+//!
+//! Each call to the store has its price, and many boxes that all watch it ask the same. So a box
+//! that keeps data watches for itself and tells the others of its domain ([`serve_feed`]); these
+//! follow it ([`follow_feed`]) and ask the store only while nobody tells them. Whoever tells also
+//! says how long ago the store last answered it: news that may be old is no news, and the
+//! followers ask for themselves before a change could be missed in time.
+
+mod cache;
+mod client;
+mod serve;
+
+pub use cache::{KindCache, KindNews};
+pub(crate) use client::FedNews;
+pub use client::{FedKind, follow_feed};
+pub use serve::serve_feed;
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ids::Moment;
+use platform::{Changes, Kind, Listing, WatchTime};
+use tokio::sync::watch;
+
+/// The watch that proves the store to be within reach, on a box that tells others. One whose
+/// answer is overdue is begun again while the last proof is still good.
+pub const PROOF_TIME: WatchTime =
+    WatchTime { wait: Duration::from_millis(850), slack: Duration::from_millis(200) };
+/// A box whose last answer from the store is older than this tells nothing: [`PROOF_TIME`] and a
+/// second try.
+const TELL_TRUST: Duration = Duration::from_millis(1_300);
+/// Followers ask for themselves when the last proof they heard of is older than this. Changes must
+/// be known two seconds after they are made, and the store's answer takes some time of that.
+const HEAR_TRUST: Duration = Duration::from_millis(1_700);
+/// How long a question waits for news; also how often a follower learns that there are none.
+const FEED_WAIT: Duration = Duration::from_millis(400);
+
+/// A box that was not asked for this long needs no fresh proofs.
+const ASKED_TIME: Duration = Duration::from_secs(5);
+
+/// The kinds that are told, by their number between boxes.
+const KINDS: [(u32, Kind); 5] = [
+    (1, Kind::Configuration),
+    (2, Kind::Targets),
+    (3, Kind::ModelVersions),
+    (4, Kind::Duties),
+    (5, Kind::Retirements),
+];
+
+fn kind_of(number: u32) -> Option<Kind> {
+    KINDS.iter().find(|(known, _)| *known == number).map(|(_, kind)| *kind)
+}
+
+fn number_of(kind: Kind) -> Option<u32> {
+    KINDS.iter().find(|(_, known)| *known == kind).map(|(number, _)| *number)
+}
+
+/// What a box holds to tell others, and whether it is told itself.
+#[derive(Debug)]
+pub struct FeedBoard {
+    caches: Mutex<HashMap<Kind, KindCache>>,
+    /// When the store last answered any watch of this box.
+    proven_at: watch::Sender<Option<Moment>>,
+    /// Whether another box tells this one; its own watches rest meanwhile.
+    fed: watch::Sender<bool>,
+    changed: watch::Sender<u64>,
+    /// When another box last asked this one.
+    asked_at: Mutex<Option<Moment>>,
+}
+
+impl Default for FeedBoard {
+    fn default() -> Self {
+        Self {
+            caches: Mutex::default(),
+            proven_at: watch::Sender::new(None),
+            fed: watch::Sender::new(false),
+            changed: watch::Sender::new(0),
+            asked_at: Mutex::default(),
+        }
+    }
+}
+
+impl FeedBoard {
+    fn caches(&self) -> MutexGuard<'_, HashMap<Kind, KindCache>> {
+        self.caches.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes all objects of a kind, as the store has told them.
+    pub fn listed(&self, kind: Kind, listing: &Listing) {
+        self.caches().entry(kind).or_default().listed(listing);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Takes changes of a kind.
+    pub fn changed(&self, kind: Kind, changes: &Changes) {
+        self.caches().entry(kind).or_default().changed(changes);
+        if !changes.changes.is_empty() {
+            self.changed.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Notes that the store has answered a watch.
+    pub fn proven(&self, now: Moment) {
+        self.proven_at.send_replace(Some(now));
+    }
+
+    /// Notes that another box asks this one.
+    pub fn asked(&self, now: Moment) {
+        *self.asked_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+    }
+
+    /// Whether another box has asked this one of late: then its proofs must be fresh.
+    pub fn is_asked(&self, now: Moment) -> bool {
+        let asked_at = *self.asked_at.lock().unwrap_or_else(PoisonError::into_inner);
+        asked_at.is_some_and(|at| now.since(at) < ASKED_TIME)
+    }
+
+    /// How long ago the store last answered a watch of this box itself.
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.proven_at.borrow().map(|at| now.since(at))
+    }
+
+    /// Whether another box tells this one.
+    pub fn is_fed(&self) -> bool {
+        *self.fed.borrow()
+    }
+
+    /// Tells when that changes.
+    pub fn fed_states(&self) -> watch::Receiver<bool> {
+        self.fed.subscribe()
+    }
+
+    fn set_fed(&self, fed: bool) -> bool {
+        self.fed.send_if_modified(|state| std::mem::replace(state, fed) != fed)
+    }
+}
--- /dev/null
+++ b/crates/node/src/feed/serve.rs
@@ -0,0 +1,69 @@
+//! Tells other boxes.
+
+use std::time::Duration;
+
+use platform::Stored;
+use tokio::time::{self, Instant};
+use wire::peer::{FeedKind, FeedObject, FeedPage, FeedRead};
+
+use super::{FEED_WAIT, KindNews, TELL_TRUST, kind_of};
+use crate::NodeView;
+
+/// Answers a question for changes as soon as there are some, or after the wait that was asked
+/// for. `None` while this box does not know the store from itself, or not of late.
+pub async fn serve_feed(view: &NodeView, read: &FeedRead) -> Option<FeedPage> {
+    let asked_at = Instant::now();
+    view.feed.asked(view.now());
+    let wait = Duration::from_millis(u64::from(read.wait_ms)).min(FEED_WAIT);
+    let until = asked_at + wait;
+    let mut changes = view.feed.changed.subscribe();
+    loop {
+        let age = view.feed.age(view.now()).filter(|age| *age < TELL_TRUST)?;
+        if view.feed.is_fed() {
+            return None;
+        }
+        let kinds = news(view, read);
+        if !kinds.is_empty() || Instant::now() >= until {
+            return Some(FeedPage {
+                kinds,
+                age_ms: millis(age),
+                held_ms: millis(asked_at.elapsed()),
+            });
+        }
+        let stale_at = Instant::now() + TELL_TRUST.saturating_sub(age);
+        // Whichever comes first, all is looked at once more.
+        let _elapsed = time::timeout_at(until.min(stale_at), changes.changed()).await;
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn news(view: &NodeView, read: &FeedRead) -> Vec<FeedKind> {
+    let caches = view.feed.caches();
+    let kinds = read.cursors.iter().filter_map(|cursor| {
+        let cache = caches.get(&kind_of(cursor.kind)?)?;
+        Some(write_news(cursor.kind, cache.since(cursor.revision)?))
+    });
+    kinds.collect()
+}
+
+fn write_news(kind: u32, news: KindNews) -> FeedKind {
+    FeedKind {
+        kind,
+        whole: news.whole,
+        revision: news.revision,
+        objects: news.objects.iter().map(write_object).collect(),
+        removed: news.removed,
+    }
+}
+
+fn write_object(stored: &Stored) -> FeedObject {
+    FeedObject {
+        name: stored.name.clone(),
+        revision: stored.revision,
+        // A value that was read as JSON can be written as JSON.
+        value: serde_json::to_vec(&stored.value).unwrap_or_default(),
+    }
+}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -3,33 +3,44 @@
 //! A follower lists its kind and then watches it from the listing's revision on. A watch that is
 //! cut, or whose history is forgotten, begins again; nothing is ever taken from a read that may
 //! be stale. While the store is away only the configuration's follower asks it; the others wait
-//! for its word, since every call has its price.
+//! for its word, since every call has its price. A follower that another box feeds asks the store
+//! only while it is not fed.
 
-use std::collections::HashSet;
-use std::sync::Arc;
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use ids::InstanceId;
-use platform::{Changed, Kind, Listing, StoreError, Stored};
+use ids::{InstanceId, Moment};
+use platform::{Changed, Kind, Listing, StoreError, Stored, WatchTime};
+use tokio::sync::{mpsc, watch};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
 use crate::NodeView;
+use crate::feed::{FedKind, FedNews, PROOF_TIME};
 
-/// Longest wait of one watch. An answer may be lost without a word, so a watch must end by
-/// itself soon enough for the configuration to be in force in time.
-const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// Room for a watch's answer: the store takes some tens of times as long as usual when it is slow.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// Longest watch. An answer may be lost without a word, so a watch must end by itself soon enough
+/// for the configuration to be in force in time.
+const WATCH_TIME: WatchTime = WatchTime { wait: Duration::from_secs(4), slack: WATCH_SLACK };
 /// The same for kinds that change seldom and bind no caller.
-const LONG_WAIT: Duration = Duration::from_secs(8);
-/// Wait of the watch that finds out whether the store is back: a watch that waits for changes
-/// would tell it only seconds later.
-const PROBE_WAIT: Duration = Duration::from_millis(20);
-/// First pause after a failed call; doubles up to [`MOST_PAUSE`].
+const LONG_TIME: WatchTime = WatchTime { wait: Duration::from_secs(8), slack: WATCH_SLACK };
+/// The watch that finds out whether the store is back: one that waits for changes would tell it
+/// only seconds later.
+const PROBE_TIME: WatchTime = WatchTime { wait: Duration::from_millis(20), slack: WATCH_SLACK };
+/// After the store's return, how long a follower that was fed before waits to be fed again.
+const FEED_RETURN: Duration = Duration::from_millis(700);
+/// Pause after the second failed call in a row; doubles up to [`MOST_PAUSE`]. The first is made
+/// again at once: a watch may be cut without a word while the store is well.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call: a configuration must be in force two seconds after the
 /// store is back.
 const MOST_PAUSE: Duration = Duration::from_millis(800);
 
+/// How often it is looked whether missing targets are gone.
+const MISSING_LOOK: Duration = Duration::from_millis(100);
+
 /// Takes what a follower hears.
 pub trait KindSink: Send + 'static {
     /// All objects of the kind, as they are now. Where no object goes away, each of them is a
@@ -42,52 +53,137 @@
 
     /// One change.
     fn changed(&mut self, change: &Changed);
+
+    /// Whether the next changes may gather for a while.
+    fn may_gather(&self) -> bool {
+        true
+    }
 }
 
-/// Follows a kind until `stop`; `gather` is how long changes may gather between two watches.
-pub async fn follow_kind(
+/// Keeps one kind current.
+#[derive(Debug)]
+pub struct KindFollower<S> {
     view: Arc<NodeView>,
     kind: Kind,
+    /// How long changes may gather between two watches.
     gather: Duration,
-    mut sink: impl KindSink,
-    stop: CancellationToken,
-) {
-    let followed = async {
-        let mut revision = None;
-        let mut pause = FIRST_PAUSE;
-        let mut wait = usual_wait(kind);
+    sink: S,
+    /// Up to which revision the kind is known; zero for not at all.
+    revision: watch::Sender<u64>,
+    /// News from another box, if the kind is fed.
+    news: Option<mpsc::Receiver<FedNews>>,
+}
+
+impl<S: KindSink> KindFollower<S> {
+    /// A follower that knows nothing yet.
+    pub fn new(view: &Arc<NodeView>, kind: Kind, gather: Duration, sink: S) -> Self {
+        let view = Arc::clone(view);
+        Self { view, kind, gather, sink, revision: watch::Sender::new(0), news: None }
+    }
+
+    /// Lets another box's news feed this follower; its own watches rest meanwhile.
+    pub fn feed(&mut self) -> FedKind {
+        let (sender, news) = mpsc::channel(1);
+        self.news = Some(news);
+        FedKind { kind: self.kind, revision: self.revision.subscribe(), news: sender }
+    }
+
+    /// Follows the kind until `stop`.
+    pub async fn run(mut self, stop: CancellationToken) {
+        tokio::select! {
+            () = self.follow() => {}
+            () = stop.cancelled() => {}
+        }
+    }
+
+    async fn follow(&mut self) {
+        let mut fed = self.view.feed.fed_states();
+        let mut pause = Duration::ZERO;
+        let mut wait = self.usual_time();
+        let mut known = None;
+        let mut news = self.news.take();
+        let listens = news.is_some();
         loop {
-            match follow_once(&view, kind, revision, wait, &mut sink).await {
-                Ok(next) => {
-                    view.store_answered(true);
-                    pause = FIRST_PAUSE;
-                    wait = usual_wait(kind);
-                    let news = revision.is_none_or(|last| last != next);
-                    revision = Some(next);
-                    if news && !gather.is_zero() {
-                        time::sleep(gather).await;
+            let resting = listens && *fed.borrow_and_update();
+            let answered = tokio::select! {
+                biased;
+                Some(told) = next_news(&mut news) => {
+                    known = Some(self.take(told));
+                    continue;
+                }
+                _ = fed.changed(), if listens => continue,
+                answered = follow_once(&self.view, self.kind, known, wait), if !resting => answered,
+            };
+            match answered {
+                Ok(told) => {
+                    self.view.store_answered(true);
+                    self.view.feed.proven(self.view.now());
+                    pause = Duration::ZERO;
+                    wait = self.usual_time();
+                    let next = self.take(told);
+                    let is_new = known.is_none_or(|last| last != next);
+                    known = Some(next);
+                    if is_new && self.sink.may_gather() {
+                        time::sleep(self.gather).await;
                     }
                 }
                 Err(StoreError::HistoryGone) => {
-                    log::info!(target: "node", kind:% = kind; "list again, history is gone");
-                    revision = None;
+                    log::info!(target: "node", kind:% = self.kind; "list again, history is gone");
+                    known = None;
                 }
                 Err(error) => {
-                    view.store_answered(false);
-                    wait = PROBE_WAIT;
-                    log::debug!(target: "node", kind:% = kind, error:% = error; "store call failed");
+                    self.view.store_answered(false);
+                    wait = PROBE_TIME;
+                    log::debug!(target: "node", kind:% = self.kind, error:% = error; "store call failed");
                     time::sleep(pause).await;
-                    pause = (pause * 2).min(MOST_PAUSE);
-                    if kind != Kind::Configuration {
-                        wait_until_up(&view).await;
+                    pause = (pause * 2).clamp(FIRST_PAUSE, MOST_PAUSE);
+                    if self.kind != Kind::Configuration {
+                        wait_until_up(&self.view).await;
+                        if listens {
+                            // Fed or not, it goes on from what is known.
+                            let _fed = time::timeout(FEED_RETURN, fed.wait_for(|fed| *fed)).await;
+                        }
                     }
                 }
             }
         }
-    };
-    tokio::select! {
-        () = followed => {}
-        () = stop.cancelled() => {}
+    }
+
+    /// Takes what was told; says up to which revision the kind is known now.
+    fn take(&mut self, told: FedNews) -> u64 {
+        let revision = match told {
+            FedNews::Listed(listing) => {
+                self.sink.listed(&listing);
+                self.view.feed.listed(self.kind, &listing);
+                listing.revision
+            }
+            FedNews::Changed(changes) => {
+                for change in &changes.changes {
+                    self.sink.changed(change);
+                }
+                self.view.feed.changed(self.kind, &changes);
+                changes.revision
+            }
+        };
+        // A listing after forgotten history may go back behind what a watch has told.
+        self.revision.send_replace(revision);
+        revision
+    }
+
+    fn usual_time(&self) -> WatchTime {
+        match self.kind {
+            Kind::Configuration if self.view.feed.is_asked(self.view.now()) => PROOF_TIME,
+            Kind::Configuration | Kind::Targets | Kind::ModelVersions => WATCH_TIME,
+            Kind::Duties | Kind::Retirements | Kind::Leases => LONG_TIME,
+        }
+    }
+}
+
+/// The next news of another box; never any where none is heard.
+async fn next_news(news: &mut Option<mpsc::Receiver<FedNews>>) -> Option<FedNews> {
+    match news {
+        Some(news) => news.recv().await,
+        None => std::future::pending().await,
     }
 }
 
@@ -97,31 +193,20 @@
     let _closed = states.wait_for(|state| state.up).await;
 }
 
-const fn usual_wait(kind: Kind) -> Duration {
-    match kind {
-        Kind::Configuration | Kind::Targets | Kind::ModelVersions => WATCH_WAIT,
-        Kind::Duties | Kind::Retirements | Kind::Leases => LONG_WAIT,
-    }
-}
-
+/// Lists the kind, or waits for changes after `known`.
 async fn follow_once(
     view: &NodeView,
     kind: Kind,
-    revision: Option<u64>,
-    wait: Duration,
-    sink: &mut impl KindSink,
-) -> Result<u64, StoreError> {
+    known: Option<u64>,
+    time: WatchTime,
+) -> Result<FedNews, StoreError> {
     view.metrics.store_call();
-    let Some(revision) = revision else {
-        let listing = view.store.list(kind).await?;
-        sink.listed(&listing);
-        return Ok(listing.revision);
+    let Some(known) = known else {
+        return Ok(FedNews::Listed(view.store.list(kind).await?));
     };
-    let changes = view.store.watch(kind, revision, wait).await?;
-    for change in &changes.changes {
-        sink.changed(change);
-    }
-    Ok(changes.revision.max(revision))
+    let mut changes = view.store.watch(kind, known, time).await?;
+    changes.revision = changes.revision.max(known);
+    Ok(FedNews::Changed(changes))
 }
 
 /// Keeps the configuration.
@@ -179,16 +264,21 @@
     }
 }
 
+/// Targets whose entry is missing shortly after the store's return, each with the moment until
+/// which it may come back.
+type MissingTargets = Arc<Mutex<HashMap<InstanceId, Moment>>>;
+
 /// Keeps the targets.
 #[derive(Debug)]
 pub struct TargetSink {
     view: Arc<NodeView>,
+    missing: MissingTargets,
 }
 
 impl TargetSink {
     /// A sink for the view's board.
-    pub const fn new(view: Arc<NodeView>) -> Self {
-        Self { view }
+    pub fn new(view: Arc<NodeView>) -> Self {
+        Self { view, missing: Arc::default() }
     }
 
     fn put(&self, stored: &Stored) {
@@ -202,6 +292,7 @@
                         "listed"
                     );
                 }
+                lock(&self.missing).remove(&record.instance);
                 self.view.board().put(record);
             }
             Err(error) => log::warn!(target: "targets", error:% = error; "entry refused"),
@@ -219,31 +310,42 @@
             remove_targets(&self.view, &instances);
             return;
         }
-        let view = Arc::clone(&self.view);
-        tokio::spawn(async move {
-            time::sleep(grace).await;
-            let listing = list_surely(&view).await;
-            let listed: HashSet<&str> =
-                listing.objects.iter().map(|stored| stored.name.as_str()).collect();
-            let gone: Vec<InstanceId> = instances
-                .into_iter()
-                .filter(|instance| !listed.contains(instance.as_str()))
-                .collect();
-            remove_targets(&view, &gone);
-        });
+        let until = self.view.now() + grace;
+        let mut missing = lock(&self.missing);
+        let watched = !missing.is_empty();
+        for instance in instances {
+            missing.entry(instance).or_insert(until);
+        }
+        if !watched {
+            tokio::spawn(remove_missing(Arc::clone(&self.view), Arc::clone(&self.missing)));
+        }
     }
 }
 
-/// Lists the targets, however often the store has to be asked.
-async fn list_surely(view: &NodeView) -> Listing {
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Takes missing targets off as their time comes, until none is missing. While the store is away
+/// nobody can say that an entry has not come back.
+async fn remove_missing(view: Arc<NodeView>, missing: MissingTargets) {
     loop {
-        view.metrics.store_call();
-        match view.store.list(Kind::Targets).await {
-            Ok(listing) => return listing,
-            Err(error) => {
-                log::debug!(target: "targets", error:% = error; "list failed");
-                time::sleep(MOST_PAUSE).await;
-            }
+        time::sleep(MISSING_LOOK).await;
+        let now = view.now();
+        let mut left = lock(&missing);
+        if !view.store_state().up {
+            let later = now + view.entry_grace();
+            left.values_mut().for_each(|until| *until = later);
+            continue;
+        }
+        let gone: Vec<InstanceId> =
+            left.extract_if(|_, until| now >= *until).map(|(instance, _)| instance).collect();
+        let done = left.is_empty();
+        drop(left);
+        remove_targets(&view, &gone);
+        view.wake();
+        if done {
+            return;
         }
     }
 }
@@ -283,4 +385,9 @@
         self.view.pool.sweep();
         self.view.wake();
     }
+
+    /// Entries that come back are awaited.
+    fn may_gather(&self) -> bool {
+        lock(&self.missing).is_empty()
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! path only reads it. [`call_plain`] sends one plain request, with its retries.
 
 pub mod duties;
+pub mod feed;
 pub mod follow;
 pub mod logs;
 mod metrics;
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -12,6 +12,7 @@
 use upstream::TargetPool;
 
 use crate::duties::DutyBoard;
+use crate::feed::FeedBoard;
 use crate::{NodeMetrics, NodeSettings};
 
 /// The belief of one box, shared by all its tasks.
@@ -25,6 +26,8 @@
     pub pool: TargetPool,
     /// What is counted.
     pub metrics: NodeMetrics,
+    /// What this box tells others of the store, or hears of it.
+    pub feed: FeedBoard,
     table: RwLock<Arc<RouteTable>>,
     board: Mutex<TargetBoard>,
     duties: Mutex<DutyBoard>,
@@ -48,8 +51,9 @@
     Moment::after_start(started.elapsed())
 }
 
-/// How long after the store's return an entry that lapsed meanwhile may be on its way back.
-const ENTRY_RETURN: Duration = Duration::from_secs(2);
+/// How long after the store's return an entry that lapsed meanwhile may be on its way back: the
+/// two seconds that the platform names, and the way of the news.
+const ENTRY_RETURN: Duration = Duration::from_millis(2_300);
 
 impl NodeView {
     /// A view that believes nothing yet.
@@ -60,6 +64,7 @@
             store,
             pool: TargetPool::default(),
             metrics: NodeMetrics::default(),
+            feed: FeedBoard::default(),
             table: RwLock::default(),
             board: Mutex::new(board),
             duties: Mutex::default(),
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -7,6 +7,7 @@
 use joblog::{CopyError, EpochId};
 use jobs::reason;
 use links::{AnswerEnd, AnswerSink, PeerHandler};
+use node::feed::serve_feed;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 use wire::peer::{
@@ -120,6 +121,12 @@
                 Ok(shard_answer::Body::Beat(own_beat(&self.ctx, &self.keepers)))
             }
             shard_request::Body::HandOver(hand_over) => self.hand_over(&hand_over),
+            shard_request::Body::Feed(read) => {
+                let message = "this box does not know the store of late: ask another, or the store";
+                let page = serve_feed(&self.ctx.view, &read).await;
+                page.map(shard_answer::Body::Feed)
+                    .ok_or_else(|| refused(RefusedKind::NotRun, "stale", message))
+            }
         }
     }
 
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -30,7 +30,6 @@
 struct PeerState {
     heard_at: Moment,
     leaving: bool,
-    store_reached: bool,
 }
 
 #[derive(Debug, Default)]
@@ -65,8 +64,7 @@
     pub fn heard(&self, now: Moment, beat: &ShardBeat) {
         let Ok(box_id) = beat.box_id.parse::<BoxId>() else { return };
         let mut states = self.lock();
-        let state =
-            PeerState { heard_at: now, leaving: beat.leaving, store_reached: beat.store_reached };
+        let state = PeerState { heard_at: now, leaving: beat.leaving };
         states.peers.insert(box_id.clone(), state);
         for served in &beat.served {
             let key = (ShardIndex::new(served.shard), box_id.clone());
@@ -110,14 +108,6 @@
             .is_some_and(|state| !state.leaving && now.since(state.heard_at) < FIT_TIME)
     }
 
-    /// Whether a box has told a moment ago that the store answers it.
-    pub fn reaches_store(&self, now: Moment, box_id: &BoxId) -> bool {
-        let states = self.lock();
-        states.peers.get(box_id).is_some_and(|state| {
-            state.store_reached && !state.leaving && now.since(state.heard_at) < FIT_TIME
-        })
-    }
-
     /// How long a box has not said that it serves a shard under `token` or a later one.
     pub fn silent(
         &self,
@@ -148,7 +138,6 @@
         box_id: ctx.me.box_id.to_string(),
         served: served.collect(),
         leaving: ctx.is_leaving(),
-        store_reached: ctx.view.store_state().up,
         domain: ctx.me.domain.to_string(),
         leases: ctx.held_leases(),
     }
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -9,7 +9,8 @@
 use joblog::CopyFolder;
 use links::{LinkPool, LinkSettings, serve_links};
 use node::duties::{DutySink, box_object};
-use node::follow::{ConfigSink, KindSink, TargetSink, VersionSink, follow_kind};
+use node::feed::follow_feed;
+use node::follow::{ConfigSink, KindFollower, KindSink, TargetSink, VersionSink};
 use node::{NodeView, StorageSettings, serve_metrics};
 use platform::{Changed, Kind, Listing, ObjectStore, StoreError};
 use tokio::net::TcpListener;
@@ -82,13 +83,21 @@
     let view = &ctx.view;
     let v = || Arc::clone(view);
     let none = Duration::ZERO;
-    tokio::spawn(follow_kind(v(), Kind::Configuration, none, ConfigSink(v()), end.clone()));
+    let mut config = KindFollower::new(view, Kind::Configuration, none, ConfigSink(v()));
     let targets = TargetSink::new(v());
-    tokio::spawn(follow_kind(v(), Kind::Targets, GATHER_TARGETS, targets, end.clone()));
-    tokio::spawn(follow_kind(v(), Kind::ModelVersions, none, VersionSink(v()), end.clone()));
-    tokio::spawn(follow_kind(v(), Kind::Duties, none, DutySink(v()), end.clone()));
+    let mut targets = KindFollower::new(view, Kind::Targets, GATHER_TARGETS, targets);
+    let mut versions = KindFollower::new(view, Kind::ModelVersions, none, VersionSink(v()));
+    let mut duties = KindFollower::new(view, Kind::Duties, none, DutySink(v()));
     let retirements = RetireSink(Arc::clone(ctx));
-    tokio::spawn(follow_kind(v(), Kind::Retirements, none, retirements, end.clone()));
+    let mut retirements = KindFollower::new(view, Kind::Retirements, none, retirements);
+    let fed =
+        vec![config.feed(), targets.feed(), versions.feed(), duties.feed(), retirements.feed()];
+    tokio::spawn(config.run(end.clone()));
+    tokio::spawn(targets.run(end.clone()));
+    tokio::spawn(versions.run(end.clone()));
+    tokio::spawn(duties.run(end.clone()));
+    tokio::spawn(retirements.run(end.clone()));
+    tokio::spawn(follow_feed(v(), ctx.links.clone(), fed, end.clone()));
 }
 
 /// Keeps which boxes are to be emptied.
