Give no position between two epochs, and copy away from failing domains

Logs: the cut of a domain ended the epoch at 33.55 s, the next served at 35.49 s; texts that became whole in between were given positions whose records reached no log. Later results were listed behind these holes, and applied records that do not follow are dropped: the job was stuck until its deadline (139 of 152 texts whole at 37.0 s, end at 44.2 s). The new epoch came late since its copies were offered twice to boxes of the cut domain.

Change: the book is closed from the end of an epoch until the next one is served; what becomes whole meanwhile is listed then, with the score it has. Copies go to domains without a failed call of the last 1.5 s where that spreads them as well. One limit of bytes for all shards of a box, in place of a share for each.

Ruled out: contention among engines (the texts were whole); the trainer's deadline.

Test that failed first: jobs `nothing_is_listed_between_two_epochs`.

--- a/crates/joblog/src/duty.rs
+++ b/crates/joblog/src/duty.rs
@@ -1,5 +1,6 @@
 //! Who serves a shard, decided from the plan and from who is heard.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use ids::{BoxId, DomainId, ShardIndex};
@@ -17,9 +18,10 @@
 /// Patience of a box that has just given the shard up and would rather not serve it again.
 pub const LEAVING_PATIENCE: Duration = Duration::from_secs(3);
 
-/// The shard that keeps a job.
-pub fn shard_of(job: &str, shards: u32) -> ShardIndex {
-    let hash = xxh3_64(job.as_bytes());
+/// The shard of a key: of a host, whose jobs it keeps; of a service, whose engines its server
+/// orders.
+pub fn shard_of(key: &str, shards: u32) -> ShardIndex {
+    let hash = xxh3_64(key.as_bytes());
     ShardIndex::new(u32::try_from(hash % u64::from(shards.max(1))).unwrap_or(0))
 }
 
@@ -111,3 +113,30 @@
     }
     Some(chosen)
 }
+
+/// As [`choose_partners`], without the boxes in `failing` and their failure domains, unless the
+/// copies would lie in fewer domains: a cut takes all boxes of a domain, and those not heard to
+/// fail yet are next.
+pub fn choose_sound_partners(
+    shard: ShardIndex,
+    domain: &DomainId,
+    alive: &[CopyHolder],
+    failing: &[BoxId],
+    count: usize,
+) -> Option<Vec<CopyHolder>> {
+    let harmed: HashSet<&DomainId> = alive
+        .iter()
+        .filter(|copy| failing.contains(&copy.box_id))
+        .map(|copy| &copy.domain)
+        .collect();
+    let sound = alive.iter().filter(|copy| !harmed.contains(&copy.domain));
+    let sound: Vec<CopyHolder> = sound.cloned().collect();
+    let any = choose_partners(shard, domain, alive, count)?;
+    let spread = |copies: &[CopyHolder]| {
+        let domains: HashSet<&DomainId> =
+            copies.iter().map(|copy| &copy.domain).chain([domain]).collect();
+        domains.len()
+    };
+    let sound = choose_partners(shard, domain, &sound, count);
+    Some(sound.filter(|copies| spread(copies) >= spread(&any)).unwrap_or(any))
+}
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -19,16 +19,6 @@
 /// give up early.
 const GIVE_UP_SLACK: Duration = Duration::from_secs(1);
 
-/// Limits of a shard's jobs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct JobLimits {
-    /// How long a job can be read after it was taken, at least.
-    pub retention: Duration,
-    /// Most bytes of items, texts and results that the shard may hold; no more jobs are taken
-    /// beyond it.
-    pub most_bytes: usize,
-}
-
 /// How much a shard holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct JobCounts {
@@ -43,19 +33,29 @@
 /// The jobs of one shard.
 #[derive(Debug)]
 pub struct JobBook {
-    limits: JobLimits,
+    /// How long a job can be read after it was taken, at least.
+    retention: Duration,
     pub(crate) jobs: HashMap<JobId, JobState>,
     /// Jobs that still run, in the order in which they were taken.
     open: Vec<JobId>,
     /// The last job that holds an item, for text that comes in use again.
     holders: HashMap<String, ItemRef>,
     bytes: usize,
+    /// Whether no log takes records now.
+    closed: bool,
 }
 
 impl JobBook {
-    /// A book without jobs.
-    pub fn new(limits: JobLimits) -> Self {
-        Self { limits, jobs: HashMap::new(), open: Vec::new(), holders: HashMap::new(), bytes: 0 }
+    /// A book without jobs; ended ones are held for `retention` after they were taken.
+    pub fn new(retention: Duration) -> Self {
+        Self {
+            retention,
+            jobs: HashMap::new(),
+            open: Vec::new(),
+            holders: HashMap::new(),
+            bytes: 0,
+            closed: false,
+        }
     }
 
     /// Whether a job is held.
@@ -63,9 +63,9 @@
         self.jobs.contains_key(id)
     }
 
-    /// Whether there is room for a job of `bytes`.
-    pub const fn has_room(&self, bytes: usize) -> bool {
-        self.bytes + bytes <= self.limits.most_bytes
+    /// Bytes of jobs and results.
+    pub const fn bytes(&self) -> usize {
+        self.bytes
     }
 
     /// Whether a job has ended, or its end is on the way; `None` when it is not held.
@@ -212,9 +212,11 @@
         self.jobs.get_mut(&id)
     }
 
-    /// Forgets what was on the way to a log that is closed now: items whose record was not
-    /// applied are listed again, or go on with the text they have.
-    pub fn forget_unlogged(&mut self) {
+    /// Forgets what was on the way to a log that has ended: items whose record was not applied
+    /// are listed again, or go on with the text they have. No position is given until
+    /// [`Self::open_log`]: its record would reach no log, and the position stay empty for ever.
+    pub fn close_log(&mut self) {
+        self.closed = true;
         for state in self.jobs.values_mut() {
             state.positions = u32::try_from(state.listed.len()).unwrap_or(u32::MAX);
             state.ending = state.ended;
@@ -238,6 +240,11 @@
         }
     }
 
+    /// From here on a log takes records.
+    pub const fn open_log(&mut self) {
+        self.closed = false;
+    }
+
     /// Items that may start now, best first, each with the model and the oldest version that
     /// its target must hold. `start` says whether it has found a target for the item; when it
     /// has not, the rest of that job waits too.
@@ -338,6 +345,10 @@
         match end {
             RewardEnd::Scored(score) => {
                 entry.score = Some(score);
+                if self.closed {
+                    self.again(now, item, Duration::ZERO);
+                    return None;
+                }
                 return self.list(item, true);
             }
             RewardEnd::Failed { attempts } => {
@@ -352,6 +363,9 @@
 
     /// The records of items that failed so often, or waited so long, that they are given up.
     pub fn give_up(&mut self, now: Moment) -> Vec<LogRecord> {
+        if self.closed {
+            return Vec::new();
+        }
         let mut lost = Vec::new();
         for id in &self.open {
             let Some(state) = self.jobs.get(id) else { continue };
@@ -407,7 +421,7 @@
     /// The record that ends a job; `None` when its end is known or on the way.
     pub fn end(&mut self, id: &JobId) -> Option<LogRecord> {
         let state = self.jobs.get_mut(id)?;
-        if state.ending {
+        if state.ending || self.closed {
             return None;
         }
         state.ending = true;
@@ -417,7 +431,10 @@
 
     /// The records that drop ended jobs past their retention.
     pub fn expire(&mut self, now: Moment) -> Vec<LogRecord> {
-        let retention = self.limits.retention;
+        if self.closed {
+            return Vec::new();
+        }
+        let retention = self.retention;
         let old = self.jobs.iter_mut().filter(|(_, state)| {
             state.ended && !state.dropping && now.since(state.taken_at) > retention
         });
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,7 +17,7 @@
 mod snapshot;
 mod state;
 
-pub use book::{JobBook, JobCounts, JobLimits};
+pub use book::{JobBook, JobCounts};
 pub use item::{ItemRef, RewardEnd, RunEnd, RunEvent, RunOutcome, RunSpec};
 pub use order::run_order;
 pub use packed::{UnpackError, pack_text, unpack_text};
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -202,19 +202,41 @@
     book.apply(at(0), accepted(job("j", 1)));
     let spec = start_all(&mut book, at(1)).remove(0);
     let lost = finish(&mut book, &spec, events(1, 2, 3));
-    book.forget_unlogged();
+    book.close_log();
+    book.open_log();
     let again = start_all(&mut book, at(2)).remove(0);
     assert!(again.whole, "its text is held, only the listing was lost");
     let record = book.scored(at(3), &again.item, scored()).expect("listed again");
     assert_eq!(record, lost);
 }
 
+#[test]
+fn nothing_is_listed_between_two_epochs() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 1)));
+    let specs = start_all(&mut book, at(1));
+    book.close_log();
+    // A record made now would go to no log, and its position would stay empty for ever.
+    assert!(book.run_ended(at(10), &specs[0], &run(RunOutcome::Whole, events(1, 2, 3))));
+    assert_eq!(book.scored(at(11), &specs[0].item, scored()), None);
+    book.open_log();
+    let record = finish(&mut book, &specs[1], events(1, 2, 3));
+    book.apply(at(12), record);
+    assert_eq!(text_of(&book, "j").len(), 1);
+    let again = start_all(&mut book, at(13)).remove(0);
+    assert!(again.whole && again.item == specs[0].item);
+    assert_eq!(book.known_score(&again.item).as_deref(), Some("signature"));
+    let record = book.scored(at(14), &again.item, scored()).expect("listed again");
+    book.apply(at(15), record);
+    assert_eq!(text_of(&book, "j").len(), 2);
+}
+
 #[test]
 fn runs_under_way_are_not_started_again_by_a_new_epoch() {
     let mut book = book();
     book.apply(at(0), accepted(job("j", 1)));
     assert_eq!(start_all(&mut book, at(1)).len(), 2);
-    book.forget_unlogged();
+    book.close_log();
     assert!(start_all(&mut book, at(2)).is_empty());
 }
 
@@ -255,9 +277,8 @@
 }
 
 #[test]
-fn a_full_book_takes_no_more_and_drops_old_jobs() {
+fn old_jobs_are_dropped() {
     let mut book = book();
-    assert!(!book.has_room(2 << 20));
     book.apply(at(0), accepted(job("j", 1)));
     let end = book.end(&id("j")).expect("a record");
     book.apply(at(1), end);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use ids::Moment;
-use jobs::{JobBook, JobLimits, RunEnd, RunEvent, RunOutcome, RunSpec, unpack_text};
+use jobs::{JobBook, RunEnd, RunEvent, RunOutcome, RunSpec, unpack_text};
 use wire::peer::log_record::Body;
 use wire::peer::{Job, JobItem, LogRecord, RewardCall};
 
 pub fn book() -> JobBook {
-    JobBook::new(JobLimits { retention: Duration::from_mins(2), most_bytes: 1 << 20 })
+    JobBook::new(Duration::from_mins(2))
 }
 
 pub fn at(millis: u64) -> Moment {
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -3,8 +3,8 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use ids::BoxId;
-use joblog::CopyHolder;
+use ids::{BoxId, ShardIndex};
+use joblog::{CopyHolder, choose_sound_partners};
 use links::{CallError, LinkPool};
 use node::{NodeView, StorageSettings};
 use tokio::sync::Notify;
@@ -94,8 +94,8 @@
         self.news.notify_one();
     }
 
-    /// Boxes that may hold a copy: heard a moment ago, and not leaving.
-    pub fn fit_partners(&self) -> Vec<CopyHolder> {
+    /// The boxes for the other copies of a shard; `None` when there are too few.
+    pub fn choose_copies(&self, shard: ShardIndex) -> Option<Vec<CopyHolder>> {
         let now = self.view.now();
         let retiring = self.retiring().clone();
         let duties = self.view.duties();
@@ -104,7 +104,10 @@
                 && !retiring.contains(&copy.box_id)
                 && self.peers.is_fit(now, &copy.box_id)
         });
-        boxes.cloned().collect()
+        let fit: Vec<CopyHolder> = boxes.cloned().collect();
+        let failing = self.peers.failing(now);
+        let count = self.settings.copies.saturating_sub(1);
+        choose_sound_partners(shard, &self.me.domain, &fit, &failing, count)
     }
 
     /// Asks another keeping box.
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -7,7 +7,7 @@
 use ids::ShardIndex;
 use joblog::{
     CopyHolder, DutyIntent, DutyView, EpochFormer, EpochId, FormFault, FormStep, LogCopyFile,
-    PlanWrite, ReadPlan, ShardDuty, ShardPlan, choose_partners, encode_record, shard_duty,
+    PlanWrite, ReadPlan, ShardDuty, ShardPlan, encode_record, shard_duty,
 };
 use node::duties::{PlanSighting, shard_object};
 use platform::{Kind, StoreError};
@@ -25,9 +25,9 @@
 /// How often a box looks whether it should take a shard.
 const LOOK_EVERY: Duration = Duration::from_millis(150);
 /// Pause after a try that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time for a partner to take one piece of a copy.
-const PIECE_TIME: Duration = Duration::from_millis(1_500);
+const PIECE_TIME: Duration = Duration::from_secs(1);
 /// Bytes of one piece.
 const PIECE_BYTES: usize = 1 << 20;
 
@@ -53,6 +53,7 @@
                     }
                     log::info!(target: "shard", shard = shard.get(), why:% = fault; "not taken");
                     time::sleep(RETRY_PAUSE).await;
+                    continue;
                 }
             }
         }
@@ -185,9 +186,7 @@
     let mut file = None;
     loop {
         if former.wants_partners() {
-            let count = ctx.settings.copies.saturating_sub(1);
-            let partners = choose_partners(shard, &ctx.me.domain, &ctx.fit_partners(), count);
-            former.partners(partners);
+            former.partners(ctx.choose_copies(shard));
         }
         match former.step() {
             FormStep::ReadPlan => former.plan_read(read_plan(ctx, shard).await),
@@ -199,7 +198,7 @@
                 former.base_read(close_and_read(ctx, keeper, epoch).await);
             }
             FormStep::Copy { epoch, partners } => {
-                keeper.book().forget_unlogged();
+                keeper.book().close_log();
                 file = copy_book(ctx, keeper, &epoch, &partners).await;
                 former.copied(file.is_some());
             }
@@ -341,6 +340,7 @@
     let answer = ctx.ask(&partner.address, PIECE_TIME, body).await;
     let taken = matches!(answer, Ok(shard_answer::Body::Synced(_)));
     if !taken {
+        ctx.peers.failed(ctx.view.now(), &partner.box_id);
         log::warn!(
             target: "shard", shard = copy.shard, epoch = copy.epoch.as_str(),
             peer:% = partner.box_id;
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -136,8 +136,10 @@
         if keeper.book().knows(&id) {
             return Ok(shard_answer::Body::Accepted(JobAccepted { known: true }));
         }
-        let bytes = job.items.iter().map(|item| item.body.len()).sum();
-        if !keeper.book().has_room(bytes) {
+        let bytes: usize = job.items.iter().map(|item| item.body.len()).sum();
+        // One limit for all shards: any box may come to serve each of them.
+        let held: usize = self.keepers.iter().map(|keeper| keeper.book().bytes()).sum();
+        if held + bytes > self.ctx.settings.job_bytes {
             let message = "the shard holds as much as it may: send the job later";
             return Err(refused(RefusedKind::NotRun, reason::FULL, message));
         }
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -6,7 +6,7 @@
 
 use ids::{FencingToken, JobId, Moment, ShardIndex};
 use joblog::EpochId;
-use jobs::{JobBook, JobLimits};
+use jobs::JobBook;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 use wire::peer::LogRecord;
@@ -60,7 +60,7 @@
 impl ShardKeeper {
     /// A shard that is not served here.
     pub fn new(ctx: Arc<ShardContext>, shard: ShardIndex) -> Self {
-        let book = JobBook::new(limits(&ctx));
+        let book = JobBook::new(ctx.settings.retention);
         Self {
             shard,
             ctx,
@@ -89,7 +89,7 @@
         for (_, token) in lock(&self.runs).drain() {
             token.cancel();
         }
-        *self.book() = JobBook::new(limits(&self.ctx));
+        *self.book() = JobBook::new(self.ctx.settings.retention);
         self.set_book_epoch(None);
     }
 
@@ -107,6 +107,7 @@
     pub fn begin(&self, served: ServedEpoch) {
         *lock(&self.proven_at) = None;
         self.set_book_epoch(Some(served.epoch.clone()));
+        self.book().open_log();
         *lock(&self.serving) = Some(served);
         self.wake();
     }
@@ -116,6 +117,7 @@
         let served = lock(&self.serving).take();
         if let Some(served) = &served {
             served.ended.cancel();
+            self.book().close_log();
         }
         self.wake();
         served.is_some()
@@ -216,9 +218,3 @@
         std::mem::take(&mut *lock(&self.asked))
     }
 }
-
-fn limits(ctx: &ShardContext) -> JobLimits {
-    let shards = usize::try_from(ctx.settings.node.shards).unwrap_or(1);
-    // Any box may come to serve every shard.
-    JobLimits { retention: ctx.settings.retention, most_bytes: ctx.settings.job_bytes / shards }
-}
--- a/crates/shards/src/log_writer.rs
+++ b/crates/shards/src/log_writer.rs
@@ -118,6 +118,7 @@
             let body = shard_request::Body::Append(append);
             let answer = ctx.ask(&partner.address, ROUND_TIME, body).await;
             if !matches!(answer, Ok(shard_answer::Body::Synced(_))) {
+                ctx.peers.failed(ctx.view.now(), &partner.box_id);
                 let why =
                     answer.err().map_or_else(|| "odd answer".to_owned(), |error| error.to_string());
                 log::warn!(
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -19,6 +19,9 @@
 const BEAT_TIME: Duration = Duration::from_millis(500);
 /// A box heard within this time may be given a copy.
 const FIT_TIME: Duration = Duration::from_millis(700);
+/// After a failed call a box is given a copy only if there is no other: it takes this long until
+/// its silence shows, and a cut takes its whole failure domain with it.
+const FAILED_TIME: Duration = Duration::from_millis(1_500);
 /// A box silent for this long is asked less often.
 const SILENT_TIME: Duration = Duration::from_secs(10);
 /// A connection that fails sooner than this was refused: the box runs, its process does not.
@@ -41,6 +44,8 @@
     notes: HashMap<String, LeaseNote>,
     /// When a box last refused connections.
     refused: HashMap<BoxId, Moment>,
+    /// When a call to a box last broke off or got no answer in time.
+    failed: HashMap<BoxId, Moment>,
 }
 
 /// Which boxes are heard, and what they say of themselves.
@@ -99,6 +104,18 @@
         states.refused.get(box_id).is_some_and(|refused_at| *refused_at > heard_at)
     }
 
+    /// Notes that a call to a box broke off or got no answer in time.
+    pub fn failed(&self, now: Moment, box_id: &BoxId) {
+        self.lock().failed.insert(box_id.clone(), now);
+    }
+
+    /// Boxes to which a call has failed of late.
+    pub fn failing(&self, now: Moment) -> Vec<BoxId> {
+        let states = self.lock();
+        let failing = states.failed.iter().filter(|(_, at)| now.since(**at) < FAILED_TIME);
+        failing.map(|(box_id, _)| box_id.clone()).collect()
+    }
+
     /// Whether a box may be given a copy.
     pub fn is_fit(&self, now: Moment, box_id: &BoxId) -> bool {
         let states = self.lock();
@@ -169,9 +186,11 @@
                     Ok(_) => {}
                     Err(CallError::NotSent { .. }) if asked_at.elapsed() < REFUSED_TIME => {
                         ctx.peers.refused(ctx.view.now(), &other.box_id);
+                        ctx.peers.failed(ctx.view.now(), &other.box_id);
                     }
                     // Silence is what the table tells.
                     Err(error) => {
+                        ctx.peers.failed(ctx.view.now(), &other.box_id);
                         log::debug!(target: "shard", peer:% = other.box_id, error:% = error; "beat unanswered");
                     }
                 }
