Keep the jobs of one host in one shard

Cause: jobs were spread over shards by their ids, so text that one step left over lay in another shard than the next step of the same trainer, and could not be used.

Change: the host of a job names its shard; reads, bodies and ends carry it too.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -107,8 +107,10 @@
         }
     }
 
-    fn shard(&self, job: &str) -> ShardIndex {
-        shard_of(job, self.view.settings.shards)
+    /// The shard of the jobs that are handed in at `host`. The jobs of one trainer share a host,
+    /// and so a shard: text that one job has left over is there when the next one wants it.
+    fn shard(&self, host: &str) -> ShardIndex {
+        shard_of(&host.to_ascii_lowercase(), self.view.settings.shards)
     }
 }
 
@@ -147,7 +149,7 @@
         }
     };
     let items = job.items.len();
-    let shard = client.shard(id);
+    let shard = client.shard(host);
     let call = shard_request::Body::Submit(JobSubmit { shard: shard.get(), job: Some(job) });
     let end = client.ask(shard, id, SUBMIT_TIME, &call).await;
     let outcome = match &end {
@@ -174,27 +176,29 @@
     answer::refuse(StatusCode::BAD_GATEWAY, "outcome unknown", remedy, id)
 }
 
-/// Serves a call that concerns a job.
+/// Serves a call that concerns a job handed in at `host`.
 pub async fn serve_call(
     client: &ShardClient,
+    host: &str,
     call: JobCall,
     wait: Option<Duration>,
 ) -> Response<FrontBody> {
+    let shard = client.shard(host);
     match call {
-        JobCall::Read { job, from } => read(client, &job, from, wait).await,
-        JobCall::Body { job, item } => item_body(client, &job, &item).await,
-        JobCall::End { job } => end(client, &job).await,
+        JobCall::Read { job, from } => read(client, shard, &job, from, wait).await,
+        JobCall::Body { job, item } => item_body(client, shard, &job, &item).await,
+        JobCall::End { job } => end(client, shard, &job).await,
     }
 }
 
 async fn read(
     client: &ShardClient,
+    shard: ShardIndex,
     job: &str,
     from: u32,
     wait: Option<Duration>,
 ) -> Response<FrontBody> {
     let wait = wait.unwrap_or_default().min(MOST_WAIT);
-    let shard = client.shard(job);
     let body = shard_request::Body::Read(JobRead {
         shard: shard.get(),
         job: job.to_owned(),
@@ -225,8 +229,12 @@
     }
 }
 
-async fn item_body(client: &ShardClient, job: &str, item: &str) -> Response<FrontBody> {
-    let shard = client.shard(job);
+async fn item_body(
+    client: &ShardClient,
+    shard: ShardIndex,
+    job: &str,
+    item: &str,
+) -> Response<FrontBody> {
     let (id, item) = (job.to_owned(), item.to_owned());
     let body = shard_request::Body::BodyOf(JobBody { shard: shard.get(), job: id, item });
     match client.ask(shard, job, CALL_TIME, &body).await {
@@ -238,8 +246,7 @@
     }
 }
 
-async fn end(client: &ShardClient, job: &str) -> Response<FrontBody> {
-    let shard = client.shard(job);
+async fn end(client: &ShardClient, shard: ShardIndex, job: &str) -> Response<FrontBody> {
     let body = shard_request::Body::End(JobEnd { shard: shard.get(), job: job.to_owned() });
     match client.ask(shard, job, CALL_TIME, &body).await {
         Ok(_) => {
