Tell news of the store even when they are old

Cause: a box whose store refuses it hears nothing while the box that tells has no fresh word either, though that one may know more. So an entry box without the plan of a shard turned jobs away for as long as the store was away.

Change: a box that keeps data tells what it knows whatever its age; who hears it takes the news, and asks the store itself unless they are fresh. Boxes may be reached at an address other than the one they bind.

Ruled out: telling only duties, since a newer revision of anything is true.

--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -79,11 +79,13 @@
             let asked_at = Instant::now();
             let wait = if self.view.feed.is_fed() { FEED_WAIT } else { Duration::ZERO };
             if let Some(page) = self.ask(&teller, wait).await {
-                self.silent.remove(&teller.box_id);
-                self.take(&teller, asked_at, page).await;
-                if !self.view.feed.is_fed() {
-                    time::sleep(LOOK_EVERY).await;
+                if self.take(&teller, asked_at, page).await {
+                    self.silent.remove(&teller.box_id);
+                    continue;
                 }
+                // Its news are old: another box may know better.
+                self.view.metrics.ended("feed", "old");
+                self.silent.insert(teller.box_id, Instant::now());
             } else {
                 self.view.metrics.ended("feed", "not told");
                 self.silent.insert(teller.box_id, Instant::now());
@@ -152,7 +154,8 @@
         }
     }
 
-    async fn take(&mut self, teller: &CopyHolder, asked_at: Instant, page: FeedPage) {
+    /// Takes what was told. `true` when it is fresh enough to do without the store.
+    async fn take(&mut self, teller: &CopyHolder, asked_at: Instant, page: FeedPage) -> bool {
         let held = Duration::from_millis(u64::from(page.held_ms));
         let age = Duration::from_millis(u64::from(page.age_ms));
         // Whatever the answer took on its way counts as age.
@@ -162,7 +165,7 @@
         }
         let all_known = self.kinds.iter().all(|fed| *fed.revision.borrow() > 0);
         if !all_known || proven_at.is_none_or(|at| at.elapsed() >= HEAR_TRUST) {
-            return;
+            return false;
         }
         self.heard = proven_at;
         self.view.store_answered(true);
@@ -172,6 +175,7 @@
                 "regained"
             );
         }
+        true
     }
 
     async fn take_kind(&self, told: FeedKind) {
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -3,8 +3,8 @@
 //! Each call to the store has its price, and many boxes that all watch it ask the same. So a box
 //! that keeps data watches for itself and tells the others of its domain ([`serve_feed`]); these
 //! follow it ([`follow_feed`]) and ask the store only while nobody tells them. Whoever tells also
-//! says how long ago the store last answered it: news that may be old is no news, and the
-//! followers ask for themselves before a change could be missed in time.
+//! says how long ago the store last answered it: where that is too long, the followers take the
+//! news and ask for themselves as well, before a change could be missed in time.
 
 mod cache;
 mod client;
@@ -27,8 +27,8 @@
 /// answer is overdue is begun again while the last proof is still good.
 pub const PROOF_TIME: WatchTime =
     WatchTime { wait: Duration::from_millis(850), slack: Duration::from_millis(200) };
-/// A box whose last answer from the store is older than this tells nothing: [`PROOF_TIME`] and a
-/// second try.
+/// A box whose last answer from the store is older than this does not wait for news: [`PROOF_TIME`]
+/// and a second try.
 const TELL_TRUST: Duration = Duration::from_millis(1_300);
 /// Followers ask for themselves when the last proof they heard of is older than this. Changes must
 /// be known two seconds after they are made, and the store's answer takes some time of that.
--- a/crates/node/src/feed/serve.rs
+++ b/crates/node/src/feed/serve.rs
@@ -10,25 +10,19 @@
 use crate::NodeView;
 
 /// Answers a question for changes as soon as there are some, or after the wait that was asked
-/// for. `None` while this box does not know the store from itself, or not of late.
-pub async fn serve_feed(view: &NodeView, read: &FeedRead) -> Option<FeedPage> {
+/// for; at once when this box has no fresh word of the store itself. What it knows is told all the
+/// same: news that is not the latest is still newer than none.
+pub async fn serve_feed(view: &NodeView, read: &FeedRead) -> FeedPage {
     let asked_at = Instant::now();
     view.feed.asked(view.now());
     let wait = Duration::from_millis(u64::from(read.wait_ms)).min(FEED_WAIT);
     let until = asked_at + wait;
     let mut changes = view.feed.changed.subscribe();
     loop {
-        let age = view.feed.age(view.now()).filter(|age| *age < TELL_TRUST)?;
-        if view.feed.is_fed() {
-            return None;
-        }
+        let age = proof_age(view);
         let kinds = news(view, read);
-        if !kinds.is_empty() || Instant::now() >= until {
-            return Some(FeedPage {
-                kinds,
-                age_ms: millis(age),
-                held_ms: millis(asked_at.elapsed()),
-            });
+        if !kinds.is_empty() || age >= TELL_TRUST || Instant::now() >= until {
+            return FeedPage { kinds, age_ms: millis(age), held_ms: millis(asked_at.elapsed()) };
         }
         let stale_at = Instant::now() + TELL_TRUST.saturating_sub(age);
         // Whichever comes first, all is looked at once more.
@@ -36,6 +30,12 @@
     }
 }
 
+/// How long ago the store answered this box itself; a box that only hears of it has no proof.
+fn proof_age(view: &NodeView) -> Duration {
+    let own = if view.feed.is_fed() { None } else { view.feed.age(view.now()) };
+    own.unwrap_or(Duration::MAX)
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -29,6 +29,9 @@
     /// Port for other boxes.
     #[arg(long, env = "GANNETWAY_PEER_PORT")]
     pub peer_port: u16,
+    /// Where other boxes reach this one, as IP:PORT, if it is not the box's address and peer port.
+    #[arg(long, env = "GANNETWAY_ADVERTISE")]
+    pub advertise: Option<SocketAddr>,
     /// Port that serves metrics; 0 serves none.
     #[arg(long, env = "GANNETWAY_METRICS_PORT", default_value_t = 0)]
     pub metrics_port: u16,
@@ -90,6 +93,8 @@
     pub ready: Option<SocketAddr>,
     /// Where other boxes come in.
     pub peer: SocketAddr,
+    /// Where other boxes reach it: the same, unless something stands in between.
+    pub advertised: SocketAddr,
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
     /// The platform's store.
@@ -165,13 +170,15 @@
         if !faults.is_empty() {
             return Err(SettingsError(faults));
         }
+        let peer = SocketAddr::new(self.ip, self.peer_port);
         Ok(NodeSettings {
             box_id,
             domain,
             ip: self.ip,
             front: self.front,
             ready: self.ready,
-            peer: SocketAddr::new(self.ip, self.peer_port),
+            peer,
+            advertised: self.advertise.unwrap_or(peer),
             metrics: (self.metrics_port > 0).then(|| SocketAddr::new(self.ip, self.metrics_port)),
             store: self.store,
             key,
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -50,7 +50,7 @@
         let node = &settings.node;
         let me = CopyHolder {
             box_id: node.box_id.clone(),
-            address: node.peer.to_string(),
+            address: node.advertised.to_string(),
             domain: node.domain.clone(),
         };
         let peers = PeerTable::new(view.now());
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -122,10 +122,7 @@
             }
             shard_request::Body::HandOver(hand_over) => self.hand_over(&hand_over),
             shard_request::Body::Feed(read) => {
-                let message = "this box does not know the store of late: ask another, or the store";
-                let page = serve_feed(&self.ctx.view, &read).await;
-                page.map(shard_answer::Body::Feed)
-                    .ok_or_else(|| refused(RefusedKind::NotRun, "stale", message))
+                Ok(shard_answer::Body::Feed(serve_feed(&self.ctx.view, &read).await))
             }
         }
     }
