Send a round of the log again while the store is away

Cause: a partner that does not answer one append within 0.8 s ended the epoch, and a new one needs the store.

Change: while the store is away an append that got no answer is sent again; the last append may be repeated at the same offset. A partner that has closed the copy refuses, as before, and ends the epoch.

Ruled out: going on without the partner (what it does not hold would be acknowledged on one disk).

Test: joblog `the_last_append_may_be_repeated`.

--- a/crates/joblog/src/copy.rs
+++ b/crates/joblog/src/copy.rs
@@ -64,10 +64,11 @@
         let path = self.path(shard, epoch);
         let file = OpenOptions::new().write(true).create(true).truncate(true).open(path)?;
         self.sync_folder()?;
-        Ok(LogCopyFile { file, len: 0 })
+        Ok(LogCopyFile { file, len: 0, last_offset: None })
     }
 
-    /// Gives each record of a copy to `take`, up to the first that is not whole; says how many.
+    /// Gives each record of a copy to `take`, with its place, up to the first that is not whole;
+    /// says how many.
     pub fn read(
         &self,
         shard: ShardIndex,
@@ -114,6 +115,8 @@
 pub struct LogCopyFile {
     file: File,
     len: u64,
+    /// Where the last append began.
+    last_offset: Option<u64>,
 }
 
 impl LogCopyFile {
@@ -127,12 +130,18 @@
         self.len == 0
     }
 
-    /// Appends encoded records that begin at `offset`. They last only after [`Self::sync`].
+    /// Appends encoded records that begin at `offset`. They last only after [`Self::sync`]. The last
+    /// append may be repeated: an epoch has one writer, so what lies there is the same.
     pub fn append(&mut self, offset: u64, records: &[u8]) -> Result<(), CopyError> {
+        if self.last_offset == Some(offset) && offset + records.len() as u64 == self.len {
+            return Ok(());
+        }
         if offset != self.len {
             return Err(CopyError::Gap { held: self.len, offset });
         }
+        self.last_offset = None;
         self.file.write_all(records)?;
+        self.last_offset = Some(offset);
         self.len += records.len() as u64;
         Ok(())
     }
--- a/crates/shards/src/log_writer.rs
+++ b/crates/shards/src/log_writer.rs
@@ -16,6 +16,8 @@
 
 /// Longest time for all copies to have a round on disk. A box that is slower is replaced.
 const ROUND_TIME: Duration = Duration::from_millis(800);
+/// Pause before an append is sent again.
+const AGAIN_PAUSE: Duration = Duration::from_millis(200);
 /// An empty round proves that all copies still take appends under this epoch.
 const PROOF_EVERY: Duration = Duration::from_millis(250);
 /// Most bytes of one round; the rest waits for the next.
@@ -114,22 +116,7 @@
             offset,
             records: round.bytes.clone(),
         };
-        async move {
-            let body = shard_request::Body::Append(append);
-            let answer = ctx.ask(&partner.address, ROUND_TIME, body).await;
-            if !matches!(answer, Ok(shard_answer::Body::Synced(_))) {
-                ctx.peers.failed(ctx.view.now(), &partner.box_id);
-                let why =
-                    answer.err().map_or_else(|| "odd answer".to_owned(), |error| error.to_string());
-                log::warn!(
-                    target: "shard", shard = shard.get(), epoch:% = log.epoch,
-                    peer:% = partner.box_id, offset = offset, error = why.as_str();
-                    "copy did not take the append"
-                );
-                return false;
-            }
-            true
-        }
+        append_at(ctx, partner, append)
     });
     let bytes = round.bytes.clone();
     let own = async {
@@ -147,3 +134,28 @@
     let (own, others) = tokio::join!(own, join_all(appends));
     own.filter(|_| others.into_iter().all(|taken| taken))
 }
+
+/// Appends to the copy of another box. What got no answer is sent again while the store is away:
+/// no new epoch can be formed then, by nobody. A box that has closed the copy refuses.
+async fn append_at(ctx: &ShardContext, partner: &CopyHolder, append: LogAppend) -> bool {
+    loop {
+        let body = shard_request::Body::Append(append.clone());
+        let error = match ctx.ask(&partner.address, ROUND_TIME, body).await {
+            Ok(shard_answer::Body::Synced(_)) => return true,
+            Ok(_) => CallError::Broken { why: "an answer of another kind" },
+            Err(error) => error,
+        };
+        ctx.peers.failed(ctx.view.now(), &partner.box_id);
+        let refused = matches!(error, CallError::Refused(_));
+        let again = !refused && !ctx.view.store_state().up;
+        log::warn!(
+            target: "shard", shard = append.shard, epoch = append.epoch.as_str(),
+            peer:% = partner.box_id, offset = append.offset, error:% = error, again = again;
+            "copy did not take the append"
+        );
+        if !again {
+            return false;
+        }
+        time::sleep(AGAIN_PAUSE).await;
+    }
+}
