Read texts of jobs that ended long ago from the log

Cause: a keeping box held all texts of the last 120 s in memory.

Change: the texts of the twelve jobs that ended last stay; older ones are read back from this box's copy of the log, where each result's record lies at a known place.

--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod moment;
 mod number;
+mod place;
 mod text;
 mod window;
 
@@ -16,6 +17,7 @@
     FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion, ShardIndex,
     SlotIndex, StepNumber, TokenCount,
 };
+pub use place::RecordPlace;
 pub use text::{
     BoxId, DomainId, IdError, InstanceId, ItemId, JobId, ModelName, PoolName, RequestId, RouteName,
     ServiceName, TargetId, TrainerId,
--- /dev/null
+++ b/crates/ids/src/place.rs
@@ -0,0 +1,10 @@
+//! Where something lies in a file.
+
+/// Where a record lies in the copy of a log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecordPlace {
+    /// Its first byte.
+    pub offset: u64,
+    /// Its length in bytes, with its head.
+    pub len: u32,
+}
--- a/crates/joblog/src/copy.rs
+++ b/crates/joblog/src/copy.rs
@@ -3,10 +3,10 @@
 //! All calls wait for the disk; a shell runs them where waiting is allowed.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
-use ids::ShardIndex;
+use ids::{RecordPlace, ShardIndex};
 use wire::peer::LogRecord;
 
 use crate::{EpochId, decode_records};
@@ -22,6 +22,14 @@
     /// The disk failed.
     #[error("the data folder failed ({0}): check that it exists, is writable and has room")]
     Io(#[from] io::Error),
+    /// No whole record lies where one was written.
+    #[error(
+        "no whole record lies at byte {offset}: the disk has lost it, serve the shard from another copy"
+    )]
+    NoRecord {
+        /// Where it should lie.
+        offset: u64,
+    },
     /// An append does not follow what is there.
     #[error("the copy holds {held} bytes and the append begins at {offset}: form a new epoch")]
     Gap {
@@ -73,23 +81,47 @@
         &self,
         shard: ShardIndex,
         epoch: &EpochId,
-        mut take: impl FnMut(LogRecord),
+        mut take: impl FnMut(LogRecord, RecordPlace),
     ) -> Result<usize, CopyError> {
         let mut file = File::open(self.path(shard, epoch))?;
         let mut bytes = Vec::new();
         let mut count = 0;
+        let mut offset = 0;
         loop {
             let more = Read::by_ref(&mut file).take(READ_BYTES).read_to_end(&mut bytes)?;
             let (records, used) = decode_records(&bytes);
             bytes.drain(..used);
             count += records.len();
-            records.into_iter().for_each(&mut take);
+            for (record, len) in records {
+                take(record, RecordPlace { offset, len });
+                offset += u64::from(len);
+            }
             if more == 0 {
                 return Ok(count);
             }
         }
     }
 
+    /// Reads single records of a copy, in the order of `places`.
+    pub fn load(
+        &self,
+        shard: ShardIndex,
+        epoch: &EpochId,
+        places: &[RecordPlace],
+    ) -> Result<Vec<LogRecord>, CopyError> {
+        let mut file = File::open(self.path(shard, epoch))?;
+        let mut records = Vec::with_capacity(places.len());
+        for place in places {
+            let mut bytes = vec![0; place.len as usize];
+            file.seek(SeekFrom::Start(place.offset))?;
+            file.read_exact(&mut bytes)?;
+            let (mut read, _) = decode_records(&bytes);
+            let fault = CopyError::NoRecord { offset: place.offset };
+            records.push(read.pop().map(|(record, _)| record).ok_or(fault)?);
+        }
+        Ok(records)
+    }
+
     /// The epochs of a shard that lie here.
     pub fn epochs(&self, shard: ShardIndex) -> Result<Vec<EpochId>, CopyError> {
         let start = format!("shard-{shard}-");
--- a/crates/joblog/src/record.rs
+++ b/crates/joblog/src/record.rs
@@ -1,5 +1,6 @@
 //! Records as they lie on disk and travel: length, digest, message.
 
+use ids::RecordPlace;
 use prost::Message;
 use wire::peer::LogRecord;
 use xxhash_rust::xxh3::xxh3_64;
@@ -9,22 +10,25 @@
 /// Bytes of a record's digest.
 const DIGEST_BYTES: usize = 8;
 
-/// Appends a record to `out`.
-pub fn encode_record(record: &LogRecord, out: &mut Vec<u8>) {
+/// Appends a record to `out`, and says where it lies there.
+pub fn encode_record(record: &LogRecord, out: &mut Vec<u8>) -> RecordPlace {
+    let offset = out.len();
     let body = record.encode_to_vec();
     let len = u32::try_from(body.len()).unwrap_or(u32::MAX);
     out.extend_from_slice(&len.to_le_bytes());
     out.extend_from_slice(&xxh3_64(&body).to_le_bytes());
     out.extend_from_slice(&body);
+    let len = u32::try_from(out.len() - offset).unwrap_or(u32::MAX);
+    RecordPlace { offset: offset as u64, len }
 }
 
-/// The whole records at the start of `bytes`, and how many bytes they take. What follows was
-/// torn by a loss of power, so nobody has been told that it is kept.
-pub fn decode_records(bytes: &[u8]) -> (Vec<LogRecord>, usize) {
+/// The whole records at the start of `bytes`, each with its length, and how many bytes they take
+/// together. What follows was torn by a loss of power, so nobody has been told that it is kept.
+pub fn decode_records(bytes: &[u8]) -> (Vec<(LogRecord, u32)>, usize) {
     let mut records = Vec::new();
     let mut at = 0;
     while let Some((record, len)) = decode_one(&bytes[at..]) {
-        records.push(record);
+        records.push((record, u32::try_from(len).unwrap_or(u32::MAX)));
         at += len;
     }
     (records, at)
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -1,15 +1,15 @@
 //! The jobs of one shard.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{JobId, Moment};
+use ids::{JobId, Moment, RecordPlace};
 use wire::peer::log_record::Body;
 use wire::peer::{EndedJob, ItemProgress, Job, JobPage, JobResult, ListedResult, LogRecord};
 
 use crate::item::{ItemPhase, ItemState};
-use crate::state::{JobState, record, request_bytes};
+use crate::state::{JobState, ListedItem, record, request_bytes};
 use crate::{ItemRef, RewardEnd, RunEnd, RunOutcome, RunSpec, pack_text, run_order, unpack_text};
 
 /// Pause before an item that failed is started again, so that a target in trouble, or the list
@@ -19,6 +19,10 @@
 /// give up early.
 const GIVE_UP_SLACK: Duration = Duration::from_secs(1);
 
+/// Jobs that ended last and whose texts stay in memory: what a job has left over is wanted by the
+/// trainer's next one. Older texts are read from the log.
+const HELD_ENDED: usize = 12;
+
 /// How much a shard holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct JobCounts {
@@ -30,6 +34,15 @@
     pub bytes: usize,
 }
 
+/// Results of a job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BookPage {
+    /// The page; some results lack their text.
+    pub page: JobPage,
+    /// Indices of these among the page's results, and where their records lie.
+    pub on_disk: Vec<(usize, RecordPlace)>,
+}
+
 /// The jobs of one shard.
 #[derive(Debug)]
 pub struct JobBook {
@@ -38,6 +51,8 @@
     pub(crate) jobs: HashMap<JobId, JobState>,
     /// Jobs that still run, in the order in which they were taken.
     open: Vec<JobId>,
+    /// The jobs that ended last and whose texts are held, in the order of their ends.
+    ended: VecDeque<JobId>,
     /// The last job that holds an item, for text that comes in use again.
     holders: HashMap<String, ItemRef>,
     bytes: usize,
@@ -52,6 +67,7 @@
             retention,
             jobs: HashMap::new(),
             open: Vec::new(),
+            ended: VecDeque::new(),
             holders: HashMap::new(),
             bytes: 0,
             closed: false,
@@ -86,9 +102,15 @@
     /// Applies a record that is on every copy of the log. Records that say nothing new change
     /// nothing, so a record may be applied twice.
     pub fn apply(&mut self, now: Moment, record: LogRecord) {
+        self.apply_at(now, record, None);
+    }
+
+    /// As [`Self::apply`], for a record that lies at `place` in this box's copy: texts of jobs that
+    /// ended a while ago are read there.
+    pub fn apply_at(&mut self, now: Moment, record: LogRecord, place: Option<RecordPlace>) {
         match record.body {
             Some(Body::Accepted(job)) => self.apply_accepted(now, job),
-            Some(Body::Listed(listed)) => self.apply_listed(listed),
+            Some(Body::Listed(listed)) => self.apply_listed(listed, place),
             Some(Body::Ended(ended)) => self.apply_ended(&ended.job),
             Some(Body::Dropped(dropped)) => self.apply_dropped(&dropped.job),
             Some(Body::Progress(progress)) => self.apply_progress(&progress),
@@ -136,7 +158,9 @@
         let request = earlier.job.items.get(holder.index as usize)?;
         let mut state = ItemState::new();
         let held = earlier.items.get(holder.index as usize)?;
-        let listed = earlier.listed.iter().find(|result| result.item == item && result.done);
+        let results = earlier.listed.iter().filter(|listed| listed.on_disk().is_none());
+        let listed =
+            results.map(|listed| &listed.result).find(|result| result.item == item && result.done);
         if let Some(result) = listed {
             state.text = unpack_text(&result.packed_text).ok()?;
             state.versions.clone_from(&result.versions);
@@ -157,7 +181,7 @@
         (!state.versions.is_empty() && ItemState::fits(&state.versions, job)).then_some(state)
     }
 
-    fn apply_listed(&mut self, listed: ListedResult) {
+    fn apply_listed(&mut self, listed: ListedResult, place: Option<RecordPlace>) {
         let Some(state) = self.state_mut(&listed.job) else { return };
         let Some(result) = listed.result else { return };
         if listed.position as usize != state.listed.len() {
@@ -170,7 +194,7 @@
             state.waiting.retain(|waiting| *waiting as usize != index);
         }
         let bytes = result.packed_text.len();
-        state.listed.push(result);
+        state.listed.push(ListedItem { result, place });
         state.positions = state.positions.max(u32::try_from(state.listed.len()).unwrap_or(0));
         state.bytes += bytes;
         self.bytes += bytes;
@@ -194,9 +218,19 @@
         state.ended = true;
         state.ending = true;
         state.waiting.clear();
-        let freed = state.strip();
-        self.bytes = self.bytes.saturating_sub(freed);
+        let mut freed = state.strip();
         self.open.retain(|open| open.as_str() != job);
+        if let Ok(id) = job.parse()
+            && !self.ended.contains(&id)
+        {
+            self.ended.push_back(id);
+        }
+        if self.ended.len() > HELD_ENDED
+            && let Some(id) = self.ended.pop_front()
+        {
+            freed += self.jobs.get_mut(&id).map_or(0, JobState::forget_texts);
+        }
+        self.bytes = self.bytes.saturating_sub(freed);
     }
 
     fn apply_dropped(&mut self, job: &str) {
@@ -204,6 +238,7 @@
         let Some(state) = self.jobs.remove(&id) else { return };
         self.bytes = self.bytes.saturating_sub(state.bytes);
         self.open.retain(|open| *open != id);
+        self.ended.retain(|ended| *ended != id);
         self.holders.retain(|_, holder| holder.job != id);
     }
 
@@ -225,7 +260,7 @@
                 continue;
             }
             let listed: HashSet<&str> =
-                state.listed.iter().map(|result| result.item.as_str()).collect();
+                state.listed.iter().map(|listed| listed.result.item.as_str()).collect();
             for (index, item) in state.items.iter_mut().enumerate() {
                 let is_listed = listed.contains(state.job.items[index].id.as_str());
                 let index = u32::try_from(index).unwrap_or(u32::MAX);
@@ -447,19 +482,32 @@
 
     /// Results from position `from`: at least one if there is one, `most_bytes` of text at most.
     /// `None` when the job is not held.
-    pub fn page(&self, id: &JobId, from: u32, most_bytes: usize) -> Option<JobPage> {
+    pub fn page(&self, id: &JobId, from: u32, most_bytes: usize) -> Option<BookPage> {
         let state = self.jobs.get(id)?;
         let total = u32::try_from(state.job.items.len()).unwrap_or(u32::MAX);
         let mut results = Vec::new();
+        let mut on_disk = Vec::new();
         let mut bytes = 0;
-        for result in state.listed.iter().skip(from as usize) {
-            bytes += result.text_bytes as usize;
+        for listed in state.listed.iter().skip(from as usize) {
+            bytes += listed.result.text_bytes as usize;
             if !results.is_empty() && bytes > most_bytes {
                 break;
             }
-            results.push(result.clone());
+            on_disk.extend(listed.on_disk().map(|place| (results.len(), place)));
+            results.push(listed.result.clone());
+        }
+        Some(BookPage { page: JobPage { total, results }, on_disk })
+    }
+
+    /// Takes the places of results in a new copy, by job and position.
+    pub fn relocate(&mut self, places: &[(JobId, u32, RecordPlace)]) {
+        for (id, position, place) in places {
+            let listed =
+                self.jobs.get_mut(id).and_then(|job| job.listed.get_mut(*position as usize));
+            if let Some(listed) = listed {
+                listed.place = Some(*place);
+            }
         }
-        Some(JobPage { total, results })
     }
 
     /// The body of an item, until its job has ended.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,11 +17,11 @@
 mod snapshot;
 mod state;
 
-pub use book::{JobBook, JobCounts};
+pub use book::{BookPage, JobBook, JobCounts};
 pub use item::{ItemRef, RewardEnd, RunEnd, RunEvent, RunOutcome, RunSpec};
 pub use order::run_order;
 pub use packed::{UnpackError, pack_text, unpack_text};
-pub use snapshot::SnapshotCursor;
+pub use snapshot::{SnapshotCursor, SnapshotPiece};
 
 /// Short names of the reasons for which a shard's server refuses a call.
 pub mod reason {
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use ids::{JobId, Moment};
+use ids::{JobId, Moment, RecordPlace};
 use prost::Message;
 use wire::peer::log_record::Body;
 use wire::peer::{
@@ -13,6 +13,22 @@
 use crate::item::{ItemPhase, ItemState};
 use crate::pack_text;
 
+/// A result that is on every copy of the log.
+#[derive(Debug)]
+pub(crate) struct ListedItem {
+    /// The result; without its text once that is read from the log alone.
+    pub result: JobResult,
+    /// Where its record lies in this box's copy, if that is known.
+    pub place: Option<RecordPlace>,
+}
+
+impl ListedItem {
+    /// Where the text has to be read, if it is not held.
+    pub fn on_disk(&self) -> Option<RecordPlace> {
+        self.place.filter(|_| self.result.packed_text.is_empty() && self.result.text_bytes > 0)
+    }
+}
+
 /// A job of the book.
 #[derive(Debug)]
 pub(crate) struct JobState {
@@ -22,7 +38,7 @@
     /// Items to start, best first.
     pub waiting: VecDeque<u32>,
     /// Results that are on every copy of the log, by position.
-    pub listed: Vec<JobResult>,
+    pub listed: Vec<ListedItem>,
     /// Positions handed out, listed or on the way to the log.
     pub positions: u32,
     pub ended: bool,
@@ -51,6 +67,16 @@
         freed
     }
 
+    /// Forgets the texts that can be read from the log. Says how many bytes.
+    pub fn forget_texts(&mut self) -> usize {
+        let mut freed = 0;
+        for listed in self.listed.iter_mut().filter(|listed| listed.place.is_some()) {
+            freed += std::mem::take(&mut listed.result.packed_text).len();
+        }
+        self.bytes = self.bytes.saturating_sub(freed);
+        freed
+    }
+
     /// The record of the job itself, or of the result before position `number`.
     pub fn logged_record(&self, id: &JobId, number: usize) -> LogRecord {
         let Some(position) = number.checked_sub(1) else {
@@ -59,7 +85,7 @@
         record(Body::Listed(ListedResult {
             job: id.to_string(),
             position: u32::try_from(position).unwrap_or(u32::MAX),
-            result: self.listed.get(position).cloned(),
+            result: self.listed.get(position).map(|listed| listed.result.clone()),
         }))
     }
 
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{accepted, at, book, events, job, run, start_all, text_of};
-use ids::JobId;
+use ids::{JobId, RecordPlace};
 use jobs::{JobBook, RewardEnd, RunOutcome, pack_text, run_order, unpack_text};
 use wire::peer::log_record::Body;
 use wire::peer::{ItemProgress, JobItem, LogRecord};
@@ -47,7 +47,7 @@
     let record = finish(&mut book, &again, events(4, 1, 4));
     book.apply(at(12), record);
     assert_eq!(text_of(&book, "j"), ["e1\ne2\ne3\ne4"]);
-    let page = book.page(&id("j"), 0, usize::MAX).expect("held");
+    let page = book.page(&id("j"), 0, usize::MAX).expect("held").page;
     assert_eq!(page.results[0].versions, [3, 4]);
 }
 
@@ -270,9 +270,9 @@
         let record = finish(&mut book, &spec, events(1, 3, 3));
         book.apply(at(12), record);
     }
-    let page = book.page(&id("j"), 1, 1).expect("held");
+    let page = book.page(&id("j"), 1, 1).expect("held").page;
     assert_eq!((page.total, page.results.len()), (4, 1));
-    assert_eq!(book.page(&id("j"), 4, 100).expect("held").results.len(), 0);
+    assert_eq!(book.page(&id("j"), 4, 100).expect("held").page.results.len(), 0);
     assert_eq!(book.page(&id("other"), 0, 100), None);
 }
 
@@ -343,7 +343,7 @@
     assert!(book.counts().bytes < before / 2, "{} of {before}", book.counts().bytes);
     assert_eq!(book.body(&id("j"), "item-3"), None);
     assert_eq!(text_of(&book, "j"), ["e1\ne2"]);
-    assert_eq!(book.page(&id("j"), 0, usize::MAX).expect("held").total, 4);
+    assert_eq!(book.page(&id("j"), 0, usize::MAX).expect("held").page.total, 4);
 }
 
 #[test]
@@ -356,3 +356,44 @@
     assert_eq!(unpack_text(b"").expect("of an item that was given up"), b"");
     unpack_text(&[0xff, 0xff, 0xff]).expect_err("refused");
 }
+
+/// Takes, runs, lists and ends a job of two items; its records lie at `offset` and behind.
+fn whole_job(book: &mut JobBook, name: &str, offset: u64) {
+    let place = |offset| Some(RecordPlace { offset, len: 9 });
+    let mut job = job(name, 1);
+    for item in &mut job.items {
+        item.id = format!("{name}-{}", item.id);
+    }
+    book.apply(at(0), accepted(job));
+    for (number, spec) in (1..).zip(start_all(book, at(1))) {
+        let record = finish(book, &spec, events(1, 2, 3));
+        book.apply_at(at(12), record, place(offset + number));
+    }
+    let end = book.end(&id(name)).expect("a record");
+    book.apply_at(at(13), end, place(offset + 3));
+}
+
+#[test]
+fn texts_of_jobs_that_ended_long_ago_lie_on_disk_only() {
+    let mut book = book();
+    whole_job(&mut book, "first", 100);
+    assert!(book.page(&id("first"), 0, usize::MAX).expect("held").on_disk.is_empty());
+    let held = book.bytes();
+    for number in 0..12 {
+        whole_job(&mut book, &format!("job-{number}"), 1_000 * (number + 1));
+    }
+    let view = book.page(&id("first"), 0, usize::MAX).expect("held");
+    let places = [RecordPlace { offset: 101, len: 9 }, RecordPlace { offset: 102, len: 9 }];
+    assert_eq!(view.on_disk, [(0, places[0]), (1, places[1])]);
+    assert!(view.page.results.iter().all(|result| result.done && result.text_bytes == 5));
+    assert!(book.bytes() < 13 * held, "texts of one job are not held any more");
+    assert_eq!(book.page(&id("first"), 1, 1).expect("held").on_disk, [(0, places[1])]);
+    // A copy is made from what lies on disk, and from then on is where it lies.
+    let mut cursor = book.snapshot_cursor();
+    let piece = book.snapshot_piece(&mut cursor, usize::MAX);
+    let found: Vec<RecordPlace> = piece.on_disk.iter().map(|(_, place)| *place).collect();
+    assert_eq!(found, places);
+    let moved = RecordPlace { offset: 7, len: 11 };
+    book.relocate(&[(id("first"), 1, moved)]);
+    assert_eq!(book.page(&id("first"), 1, 1).expect("held").on_disk, [(0, moved)]);
+}
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -62,6 +62,6 @@
 
 pub fn text_of(book: &JobBook, job: &str) -> Vec<String> {
     let page = book.page(&job.parse().expect("an id"), 0, usize::MAX).expect("the job is held");
-    let texts = page.results.iter().map(|result| unpack_text(&result.packed_text));
+    let texts = page.page.results.iter().map(|result| unpack_text(&result.packed_text));
     texts.map(|text| String::from_utf8(text.expect("packed")).expect("text")).collect()
 }
--- a/crates/jobs/tests/replay.rs
+++ b/crates/jobs/tests/replay.rs
@@ -89,10 +89,10 @@
         // Small pieces: each job is cut in many places.
         loop {
             let piece = lived.snapshot_piece(&mut cursor, 100);
-            if piece.is_empty() {
+            if piece.records.is_empty() {
                 break;
             }
-            for record in piece {
+            for record in piece.records {
                 copied.apply(at(0), record);
             }
         }
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -4,18 +4,19 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use ids::ShardIndex;
+use ids::{JobId, RecordPlace, ShardIndex};
 use joblog::{
     CopyHolder, DutyIntent, DutyView, EpochFormer, EpochId, FormFault, FormStep, LogCopyFile,
     PlanWrite, ReadPlan, ShardDuty, ShardPlan, encode_record, shard_duty,
 };
+use jobs::SnapshotCursor;
 use node::duties::{PlanSighting, shard_object};
 use platform::{Kind, StoreError};
 use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
-use wire::peer::{LogCopy, shard_answer, shard_request};
+use wire::peer::{LogCopy, log_record, shard_answer, shard_request};
 
 use crate::context::ShardContext;
 use crate::copies::on_disk;
@@ -43,8 +44,8 @@
         drop_superseded(&ctx, &keeper);
         if ctx.view.duties().is_read() && wants_shard(&ctx, &keeper, &mut no_plan_since) {
             match form_epoch(&ctx, &keeper).await {
-                Ok(log) => {
-                    serve_epoch(&ctx, &keeper, log).await;
+                Ok((log, places)) => {
+                    serve_epoch(&ctx, &keeper, log, &places).await;
                     continue;
                 }
                 Err(fault) => {
@@ -123,7 +124,12 @@
 }
 
 /// Writes the log until it ends, for whatever reason.
-async fn serve_epoch(ctx: &Arc<ShardContext>, keeper: &Arc<ShardKeeper>, log: EpochLog) {
+async fn serve_epoch(
+    ctx: &Arc<ShardContext>,
+    keeper: &Arc<ShardKeeper>,
+    log: EpochLog,
+    places: &[(JobId, u32, RecordPlace)],
+) {
     let (sender, work) = mpsc::channel(QUEUE);
     let ended = CancellationToken::new();
     let epoch = log.epoch.clone();
@@ -134,7 +140,8 @@
         bytes = counts.bytes;
         "serving"
     );
-    keeper.begin(ServedEpoch { epoch: epoch.clone(), log: sender, ended: ended.clone() });
+    let served = ServedEpoch { epoch: epoch.clone(), log: sender, ended: ended.clone() };
+    keeper.begin(served, places);
     let why = tokio::select! {
         () = write_log(Arc::clone(ctx), Arc::clone(keeper), log, work) => "copy lost",
         () = ended.cancelled() => "asked",
@@ -179,11 +186,11 @@
 async fn form_epoch(
     ctx: &Arc<ShardContext>,
     keeper: &Arc<ShardKeeper>,
-) -> Result<EpochLog, FormFault> {
+) -> Result<(EpochLog, Vec<(JobId, u32, RecordPlace)>), FormFault> {
     let shard = keeper.shard();
     let number = u64::from(rand::rng().random::<u32>());
     let mut former = EpochFormer::new(ctx.me.clone(), number, keeper.book_epoch());
-    let mut file = None;
+    let mut copy = None;
     loop {
         if former.wants_partners() {
             former.partners(ctx.choose_copies(shard));
@@ -199,8 +206,8 @@
             }
             FormStep::Copy { epoch, partners } => {
                 keeper.book().close_log();
-                file = copy_book(ctx, keeper, &epoch, &partners).await;
-                former.copied(file.is_some());
+                copy = copy_book(ctx, keeper, &epoch, &partners).await;
+                former.copied(copy.is_some());
             }
             FormStep::WritePlan { base, plan } => {
                 let end = write_plan(ctx, shard, base, &plan).await;
@@ -220,7 +227,9 @@
                 let (epoch, partners) = (plan.epoch.clone(), plan.copies[1..].to_vec());
                 note_plan(ctx, shard, ReadPlan { revision, plan });
                 ctx.copies.clean(shard, epoch.clone()).await;
-                return Ok(EpochLog { epoch, file, partners });
+                let places = copy.as_ref().map(|copy| copy.places.clone()).unwrap_or_default();
+                let log = EpochLog { epoch, file: copy.map(|copy| copy.file), partners };
+                return Ok((log, places));
             }
             FormStep::Fail(fault) => return Err(fault),
         }
@@ -256,7 +265,9 @@
     keeper.reset();
     let (now, loaded) = (ctx.view.now(), Arc::clone(keeper));
     let read = on_disk(shard, "read own copy", move || {
-        folder.read(shard, &read_epoch, |record| loaded.book().apply(now, record))
+        folder.read(shard, &read_epoch, |record, place| {
+            loaded.book().apply_at(now, record, Some(place));
+        })
     });
     let Some(records) = read.await else { return false };
     log::info!(
@@ -274,21 +285,13 @@
     keeper: &ShardKeeper,
     epoch: &EpochId,
     partners: &[CopyHolder],
-) -> Option<LogCopyFile> {
+) -> Option<NewCopy> {
     let shard = keeper.shard();
-    let mut cursor = keeper.book().snapshot_cursor();
-    let mut next = || {
-        let records = keeper.book().snapshot_piece(&mut cursor, PIECE_BYTES);
-        let mut piece = Vec::new();
-        for record in &records {
-            encode_record(record, &mut piece);
-        }
-        piece
-    };
+    let mut reader = SnapshotReader::new(keeper);
     let mut file = None;
-    let mut piece = next();
+    let mut piece = reader.next().await?;
     loop {
-        let following = next();
+        let following = reader.next().await?;
         let copy = LogCopy {
             shard: shard.get(),
             epoch: epoch.to_string(),
@@ -302,14 +305,60 @@
         if !sent.into_iter().all(|taken| taken) {
             return None;
         }
-        file = Some(own?);
+        let own = own?;
         if copy.last {
-            return file;
+            return Some(NewCopy { file: own, places: reader.places });
         }
+        file = Some(own);
         piece = following;
     }
 }
 
+/// This box's copy of a new epoch, and where the results lie in it.
+struct NewCopy {
+    file: LogCopyFile,
+    places: Vec<(JobId, u32, RecordPlace)>,
+}
+
+/// Gives the book as encoded records, piece by piece.
+struct SnapshotReader<'a> {
+    keeper: &'a ShardKeeper,
+    cursor: SnapshotCursor,
+    /// Bytes given so far.
+    given: u64,
+    places: Vec<(JobId, u32, RecordPlace)>,
+}
+
+impl<'a> SnapshotReader<'a> {
+    fn new(keeper: &'a ShardKeeper) -> Self {
+        let cursor = keeper.book().snapshot_cursor();
+        Self { keeper, cursor, given: 0, places: Vec::new() }
+    }
+
+    /// The next piece, empty after the last; `None` when this box's copy cannot be read.
+    async fn next(&mut self) -> Option<Vec<u8>> {
+        let piece = self.keeper.book().snapshot_piece(&mut self.cursor, PIECE_BYTES);
+        let mut records = piece.records;
+        let places = piece.on_disk.iter().map(|(_, place)| *place).collect();
+        let loaded = self.keeper.load(places).await?;
+        for ((index, _), record) in piece.on_disk.into_iter().zip(loaded) {
+            records[index] = record;
+        }
+        let mut bytes = Vec::new();
+        for record in &records {
+            let mut place = encode_record(record, &mut bytes);
+            place.offset += self.given;
+            if let Some(log_record::Body::Listed(listed)) = &record.body
+                && let Ok(job) = listed.job.parse()
+            {
+                self.places.push((job, listed.position, place));
+            }
+        }
+        self.given += bytes.len() as u64;
+        Some(bytes)
+    }
+}
+
 /// Writes a piece to this box's own copy; the last one is synced.
 async fn write_piece(
     ctx: &ShardContext,
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -3,16 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{JobId, ShardIndex};
+use ids::{JobId, RecordPlace, ShardIndex};
 use joblog::{CopyError, EpochId};
-use jobs::reason;
+use jobs::{BookPage, reason};
 use links::{AnswerEnd, AnswerSink, PeerHandler};
 use node::feed::serve_feed;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 use wire::peer::{
-    Beat, Item, Job, JobAccepted, JobBytes, JobEnded, JobPage, JobRead, LogAppend, LogCopy,
-    LogRecord, LogSynced, Refused, RefusedKind, Request, ShardAnswer, ShardHandOver, item,
+    Beat, Item, Job, JobAccepted, JobBytes, JobEnded, JobPage, JobRead, ListedResult, LogAppend,
+    LogCopy, LogRecord, LogSynced, Refused, RefusedKind, Request, ShardAnswer, ShardHandOver, item,
     log_record, request, shard_answer, shard_request,
 };
 
@@ -161,19 +161,39 @@
         let mut changes = keeper.changes();
         loop {
             let page = keeper.book().page(&id, read.from, most);
-            let Some(page) = page else { return Err(self.surely_unknown(keeper).await) };
+            let Some(BookPage { page, on_disk }) = page else {
+                return Err(self.surely_unknown(keeper).await);
+            };
             let whole = u32::try_from(page.results.len()).unwrap_or(u32::MAX);
             let more = read.from.saturating_add(whole) < page.total;
             if !page.results.is_empty() || !more || Instant::now() >= until {
-                return Self::page(keeper, page);
+                return Self::page(keeper, page, on_disk).await;
             }
             // Whether it changed or the time is over, the page is looked at once more.
             let _elapsed = time::timeout_at(until, changes.changed()).await;
         }
     }
 
-    /// A page may be shown only while this box surely serves the shard.
-    fn page(keeper: &ShardKeeper, page: JobPage) -> Answered {
+    /// A page may be shown only while this box surely serves the shard. Texts that are not held
+    /// are read back.
+    async fn page(
+        keeper: &ShardKeeper,
+        mut page: JobPage,
+        on_disk: Vec<(usize, RecordPlace)>,
+    ) -> Answered {
+        let places = on_disk.iter().map(|(_, place)| *place).collect();
+        let Some(records) = keeper.load(places).await else { return Err(not_kept()) };
+        for ((index, _), record) in on_disk.into_iter().zip(records) {
+            match record.body {
+                Some(log_record::Body::Listed(ListedResult { result: Some(result), .. }))
+                    if result.item == page.results[index].item =>
+                {
+                    page.results[index] = result;
+                }
+                // The copy was replaced meanwhile: whoever serves the shard now knows better.
+                _ => return Err(not_kept()),
+            }
+        }
         if keeper.is_proven() { Ok(shard_answer::Body::Page(page)) } else { Err(not_kept()) }
     }
 
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use ids::{FencingToken, JobId, Moment, ShardIndex};
+use ids::{FencingToken, JobId, Moment, RecordPlace, ShardIndex};
 use joblog::EpochId;
 use jobs::JobBook;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -12,6 +12,7 @@
 use wire::peer::LogRecord;
 
 use crate::context::ShardContext;
+use crate::copies::on_disk;
 use crate::log_writer::LogWork;
 
 /// After this long without a proof that all copies still take appends, another box may serve
@@ -103,11 +104,14 @@
         *lock(&self.book_epoch) = epoch;
     }
 
-    /// Begins to serve under an epoch.
-    pub fn begin(&self, served: ServedEpoch) {
+    /// Begins to serve under an epoch, with the places of results in its copy.
+    pub fn begin(&self, served: ServedEpoch, places: &[(JobId, u32, RecordPlace)]) {
         *lock(&self.proven_at) = None;
         self.set_book_epoch(Some(served.epoch.clone()));
-        self.book().open_log();
+        let mut book = self.book();
+        book.relocate(places);
+        book.open_log();
+        drop(book);
         *lock(&self.serving) = Some(served);
         self.wake();
     }
@@ -140,8 +144,8 @@
         self.served_token().is_some()
     }
 
-    /// Applies records that are on all copies.
-    pub fn apply(&self, records: Vec<LogRecord>) {
+    /// Applies records that are on all copies, each with its place in this box's copy.
+    pub fn apply(&self, records: Vec<(LogRecord, RecordPlace)>) {
         let now = self.ctx.view.now();
         let first = lock(&self.proven_at).replace(now).is_none();
         if first {
@@ -151,8 +155,8 @@
             return;
         }
         let mut book = self.book();
-        for record in records {
-            book.apply(now, record);
+        for (record, place) in records {
+            book.apply_at(now, record, Some(place));
         }
         let counts = book.counts();
         drop(book);
@@ -160,6 +164,16 @@
         self.wake();
     }
 
+    /// Reads whole records back from this box's copy; `None` when they cannot be read.
+    pub async fn load(&self, places: Vec<RecordPlace>) -> Option<Vec<LogRecord>> {
+        if places.is_empty() {
+            return Some(Vec::new());
+        }
+        let (folder, shard) = (self.ctx.copies.folder().clone(), self.shard);
+        let epoch = self.book_epoch()?;
+        on_disk(shard, "read results", move || folder.load(shard, &epoch, &places)).await
+    }
+
     /// Sends records to the log without waiting. While the shard is not served they are
     /// forgotten, and the next epoch begins without them.
     pub fn log(&self, records: Vec<LogRecord>) {
--- a/crates/shards/src/log_writer.rs
+++ b/crates/shards/src/log_writer.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use ids::ShardIndex;
+use ids::{RecordPlace, ShardIndex};
 use joblog::{CopyHolder, EpochId, LogCopyFile, encode_record};
+use links::CallError;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time;
 use wire::peer::{LogAppend, LogRecord, shard_answer, shard_request};
@@ -72,6 +73,7 @@
             round.add(more);
         }
         let Some(file) = log.file.take() else { return };
+        round.lies_from(file.len());
         let Some(file) = write_round(&ctx, keeper.shard(), &log, file, &round).await else {
             return;
         };
@@ -86,7 +88,7 @@
 
 #[derive(Default)]
 struct LogRound {
-    records: Vec<LogRecord>,
+    records: Vec<(LogRecord, RecordPlace)>,
     bytes: Vec<u8>,
     waiters: Vec<oneshot::Sender<()>>,
 }
@@ -94,11 +96,16 @@
 impl LogRound {
     fn add(&mut self, work: LogWork) {
         for record in work.records {
-            encode_record(&record, &mut self.bytes);
-            self.records.push(record);
+            let place = encode_record(&record, &mut self.bytes);
+            self.records.push((record, place));
         }
         self.waiters.extend(work.done);
     }
+
+    /// The round's first byte lies at `offset` of the copy.
+    fn lies_from(&mut self, offset: u64) {
+        self.records.iter_mut().for_each(|(_, place)| place.offset += offset);
+    }
 }
 
 async fn write_round(
