--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -14,10 +14,10 @@
 use reqwest::{Client, Method};
 use serde::Serialize;
 use serde_json::{Value, json};
+use standins::proxy::FaultProxy;
 use tokio::time;
 
 use crate::process::{ChildProcess, Signal};
-use crate::relay::PeerRelay;
 
 /// The deployment key of the demo; at least 16 bytes.
 const KEY: &str = "demo-deployment-key-0123456789";
@@ -68,7 +68,7 @@
     /// The platform stand-in.
     pub platform: ChildProcess,
     /// Relays by the id of the box behind each.
-    pub relays: BTreeMap<String, PeerRelay>,
+    pub relays: BTreeMap<String, FaultProxy>,
     /// Boxes by id.
     pub boxes: BTreeMap<String, ChildProcess>,
     /// Engines by id.
@@ -204,13 +204,16 @@
         args.extend(words(&["--platform", &platform, "--key-file", &key_file]));
         args.extend(words(&["--lease-term-ms", &term, "--drain-notice-ms", "300"]));
         args.extend(words(&["--peers", &self.peer_addresses().join(",")]));
-        let relay = if self.plan.relays { Some(PeerRelay::start().await?) } else { None };
+        let relay = if self.plan.relays { Some(FaultProxy::start().await?) } else { None };
         if let Some(relay) = &relay {
             args.extend(words(&["--peer-advertise", &relay.address.to_string()]));
         }
         let child = ChildProcess::start("gannetwayd", &args, self.log(&id)?).await?;
         if let Some(relay) = relay {
-            relay.lead_to(child.addresses.get(BOUND_WORD).map_or("", String::as_str));
+            let bound = child.addresses.get(BOUND_WORD).and_then(|address| address.parse().ok());
+            if let Some(address) = bound {
+                relay.aim(address);
+            }
             self.relays.insert(id.clone(), relay);
         }
         let record = json!({ "id": id, "domain": domain, "address": peer_address(&child) });
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -6,4 +6,3 @@
 
 pub mod fleet;
 pub mod process;
-pub mod relay;
--- a/crates/demo/src/process.rs
+++ b/crates/demo/src/process.rs
@@ -56,6 +56,11 @@
     Err(io::Error::new(io::ErrorKind::NotFound, hint))
 }
 
+/// Sends a signal to a process by its id; only ever to one that the caller has started.
+pub async fn send_signal(id: u32, signal: Signal) -> io::Result<()> {
+    Command::new("kill").arg(signal.flag()).arg(id.to_string()).status().await.map(|_done| ())
+}
+
 impl ChildProcess {
     /// Starts a program and waits until it says where it listens.
     pub async fn start(name: &str, args: &[String], log: Stdio) -> io::Result<Self> {
@@ -91,7 +96,7 @@
     /// Sends a signal.
     pub async fn signal(&self, signal: Signal) -> io::Result<()> {
         let Some(id) = self.child.id() else { return Ok(()) };
-        Command::new("kill").arg(signal.flag()).arg(id.to_string()).status().await.map(|_done| ())
+        send_signal(id, signal).await
     }
 
     /// Waits for its end.
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -9,10 +9,10 @@
 use client::OpenStep;
 use demo::fleet::{Fleet, FleetPlan};
 use demo::process::{Signal, program};
-use demo::relay::PeerRelay;
 use ids::{ModelVersion, PoolName, StepNumber, TokenCount, TrainerId};
 use ledger::{GroupSpec, SlotSet, StepSpec};
 use serde_json::{Value, json};
+use standins::proxy::FaultProxy;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
@@ -208,7 +208,7 @@
 }
 
 /// Whether a box greets whoever connects to it through its relay.
-async fn greets(relay: &PeerRelay) -> bool {
+async fn greets(relay: &FaultProxy) -> bool {
     let mut stream = TcpStream::connect(relay.address).await.expect("the relay is there");
     stream.read_u8().await.is_ok()
 }
@@ -220,7 +220,7 @@
     pull(&mut step, &mut slots, 8).await;
     for relay in fleet.relays.values() {
         assert!(greets(relay).await);
-        relay.set_cut(true);
+        relay.cut();
         assert!(!greets(relay).await, "the cut does not cut");
     }
     pull(&mut step, &mut slots, 32).await;
@@ -229,7 +229,7 @@
         let (status, _) = call(entry, &format!("cut-{index}"), true).await;
         assert_eq!(status, 200, "{entry}");
     }
-    fleet.relays.values().for_each(|relay| relay.set_cut(false));
+    fleet.relays.values().for_each(FaultProxy::heal);
     pull(&mut step, &mut slots, SAMPLES).await;
     assert!(step.next().await.expect("whole").is_none());
     step.close().await.expect("closed");
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod engine_model;
 pub mod plain;
 pub mod platform;
+pub mod proxy;
 pub mod serve;
