Send pages between boxes in pieces of 32 KB

Each link keeps a write buffer as large as its largest frame, pages are up to 0.6 MB, and 54 entry boxes read them.

Change: a page goes out as several items of one answer; the entry box joins them.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -99,12 +99,23 @@
             time_left_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
             body: Some(request::Body::Shard(ShardRequest { body: Some(body) })),
         };
-        let stream = self.links.call(address, request).await.map_err(|error| fault_of(&error))?;
-        let item = stream.single(time).await.map_err(|error| fault_of(&error))?;
-        match item.body {
-            Some(item::Body::Shard(ShardAnswer { body: Some(answer) })) => Ok(answer),
-            _ => Err(ShardFault::Unknown),
+        let called = self.links.call(address, request).await;
+        let mut stream = called.map_err(|error| fault_of(&error))?;
+        let mut whole = None;
+        while let Some(item) = stream.next(time).await.map_err(|error| fault_of(&error))? {
+            let Some(item::Body::Shard(ShardAnswer { body: Some(answer) })) = item.body else {
+                return Err(ShardFault::Unknown);
+            };
+            whole = match (whole, answer) {
+                (None, answer) => Some(answer),
+                (Some(shard_answer::Body::Page(mut page)), shard_answer::Body::Page(more)) => {
+                    page.results.extend(more.results);
+                    Some(shard_answer::Body::Page(page))
+                }
+                (Some(_), _) => return Err(ShardFault::Unknown),
+            };
         }
+        whole.ok_or(ShardFault::Unknown)
     }
 
     /// The shard of the jobs that are handed in at `host`. The jobs of one trainer share a host,
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -22,6 +22,8 @@
 
 /// Longest wait for the log when a call changes something.
 const LOG_TIME: Duration = Duration::from_millis(2_500);
+/// Bytes of text in one piece of a page.
+const PIECE_BYTES: usize = 32 << 10;
 /// Longest wait of a read.
 const MOST_WAIT: Duration = Duration::from_secs(1);
 
@@ -47,9 +49,17 @@
             () = cancel.cancelled() => return,
         };
         match answered {
+            Ok(shard_answer::Body::Page(page)) => {
+                for piece in page_pieces(page) {
+                    let body = shard_answer::Body::Page(piece);
+                    if !sink.item(shard_item(body)).await {
+                        return;
+                    }
+                }
+                sink.end(AnswerEnd::default()).await;
+            }
             Ok(body) => {
-                let answer = ShardAnswer { body: Some(body) };
-                if sink.item(Item { body: Some(item::Body::Shard(answer)) }).await {
+                if sink.item(shard_item(body)).await {
                     sink.end(AnswerEnd::default()).await;
                 }
             }
@@ -60,6 +70,29 @@
     async fn beat(&self, _beat: Beat) {}
 }
 
+fn shard_item(body: shard_answer::Body) -> Item {
+    Item { body: Some(item::Body::Shard(ShardAnswer { body: Some(body) })) }
+}
+
+/// A page in pieces of some [`PIECE_BYTES`], the first one even if it holds no result: a
+/// connection's buffers stay as large as the largest frame that it has passed.
+fn page_pieces(page: JobPage) -> Vec<JobPage> {
+    let total = page.total;
+    let mut pieces = vec![JobPage { total, results: Vec::new() }];
+    let mut bytes = 0;
+    for result in page.results {
+        if bytes >= PIECE_BYTES {
+            pieces.push(JobPage { total, results: Vec::new() });
+            bytes = 0;
+        }
+        bytes += result.packed_text.len();
+        if let Some(piece) = pieces.last_mut() {
+            piece.results.push(result);
+        }
+    }
+    pieces
+}
+
 fn refused(kind: RefusedKind, reason: &str, message: &str) -> Refused {
     Refused {
         kind: kind.into(),
