--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Items of jobs that run which are not listed yet, by the name of their model.
+    pub fn open_items(&self) -> HashMap<&str, usize> {
+        let mut counts = HashMap::new();
+        for state in self.open.iter().filter_map(|id| self.jobs.get(id)) {
+            let open = state.items.iter().filter(|item| item.phase != ItemPhase::Listed).count();
+            *counts.entry(state.job.model.as_str()).or_default() += open;
+        }
+        counts
+    }
+
     /// Applies a record that is on every copy of the log. Records that say nothing new change
     /// nothing, so a record may be applied twice.
     pub fn apply(&mut self, now: Moment, record: LogRecord) {
--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -4,7 +4,7 @@
 //! that serves the shard of the service's name claims the lease. It acts only while it holds it,
 //! and after a change of holder waits until no order of the earlier one can be near.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,6 +16,7 @@
 use platform::orders::SwapMode;
 use platform::{Kind, StoreError};
 use routing::{RouteKind, TargetRecord};
+use swaps::{divide_engines, home_model};
 use tokio::time;
 use wire::peer::HeldLease;
 
@@ -248,7 +249,7 @@
         .filter(|record| !record.leaving)
         .cloned()
         .collect();
-    let most = (engines.len() / ctx.settings.load_parts).max(1);
+    let most = loads_at_once(engines.len(), ctx.settings.load_parts);
     let mut due = due_engines(ctx, held, &engines);
     due.sort_by_key(|(gap, load, ..)| (std::cmp::Reverse(*gap), *load));
     for (_, _, target, model, version) in due {
@@ -268,32 +269,57 @@
     }
 }
 
+/// One engine in `parts`, rounded, and one at least.
+fn loads_at_once(engines: usize, parts: usize) -> usize {
+    ((engines + parts / 2) / parts).max(1)
+}
+
 type DueEngine = (u64, u32, TargetRecord, ModelName, ids::ModelVersion);
 
-/// Engines that hold an older version than the named one: by how much, and their load.
+/// Engines that hold an older version than the named one of the model that they follow: by how
+/// much, and their load.
 fn due_engines(
     ctx: &ShardContext,
     held: &ServiceClaim,
     engines: &[TargetRecord],
 ) -> Vec<DueEngine> {
     let ordered = lock(&held.ordered).clone();
+    let homes = home_models(ctx, &held.service, engines);
     let mut due = Vec::new();
-    for engine in engines {
-        if ordered.contains(&engine.instance) {
-            continue;
-        }
-        let load = ctx.view.board().mine(&engine.instance);
-        for model in &engine.models {
-            let Some(named) = ctx.view.named_version(&model.model) else { continue };
-            let gap = named.get().saturating_sub(model.version.get());
-            if gap > 0 {
-                due.push((gap, load, engine.clone(), model.model.clone(), named));
-            }
+    for engine in engines.iter().filter(|engine| !ordered.contains(&engine.instance)) {
+        let Some(home) = homes.get(&engine.instance) else { continue };
+        let held = engine.models.iter().find(|held| held.model == *home);
+        let (Some(held), Some(named)) = (held, ctx.view.named_version(home)) else { continue };
+        let gap = named.get().saturating_sub(held.version.get());
+        if gap > 0 {
+            let load = ctx.view.board().mine(&engine.instance);
+            due.push((gap, load, engine.clone(), home.clone(), named));
         }
     }
     due
 }
 
+/// The model that each engine follows: one of those for which a version is named.
+fn home_models(
+    ctx: &ShardContext,
+    service: &ServiceName,
+    engines: &[TargetRecord],
+) -> HashMap<InstanceId, ModelName> {
+    let of_service = ctx.view.engine_services().into_iter().find(|(name, _)| name == service);
+    let mut models = of_service.map(|(_, models)| models).unwrap_or_default();
+    models.retain(|model| ctx.view.named_version(model).is_some());
+    models.sort();
+    let work = ctx.work.of(ctx.view.now(), &models);
+    let counts = divide_engines(engines.len(), &work);
+    let mut instances: Vec<&InstanceId> = engines.iter().map(|engine| &engine.instance).collect();
+    instances.sort();
+    let homes = instances.into_iter().enumerate().filter_map(|(position, instance)| {
+        let model = home_model(&counts, position)?;
+        Some((instance.clone(), models[model].clone()))
+    });
+    homes.collect()
+}
+
 /// Runs go on under the new version, unless a sample must come from a single one.
 fn swap_mode(ctx: &ShardContext, service: &ServiceName) -> SwapMode {
     let table = ctx.view.table();
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -15,6 +15,7 @@
 
 use crate::copies::OpenCopies;
 use crate::peers::PeerTable;
+use crate::work::WorkBoard;
 
 /// Shared by all tasks of a keeping box.
 #[derive(Debug)]
@@ -31,6 +32,8 @@
     pub copies: OpenCopies,
     /// Which boxes are heard.
     pub peers: PeerTable,
+    /// How much work each model has.
+    pub work: WorkBoard,
     /// Set once the box is asked to stop.
     pub stopping: CancellationToken,
     retiring: Mutex<HashSet<BoxId>>,
@@ -61,6 +64,7 @@
             links,
             copies,
             peers,
+            work: WorkBoard::default(),
             stopping: CancellationToken::new(),
             retiring: Mutex::default(),
             leases: Mutex::default(),
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -151,6 +151,7 @@
             shard_request::Body::Copy(copy) => self.copy(copy).await,
             shard_request::Body::Beat(beat) => {
                 self.ctx.peers.heard(self.ctx.view.now(), &beat);
+                self.ctx.work.heard(self.ctx.view.now(), &beat);
                 Ok(shard_answer::Body::Beat(own_beat(&self.ctx, &self.keepers)))
             }
             shard_request::Body::HandOver(hand_over) => self.hand_over(&hand_over),
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -18,6 +18,7 @@
 mod reward;
 mod role;
 mod run;
+mod work;
 
 pub use context::ShardContext;
 pub use keeper::ShardKeeper;
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -157,6 +157,7 @@
         leaving: ctx.is_leaving(),
         domain: ctx.me.domain.to_string(),
         leases: ctx.held_leases(),
+        work: ctx.work.own(),
     }
 }
 
@@ -166,6 +167,7 @@
     loop {
         turn += 1;
         let now = ctx.view.now();
+        ctx.work.sample(&keepers);
         let others: Vec<_> = ctx
             .view
             .duties()
@@ -182,7 +184,10 @@
                 let asked_at = time::Instant::now();
                 let beat = shard_request::Body::Beat(own_beat(&ctx, &keepers));
                 match ctx.ask(&other.address, BEAT_TIME, beat).await {
-                    Ok(shard_answer::Body::Beat(beat)) => ctx.peers.heard(ctx.view.now(), &beat),
+                    Ok(shard_answer::Body::Beat(beat)) => {
+                        ctx.peers.heard(ctx.view.now(), &beat);
+                        ctx.work.heard(ctx.view.now(), &beat);
+                    }
                     Ok(_) => {}
                     Err(CallError::NotSent { .. }) if asked_at.elapsed() < REFUSED_TIME => {
                         ctx.peers.refused(ctx.view.now(), &other.box_id);
--- a/crates/swaps/src/lib.rs
+++ b/crates/swaps/src/lib.rs
@@ -7,5 +7,7 @@
 //! everything back.
 
 mod conductor;
+mod homes;
 
 pub use conductor::{ORDER_LIFE, SwapAction, SwapConductor, SwapOrder, SwapProgress};
+pub use homes::{divide_engines, home_model};
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -172,6 +172,38 @@
         package: "coord",
         test: "never_goes_back",
     },
+    Mutation {
+        name: "platform: a slow copy ends the epoch while the store is away",
+        file: "crates/shards/src/log_writer.rs",
+        from: "let again = !refused && !ctx.view.store_state().up;",
+        to: "let again = false && !refused;",
+        package: "platform-standin",
+        test: "a_copy_that_is_slow",
+    },
+    Mutation {
+        name: "platform: an entry box hears of the store from itself alone",
+        file: "crates/front/src/role.rs",
+        from: "tokio::spawn(follow_feed(v(), links.clone(), fed, end.clone()));",
+        to: "drop((fed, links.clone(), follow_feed));",
+        package: "platform-standin",
+        test: "an_entry_box_without_the_store",
+    },
+    Mutation {
+        name: "platform: positions are given between two epochs",
+        file: "crates/jobs/src/book.rs",
+        from: "        self.closed = true;",
+        to: "",
+        package: "jobs",
+        test: "nothing_is_listed",
+    },
+    Mutation {
+        name: "platform: texts that lie on disk are not read back",
+        file: "crates/shards/src/handler.rs",
+        from: "page.results[index] = result;",
+        to: "drop(result);",
+        package: "platform-standin",
+        test: "jobs_that_ended_long_ago",
+    },
 ];
 
 /// Runs every mutation; an error names those that no test noticed.
