Explain a failure from its id, and break off runs of a shard that cannot be proven

After 2.5 s without a proof of its shard a box breaks its runs off. Ruled out: stopping them with the first proof missed (a round may take 0.8 s).

--- a/crates/gannetctl/src/cli.rs
+++ b/crates/gannetctl/src/cli.rs
@@ -64,6 +64,18 @@
     Step(StepArgs),
     /// Sends a plain request to a service.
     Call(CallArgs),
+    /// Tells what the boxes' logs say of a request, a job or an item.
+    Explain(ExplainArgs),
+}
+
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArgs {
+    /// Id of a request, a job or an item.
+    pub id: String,
+    /// Logs of boxes, as they were written to standard output.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
 }
 
 /// Arguments of `apply`.
--- a/crates/gannetctl/src/main.rs
+++ b/crates/gannetctl/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod commands;
 mod exit;
+mod explain;
 mod output;
 mod queries;
 
@@ -29,9 +30,13 @@
 }
 
 async fn run(cli: Cli) -> Result<(), CliError> {
-    let entry = cli.entry_client()?;
     let output = cli.output;
+    if let Command::Explain(args) = &cli.command {
+        return explain::explain(args, output);
+    }
+    let entry = cli.entry_client()?;
     match cli.command {
+        Command::Explain(args) => explain::explain(&args, output),
         Command::Apply(apply) => commands::apply(&entry, apply, output).await,
         Command::Step(step) => commands::step(entry, step, output).await,
         Command::Call(call) => commands::call(&cli.entry, call, output).await,
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -19,6 +19,10 @@
 /// How often given-up items and old jobs are looked for.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
+/// Runs are broken off once this box has had no proof of its shard for so long: another box has
+/// most likely taken it over, and runs the same items.
+const RUN_TRUST: Duration = Duration::from_millis(2_500);
+
 /// What is done with an item next.
 enum NextStep {
     /// It runs at a target.
@@ -32,13 +36,17 @@
     let mut changes = keeper.changes();
     let mut beliefs = ctx.view.changes();
     let mut swept = time::Instant::now();
+    let mut proven = time::Instant::now();
     loop {
         if keeper.is_proven() {
+            proven = time::Instant::now();
             start_items(&ctx, &keeper);
             if swept.elapsed() >= SWEEP_EVERY {
                 swept = time::Instant::now();
                 sweep(&ctx, &keeper);
             }
+        } else if proven.elapsed() >= RUN_TRUST {
+            keeper.cancel_all_runs();
         }
         tokio::select! {
             _ = changes.changed() => {}
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -87,9 +87,7 @@
 
     /// Forgets all jobs and breaks their runs off.
     pub fn reset(&self) {
-        for (_, token) in lock(&self.runs).drain() {
-            token.cancel();
-        }
+        self.cancel_all_runs();
         *self.book() = JobBook::new(self.ctx.settings.retention);
         self.set_book_epoch(None);
     }
@@ -221,6 +219,17 @@
         }
     }
 
+    /// Breaks off the runs of all jobs.
+    pub fn cancel_all_runs(&self) {
+        let runs: Vec<_> = lock(&self.runs).drain().collect();
+        if !runs.is_empty() {
+            log::info!(target: "shard", shard = self.shard.get(), jobs = runs.len(); "runs broken off");
+        }
+        for (_, token) in runs {
+            token.cancel();
+        }
+    }
+
     /// Notes that the shard's server asks this box to go on in its place.
     pub fn ask(&self) {
         *lock(&self.asked) = true;
