Let a box with a copy stand in for a conductor that the store turns away

Change: boxes with a copy of the shard's log that reach the store take the lease once no write to it was told for its term (twice for the second). A box that makes new copies says so, and the next one waits. Pieces of a copy are read while the one before is sent.

Ruled out: a shorter term (priced renewals); the holder's own retries (the store did not answer it at all).

Test: cluster `a_holder_whom_the_store_refuses_is_replaced`, and a mutation for it.

--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -93,7 +93,7 @@
             }
         }
         for claim in &claims {
-            let serves = serves_shard(&ctx, &keepers, claim);
+            let serves = serves_shard(&ctx, &keepers, claim) || stands_in(&ctx, claim);
             if ctx.is_leaving() {
                 release(&ctx, claim);
             } else if serves || claim.may_be_mine() {
@@ -111,6 +111,22 @@
     keepers.get(index).is_some_and(|keeper| keeper.is_proven())
 }
 
+/// Whether this box should hold the lease in place of the shard's server: it has a copy of the
+/// shard's log, reaches the store, and no holder has told of a write for long. The server itself may be
+/// one that the store turns away.
+fn stands_in(ctx: &ShardContext, claim: &ServiceClaim) -> bool {
+    let shard = shard_of(claim.service.as_str(), ctx.settings.node.shards);
+    let duties = ctx.view.duties();
+    let Some(sighting) = duties.plan(shard) else { return false };
+    let Some(rank) = sighting.plan.rank(&ctx.me.box_id).filter(|rank| *rank > 0) else {
+        return false;
+    };
+    let note = ctx.peers.lease_note(&lease_object(&claim.service));
+    let told_at = note.map_or(sighting.seen_at, |note| note.heard_at.max(sighting.seen_at));
+    let silent = ctx.view.now().since(told_at);
+    ctx.view.store_state().up && silent >= TERM * u32::try_from(rank).unwrap_or(u32::MAX)
+}
+
 fn lease_object(service: &ServiceName) -> String {
     format!("engines-{service}")
 }
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -95,6 +95,14 @@
     };
     let boxes: Vec<_> = duties.boxes().map(|copy| copy.box_id.clone()).collect();
     let ranked = coord::rendezvous::ranked(&shard.to_string(), &boxes, boxes.len());
+    let before = plan.map(|plan| plan.rank(&ctx.me.box_id).unwrap_or_default()).unwrap_or_default();
+    let tries = plan.is_some_and(|plan| {
+        plan.copies.iter().take(before).any(|copy| ctx.peers.forms(now, shard, &copy.box_id))
+    });
+    if tries && !keeper.is_asked() {
+        // The box before this one is at it: two at once only slow each other.
+        return false;
+    }
     let first_rank = ranked.iter().position(|box_id| **box_id == ctx.me.box_id);
     let server_silent = plan.and_then(|plan| {
         let server = plan.server()?;
@@ -206,7 +214,9 @@
             }
             FormStep::Copy { epoch, partners } => {
                 keeper.book().close_log();
+                keeper.set_forming(true);
                 copy = copy_book(ctx, keeper, &epoch, &partners).await;
+                keeper.set_forming(false);
                 former.copied(copy.is_some());
             }
             FormStep::WritePlan { base, plan } => {
@@ -291,17 +301,17 @@
     let mut file = None;
     let mut piece = reader.next().await?;
     loop {
-        let following = reader.next().await?;
+        // The last piece is an empty one, so that the next can be read while this one is sent.
         let copy = LogCopy {
             shard: shard.get(),
             epoch: epoch.to_string(),
             first: file.is_none(),
-            last: following.is_empty(),
+            last: piece.is_empty(),
             records: piece,
         };
         let own = write_piece(ctx, shard, epoch, file.take(), &copy);
         let sent = join_all(partners.iter().map(|partner| send_piece(ctx, &copy, partner)));
-        let (own, sent) = tokio::join!(own, sent);
+        let (own, sent, following) = tokio::join!(own, sent, reader.next());
         if !sent.into_iter().all(|taken| taken) {
             return None;
         }
@@ -310,6 +320,7 @@
             return Some(NewCopy { file: own, places: reader.places });
         }
         file = Some(own);
+        let following = following?;
         piece = following;
     }
 }
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -1,6 +1,7 @@
 //! One shard on this box: the book of jobs, and whether it is served here.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -52,6 +53,8 @@
     asked: Mutex<bool>,
     /// The epoch whose acknowledged records the book holds.
     book_epoch: Mutex<Option<EpochId>>,
+    /// Set while new copies are made.
+    forming: AtomicBool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -72,6 +75,7 @@
             runs: Mutex::default(),
             asked: Mutex::new(false),
             book_epoch: Mutex::default(),
+            forming: AtomicBool::new(false),
         }
     }
 
@@ -102,6 +106,18 @@
         *lock(&self.book_epoch) = epoch;
     }
 
+    /// Whether new copies are being made, to serve the shard.
+    pub fn is_forming(&self) -> bool {
+        self.forming.load(Ordering::Relaxed)
+    }
+
+    /// Notes that new copies are being made, or no more.
+    pub fn set_forming(&self, forming: bool) {
+        self.forming.store(forming, Ordering::Relaxed);
+        // Other boxes need not try as well.
+        self.ctx.news.notify_one();
+    }
+
     /// Begins to serve under an epoch, with the places of results in its copy.
     pub fn begin(&self, served: ServedEpoch, places: &[(JobId, u32, RecordPlace)]) {
         *lock(&self.proven_at) = None;
@@ -236,6 +252,11 @@
         self.wake();
     }
 
+    /// Whether it is asked, and has not looked yet.
+    pub fn is_asked(&self) -> bool {
+        *lock(&self.asked)
+    }
+
     /// Whether it was asked, since the last call.
     pub fn take_asked(&self) -> bool {
         std::mem::take(&mut *lock(&self.asked))
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -44,6 +44,8 @@
     notes: HashMap<String, LeaseNote>,
     /// When a box last refused connections.
     refused: HashMap<BoxId, Moment>,
+    /// When a box last said that it makes new copies of a shard.
+    forming: HashMap<(ShardIndex, BoxId), Moment>,
     /// When a call to a box last broke off or got no answer in time.
     failed: HashMap<BoxId, Moment>,
 }
@@ -75,6 +77,9 @@
             let key = (ShardIndex::new(served.shard), box_id.clone());
             states.served.insert(key, (FencingToken::new(served.token), now));
         }
+        for shard in &beat.forming {
+            states.forming.insert((ShardIndex::new(*shard), box_id.clone()), now);
+        }
         for held in &beat.leases {
             let token = FencingToken::new(held.token);
             let known = states.notes.get(&held.name);
@@ -125,6 +130,12 @@
             .is_some_and(|state| !state.leaving && now.since(state.heard_at) < FIT_TIME)
     }
 
+    /// Whether a box makes new copies of a shard, as it has said a moment ago.
+    pub fn forms(&self, now: Moment, shard: ShardIndex, box_id: &BoxId) -> bool {
+        let told = self.lock().forming.get(&(shard, box_id.clone())).copied();
+        told.is_some_and(|at| now.since(at) < FIT_TIME)
+    }
+
     /// How long a box has not said that it serves a shard under `token` or a later one.
     pub fn silent(
         &self,
@@ -158,6 +169,11 @@
         domain: ctx.me.domain.to_string(),
         leases: ctx.held_leases(),
         work: ctx.work.own(),
+        forming: keepers
+            .iter()
+            .filter(|keeper| keeper.is_forming())
+            .map(|keeper| keeper.shard().get())
+            .collect(),
     }
 }
 
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -196,6 +196,14 @@
         package: "jobs",
         test: "nothing_is_listed",
     },
+    Mutation {
+        name: "platform: nobody stands in for a holder whom the store refuses",
+        file: "crates/shards/src/conductor.rs",
+        from: "|| stands_in(&ctx, claim);",
+        to: "; let _ = stands_in;",
+        package: "platform-standin",
+        test: "a_holder_whom",
+    },
     Mutation {
         name: "platform: texts that lie on disk are not read back",
         file: "crates/shards/src/handler.rs",
