Ask for no new callers while a box is cut off

Change: an entry box that hears neither the store, nor fresh news of it, nor any shard's server for 0.6 s is cut off: it is not ready, and turns calls about jobs away at once. An outage of the store alone cuts nobody off, since the servers still say that they serve. A follower that is not fed any more first asks whether the store answers.

Ruled out: that callers reach no other domain (they do).

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
 use ids::ShardIndex;
 use joblog::shard_of;
@@ -12,9 +14,10 @@
 use node::NodeView;
 use platform::calls::{self, JobCall};
 use routing::Route;
+use tokio::time;
 use wire::peer::{
-    JobBody, JobEnd, JobRead, JobSubmit, RefusedKind, Request, ShardAnswer, ShardRequest, item,
-    request, shard_answer, shard_request,
+    JobBody, JobEnd, JobRead, JobSubmit, RefusedKind, Request, ServedAsk, ShardAnswer,
+    ShardRequest, item, request, shard_answer, shard_request,
 };
 
 use crate::answer::{self, FrontBody};
@@ -68,13 +71,11 @@
         time: Duration,
         body: &shard_request::Body,
     ) -> Result<shard_answer::Body, ShardFault> {
-        let addresses: Vec<String> = {
-            let duties = self.view.duties();
-            let copies = duties.plan(shard).map(|sighting| sighting.plan.copies.clone());
-            copies.unwrap_or_default().into_iter().map(|copy| copy.address).collect()
-        };
         let mut fault = ShardFault::NotServed;
-        for address in addresses {
+        if self.view.is_isolated() {
+            return Err(fault);
+        }
+        for address in self.addresses(shard) {
             match self.ask_at(&address, id, time, body.clone()).await {
                 Ok(answer) => return Ok(answer),
                 Err(ShardFault::NotServed) => {}
@@ -118,6 +119,29 @@
         whole.ok_or(ShardFault::Unknown)
     }
 
+    /// Whether any shard's server says that it serves it.
+    pub async fn is_any_served(&self, time: Duration) -> bool {
+        let shards = (0..self.view.settings.shards).map(ShardIndex::new);
+        let asked = shards.map(|shard| async move {
+            let body = shard_request::Body::Served(ServedAsk { shard: shard.get() });
+            // In parallel: a copy's box may serve the shard by now.
+            let addresses = self.addresses(shard);
+            let asked =
+                addresses.iter().map(|address| self.ask_at(address, "", time, body.clone()));
+            let asked: FuturesUnordered<_> = asked.collect();
+            asked.any(|answer| async move { answer.is_ok() }).await
+        });
+        let shards: FuturesUnordered<_> = asked.collect();
+        let served = shards.any(|served| async move { served });
+        time::timeout(time, served).await.unwrap_or(false)
+    }
+
+    fn addresses(&self, shard: ShardIndex) -> Vec<String> {
+        let duties = self.view.duties();
+        let copies = duties.plan(shard).map(|sighting| sighting.plan.copies.clone());
+        copies.unwrap_or_default().into_iter().map(|copy| copy.address).collect()
+    }
+
     /// The shard of the jobs that are handed in at `host`. The jobs of one trainer share a host,
     /// and so a shard: text that one job has left over is there when the next one wants it.
     fn shard(&self, host: &str) -> ShardIndex {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 //! promise that it has not run only where that is certain.
 
 mod answer;
+mod isolation;
 mod jobs_api;
 mod plain;
 mod role;
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -14,6 +14,7 @@
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
+use crate::isolation::watch_isolation;
 use crate::jobs_api::ShardClient;
 use crate::server::{FrontState, serve_front, serve_ready};
 
@@ -68,6 +69,7 @@
     let links = LinkPool::new(link_settings, end.clone());
     start_followers(&view, &links, &end);
     let shards = ShardClient::new(Arc::clone(&view), links);
+    tokio::spawn(watch_isolation(Arc::clone(&view), shards.clone(), end.clone()));
     let state = FrontState::new(view, shards, CancellationToken::new());
     let served = serve_front(state.clone(), front, end.clone());
     let readiness = serve_ready(state.clone(), ready, end.clone());
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -59,11 +59,12 @@
     }
 
     fn is_ready(&self) -> bool {
-        let ready = self.view.is_configured() && !self.stopping.is_cancelled();
+        let able = self.view.is_configured() && !self.view.is_isolated();
+        let ready = able && !self.stopping.is_cancelled();
         if self.counts.ready.swap(ready, Ordering::Relaxed) != ready {
             log::info!(
                 target: "entry", ready = ready, config = self.view.table().version.get(),
-                stopping = self.stopping.is_cancelled();
+                isolated = self.view.is_isolated(), stopping = self.stopping.is_cancelled();
                 "readiness changed"
             );
         }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -111,7 +111,11 @@
                     known = Some(self.take(told));
                     continue;
                 }
-                _ = fed.changed(), if listens => continue,
+                _ = fed.changed(), if listens => {
+                    // Not fed any more: whether the store answers must be known soon.
+                    wait = PROBE_TIME;
+                    continue;
+                }
                 answered = follow_once(&self.view, self.kind, known, wait), if !resting => answered,
             };
             match answered {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,6 +1,7 @@
 //! What a box believes.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -33,6 +34,7 @@
     duties: Mutex<DutyBoard>,
     named: Mutex<HashMap<ModelName, ModelVersion>>,
     store_up: watch::Sender<StoreState>,
+    isolated: AtomicBool,
     changed: watch::Sender<u64>,
     started: Instant,
 }
@@ -70,6 +72,7 @@
             duties: Mutex::default(),
             named: Mutex::default(),
             store_up: watch::Sender::new(StoreState { up: true, since: Moment::START }),
+            isolated: AtomicBool::new(false),
             changed: watch::Sender::new(0),
             started: Instant::now(),
         }
@@ -160,6 +163,23 @@
         });
     }
 
+    /// Whether this box is cut off from the rest of the deployment.
+    pub fn is_isolated(&self) -> bool {
+        self.isolated.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether this box is cut off.
+    pub fn set_isolated(&self, isolated: bool) {
+        if self.isolated.swap(isolated, Ordering::Relaxed) == isolated {
+            return;
+        }
+        if isolated {
+            log::warn!(target: "node", dependency = "deployment"; "lost");
+        } else {
+            log::info!(target: "node", dependency = "deployment"; "regained");
+        }
+    }
+
     /// Whether the store answers.
     pub fn store_state(&self) -> StoreState {
         *self.store_up.borrow()
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -155,6 +155,10 @@
                 Ok(shard_answer::Body::Beat(own_beat(&self.ctx, &self.keepers)))
             }
             shard_request::Body::HandOver(hand_over) => self.hand_over(&hand_over),
+            shard_request::Body::Served(asked) => {
+                self.served(asked.shard)?;
+                Ok(shard_answer::Body::Synced(LogSynced::default()))
+            }
             shard_request::Body::Feed(read) => {
                 Ok(shard_answer::Body::Feed(serve_feed(&self.ctx.view, &read).await))
             }
