--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -204,6 +204,14 @@
         package: "platform-standin",
         test: "a_holder_whom",
     },
+    Mutation {
+        name: "platform: a box that is cut off stays ready",
+        file: "crates/front/src/server.rs",
+        from: "let able = self.view.is_configured() && !self.view.is_isolated();",
+        to: "let able = self.view.is_configured();",
+        package: "platform-standin",
+        test: "a_box_that_is_cut_off",
+    },
     Mutation {
         name: "platform: texts that lie on disk are not read back",
         file: "crates/shards/src/handler.rs",
