Follow a change of server within a call about a job

Cause: after the server's failure domain is cut, calls already under way wait 0.8 to 1.8 s for it, though the next server may serve by then.

Change: the call is made again at the server of the next epoch as soon as that is known. It does its work once for its id; after a server was left, a later one's "nothing was done" counts as unknown for all but reads.

Ruled out: shorter waits (a slow server would be asked in vain).

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -8,7 +8,7 @@
 use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
 use ids::ShardIndex;
-use joblog::shard_of;
+use joblog::{EpochId, shard_of};
 use jobs::{reason, unpack_text};
 use links::{CallError, LinkPool};
 use node::NodeView;
@@ -31,6 +31,8 @@
 const READ_SLACK: Duration = Duration::from_millis(800);
 /// Longest wait that a read may ask for.
 const MOST_WAIT: Duration = Duration::from_secs(1);
+/// Changes of server that one call follows.
+const MOST_SERVERS: u32 = 2;
 /// Most bytes of texts in one page; the rest of the megabyte is for ids and JSON escapes.
 const PAGE_BYTES: u32 = 600_000;
 
@@ -62,8 +64,8 @@
         Self { view, links }
     }
 
-    /// Asks the shard's server. Another copy's box is asked only after an answer which says
-    /// that nothing was done.
+    /// Asks the shard's server. When another box begins to serve the shard meanwhile, that one is asked
+    /// at once: whatever the call does, it does once for its id.
     async fn ask(
         &self,
         shard: ShardIndex,
@@ -71,10 +73,44 @@
         time: Duration,
         body: &shard_request::Body,
     ) -> Result<shard_answer::Body, ShardFault> {
-        let mut fault = ShardFault::NotServed;
         if self.view.is_isolated() {
-            return Err(fault);
+            return Err(ShardFault::NotServed);
+        }
+        let mut left = false;
+        for _ in 0..MOST_SERVERS {
+            let epoch = self.epoch(shard);
+            tokio::select! {
+                asked = self.ask_copies(shard, id, time, body) => return after_change(left, body, asked),
+                () = self.other_server(shard, epoch) => left = true,
+            }
+        }
+        after_change(left, body, self.ask_copies(shard, id, time, body).await)
+    }
+
+    /// Returns once another epoch of the shard is in force.
+    async fn other_server(&self, shard: ShardIndex, epoch: Option<EpochId>) {
+        let mut changes = self.view.changes();
+        while self.epoch(shard) == epoch {
+            if changes.changed().await.is_err() {
+                return;
+            }
         }
+    }
+
+    fn epoch(&self, shard: ShardIndex) -> Option<EpochId> {
+        self.view.duties().plan(shard).map(|sighting| sighting.plan.epoch.clone())
+    }
+
+    /// Asks the boxes with copies, the server first. Another one is asked only after an answer which
+    /// says that nothing was done.
+    async fn ask_copies(
+        &self,
+        shard: ShardIndex,
+        id: &str,
+        time: Duration,
+        body: &shard_request::Body,
+    ) -> Result<shard_answer::Body, ShardFault> {
+        let mut fault = ShardFault::NotServed;
         for address in self.addresses(shard) {
             match self.ask_at(&address, id, time, body.clone()).await {
                 Ok(answer) => return Ok(answer),
@@ -149,6 +185,17 @@
     }
 }
 
+/// What an answer is worth after an earlier server was left while the call was under way: that one may
+/// have done it, so no later one can say that nothing was done.
+fn after_change(
+    left: bool,
+    body: &shard_request::Body,
+    asked: Result<shard_answer::Body, ShardFault>,
+) -> Result<shard_answer::Body, ShardFault> {
+    let unsure = matches!(asked, Err(ShardFault::NotServed | ShardFault::Full));
+    if left && unsure && !is_read(body) { Err(ShardFault::Unknown) } else { asked }
+}
+
 const fn is_read(body: &shard_request::Body) -> bool {
     matches!(body, shard_request::Body::Read(_) | shard_request::Body::BodyOf(_))
 }
