A box is cut off when no keeping box of another domain answers

Change: any answer of a keeping box of another failure domain shows that a box is not cut off.

Test that failed first by design of the check: cluster `an_outage_of_the_store_with_a_lost_server_cuts_nobody_off`.

--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -1,8 +1,8 @@
 //! Whether this box is cut off from the rest of the deployment.
 //!
-//! A box that hears neither the store, nor fresh news of it, nor a shard's server can do little for its
-//! callers: calls about jobs are turned away at once, and the platform is asked to send new callers
-//! elsewhere. An outage of the store alone cuts nobody off.
+//! A box that hears neither the store, nor fresh news of it, nor a keeping box of another failure domain
+//! can do little for its callers: calls about jobs are turned away at once, and the platform is asked to
+//! send new callers elsewhere. An outage of the store, or the loss of a shard's server, cuts nobody off.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,12 +15,11 @@
 
 /// How often it is looked whether the box is cut off.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
-/// Longest wait for a shard's server to say that it serves.
+/// Longest wait for a keeping box to answer.
 const ASK_TIME: Duration = Duration::from_millis(400);
 /// An answer of the store to this box itself shows for this long that it is not cut off.
 const STORE_TRUST: Duration = Duration::from_millis(1_300);
-/// A box is cut off once nothing was heard for this long; a server that changes takes longer than one
-/// question, and then the store still answers.
+/// A box is cut off once nothing was heard for this long: one question may be lost.
 const CUT_AFTER: Duration = Duration::from_millis(600);
 
 /// Looks whether the box is cut off until `stop`.
@@ -28,7 +27,7 @@
     let watched = async {
         let mut heard_at = Instant::now();
         loop {
-            if view.feed.is_fed() || hears_store(&view) || shards.is_any_served(ASK_TIME).await {
+            if view.feed.is_fed() || hears_store(&view) || shards.reaches_others(ASK_TIME).await {
                 heard_at = Instant::now();
             }
             view.set_isolated(view.is_configured() && heard_at.elapsed() >= CUT_AFTER);
--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -1,5 +1,6 @@
 //! Trainers' calls: jobs handed in, read and ended, at whichever box serves the job's shard.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,11 +9,12 @@
 use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
 use ids::ShardIndex;
-use joblog::{EpochId, shard_of};
+use joblog::{CopyHolder, EpochId, shard_of};
 use jobs::{reason, unpack_text};
 use links::{CallError, LinkPool};
 use node::NodeView;
 use platform::calls::{self, JobCall};
+use rand::seq::SliceRandom;
 use routing::Route;
 use tokio::time;
 use wire::peer::{
@@ -155,21 +157,41 @@
         whole.ok_or(ShardFault::Unknown)
     }
 
-    /// Whether any shard's server says that it serves it.
-    pub async fn is_any_served(&self, time: Duration) -> bool {
-        let shards = (0..self.view.settings.shards).map(ShardIndex::new);
-        let asked = shards.map(|shard| async move {
-            let body = shard_request::Body::Served(ServedAsk { shard: shard.get() });
-            // In parallel: a copy's box may serve the shard by now.
-            let addresses = self.addresses(shard);
-            let asked =
-                addresses.iter().map(|address| self.ask_at(address, "", time, body.clone()));
-            let asked: FuturesUnordered<_> = asked.collect();
-            asked.any(|answer| async move { answer.is_ok() }).await
+    /// Whether a box that keeps data answers from another failure domain; from this one, if there is no
+    /// other. What it answers does not matter.
+    pub async fn reaches_others(&self, time: Duration) -> bool {
+        let addresses = self.other_keepers();
+        let asked = addresses.iter().map(|address| async move {
+            let body = shard_request::Body::Served(ServedAsk::default());
+            let time_left_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+            let body = request::Body::Shard(ShardRequest { body: Some(body) });
+            let request = Request { time_left_ms, body: Some(body), ..Request::default() };
+            let answered = async { self.links.call(address, request).await?.single(time).await };
+            match answered.await {
+                Ok(_) | Err(CallError::Refused(_)) => true,
+                Err(error) => {
+                    log::debug!(target: "entry", peer = address.as_str(), error:% = error; "not reached");
+                    false
+                }
+            }
         });
-        let shards: FuturesUnordered<_> = asked.collect();
-        let served = shards.any(|served| async move { served });
-        time::timeout(time, served).await.unwrap_or(false)
+        let asked: FuturesUnordered<_> = asked.collect();
+        let reached = asked.any(|reached| async move { reached });
+        time::timeout(time, reached).await.unwrap_or(false)
+    }
+
+    /// Addresses of keeping boxes, one of each other failure domain, and another each time.
+    fn other_keepers(&self) -> Vec<String> {
+        let duties = self.view.duties();
+        let own = &self.view.settings.domain;
+        let mut boxes: Vec<&CopyHolder> = duties.boxes().collect();
+        if boxes.iter().any(|copy| copy.domain != *own) {
+            boxes.retain(|copy| copy.domain != *own);
+        }
+        boxes.shuffle(&mut rand::rng());
+        let mut domains = HashSet::new();
+        boxes.retain(|copy| domains.insert(&copy.domain));
+        boxes.into_iter().map(|copy| copy.address.clone()).collect()
     }
 
     fn addresses(&self, shard: ShardIndex) -> Vec<String> {
