Split followers from sinks, reads from the book, copying from forming; one call to keeping boxes

`node::sinks`, `jobs::reads`, `shards::copying`; `LinkPool::ask_shard` in place of four hand-made requests; `wants_shard` in steps with names.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -18,8 +18,8 @@
 use routing::Route;
 use tokio::time;
 use wire::peer::{
-    JobBody, JobEnd, JobRead, JobSubmit, RefusedKind, Request, ServedAsk, ShardAnswer,
-    ShardRequest, item, request, shard_answer, shard_request,
+    JobBody, JobEnd, JobRead, JobSubmit, RefusedKind, ServedAsk, ShardAnswer, item, shard_answer,
+    shard_request,
 };
 
 use crate::answer::{self, FrontBody};
@@ -132,13 +132,7 @@
         time: Duration,
         body: shard_request::Body,
     ) -> Result<shard_answer::Body, ShardFault> {
-        let request = Request {
-            request_id: id.to_owned(),
-            traceparent: String::new(),
-            time_left_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
-            body: Some(request::Body::Shard(ShardRequest { body: Some(body) })),
-        };
-        let called = self.links.call(address, request).await;
+        let called = self.links.call_shard(address, id, time, body).await;
         let mut stream = called.map_err(|error| fault_of(&error))?;
         let mut whole = None;
         while let Some(item) = stream.next(time).await.map_err(|error| fault_of(&error))? {
@@ -163,11 +157,7 @@
         let addresses = self.other_keepers();
         let asked = addresses.iter().map(|address| async move {
             let body = shard_request::Body::Served(ServedAsk::default());
-            let time_left_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-            let body = request::Body::Shard(ShardRequest { body: Some(body) });
-            let request = Request { time_left_ms, body: Some(body), ..Request::default() };
-            let answered = async { self.links.call(address, request).await?.single(time).await };
-            match answered.await {
+            match self.links.ask_shard(address, time, body).await {
                 Ok(_) | Err(CallError::Refused(_)) => true,
                 Err(error) => {
                     log::debug!(target: "entry", peer = address.as_str(), error:% = error; "not reached");
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -6,7 +6,7 @@
 
 use ids::{JobId, Moment, RecordPlace};
 use wire::peer::log_record::Body;
-use wire::peer::{EndedJob, ItemProgress, Job, JobPage, JobResult, ListedResult, LogRecord};
+use wire::peer::{EndedJob, ItemProgress, Job, JobResult, ListedResult, LogRecord};
 
 use crate::item::{ItemPhase, ItemState};
 use crate::state::{JobState, ListedItem, record, request_bytes};
@@ -23,26 +23,6 @@
 /// trainer's next one. Older texts are read from the log.
 const HELD_ENDED: usize = 12;
 
-/// How much a shard holds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct JobCounts {
-    /// Jobs held.
-    pub jobs: usize,
-    /// Items to be started.
-    pub waiting: usize,
-    /// Bytes of jobs and results.
-    pub bytes: usize,
-}
-
-/// Results of a job.
-#[derive(Debug, Clone, PartialEq)]
-pub struct BookPage {
-    /// The page; some results lack their text.
-    pub page: JobPage,
-    /// Indices of these among the page's results, and where their records lie.
-    pub on_disk: Vec<(usize, RecordPlace)>,
-}
-
 /// The jobs of one shard.
 #[derive(Debug)]
 pub struct JobBook {
@@ -50,12 +30,12 @@
     retention: Duration,
     pub(crate) jobs: HashMap<JobId, JobState>,
     /// Jobs that still run, in the order in which they were taken.
-    open: Vec<JobId>,
+    pub(crate) open: Vec<JobId>,
     /// The jobs that ended last and whose texts are held, in the order of their ends.
     ended: VecDeque<JobId>,
     /// The last job that holds an item, for text that comes in use again.
     holders: HashMap<String, ItemRef>,
-    bytes: usize,
+    pub(crate) bytes: usize,
     /// Whether no log takes records now.
     closed: bool,
 }
@@ -74,41 +54,6 @@
         }
     }
 
-    /// Whether a job is held.
-    pub fn knows(&self, id: &JobId) -> bool {
-        self.jobs.contains_key(id)
-    }
-
-    /// Bytes of jobs and results.
-    pub const fn bytes(&self) -> usize {
-        self.bytes
-    }
-
-    /// Whether a job has ended, or its end is on the way; `None` when it is not held.
-    pub fn is_ended(&self, id: &JobId) -> Option<bool> {
-        self.jobs.get(id).map(|state| state.ended || state.ending)
-    }
-
-    /// How much is held.
-    pub fn counts(&self) -> JobCounts {
-        let open = self.open.iter().filter_map(|id| self.jobs.get(id));
-        JobCounts {
-            jobs: self.jobs.len(),
-            waiting: open.map(|state| state.waiting.len()).sum(),
-            bytes: self.bytes,
-        }
-    }
-
-    /// Items of jobs that run which are not listed yet, by the name of their model.
-    pub fn open_items(&self) -> HashMap<&str, usize> {
-        let mut counts = HashMap::new();
-        for state in self.open.iter().filter_map(|id| self.jobs.get(id)) {
-            let open = state.items.iter().filter(|item| item.phase != ItemPhase::Listed).count();
-            *counts.entry(state.job.model.as_str()).or_default() += open;
-        }
-        counts
-    }
-
     /// Applies a record that is on every copy of the log. Records that say nothing new change
     /// nothing, so a record may be applied twice.
     pub fn apply(&mut self, now: Moment, record: LogRecord) {
@@ -490,25 +435,6 @@
         dropped.collect()
     }
 
-    /// Results from position `from`: at least one if there is one, `most_bytes` of text at most.
-    /// `None` when the job is not held.
-    pub fn page(&self, id: &JobId, from: u32, most_bytes: usize) -> Option<BookPage> {
-        let state = self.jobs.get(id)?;
-        let total = u32::try_from(state.job.items.len()).unwrap_or(u32::MAX);
-        let mut results = Vec::new();
-        let mut on_disk = Vec::new();
-        let mut bytes = 0;
-        for listed in state.listed.iter().skip(from as usize) {
-            bytes += listed.result.text_bytes as usize;
-            if !results.is_empty() && bytes > most_bytes {
-                break;
-            }
-            on_disk.extend(listed.on_disk().map(|place| (results.len(), place)));
-            results.push(listed.result.clone());
-        }
-        Some(BookPage { page: JobPage { total, results }, on_disk })
-    }
-
     /// Takes the places of results in a new copy, by job and position.
     pub fn relocate(&mut self, places: &[(JobId, u32, RecordPlace)]) {
         for (id, position, place) in places {
@@ -519,18 +445,4 @@
             }
         }
     }
-
-    /// The body of an item, until its job has ended.
-    pub fn body(&self, id: &JobId, item: &str) -> Option<Vec<u8>> {
-        let state = self.jobs.get(id).filter(|state| !state.ended)?;
-        let request = state.job.items.iter().find(|other| other.id == item)?;
-        Some(request.body.clone())
-    }
-}
-
-impl JobBook {
-    /// Whether an item's run should be broken off: its job has ended or is not held any more.
-    pub fn is_moot(&self, item: &ItemRef) -> bool {
-        self.jobs.get(&item.job).is_none_or(|state| state.ending)
-    }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,13 +14,15 @@
 mod item;
 mod order;
 mod packed;
+mod reads;
 mod snapshot;
 mod state;
 
-pub use book::{BookPage, JobBook, JobCounts};
+pub use book::JobBook;
 pub use item::{ItemRef, RewardEnd, RunEnd, RunEvent, RunOutcome, RunSpec};
 pub use order::run_order;
 pub use packed::{UnpackError, pack_text, unpack_text};
+pub use reads::{BookPage, JobCounts};
 pub use snapshot::{SnapshotCursor, SnapshotPiece};
 
 /// Short names of the reasons for which a shard's server refuses a call.
--- /dev/null
+++ b/crates/jobs/src/reads.rs
@@ -0,0 +1,97 @@
+//! What a book tells, without changing.
+
+use std::collections::HashMap;
+
+use ids::{JobId, RecordPlace};
+use wire::peer::JobPage;
+
+use crate::item::ItemPhase;
+use crate::{ItemRef, JobBook};
+
+/// How much a shard holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct JobCounts {
+    /// Jobs held.
+    pub jobs: usize,
+    /// Items to be started.
+    pub waiting: usize,
+    /// Bytes of jobs and results.
+    pub bytes: usize,
+}
+
+/// Results of a job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BookPage {
+    /// The page; some results lack their text.
+    pub page: JobPage,
+    /// Indices of these among the page's results, and where their records lie.
+    pub on_disk: Vec<(usize, RecordPlace)>,
+}
+
+impl JobBook {
+    /// Whether a job is held.
+    pub fn knows(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    /// Bytes of jobs and results.
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Whether a job has ended, or its end is on the way; `None` when it is not held.
+    pub fn is_ended(&self, id: &JobId) -> Option<bool> {
+        self.jobs.get(id).map(|state| state.ended || state.ending)
+    }
+
+    /// How much is held.
+    pub fn counts(&self) -> JobCounts {
+        let open = self.open.iter().filter_map(|id| self.jobs.get(id));
+        JobCounts {
+            jobs: self.jobs.len(),
+            waiting: open.map(|state| state.waiting.len()).sum(),
+            bytes: self.bytes,
+        }
+    }
+
+    /// Items of jobs that run which are not listed yet, by the name of their model.
+    pub fn open_items(&self) -> HashMap<&str, usize> {
+        let mut counts = HashMap::new();
+        for state in self.open.iter().filter_map(|id| self.jobs.get(id)) {
+            let open = state.items.iter().filter(|item| item.phase != ItemPhase::Listed).count();
+            *counts.entry(state.job.model.as_str()).or_default() += open;
+        }
+        counts
+    }
+
+    /// Results from position `from`: at least one if there is one, `most_bytes` of text at most.
+    /// `None` when the job is not held.
+    pub fn page(&self, id: &JobId, from: u32, most_bytes: usize) -> Option<BookPage> {
+        let state = self.jobs.get(id)?;
+        let total = u32::try_from(state.job.items.len()).unwrap_or(u32::MAX);
+        let mut results = Vec::new();
+        let mut on_disk = Vec::new();
+        let mut bytes = 0;
+        for listed in state.listed.iter().skip(from as usize) {
+            bytes += listed.result.text_bytes as usize;
+            if !results.is_empty() && bytes > most_bytes {
+                break;
+            }
+            on_disk.extend(listed.on_disk().map(|place| (results.len(), place)));
+            results.push(listed.result.clone());
+        }
+        Some(BookPage { page: JobPage { total, results }, on_disk })
+    }
+
+    /// The body of an item, until its job has ended.
+    pub fn body(&self, id: &JobId, item: &str) -> Option<Vec<u8>> {
+        let state = self.jobs.get(id).filter(|state| !state.ended)?;
+        let request = state.job.items.iter().find(|other| other.id == item)?;
+        Some(request.body.clone())
+    }
+
+    /// Whether an item's run should be broken off: its job has ended or is not held any more.
+    pub fn is_moot(&self, item: &ItemRef) -> bool {
+        self.jobs.get(&item.job).is_none_or(|state| state.ending)
+    }
+}
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -12,6 +12,7 @@
 mod error;
 mod pool;
 mod server;
+mod shard;
 
 pub use answer::{AnswerEnd, AnswerSink, AnswerStream};
 pub use error::CallError;
--- /dev/null
+++ b/crates/links/src/shard.rs
@@ -0,0 +1,42 @@
+//! Calls to boxes that keep shards of jobs.
+
+use std::time::Duration;
+
+use wire::peer::{Request, ShardAnswer, ShardRequest, item, request, shard_answer, shard_request};
+
+use crate::{AnswerStream, CallError, LinkPool};
+
+impl LinkPool {
+    /// Sends a question to a keeping box; `request_id` is what it is about, for the logs.
+    pub async fn call_shard(
+        &self,
+        address: &str,
+        request_id: &str,
+        time: Duration,
+        body: shard_request::Body,
+    ) -> Result<AnswerStream, CallError> {
+        let request = Request {
+            request_id: request_id.to_owned(),
+            traceparent: String::new(),
+            time_left_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+            body: Some(request::Body::Shard(ShardRequest { body: Some(body) })),
+        };
+        self.call(address, request).await
+    }
+
+    /// Asks a keeping box for its one answer, within `time`.
+    pub async fn ask_shard(
+        &self,
+        address: &str,
+        time: Duration,
+        body: shard_request::Body,
+    ) -> Result<shard_answer::Body, CallError> {
+        let asked = async { self.call_shard(address, "", time, body).await?.single(time).await };
+        let silence = CallError::Broken { why: "silence" };
+        let item = tokio::time::timeout(time, asked).await.map_err(|_elapsed| silence)??;
+        match item.body {
+            Some(item::Body::Shard(ShardAnswer { body: Some(answer) })) => Ok(answer),
+            _ => Err(CallError::Broken { why: "an answer of another kind" }),
+        }
+    }
+}
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -11,10 +11,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
-use wire::peer::{
-    FeedCursor, FeedKind, FeedPage, FeedRead, Request, ShardAnswer, ShardRequest, item, request,
-    shard_answer, shard_request,
-};
+use wire::peer::{FeedCursor, FeedKind, FeedPage, FeedRead, shard_answer, shard_request};
 
 use super::{FEED_WAIT, HEAR_TRUST, kind_of, number_of};
 use crate::NodeView;
@@ -126,31 +123,14 @@
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
         };
         let time = wait + ANSWER_SLACK;
-        let request = Request {
-            request_id: String::new(),
-            traceparent: String::new(),
-            time_left_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
-            body: Some(request::Body::Shard(ShardRequest {
-                body: Some(shard_request::Body::Feed(read)),
-            })),
-        };
-        let called = async {
-            let stream = self.links.call(&teller.address, request).await?;
-            stream.single(time).await
-        };
-        let item = match time::timeout(time, called).await {
-            Ok(Ok(item)) => item,
-            Ok(Err(error)) => {
+        let body = shard_request::Body::Feed(read);
+        match self.links.ask_shard(&teller.address, time, body).await {
+            Ok(shard_answer::Body::Feed(page)) => Some(page),
+            Ok(_other) => None,
+            Err(error) => {
                 log::debug!(target: "node", peer:% = teller.box_id, error:% = error; "not told");
-                return None;
-            }
-            Err(_elapsed) => return None,
-        };
-        match item.body {
-            Some(item::Body::Shard(ShardAnswer { body: Some(shard_answer::Body::Feed(page)) })) => {
-                Some(page)
+                None
             }
-            _ => None,
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod plain;
 mod settings;
+pub mod sinks;
 mod stop;
 mod view;
 
--- /dev/null
+++ b/crates/node/src/sinks.rs
@@ -0,0 +1,198 @@
+//! What becomes of the objects that followers hear of: the box's belief.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ids::{InstanceId, Moment};
+use platform::{Changed, Listing, Stored};
+use tokio::time;
+
+use crate::NodeView;
+use crate::follow::KindSink;
+
+/// How often it is looked whether missing targets are gone.
+const MISSING_LOOK: Duration = Duration::from_millis(100);
+
+/// Keeps the configuration.
+#[derive(Debug)]
+pub struct ConfigSink(pub Arc<NodeView>);
+
+impl ConfigSink {
+    fn offer(&self, stored: &Stored) {
+        if stored.name != platform::config::CONFIG_NAME {
+            return;
+        }
+        match platform::config::read_config(stored) {
+            Ok(table) => {
+                let version = table.version;
+                if self.0.offer_table(table) {
+                    log::info!(target: "config", version = version.get(), revision = stored.revision; "in force");
+                }
+            }
+            Err(error) => {
+                log::warn!(target: "config", revision = stored.revision, error:% = error; "refused");
+            }
+        }
+    }
+}
+
+impl KindSink for ConfigSink {
+    fn changed(&mut self, change: &Changed) {
+        if let Changed::Put(stored) = change {
+            self.offer(stored);
+        }
+    }
+}
+
+/// Keeps the named model versions.
+#[derive(Debug)]
+pub struct VersionSink(pub Arc<NodeView>);
+
+impl VersionSink {
+    fn offer(&self, stored: &Stored) {
+        match platform::config::read_version(stored) {
+            Ok((model, version)) => {
+                log::info!(target: "config", model:% = model, weight_version = version.get(); "version named");
+                self.0.name_version(model, version);
+            }
+            Err(error) => log::warn!(target: "config", error:% = error; "version refused"),
+        }
+    }
+}
+
+impl KindSink for VersionSink {
+    fn changed(&mut self, change: &Changed) {
+        if let Changed::Put(stored) = change {
+            self.offer(stored);
+        }
+    }
+}
+
+/// Targets whose entry is missing shortly after the store's return, each with the moment until
+/// which it may come back.
+type MissingTargets = Arc<Mutex<HashMap<InstanceId, Moment>>>;
+
+/// Keeps the targets.
+#[derive(Debug)]
+pub struct TargetSink {
+    view: Arc<NodeView>,
+    missing: MissingTargets,
+}
+
+impl TargetSink {
+    /// A sink for the view's board.
+    pub fn new(view: Arc<NodeView>) -> Self {
+        Self { view, missing: Arc::default() }
+    }
+
+    fn put(&self, stored: &Stored) {
+        match platform::targets::read_target(stored) {
+            Ok(record) => {
+                let known = self.view.board().record(&record.instance).map(|known| known.leaving);
+                if known != Some(record.leaving) {
+                    log::info!(
+                        target: "targets", target:% = record.instance, service:% = record.service,
+                        leaving = record.leaving, revision = stored.revision;
+                        "listed"
+                    );
+                }
+                lock(&self.missing).remove(&record.instance);
+                self.view.board().put(record);
+            }
+            Err(error) => log::warn!(target: "targets", error:% = error; "entry refused"),
+        }
+    }
+
+    /// Takes targets off, at once or, shortly after the store's return, once their entry has
+    /// had time to come back.
+    fn missing(&self, instances: Vec<InstanceId>) {
+        if instances.is_empty() {
+            return;
+        }
+        let grace = self.view.entry_grace();
+        if grace.is_zero() {
+            remove_targets(&self.view, &instances);
+            return;
+        }
+        let until = self.view.now() + grace;
+        let mut missing = lock(&self.missing);
+        let watched = !missing.is_empty();
+        for instance in instances {
+            missing.entry(instance).or_insert(until);
+        }
+        if !watched {
+            tokio::spawn(remove_missing(Arc::clone(&self.view), Arc::clone(&self.missing)));
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Takes missing targets off as their time comes, until none is missing. While the store is away
+/// nobody can say that an entry has not come back.
+async fn remove_missing(view: Arc<NodeView>, missing: MissingTargets) {
+    loop {
+        time::sleep(MISSING_LOOK).await;
+        let now = view.now();
+        let mut left = lock(&missing);
+        if !view.store_state().up {
+            let later = now + view.entry_grace();
+            left.values_mut().for_each(|until| *until = later);
+            continue;
+        }
+        let gone: Vec<InstanceId> =
+            left.extract_if(|_, until| now >= *until).map(|(instance, _)| instance).collect();
+        let done = left.is_empty();
+        drop(left);
+        remove_targets(&view, &gone);
+        view.wake();
+        if done {
+            return;
+        }
+    }
+}
+
+fn remove_targets(view: &NodeView, instances: &[InstanceId]) {
+    for instance in instances {
+        log::info!(target: "targets", target:% = instance; "gone");
+        view.board().remove(instance);
+    }
+}
+
+impl KindSink for TargetSink {
+    fn listed(&mut self, listing: &Listing) {
+        for stored in &listing.objects {
+            self.put(stored);
+        }
+        let listed: HashSet<&str> =
+            listing.objects.iter().map(|stored| stored.name.as_str()).collect();
+        let missing: Vec<InstanceId> = self
+            .view
+            .board()
+            .instances()
+            .filter(|instance| !listed.contains(instance.as_str()))
+            .cloned()
+            .collect();
+        self.missing(missing);
+        self.view.pool.sweep();
+        self.view.wake();
+    }
+
+    fn changed(&mut self, change: &Changed) {
+        match change {
+            Changed::Put(stored) => self.put(stored),
+            Changed::Removed(name) => self.missing(name.parse().into_iter().collect()),
+        }
+        // Whatever rests at targets that are gone or idle goes as well.
+        self.view.pool.sweep();
+        self.view.wake();
+    }
+
+    /// Entries that come back are awaited.
+    fn may_gather(&self) -> bool {
+        lock(&self.missing).is_empty()
+    }
+}
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -9,9 +9,7 @@
 use node::{NodeView, StorageSettings};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
-use wire::peer::{
-    HeldLease, Request, ShardAnswer, ShardRequest, item, request, shard_answer, shard_request,
-};
+use wire::peer::{HeldLease, shard_answer, shard_request};
 
 use crate::copies::OpenCopies;
 use crate::peers::PeerTable;
@@ -121,21 +119,6 @@
         time: std::time::Duration,
         body: shard_request::Body,
     ) -> Result<shard_answer::Body, CallError> {
-        let request = Request {
-            request_id: String::new(),
-            traceparent: String::new(),
-            time_left_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
-            body: Some(request::Body::Shard(ShardRequest { body: Some(body) })),
-        };
-        let called = async {
-            let stream = self.links.call(address, request).await?;
-            stream.single(time).await
-        };
-        let broken = CallError::Broken { why: "silence" };
-        let item = tokio::time::timeout(time, called).await.map_err(|_elapsed| broken)??;
-        match item.body {
-            Some(item::Body::Shard(ShardAnswer { body: Some(answer) })) => Ok(answer),
-            _ => Err(CallError::Broken { why: "an answer of another kind" }),
-        }
+        self.links.ask_shard(address, time, body).await
     }
 }
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -3,23 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::join_all;
-use ids::{JobId, RecordPlace, ShardIndex};
+use ids::ShardIndex;
 use joblog::{
-    CopyHolder, DutyIntent, DutyView, EpochFormer, EpochId, FormFault, FormStep, LogCopyFile,
-    PlanWrite, ReadPlan, ShardDuty, ShardPlan, encode_record, shard_duty,
+    CopyHolder, DutyIntent, DutyView, EpochFormer, EpochId, FormFault, FormStep, PlanWrite,
+    ReadPlan, ShardDuty, ShardPlan, shard_duty,
 };
-use jobs::SnapshotCursor;
 use node::duties::{PlanSighting, shard_object};
 use platform::{Kind, StoreError};
 use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
-use wire::peer::{LogCopy, log_record, shard_answer, shard_request};
 
 use crate::context::ShardContext;
 use crate::copies::on_disk;
+use crate::copying::{ResultPlaces, copy_book};
 use crate::keeper::{ServedEpoch, ShardKeeper};
 use crate::log_writer::{EpochLog, QUEUE, write_log};
 
@@ -27,10 +25,6 @@
 const LOOK_EVERY: Duration = Duration::from_millis(150);
 /// Pause after a try that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest time for a partner to take one piece of a copy.
-const PIECE_TIME: Duration = Duration::from_secs(1);
-/// Bytes of one piece.
-const PIECE_BYTES: usize = 1 << 20;
 
 /// Why a shard is not served any more when another box serves it.
 const SUPERSEDED: &str = "another plan is in force";
@@ -77,6 +71,7 @@
     }
 }
 
+/// Whether this box should take the shard now.
 fn wants_shard(
     ctx: &ShardContext,
     keeper: &ShardKeeper,
@@ -85,9 +80,14 @@
     let shard = keeper.shard();
     let now = ctx.view.now();
     let duties = ctx.view.duties();
-    let plan = duties.plan(shard).map(|sighting| &sighting.plan);
-    let seen_at = duties.plan(shard).map_or(now, |sighting| sighting.seen_at);
-    let no_plan_for = if plan.is_some() {
+    let sighting = duties.plan(shard);
+    // Two boxes that make copies at once only slow each other.
+    if sighting.is_some_and(|sighting| box_before_forms(ctx, shard, &sighting.plan))
+        && !keeper.is_asked()
+    {
+        return false;
+    }
+    let no_plan_for = if sighting.is_some() {
         *no_plan_since = None;
         Duration::ZERO
     } else {
@@ -95,29 +95,15 @@
     };
     let boxes: Vec<_> = duties.boxes().map(|copy| copy.box_id.clone()).collect();
     let ranked = coord::rendezvous::ranked(&shard.to_string(), &boxes, boxes.len());
-    let before = plan.map(|plan| plan.rank(&ctx.me.box_id).unwrap_or_default()).unwrap_or_default();
-    let tries = plan.is_some_and(|plan| {
-        plan.copies.iter().take(before).any(|copy| ctx.peers.forms(now, shard, &copy.box_id))
-    });
-    if tries && !keeper.is_asked() {
-        // The box before this one is at it: two at once only slow each other.
-        return false;
-    }
     let first_rank = ranked.iter().position(|box_id| **box_id == ctx.me.box_id);
-    let server_silent = plan.and_then(|plan| {
-        let server = plan.server()?;
-        let silent = ctx.peers.silent(now, shard, &server.box_id, plan.epoch.token);
-        // A plan that was just learnt: its server has had no time to tell that it serves.
-        Some(silent.min(now.since(seen_at)))
-    });
+    let plan = sighting.map(|sighting| &sighting.plan);
+    let server = plan.and_then(ShardPlan::server);
     let view = DutyView {
         me: &ctx.me.box_id,
         plan,
         has_copy: plan.is_some_and(|plan| ctx.copies.folder().has(shard, &plan.epoch)),
-        server_silent: server_silent.unwrap_or_default(),
-        server_restarts: plan
-            .and_then(ShardPlan::server)
-            .is_some_and(|server| ctx.peers.restarts(&server.box_id)),
+        server_silent: sighting.map(|told| server_silence(ctx, shard, told)).unwrap_or_default(),
+        server_restarts: server.is_some_and(|server| ctx.peers.restarts(&server.box_id)),
         first_rank: first_rank.unwrap_or(boxes.len()),
         no_plan_for,
         intent: if keeper.take_asked() {
@@ -131,12 +117,29 @@
     shard_duty(&view) == ShardDuty::Take
 }
 
+/// Whether a box that goes before this one in the plan makes new copies, to serve the shard.
+fn box_before_forms(ctx: &ShardContext, shard: ShardIndex, plan: &ShardPlan) -> bool {
+    let rank = plan.rank(&ctx.me.box_id).unwrap_or_default();
+    let now = ctx.view.now();
+    plan.copies.iter().take(rank).any(|copy| ctx.peers.forms(now, shard, &copy.box_id))
+}
+
+/// How long the plan's server has not said that it serves the shard. A plan that was just learnt: its
+/// server has had no time to tell.
+fn server_silence(ctx: &ShardContext, shard: ShardIndex, sighting: &PlanSighting) -> Duration {
+    let now = ctx.view.now();
+    let plan = &sighting.plan;
+    let Some(server) = plan.server() else { return Duration::ZERO };
+    let silent = ctx.peers.silent(now, shard, &server.box_id, plan.epoch.token);
+    silent.min(now.since(sighting.seen_at))
+}
+
 /// Writes the log until it ends, for whatever reason.
 async fn serve_epoch(
     ctx: &Arc<ShardContext>,
     keeper: &Arc<ShardKeeper>,
     log: EpochLog,
-    places: &[(JobId, u32, RecordPlace)],
+    places: &ResultPlaces,
 ) {
     let (sender, work) = mpsc::channel(QUEUE);
     let ended = CancellationToken::new();
@@ -194,7 +197,7 @@
 async fn form_epoch(
     ctx: &Arc<ShardContext>,
     keeper: &Arc<ShardKeeper>,
-) -> Result<(EpochLog, Vec<(JobId, u32, RecordPlace)>), FormFault> {
+) -> Result<(EpochLog, ResultPlaces), FormFault> {
     let shard = keeper.shard();
     let number = u64::from(rand::rng().random::<u32>());
     let mut former = EpochFormer::new(ctx.me.clone(), number, keeper.book_epoch());
@@ -288,128 +291,6 @@
     true
 }
 
-/// Writes the book to this box's new copy and to the partners', piece by piece, and waits for all
-/// disks. Nothing is applied to the book meanwhile, since the shard is not served.
-async fn copy_book(
-    ctx: &Arc<ShardContext>,
-    keeper: &ShardKeeper,
-    epoch: &EpochId,
-    partners: &[CopyHolder],
-) -> Option<NewCopy> {
-    let shard = keeper.shard();
-    let mut reader = SnapshotReader::new(keeper);
-    let mut file = None;
-    let mut piece = reader.next().await?;
-    loop {
-        // The last piece is an empty one, so that the next can be read while this one is sent.
-        let copy = LogCopy {
-            shard: shard.get(),
-            epoch: epoch.to_string(),
-            first: file.is_none(),
-            last: piece.is_empty(),
-            records: piece,
-        };
-        let own = write_piece(ctx, shard, epoch, file.take(), &copy);
-        let sent = join_all(partners.iter().map(|partner| send_piece(ctx, &copy, partner)));
-        let (own, sent, following) = tokio::join!(own, sent, reader.next());
-        if !sent.into_iter().all(|taken| taken) {
-            return None;
-        }
-        let own = own?;
-        if copy.last {
-            return Some(NewCopy { file: own, places: reader.places });
-        }
-        file = Some(own);
-        let following = following?;
-        piece = following;
-    }
-}
-
-/// This box's copy of a new epoch, and where the results lie in it.
-struct NewCopy {
-    file: LogCopyFile,
-    places: Vec<(JobId, u32, RecordPlace)>,
-}
-
-/// Gives the book as encoded records, piece by piece.
-struct SnapshotReader<'a> {
-    keeper: &'a ShardKeeper,
-    cursor: SnapshotCursor,
-    /// Bytes given so far.
-    given: u64,
-    places: Vec<(JobId, u32, RecordPlace)>,
-}
-
-impl<'a> SnapshotReader<'a> {
-    fn new(keeper: &'a ShardKeeper) -> Self {
-        let cursor = keeper.book().snapshot_cursor();
-        Self { keeper, cursor, given: 0, places: Vec::new() }
-    }
-
-    /// The next piece, empty after the last; `None` when this box's copy cannot be read.
-    async fn next(&mut self) -> Option<Vec<u8>> {
-        let piece = self.keeper.book().snapshot_piece(&mut self.cursor, PIECE_BYTES);
-        let mut records = piece.records;
-        let places = piece.on_disk.iter().map(|(_, place)| *place).collect();
-        let loaded = self.keeper.load(places).await?;
-        for ((index, _), record) in piece.on_disk.into_iter().zip(loaded) {
-            records[index] = record;
-        }
-        let mut bytes = Vec::new();
-        for record in &records {
-            let mut place = encode_record(record, &mut bytes);
-            place.offset += self.given;
-            if let Some(log_record::Body::Listed(listed)) = &record.body
-                && let Ok(job) = listed.job.parse()
-            {
-                self.places.push((job, listed.position, place));
-            }
-        }
-        self.given += bytes.len() as u64;
-        Some(bytes)
-    }
-}
-
-/// Writes a piece to this box's own copy; the last one is synced.
-async fn write_piece(
-    ctx: &ShardContext,
-    shard: ShardIndex,
-    epoch: &EpochId,
-    file: Option<LogCopyFile>,
-    copy: &LogCopy,
-) -> Option<LogCopyFile> {
-    let (folder, epoch) = (ctx.copies.folder().clone(), epoch.clone());
-    let (records, last) = (copy.records.clone(), copy.last);
-    let written = on_disk(shard, "write own copy", move || {
-        let mut file = match file {
-            Some(file) => file,
-            None => folder.create(shard, &epoch)?,
-        };
-        let offset = file.len();
-        file.append(offset, &records)?;
-        if last {
-            file.sync()?;
-        }
-        Ok(file)
-    });
-    written.await
-}
-
-async fn send_piece(ctx: &ShardContext, copy: &LogCopy, partner: &CopyHolder) -> bool {
-    let body = shard_request::Body::Copy(copy.clone());
-    let answer = ctx.ask(&partner.address, PIECE_TIME, body).await;
-    let taken = matches!(answer, Ok(shard_answer::Body::Synced(_)));
-    if !taken {
-        ctx.peers.failed(ctx.view.now(), &partner.box_id);
-        log::warn!(
-            target: "shard", shard = copy.shard, epoch = copy.epoch.as_str(),
-            peer:% = partner.box_id;
-            "partner did not take the copy"
-        );
-    }
-    taken
-}
-
 /// Writes the plan if the one that was read is still in force.
 async fn write_plan(
     ctx: &ShardContext,
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -8,6 +8,7 @@
 mod conductor;
 mod context;
 mod copies;
+mod copying;
 mod dispatch;
 mod forming;
 mod handler;
