--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -16,7 +16,7 @@
 use platform::orders::SwapMode;
 use platform::{Kind, StoreError};
 use routing::{RouteKind, TargetRecord};
-use swaps::{divide_engines, home_model};
+use swaps::{divide_engines, followed_model};
 use tokio::time;
 use wire::peer::HeldLease;
 
@@ -300,23 +300,23 @@
     engines: &[TargetRecord],
 ) -> Vec<DueEngine> {
     let ordered = lock(&held.ordered).clone();
-    let homes = home_models(ctx, &held.service, engines);
+    let followed = followed_models(ctx, &held.service, engines);
     let mut due = Vec::new();
     for engine in engines.iter().filter(|engine| !ordered.contains(&engine.instance)) {
-        let Some(home) = homes.get(&engine.instance) else { continue };
-        let held = engine.models.iter().find(|held| held.model == *home);
-        let (Some(held), Some(named)) = (held, ctx.view.named_version(home)) else { continue };
-        let gap = named.get().saturating_sub(held.version.get());
+        let Some(model) = followed.get(&engine.instance) else { continue };
+        let loaded = engine.models.iter().find(|loaded| loaded.model == *model);
+        let (Some(loaded), Some(named)) = (loaded, ctx.view.named_version(model)) else { continue };
+        let gap = named.get().saturating_sub(loaded.version.get());
         if gap > 0 {
             let load = ctx.view.board().mine(&engine.instance);
-            due.push((gap, load, engine.clone(), home.clone(), named));
+            due.push((gap, load, engine.clone(), model.clone(), named));
         }
     }
     due
 }
 
 /// The model that each engine follows: one of those for which a version is named.
-fn home_models(
+fn followed_models(
     ctx: &ShardContext,
     service: &ServiceName,
     engines: &[TargetRecord],
@@ -329,11 +329,11 @@
     let counts = divide_engines(engines.len(), &work);
     let mut instances: Vec<&InstanceId> = engines.iter().map(|engine| &engine.instance).collect();
     instances.sort();
-    let homes = instances.into_iter().enumerate().filter_map(|(position, instance)| {
-        let model = home_model(&counts, position)?;
-        Some((instance.clone(), models[model].clone()))
+    let followed = instances.into_iter().enumerate().filter_map(|(position, instance)| {
+        let index = followed_model(&counts, position)?;
+        Some((instance.clone(), models[index].clone()))
     });
-    homes.collect()
+    followed.collect()
 }
 
 /// Runs go on under the new version, unless a sample must come from a single one.
--- a/crates/swaps/src/lib.rs
+++ b/crates/swaps/src/lib.rs
@@ -7,7 +7,7 @@
 //! everything back.
 
 mod conductor;
-mod homes;
+mod shares;
 
 pub use conductor::{ORDER_LIFE, SwapAction, SwapConductor, SwapOrder, SwapProgress};
-pub use homes::{divide_engines, home_model};
+pub use shares::{divide_engines, followed_model};
--- a/crates/swaps/src/homes.rs
+++ b/crates/swaps/src/shares.rs
@@ -33,7 +33,7 @@
 }
 
 /// The model that the engine at `position`, in an order that all boxes share, follows.
-pub fn home_model(counts: &[usize], position: usize) -> Option<usize> {
+pub fn followed_model(counts: &[usize], position: usize) -> Option<usize> {
     let mut end = 0;
     counts.iter().position(|count| {
         end += count;
--- a/crates/swaps/tests/homes.rs
+++ b/crates/swaps/tests/shares.rs
@@ -1,6 +1,6 @@
 //! Engines are divided among models by their work.
 
-use swaps::{divide_engines, home_model};
+use swaps::{divide_engines, followed_model};
 
 #[test]
 fn engines_are_divided_by_work() {
@@ -18,14 +18,14 @@
 }
 
 #[test]
-fn all_engines_are_given_and_each_has_one_home() {
+fn all_engines_are_given_and_each_follows_one_model() {
     for engines in 0..60 {
         for work in [[1.0, 2.0, 3.0], [0.0, 0.0, 9.0], [5.0, 5.0, 5.0]] {
             let counts = divide_engines(engines, &work);
             assert_eq!(counts.iter().sum::<usize>(), engines, "{counts:?}");
-            let homes = (0..engines).filter_map(|at| home_model(&counts, at));
-            assert_eq!(homes.count(), engines);
-            assert_eq!(home_model(&counts, engines), None);
+            let followed = (0..engines).filter_map(|at| followed_model(&counts, at));
+            assert_eq!(followed.count(), engines);
+            assert_eq!(followed_model(&counts, engines), None);
         }
     }
 }
