Give links a sign of life, and repeat calls whose connection died

Cause: a link stayed open for ever once its connection fell silent without a reset. Change: a link that owes a sign of life, since something was sent on it, is pinged after 150 ms without a frame and given up 500 ms later (LinkPulse, without I/O). Its calls fail at once as LinkLost, which says that they may have run. Calls to keeping boxes that do no harm twice are made again on a new connection; a second answer of "not served" then no longer promises that nothing ran. Accepting sides close a silent caller's connection after 3 s while they answer it, after a minute otherwise; a blocked write ends with its link. The proxy of the tests can let single connections fall silent, one way or both. Test changed: a truncated answer is LinkLost now, one more name for "may have run"; the check that no such answer is taken for whole is as strict.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -125,6 +125,8 @@
         Err(fault)
     }
 
+    /// Asks one box. When the connection is lost under the call, it is made again on a new one:
+    /// whatever it does, it does once for its id.
     async fn ask_at(
         &self,
         address: &str,
@@ -132,12 +134,31 @@
         time: Duration,
         body: shard_request::Body,
     ) -> Result<shard_answer::Body, ShardFault> {
-        let called = self.links.call_shard(address, id, time, body).await;
-        let mut stream = called.map_err(|error| fault_of(&error))?;
+        let error = match self.ask_once(address, id, time, body.clone()).await {
+            Ok(answer) => return Ok(answer),
+            Err(error) => error,
+        };
+        if error != CallError::LinkLost {
+            return Err(fault_of(&error));
+        }
+        log::info!(target: "entry", request = id, peer = address, outcome = "asked again"; "connection lost");
+        let again = self.ask_once(address, id, time, body.clone()).await;
+        after_change(true, &body, again.map_err(|error| fault_of(&error)))
+    }
+
+    async fn ask_once(
+        &self,
+        address: &str,
+        id: &str,
+        time: Duration,
+        body: shard_request::Body,
+    ) -> Result<shard_answer::Body, CallError> {
+        let odd = CallError::Broken { why: "an answer of another kind" };
+        let mut stream = self.links.call_shard(address, id, time, body).await?;
         let mut whole = None;
-        while let Some(item) = stream.next(time).await.map_err(|error| fault_of(&error))? {
+        while let Some(item) = stream.next(time).await? {
             let Some(item::Body::Shard(ShardAnswer { body: Some(answer) })) = item.body else {
-                return Err(ShardFault::Unknown);
+                return Err(odd);
             };
             whole = match (whole, answer) {
                 (None, answer) => Some(answer),
@@ -145,10 +166,10 @@
                     page.results.extend(more.results);
                     Some(shard_answer::Body::Page(page))
                 }
-                (Some(_), _) => return Err(ShardFault::Unknown),
+                (Some(_), _) => return Err(odd),
             };
         }
-        whole.ok_or(ShardFault::Unknown)
+        whole.ok_or(odd)
     }
 
     /// Whether a box that keeps data answers from another failure domain; from this one, if there is no
@@ -197,8 +218,8 @@
     }
 }
 
-/// What an answer is worth after an earlier server was left while the call was under way: that one may
-/// have done it, so no later one can say that nothing was done.
+/// What an answer is worth after an earlier server, or an earlier connection, was left while the call was
+/// under way: it may have been done there, so no later answer can say that nothing was done.
 fn after_change(
     left: bool,
     body: &shard_request::Body,
@@ -215,7 +236,7 @@
 fn fault_of(error: &CallError) -> ShardFault {
     match error {
         CallError::NotSent { .. } => ShardFault::NotServed,
-        CallError::Broken { .. } => ShardFault::Unknown,
+        CallError::Broken { .. } | CallError::LinkLost => ShardFault::Unknown,
         CallError::Refused(refused) => match (refused.kind(), refused.reason.as_str()) {
             (RefusedKind::BadRequest, reason::NO_JOB) => ShardFault::NoJob,
             (RefusedKind::BadRequest, reason::NO_ITEM) => ShardFault::NoItem,
--- a/crates/gannetwayd/src/keeper/attempt.rs
+++ b/crates/gannetwayd/src/keeper/attempt.rs
@@ -179,7 +179,7 @@
             CallError::NotSent { .. } => {
                 AttemptEnd::NotRun { reason: NotRun::Unreachable, retry_after: Duration::ZERO }
             }
-            CallError::Broken { .. } => AttemptEnd::Unusable,
+            CallError::Broken { .. } | CallError::LinkLost => AttemptEnd::Unusable,
             CallError::Refused(refused) => {
                 self.hint = refused.load.as_ref().map(hint_of).or(self.hint);
                 match not_run_of(refused) {
--- a/crates/gannetwayd/src/refuse.rs
+++ b/crates/gannetwayd/src/refuse.rs
@@ -84,7 +84,7 @@
     match error {
         CallError::Refused(refused) => *refused,
         CallError::NotSent { .. } => wire_not_run(NotRun::Unreachable, KEEPER_RETRY),
-        CallError::Broken { .. } => {
+        CallError::Broken { .. } | CallError::LinkLost => {
             Refused { message: error.to_string(), ..wire_refusal(&Refusal::Unknown, None) }
         }
     }
--- a/crates/links/src/answer.rs
+++ b/crates/links/src/answer.rs
@@ -10,6 +10,7 @@
 use wire::peer::{Cancel, End, Frame, Item, Refused};
 
 use crate::CallError;
+use crate::pool::OpenCalls;
 
 /// What the end of an answer states beside its tally.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -62,7 +63,7 @@
 /// Where the word goes that the caller went away.
 #[derive(Debug)]
 enum CancelPath {
-    Link { call: u64, frames: mpsc::Sender<Frame> },
+    Link { call: u64, frames: mpsc::Sender<Frame>, calls: OpenCalls },
     Local(CancellationToken),
 }
 
@@ -81,8 +82,9 @@
         call: u64,
         bodies: mpsc::Receiver<Frame>,
         frames: mpsc::Sender<Frame>,
+        calls: OpenCalls,
     ) -> Self {
-        Self::with_cancel(bodies, CancelPath::Link { call, frames })
+        Self::with_cancel(bodies, CancelPath::Link { call, frames, calls })
     }
 
     /// Both ends of an answer within one box; the token ends when the stream is dropped.
@@ -105,7 +107,7 @@
         let body = match time::timeout(silence, self.bodies.recv()).await {
             Ok(Some(frame)) => frame.body,
             Ok(None) => {
-                return Err(self.close(CallError::Broken { why: "connection lost" }));
+                return Err(self.close(CallError::LinkLost));
             }
             Err(_elapsed) => return Err(CallError::Broken { why: "silence" }),
         };
@@ -157,7 +159,8 @@
         }
         match &self.cancel {
             CancelPath::Local(token) => token.cancel(),
-            CancelPath::Link { call, frames } => {
+            CancelPath::Link { call, frames, calls } => {
+                calls.remove(*call);
                 let why = "the caller went away".to_owned();
                 let body = Some(Body::Cancel(Cancel { why }));
                 // A full or closed connection needs no cancel: the peer notices by itself.
--- a/crates/links/src/error.rs
+++ b/crates/links/src/error.rs
@@ -17,6 +17,10 @@
         /// What happened.
         why: &'static str,
     },
+    /// The connection under the call closed or fell silent: it may have run. The peer itself may be
+    /// well, and a new connection may reach it.
+    #[error("the connection was lost: the work may have run, ask again if it may be repeated")]
+    LinkLost,
     /// The peer refused, and says whether the work ran.
     #[error("{}", .0.message)]
     Refused(Box<Refused>),
@@ -27,7 +31,7 @@
     pub fn surely_not_run(&self) -> bool {
         match self {
             Self::NotSent { .. } => true,
-            Self::Broken { .. } => false,
+            Self::Broken { .. } | Self::LinkLost => false,
             Self::Refused(refused) => refused.kind() != RefusedKind::Unknown,
         }
     }
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -11,10 +11,12 @@
 mod answer;
 mod error;
 mod pool;
+mod pulse;
 mod server;
 mod shard;
 
 pub use answer::{AnswerEnd, AnswerSink, AnswerStream};
 pub use error::CallError;
 pub use pool::{LinkPool, LinkSettings};
+pub use pulse::{LinkPulse, PulseStep};
 pub use server::{PeerHandler, serve_links};
--- a/crates/links/src/server.rs
+++ b/crates/links/src/server.rs
@@ -10,15 +10,16 @@
 use rand::RngCore;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time;
+use tokio::time::{self, Instant};
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 use wire::peer::frame::Body;
-use wire::peer::{Beat, Challenge, Frame, Request};
+use wire::peer::{Beat, Challenge, Frame, Pong, Request};
 use wire::{DeploymentKey, FrameCodec};
 
 use crate::AnswerSink;
 use crate::pool::write_frames;
+use crate::pulse::{CALLER_REST, CALLER_SILENCE};
 
 /// Frames that wait for the connection's writer.
 const WRITE_QUEUE: usize = 256;
@@ -89,11 +90,21 @@
     let (frames, queue) = mpsc::channel(WRITE_QUEUE);
     tokio::spawn(write_frames(sink, queue, closed.clone()));
     let calls = CallTable::default();
+    let mut heard_at = Instant::now();
     loop {
+        let allowed = if calls.is_empty() { CALLER_REST } else { CALLER_SILENCE };
         let next = tokio::select! {
             () = closed.cancelled() => break,
-            next = stream.next() => next,
+            next = time::timeout(CALLER_SILENCE, stream.next()) => next,
         };
+        let Ok(next) = next else {
+            if heard_at.elapsed() < allowed {
+                continue;
+            }
+            log::info!(target: "links", peer:% = peer, outcome = "silent"; "connection closed");
+            break;
+        };
+        heard_at = Instant::now();
         let frame = match next {
             Some(Ok(frame)) => frame,
             Some(Err(error)) => {
@@ -108,6 +119,10 @@
                 calls.start(frame.call, request, sink, &handler, &closed);
             }
             Some(Body::Cancel(_)) => calls.cancel(frame.call),
+            Some(Body::Ping(_)) => {
+                // A full queue holds frames that show the life of this link as well.
+                let _unsent = frames.try_send(Frame { call: 0, body: Some(Body::Pong(Pong {})) });
+            }
             Some(Body::Beat(beat)) => handler.beat(beat).await,
             _ => log::warn!(target: "links", peer:% = peer; "frame out of place, skipped"),
         }
@@ -154,6 +169,10 @@
         });
     }
 
+    fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
     fn cancel(&self, call: u64) {
         if let Some(cancel) = self.lock().remove(&call) {
             cancel.cancel();
--- a/crates/links/src/shard.rs
+++ b/crates/links/src/shard.rs
@@ -24,19 +24,48 @@
         self.call(address, request).await
     }
 
-    /// Asks a keeping box for its one answer, within `time`.
+    /// Asks a keeping box for its one answer, within `time`. When the connection is lost under the
+    /// question, it is asked again on a new one, if asking twice does no harm.
     pub async fn ask_shard(
         &self,
         address: &str,
         time: Duration,
         body: shard_request::Body,
     ) -> Result<shard_answer::Body, CallError> {
-        let asked = async { self.call_shard(address, "", time, body).await?.single(time).await };
+        let asked = async {
+            let again = may_repeat(&body).then(|| body.clone());
+            let answer = self.ask_once(address, time, body).await;
+            match (answer, again) {
+                (Err(CallError::LinkLost), Some(body)) => {
+                    // Whatever the second answer is, the first question may have been carried out.
+                    let answer = self.ask_once(address, time, body).await;
+                    answer.map_err(|error| match error {
+                        CallError::NotSent { .. } => CallError::LinkLost,
+                        other => other,
+                    })
+                }
+                (answer, _) => answer,
+            }
+        };
         let silence = CallError::Broken { why: "silence" };
-        let item = tokio::time::timeout(time, asked).await.map_err(|_elapsed| silence)??;
+        tokio::time::timeout(time, asked).await.map_err(|_elapsed| silence)?
+    }
+
+    async fn ask_once(
+        &self,
+        address: &str,
+        time: Duration,
+        body: shard_request::Body,
+    ) -> Result<shard_answer::Body, CallError> {
+        let item = self.call_shard(address, "", time, body).await?.single(time).await?;
         match item.body {
             Some(item::Body::Shard(ShardAnswer { body: Some(answer) })) => Ok(answer),
             _ => Err(CallError::Broken { why: "an answer of another kind" }),
         }
     }
 }
+
+/// A piece of a copy is appended to those before it; everything else names what it is about.
+const fn may_repeat(body: &shard_request::Body) -> bool {
+    !matches!(body, shard_request::Body::Copy(_))
+}
--- a/crates/links/tests/whole_answers.rs
+++ b/crates/links/tests/whole_answers.rs
@@ -172,7 +172,7 @@
 }
 
 fn is_broken(answer: &Result<Vec<String>, CallError>) -> bool {
-    matches!(answer, Err(error @ CallError::Broken { .. }) if !error.surely_not_run())
+    matches!(answer, Err(error @ (CallError::Broken { .. } | CallError::LinkLost)) if !error.surely_not_run())
 }
 
 #[tokio::test]
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -36,6 +36,10 @@
     pub refuse: bool,
     /// Connections that began under a lower number are reset.
     pub resets: u64,
+    /// Connections that began under a lower number pass nothing more to the target, for good.
+    pub silences_there: u64,
+    /// Connections that began under a lower number pass nothing more back, for good.
+    pub silences_back: u64,
 }
 
 /// A proxy in front of one target; without a target it closes connections.
@@ -75,6 +79,14 @@
         self.change(|faults| faults.resets += 1);
     }
 
+    /// Lets all open connections fall silent for good, without a reset; new ones work.
+    pub fn silence(&self) {
+        self.change(|faults| {
+            faults.silences_there += 1;
+            faults.silences_back += 1;
+        });
+    }
+
     /// Cuts the target off: resets connections and takes no new ones.
     pub fn cut(&self) {
         self.change(|faults| {
@@ -83,10 +95,12 @@
         });
     }
 
-    /// Does no harm any more. Connections that were reset stay so.
+    /// Does no harm any more. Connections that were reset or fell silent stay so.
     pub fn heal(&self) {
         self.change(|faults| {
-            *faults = LinkFaults { resets: faults.resets, ..LinkFaults::default() }
+            faults.there = Passage::Open;
+            faults.back = Passage::Open;
+            faults.refuse = false;
         });
     }
 
@@ -101,18 +115,22 @@
 }
 
 async fn pass(caller: TcpStream, target: SocketAddr, faults: watch::Receiver<LinkFaults>) {
-    let born = faults.borrow().resets;
+    let born = *faults.borrow();
     let Ok(target) = TcpStream::connect(target).await else { return };
     // Only the pace of small pieces depends on these.
     let _slower = (caller.set_nodelay(true), target.set_nodelay(true));
     let (caller_in, caller_out) = caller.into_split();
     let (target_in, target_out) = target.into_split();
     let mut resets = faults.clone();
-    let there = copy(caller_in, target_out, faults.clone(), |faults| faults.there);
-    let back = copy(target_in, caller_out, faults, |faults| faults.back);
+    let there = copy(caller_in, target_out, faults.clone(), |faults| {
+        (faults.there, faults.silences_there > born.silences_there)
+    });
+    let back = copy(target_in, caller_out, faults, |faults| {
+        (faults.back, faults.silences_back > born.silences_back)
+    });
     tokio::select! {
         _ended = futures::future::join(there, back) => {}
-        _reset = resets.wait_for(|faults| faults.resets > born) => {}
+        _reset = resets.wait_for(|faults| faults.resets > born.resets) => {}
     }
     // What is dropped with bytes that nobody has read is reset.
 }
@@ -121,15 +139,22 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut faults: watch::Receiver<LinkFaults>,
-    way: impl Fn(&LinkFaults) -> Passage,
+    way: impl Fn(&LinkFaults) -> (Passage, bool),
 ) {
     let mut piece = vec![0; PIECE];
     loop {
         let Ok(len) = from.read(&mut piece).await else { return };
-        let passage = match faults.wait_for(|faults| way(faults) != Passage::Held).await {
+        let (passage, silent) = match faults.wait_for(|faults| way(faults).0 != Passage::Held).await
+        {
             Ok(state) => way(&state),
             Err(_ended) => return,
         };
+        if silent && len == 0 {
+            return;
+        }
+        if silent {
+            continue;
+        }
         if let Passage::Delayed(time) = passage {
             time::sleep(time).await;
         }
