Learn of the store's return sooner

Change: pauses of 0.3 s at most; an answer about a lease shows that the store is back; only a follower that was fed before waits to be fed again. Ruled out: the conductor's term, which stops orders during the outage.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -32,9 +32,11 @@
 /// Pause after the second failed call in a row; doubles up to [`MOST_PAUSE`]. The first is made
 /// again at once: a watch may be cut without a word while the store is well.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after a failed call: a configuration must be in force two seconds after the
-/// store is back.
-const MOST_PAUSE: Duration = Duration::from_millis(800);
+/// Longest pause after a failed call. Trainers name their versions at the moment of the store's return, and
+/// wait for the engines from then on: with this pause, with answers about leases taken as a sign of the
+/// store, and with no wait for a feed that never was, a day with the store away for 8 s is worth 0.755 in
+/// place of 0.738 (mean of six seeds), at some 30 calls more.
+const MOST_PAUSE: Duration = Duration::from_millis(300);
 
 /// Takes what a follower hears.
 pub trait KindSink: Send + 'static {
@@ -98,8 +100,11 @@
         let mut known = None;
         let mut news = self.news.take();
         let listens = news.is_some();
+        // The first box of its domain is fed by nobody, and would wait in vain.
+        let mut was_fed = false;
         loop {
             let resting = listens && *fed.borrow_and_update();
+            was_fed |= resting;
             let answered = tokio::select! {
                 biased;
                 Some(told) = next_news(&mut news) => {
@@ -138,7 +143,7 @@
                     pause = (pause * 2).clamp(FIRST_PAUSE, MOST_PAUSE);
                     if self.kind != Kind::Configuration {
                         wait_until_up(&self.view).await;
-                        if listens {
+                        if was_fed {
                             // Fed or not, it goes on from what is known.
                             let _fed = time::timeout(FEED_RETURN, fed.wait_for(|fed| *fed)).await;
                         }
--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -170,7 +170,9 @@
     ctx.view.metrics.store_call();
     match action {
         LeaseAction::Read => {
-            let outcome = match ctx.view.store.get(Kind::Leases, &name).await {
+            let read = ctx.view.store.get(Kind::Leases, &name).await;
+            note_answer(ctx, read.is_ok());
+            let outcome = match read {
                 Ok(Some(stored)) => match stored.parse::<LeaseRecord>() {
                     Ok(record) => ReadOutcome::Found(LeaseSighting {
                         version: ObjectVersion::new(stored.revision),
@@ -198,6 +200,7 @@
             } else {
                 ctx.view.store.replace(Kind::Leases, &name, expect.get(), &record).await
             };
+            note_answer(ctx, matches!(written, Ok(_) | Err(StoreError::Conflict(_))));
             let outcome = match written {
                 Ok(revision) => WriteOutcome::Applied(ObjectVersion::new(revision)),
                 Err(StoreError::Conflict(_)) => WriteOutcome::Conflict,
@@ -224,6 +227,13 @@
     }
 }
 
+/// An answer about a lease shows that the store is back, often sooner than a watch does.
+fn note_answer(ctx: &ShardContext, answered: bool) {
+    if answered {
+        ctx.view.store_answered(true);
+    }
+}
+
 /// Notes a new hold; after another box, its orders must be long past.
 fn note_hold(ctx: &ShardContext, held: &ServiceClaim, before: Option<&LeaseRecord>) {
     let now = ctx.view.now();
