Load first for the model with the fewest engines up to date

Change: swaps::due_loads orders engines by the part of their model's engines that is up to date, then by how outdated they are, then by their runs.

--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -11,12 +11,15 @@
 use coord::lease::{
     LeaseAction, LeaseClaim, LeaseRecord, LeaseSighting, ReadOutcome, WriteOutcome,
 };
-use ids::{FencingToken, Incarnation, InstanceId, ModelName, Moment, ObjectVersion, ServiceName};
+use ids::{
+    FencingToken, Incarnation, InstanceId, ModelName, ModelVersion, Moment, ObjectVersion,
+    ServiceName,
+};
 use joblog::shard_of;
 use platform::orders::SwapMode;
 use platform::{Kind, StoreError};
 use routing::{RouteKind, TargetRecord};
-use swaps::{divide_engines, followed_model};
+use swaps::{FollowedEngine, divide_engines, due_loads, followed_model};
 use tokio::time;
 use wire::peer::HeldLease;
 
@@ -262,10 +265,9 @@
     }
 }
 
-/// Sends the orders that are due: the most outdated engines first, few at a time.
+/// Sends the orders that are due, few at a time.
 fn order_due(ctx: &Arc<ShardContext>, held: &Arc<ServiceClaim>) {
-    let now = ctx.view.now();
-    if held.token(now).is_none() {
+    if held.token(ctx.view.now()).is_none() {
         return;
     }
     let engines: Vec<TargetRecord> = ctx
@@ -276,74 +278,89 @@
         .cloned()
         .collect();
     let most = loads_at_once(engines.len(), ctx.settings.load_parts);
-    let mut due = due_engines(ctx, held, &engines);
-    due.sort_by_key(|(gap, load, ..)| (std::cmp::Reverse(*gap), *load));
-    for (_, _, target, model, version) in due {
-        if lock(&held.ordered).len() >= most {
-            return;
-        }
-        lock(&held.ordered).insert(target.instance.clone());
-        let spec = OrderSpec { target, model, version, mode: swap_mode(ctx, &held.service) };
-        let (ctx, held) = (Arc::clone(ctx), Arc::clone(held));
-        tokio::spawn(async move {
-            let end = order_engine(&ctx, &spec, || held.token(ctx.view.now())).await;
-            if matches!(end, OrderEnd::Busy | OrderEnd::InDoubt) {
-                time::sleep(AGAIN_PAUSE).await;
-            }
-            lock(&held.ordered).remove(&spec.target.instance);
-        });
+    let room = most.saturating_sub(lock(&held.ordered).len());
+    if room == 0 {
+        return;
+    }
+    for spec in due_orders(ctx, held, &engines).into_iter().take(room) {
+        start_order(ctx, held, spec);
     }
 }
 
+fn start_order(ctx: &Arc<ShardContext>, held: &Arc<ServiceClaim>, spec: OrderSpec) {
+    lock(&held.ordered).insert(spec.target.instance.clone());
+    let (ctx, held) = (Arc::clone(ctx), Arc::clone(held));
+    tokio::spawn(async move {
+        let end = order_engine(&ctx, &spec, || held.token(ctx.view.now())).await;
+        if matches!(end, OrderEnd::Busy | OrderEnd::InDoubt) {
+            time::sleep(AGAIN_PAUSE).await;
+        }
+        lock(&held.ordered).remove(&spec.target.instance);
+    });
+}
+
 /// One engine in `parts`, rounded, and one at least.
 fn loads_at_once(engines: usize, parts: usize) -> usize {
     ((engines + parts / 2) / parts).max(1)
 }
 
-type DueEngine = (u64, u32, TargetRecord, ModelName, ids::ModelVersion);
-
-/// Engines that hold an older version than the named one of the model that they follow: by how
-/// much, and their load.
-fn due_engines(
-    ctx: &ShardContext,
-    held: &ServiceClaim,
-    engines: &[TargetRecord],
-) -> Vec<DueEngine> {
+/// Orders to engines that hold an older version than the named one of the model that they follow,
+/// the best first.
+fn due_orders(ctx: &ShardContext, held: &ServiceClaim, engines: &[TargetRecord]) -> Vec<OrderSpec> {
     let ordered = lock(&held.ordered).clone();
-    let followed = followed_models(ctx, &held.service, engines);
-    let mut due = Vec::new();
-    for engine in engines.iter().filter(|engine| !ordered.contains(&engine.instance)) {
-        let Some(model) = followed.get(&engine.instance) else { continue };
-        let loaded = engine.models.iter().find(|loaded| loaded.model == *model);
-        let (Some(loaded), Some(named)) = (loaded, ctx.view.named_version(model)) else { continue };
-        let gap = named.get().saturating_sub(loaded.version.get());
-        if gap > 0 {
-            let load = ctx.view.board().mine(&engine.instance);
-            due.push((gap, load, engine.clone(), model.clone(), named));
-        }
+    let models = named_models(ctx, &held.service);
+    let followed = followed_models(ctx, &models, engines);
+    let mut specs = Vec::new();
+    let mut states = Vec::new();
+    for engine in engines {
+        let Some(position) = followed.get(&engine.instance).copied() else { continue };
+        let (model, named) = &models[position];
+        let Some(loaded) = engine.models.iter().find(|loaded| loaded.model == *model) else {
+            continue;
+        };
+        states.push(FollowedEngine {
+            model: position,
+            behind: named.get().saturating_sub(loaded.version.get()),
+            ordered: ordered.contains(&engine.instance),
+            running: ctx.view.board().mine(&engine.instance),
+        });
+        specs.push(OrderSpec {
+            target: engine.clone(),
+            model: model.clone(),
+            version: *named,
+            mode: swap_mode(ctx, &held.service),
+        });
     }
-    due
+    due_loads(&states).into_iter().map(|at| specs[at].clone()).collect()
 }
 
-/// The model that each engine follows: one of those for which a version is named.
-fn followed_models(
-    ctx: &ShardContext,
-    service: &ServiceName,
-    engines: &[TargetRecord],
-) -> HashMap<InstanceId, ModelName> {
+/// The models of a service for which a version is named, and these versions.
+fn named_models(ctx: &ShardContext, service: &ServiceName) -> Vec<(ModelName, ModelVersion)> {
     let of_service = ctx.view.engine_services().into_iter().find(|(name, _)| name == service);
     let mut models = of_service.map(|(_, models)| models).unwrap_or_default();
-    models.retain(|model| ctx.view.named_version(model).is_some());
     models.sort();
-    let work = ctx.work.of(ctx.view.now(), &models);
+    let named = models.into_iter().filter_map(|model| {
+        let version = ctx.view.named_version(&model)?;
+        Some((model, version))
+    });
+    named.collect()
+}
+
+/// The position of the model that each engine follows.
+fn followed_models(
+    ctx: &ShardContext,
+    models: &[(ModelName, ModelVersion)],
+    engines: &[TargetRecord],
+) -> HashMap<InstanceId, usize> {
+    let names: Vec<ModelName> = models.iter().map(|(model, _)| model.clone()).collect();
+    let work = ctx.work.of(ctx.view.now(), &names);
     let counts = divide_engines(engines.len(), &work);
     let mut instances: Vec<&InstanceId> = engines.iter().map(|engine| &engine.instance).collect();
     instances.sort();
-    let followed = instances.into_iter().enumerate().filter_map(|(position, instance)| {
-        let index = followed_model(&counts, position)?;
-        Some((instance.clone(), models[index].clone()))
-    });
-    followed.collect()
+    let followed = instances.into_iter().enumerate();
+    followed
+        .filter_map(|(at, instance)| Some((instance.clone(), followed_model(&counts, at)?)))
+        .collect()
 }
 
 /// Runs go on under the new version, unless a sample must come from a single one.
--- a/crates/swaps/src/lib.rs
+++ b/crates/swaps/src/lib.rs
@@ -7,7 +7,9 @@
 //! everything back.
 
 mod conductor;
+mod loads;
 mod shares;
 
 pub use conductor::{ORDER_LIFE, SwapAction, SwapConductor, SwapOrder, SwapProgress};
+pub use loads::{FollowedEngine, due_loads};
 pub use shares::{divide_engines, followed_model};
