--- /dev/null
+++ b/crates/xtask/src/ablate.rs
@@ -0,0 +1,233 @@
+//! Scratch copies without one mechanism, to measure what it is worth.
+//!
+//! Unlike a mutation, which a test must notice, an ablation is a working program: it only decides
+//! worse, if the mechanism is worth anything. What plays it and compares is the caller's.
+
+use std::io;
+use std::path::Path;
+
+use crate::scratch::{SourceEdit, refresh};
+
+struct Ablation {
+    name: &'static str,
+    /// What happens without the mechanism.
+    without: &'static str,
+    edit: SourceEdit,
+}
+
+const ABLATIONS: &[Ablation] = &[
+    Ablation {
+        name: "pace",
+        without: "runs take the near and idle engines, not the fast ones",
+        edit: SourceEdit {
+            file: "crates/shards/src/dispatch.rs",
+            from: "        fast: true,",
+            to: "        fast: false,",
+        },
+    },
+    Ablation {
+        name: "latest-start",
+        without: "items start job by job, whatever their length",
+        edit: SourceEdit {
+            file: "crates/jobs/src/order.rs",
+            from: "as_secs_f64() * 1_000.0 - text",
+            to: "as_secs_f64() * 1_000.0 - text * 0.0",
+        },
+    },
+    Ablation {
+        name: "longest-first",
+        without: "items of a job start group by group, not longest first",
+        edit: SourceEdit {
+            file: "crates/jobs/src/order.rs",
+            from: "    items.sort_by_key(|index| Reverse(job.items[*index as usize].length_hint));",
+            to: "",
+        },
+    },
+    Ablation {
+        name: "spare-last",
+        without: "no group of a job starts last",
+        edit: SourceEdit {
+            file: "crates/jobs/src/order.rs",
+            from: "    let last = (plans.len() / LAST_PARTS).min(",
+            to: "    let last = (plans.len() / LAST_PARTS * 0).min(",
+        },
+    },
+    Ablation {
+        name: "fresh-part",
+        without: "the most outdated engines load first, whatever their model",
+        edit: SourceEdit {
+            file: "crates/swaps/src/loads.rs",
+            from: "        fresh * 1_000 / of_model.count().max(1)",
+            to: "        0 * fresh * of_model.count()",
+        },
+    },
+    Ablation {
+        name: "share-by-work",
+        without: "each model gets as many engines, whatever its work",
+        edit: SourceEdit {
+            file: "crates/shards/src/conductor.rs",
+            from: "    let counts = divide_engines(engines.len(), &work);",
+            to: "    let counts = divide_engines(engines.len(), &vec![1.0; work.len()]);",
+        },
+    },
+    Ablation {
+        name: "few-loads",
+        without: "all engines may load at once",
+        edit: SourceEdit {
+            file: "crates/shards/src/conductor.rs",
+            from: "    ((engines + parts / 2) / parts).max(1)",
+            to: "    (engines + parts - parts).max(1)",
+        },
+    },
+    Ablation {
+        name: "move-slow",
+        without: "runs stay on slow engines",
+        edit: SourceEdit {
+            file: "crates/shards/src/run.rs",
+            from: "        board.has_faster(view.now()",
+            to: "        false && board.has_faster(view.now()",
+        },
+    },
+    Ablation {
+        name: "move-loading",
+        without: "runs stay on engines that load",
+        edit: SourceEdit {
+            file: "crates/shards/src/run.rs",
+            from: "        board.is_loading(now, &self.slot.instance)\n            &&",
+            to: "        false && board.is_loading(now, &self.slot.instance)\n            &&",
+        },
+    },
+    Ablation {
+        name: "progress",
+        without: "long texts are in the log only once they are whole",
+        edit: SourceEdit {
+            file: "crates/shards/src/run.rs",
+            from: "const PROGRESS_EVENTS: usize = 16;",
+            to: "const PROGRESS_EVENTS: usize = 1 << 30;",
+        },
+    },
+    Ablation {
+        name: "carried-text",
+        without: "text that an earlier job has left over is made again",
+        edit: SourceEdit {
+            file: "crates/jobs/src/book.rs",
+            from: "        let holder = self.holders.get(item)?;",
+            to: "        let holder = self.holders.get(item).filter(|_| false)?;",
+        },
+    },
+    Ablation {
+        name: "rest-failed",
+        without: "a target that failed is tried again at once",
+        edit: SourceEdit {
+            file: "crates/routing/src/board.rs",
+            from: "const FIRST_REST: Duration = Duration::from_millis(200);",
+            to: "const FIRST_REST: Duration = Duration::ZERO;",
+        },
+    },
+    Ablation {
+        name: "rest-full",
+        without: "a target that was full is tried again at once",
+        edit: SourceEdit {
+            file: "crates/routing/src/board.rs",
+            from: "const FULL_REST: Duration = Duration::from_millis(60);",
+            to: "const FULL_REST: Duration = Duration::ZERO;",
+        },
+    },
+    Ablation {
+        name: "feed",
+        without: "every box asks the store itself",
+        edit: SourceEdit {
+            file: "crates/node/src/feed/client.rs",
+            from: "        let duties = self.view.duties();\n        let here",
+            to: "        let duties = self.view.duties();\n        if duties.boxes().count() < usize::MAX {\n            return None;\n        }\n        let here",
+        },
+    },
+    Ablation {
+        name: "cut-off",
+        without: "a box that is cut off stays ready",
+        edit: SourceEdit {
+            file: "crates/front/src/isolation.rs",
+            from: "view.set_isolated(view.is_configured() && heard_at",
+            to: "view.set_isolated(false && heard_at",
+        },
+    },
+    Ablation {
+        name: "doubt",
+        without: "a failed call raises no doubt of being cut off",
+        edit: SourceEdit {
+            file: "crates/front/src/jobs_api.rs",
+            from: "            self.doubt.raise();",
+            to: "",
+        },
+    },
+    Ablation {
+        name: "ask-again",
+        without: "a call whose connection died is not made again",
+        edit: SourceEdit {
+            file: "crates/front/src/jobs_api.rs",
+            from: "        if error != CallError::LinkLost {",
+            to: "        if true {",
+        },
+    },
+    Ablation {
+        name: "pulse",
+        without: "a silent link is not given up",
+        edit: SourceEdit {
+            file: "crates/links/src/pulse.rs",
+            from: "if now >= pong_by { PulseStep::Dead }",
+            to: "if now >= pong_by && false { PulseStep::Dead }",
+        },
+    },
+    Ablation {
+        name: "keep-lease",
+        without: "a holder gives its lease up when the shard moves",
+        edit: SourceEdit {
+            file: "crates/shards/src/conductor.rs",
+            from: "            } else if serves || claim.may_be_mine() {",
+            to: "            } else if serves {",
+        },
+    },
+    Ablation {
+        name: "stand-in",
+        without: "nobody stands in for a holder whom the store refuses",
+        edit: SourceEdit {
+            file: "crates/shards/src/conductor.rs",
+            from: "serves_shard(&ctx, &keepers, claim) || stands_in(&ctx, claim)",
+            to: "serves_shard(&ctx, &keepers, claim) || (false && stands_in(&ctx, claim))",
+        },
+    },
+    Ablation {
+        name: "reuse",
+        without: "connections to targets are not used again",
+        edit: SourceEdit {
+            file: "crates/upstream/src/pool.rs",
+            from: "const MOST_IDLE: usize = 16;",
+            to: "const MOST_IDLE: usize = 0;",
+        },
+    },
+    Ablation {
+        name: "return",
+        without: "followers learn late of the store's return",
+        edit: SourceEdit {
+            file: "crates/shards/src/conductor.rs",
+            from: "        ctx.view.store_answered(true);",
+            to: "",
+        },
+    },
+];
+
+/// Lists the mechanisms, one a line: name, and what happens without it.
+pub fn list() {
+    for ablation in ABLATIONS {
+        println!("{}\t{}", ablation.name, ablation.without);
+    }
+}
+
+/// Makes a copy of the tree at `to` without the mechanism `name`.
+pub fn ablate(root: &Path, name: &str, to: &Path) -> io::Result<()> {
+    let Some(ablation) = ABLATIONS.iter().find(|ablation| ablation.name == name) else {
+        return Err(io::Error::other(format!("no mechanism `{name}`: run `ablate` for the list")));
+    };
+    refresh(root, to)?;
+    ablation.edit.apply(to)
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,6 +1,8 @@
 //! Chores of the repository, run as `cargo run -p xtask -- <chore>`.
 
+mod ablate;
 mod mutate;
+mod scratch;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -26,6 +28,15 @@
         /// Only mutations whose name holds this.
         only: Option<String>,
     },
+    /// Makes a scratch copy without one mechanism, for measuring; lists them without a name.
+    Ablate {
+        /// The mechanism.
+        #[arg(requires = "to")]
+        name: Option<String>,
+        /// Where the copy goes; a later one may take the place of an earlier one.
+        #[arg(long)]
+        to: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -33,6 +44,13 @@
     let done = match cli.chore {
         Chore::Codegen => codegen(&generated_dir()),
         Chore::CheckCodegen => check_codegen(),
+        Chore::Ablate { name: Some(name), to: Some(to) } => {
+            ablate::ablate(&root_dir(), &name, &to).map_err(Into::into)
+        }
+        Chore::Ablate { .. } => {
+            ablate::list();
+            Ok(())
+        }
         Chore::Mutate { only } => mutate::mutate(&root_dir(), only.as_deref()).map_err(Into::into),
     };
     match done {
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -3,9 +3,11 @@
 //! A promise counts as tested only if the test fails without the mechanism. Each mutation is a
 //! piece of source, what takes its place, and the test that must notice.
 
-use std::path::{Path, PathBuf};
+use std::io;
+use std::path::Path;
 use std::process::Command;
-use std::{fs, io};
+
+use crate::scratch::{SourceEdit, refresh};
 
 /// One mechanism taken out.
 struct Mutation {
@@ -233,7 +235,8 @@
             let fault = format!("{}: its test fails without any mutation", mutation.name);
             return Err(io::Error::other(fault));
         }
-        change(&copy, mutation)?;
+        let edit = SourceEdit { file: mutation.file, from: mutation.from, to: mutation.to };
+        edit.apply(&copy)?;
         let noticed = !passes(&copy, mutation)?;
         println!("{} {}", if noticed { "noticed  " } else { "UNNOTICED" }, mutation.name);
         if !noticed {
@@ -246,36 +249,6 @@
     Err(io::Error::other(format!("no test noticed: {}", unnoticed.join("; "))))
 }
 
-/// Copies the tracked tree anew.
-fn refresh(root: &Path, copy: &Path) -> io::Result<()> {
-    fs::create_dir_all(copy)?;
-    let listed = Command::new("git").args(["ls-files", "-z"]).current_dir(root).output()?;
-    for name in listed.stdout.split(|byte| *byte == 0).filter(|name| !name.is_empty()) {
-        let name = PathBuf::from(String::from_utf8_lossy(name).into_owned());
-        let (from, to) = (root.join(&name), copy.join(&name));
-        let text = fs::read(&from)?;
-        // Untouched files keep their times, so that only the mutated crate is built again.
-        if fs::read(&to).ok().as_ref() == Some(&text) {
-            continue;
-        }
-        if let Some(dir) = to.parent() {
-            fs::create_dir_all(dir)?;
-        }
-        fs::write(to, text)?;
-    }
-    Ok(())
-}
-
-fn change(copy: &Path, mutation: &Mutation) -> io::Result<()> {
-    let path = copy.join(mutation.file);
-    let text = fs::read_to_string(&path)?;
-    if !text.contains(mutation.from) {
-        let fault = format!("{}: `{}` is not in {}", mutation.name, mutation.from, mutation.file);
-        return Err(io::Error::other(fault));
-    }
-    fs::write(path, text.replacen(mutation.from, mutation.to, 1))
-}
-
 fn passes(copy: &Path, mutation: &Mutation) -> io::Result<bool> {
     let cargo = |args: &[&str]| {
         Command::new("cargo")
