--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -132,7 +132,10 @@
         answer.whole(MOST_ANSWER).await
     };
     let (outcome, end) = match time::timeout(limit, sent).await {
-        Err(_elapsed) => ("silent", TryEnd::Broken),
+        Err(_elapsed) => {
+            view.pool.forget_resting();
+            ("silent", TryEnd::Broken)
+        }
         Ok(Err(SendError::NotSent(_))) => ("not sent", TryEnd::NotRun),
         Ok(Err(SendError::Broken(_))) => ("broken", TryEnd::Broken),
         Ok(Ok(answer)) => judge(view, call, slot, answer),
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -107,7 +107,10 @@
         };
         let sent = self.ctx.view.pool.send(self.slot.address, request);
         let answer = match time::timeout(SILENCE, sent).await {
-            Err(_elapsed) => return (RunOutcome::Cut, "silent before the head"),
+            Err(_elapsed) => {
+                self.ctx.view.pool.forget_resting();
+                return (RunOutcome::Cut, "silent before the head");
+            }
             Ok(Err(SendError::NotSent(_))) => return (RunOutcome::NotRun, "not sent"),
             Ok(Err(SendError::Broken(_))) => return (RunOutcome::Cut, "broken before the head"),
             Ok(Ok(answer)) => answer,
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -140,6 +140,12 @@
         }
     }
 
+    /// Closes all resting connections: what made one of them fall silent may have met others, and each
+    /// would cost its request the time until that shows. New ones cost a millisecond each.
+    pub fn forget_resting(&self) {
+        self.lock().clear();
+    }
+
     /// Closes connections that have rested too long.
     pub fn sweep(&self) {
         let now = Instant::now();
