Leave as many groups for last as the trainer does not wait for

Cause: one group in ten was taken for spare, rounded down, whatever the job said of how many it waits for: of 18 groups one, where the trainer waits for 16; of 9 none, where it waits for 8. Change: spare are the groups beyond wanted_groups; the constant is gone.

--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -7,9 +7,6 @@
 use ids::Moment;
 use wire::peer::Job;
 
-/// One part in this many of a job's groups, those that look longest, starts last: a trainer
-/// waits for nine groups in ten, and the longest samples of all end a step late.
-const LAST_PARTS: usize = 10;
 /// Items of groups that nobody waits for start as though their job had come this much later.
 const SPARE_DELAY: Duration = Duration::from_secs(10);
 /// What is known of texts fades: the last few hundred count.
@@ -37,8 +34,8 @@
 /// Orders the items of a job.
 ///
 /// The trainer waits for the last item of its groups, so the longest items start first, by the caller's
-/// guess. One group in ten need not be whole: the longest ones that no earlier job has left
-/// unfinished start last, since the trainer waits for all of those.
+/// guess. Of the groups beyond those that it waits for, the longest start last; never one that an earlier
+/// job has left unfinished, since the trainer waits for all of those.
 pub fn run_order(job: &Job, carried: impl Fn(&str) -> bool) -> RunOrder {
     let mut plans: Vec<GroupPlan> = Vec::new();
     let mut by_name: HashMap<&str, usize> = HashMap::new();
@@ -54,7 +51,8 @@
     }
     plans.sort_by_key(|plan| (!plan.carried, Reverse(plan.longest), plan.first));
     let carried = plans.iter().take_while(|plan| plan.carried).count();
-    let last = (plans.len() / LAST_PARTS).min(plans.len() - carried);
+    let wanted = usize::try_from(job.wanted_groups).unwrap_or(usize::MAX).max(carried);
+    let last = plans.len().saturating_sub(wanted);
     let spare: Vec<u32> =
         plans.drain(carried..carried + last).flat_map(|plan| plan.items).collect();
     let mut items: Vec<u32> = plans.into_iter().flat_map(|plan| plan.items).collect();
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -308,9 +308,11 @@
     assert_eq!(start_all(&mut book, at(2)).remove(0).events, 0);
 }
 
-/// A job with items of its own that look the longer the higher their number.
+/// A job with items of its own that look the longer the higher their number; its trainer waits for nine
+/// groups in ten.
 fn job_with_hints(id: &str, groups: usize) -> wire::peer::Job {
     let mut job = job(id, groups);
+    job.wanted_groups = u32::try_from(groups - groups / 10).expect("small");
     for (index, item) in job.items.iter_mut().enumerate() {
         item.length_hint = u32::try_from(index).expect("small");
         item.id = format!("{id}-{index}");
@@ -336,6 +338,19 @@
     assert_eq!(order.spare, 0);
 }
 
+#[test]
+fn as_many_groups_are_spare_as_the_trainer_does_not_wait_for() {
+    let mut job = job_with_hints("j", 10);
+    job.wanted_groups = 7;
+    assert_eq!(run_order(&job, |_| false).items[14..], [18, 19, 16, 17, 14, 15]);
+    job.wanted_groups = 10;
+    assert_eq!(run_order(&job, |_| false).spare, 0);
+    // Wanted or not, what an earlier job has left over is waited for.
+    job.wanted_groups = 1;
+    let order = run_order(&job, |item| item.len() == 3);
+    assert_eq!(order.spare, 10, "items 0 to 9 were left over");
+}
+
 /// Takes a whole text of one hinted token, made in `millis`.
 fn learn_pace(book: &mut JobBook, millis: u64) {
     let mut short = job("learned", 1);
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -48,8 +48,8 @@
         without: "no group of a job starts last",
         edit: SourceEdit {
             file: "crates/jobs/src/order.rs",
-            from: "    let last = (plans.len() / LAST_PARTS).min(",
-            to: "    let last = (plans.len() / LAST_PARTS * 0).min(",
+            from: "    let last = plans.len().saturating_sub(wanted);",
+            to: "    let last = plans.len().saturating_sub(wanted) * 0;",
         },
     },
     Ablation {
