--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -51,7 +51,11 @@
     }
     plans.sort_by_key(|plan| (!plan.carried, Reverse(plan.longest), plan.first));
     let carried = plans.iter().take_while(|plan| plan.carried).count();
-    let wanted = usize::try_from(job.wanted_groups).unwrap_or(usize::MAX).max(carried);
+    let wanted = match job.wanted_groups {
+        // Not told: then all are waited for.
+        0 => plans.len(),
+        wanted => usize::try_from(wanted).unwrap_or(usize::MAX).max(carried),
+    };
     let last = plans.len().saturating_sub(wanted);
     let spare: Vec<u32> =
         plans.drain(carried..carried + last).flat_map(|plan| plan.items).collect();
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -345,6 +345,8 @@
     assert_eq!(run_order(&job, |_| false).items[14..], [18, 19, 16, 17, 14, 15]);
     job.wanted_groups = 10;
     assert_eq!(run_order(&job, |_| false).spare, 0);
+    job.wanted_groups = 0;
+    assert_eq!(run_order(&job, |_| false).spare, 0, "the trainer has not said");
     // Wanted or not, what an earlier job has left over is waited for.
     job.wanted_groups = 1;
     let order = run_order(&job, |item| item.len() == 3);
