Tell why runs and tries ended by enums, not by matching words

Cause: the end of a run and of a plain try was told apart by comparing words ("another target", "not sent"), so a changed log word changed what the board learned. Change: RunReason says what becomes of the item, what it says of the engine, and its word for logs; TryOutcome likewise for plain tries. Words are the same. Tests of shards, node and the soak pass.

--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -63,6 +63,36 @@
     Broken,
 }
 
+/// What became of one try, for logs and for the board.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TryOutcome {
+    Answered,
+    NotSent,
+    Silent,
+    Broken,
+    /// The answer belongs to another request.
+    OtherAnswer,
+    /// Another life of the target, or another target, has the address.
+    OtherTarget,
+    Full,
+    Unsigned,
+}
+
+impl TryOutcome {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotSent => "not sent",
+            Self::Silent => "silent",
+            Self::Broken => "broken",
+            Self::OtherAnswer => "answer to another request",
+            Self::OtherTarget => "another target",
+            Self::Full => "full",
+            Self::Unsigned => "unsigned",
+        }
+    }
+}
+
 /// Sends a plain request. Only what may be repeated is sent again after it may have run.
 pub async fn call_plain(view: &NodeView, call: PlainCall<'_>) -> PlainEnd {
     let repeatable = call.route.kind == RouteKind::Safe;
@@ -134,17 +164,17 @@
     let (outcome, end) = match time::timeout(limit, sent).await {
         Err(_elapsed) => {
             view.pool.forget_resting();
-            ("silent", TryEnd::Broken)
+            (TryOutcome::Silent, TryEnd::Broken)
         }
-        Ok(Err(SendError::NotSent(_))) => ("not sent", TryEnd::NotRun),
-        Ok(Err(SendError::Broken(_))) => ("broken", TryEnd::Broken),
+        Ok(Err(SendError::NotSent(_))) => (TryOutcome::NotSent, TryEnd::NotRun),
+        Ok(Err(SendError::Broken(_))) => (TryOutcome::Broken, TryEnd::Broken),
         Ok(Ok(answer)) => judge(view, call, slot, answer),
     };
     note_try(view, slot, &end, outcome, started.elapsed());
-    if outcome != "answered" {
+    if outcome != TryOutcome::Answered {
         log::info!(
             target: "targets", request = call.request_id, target:% = slot.instance,
-            outcome = outcome, took_ms = millis(started.elapsed()), left_ms = millis(left);
+            outcome = outcome.word(), took_ms = millis(started.elapsed()), left_ms = millis(left);
             "try ended"
         );
     }
@@ -161,47 +191,41 @@
     call: &PlainCall<'_>,
     slot: &TargetSlot,
     answer: WholeAnswer,
-) -> (&'static str, TryEnd) {
+) -> (TryOutcome, TryEnd) {
     let facts = headers::answer_facts(&answer.headers);
     if let Some(load) = facts.load {
         view.board().told_load(view.now(), &slot.instance, load);
     }
     if facts.request_id.as_deref().is_some_and(|id| id != call.request_id) {
-        return ("answer to another request", TryEnd::Broken);
+        return (TryOutcome::OtherAnswer, TryEnd::Broken);
     }
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
         view.board().failed(view.now(), &slot.instance, TargetFailure::Gone);
-        return ("another target", TryEnd::NotRun);
+        return (TryOutcome::OtherTarget, TryEnd::NotRun);
     }
     if facts.not_run {
         view.board().failed(view.now(), &slot.instance, TargetFailure::Full);
-        return ("full", TryEnd::NotRun);
+        return (TryOutcome::Full, TryEnd::NotRun);
     }
     if answer.status.is_success() && !is_signed(&facts) {
-        return ("unsigned", TryEnd::Broken);
+        return (TryOutcome::Unsigned, TryEnd::Broken);
     }
-    ("answered", TryEnd::Answered(answer))
+    (TryOutcome::Answered, TryEnd::Answered(answer))
 }
 
 fn is_signed(facts: &AnswerFacts) -> bool {
     facts.signature.is_some()
 }
 
-fn note_try(
-    view: &NodeView,
-    slot: &TargetSlot,
-    end: &TryEnd,
-    outcome: &'static str,
-    took: Duration,
-) {
-    view.metrics.ended("target_try", outcome);
+fn note_try(view: &NodeView, slot: &TargetSlot, end: &TryEnd, outcome: TryOutcome, took: Duration) {
+    view.metrics.ended("target_try", outcome.word());
     let mut board = view.board();
     match end {
         TryEnd::Answered(answer) if answer.status.is_success() => {
             board.succeeded(&slot.instance);
             board.told_pace(&slot.instance, took);
         }
-        TryEnd::NotRun if outcome == "not sent" => {
+        TryEnd::NotRun if outcome == TryOutcome::NotSent => {
             board.failed(view.now(), &slot.instance, TargetFailure::Broken);
         }
         // An error of the target's own, or a refusal that was noted when it was read.
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -19,6 +19,7 @@
 mod reward;
 mod role;
 mod run;
+mod run_reason;
 mod work;
 
 pub use context::ShardContext;
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -6,15 +6,16 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 use ids::{ModelName, ModelVersion};
-use jobs::{RunEnd, RunEvent, RunOutcome, RunSpec};
+use jobs::{RunEnd, RunEvent, RunSpec};
 use platform::events::EventReader;
 use platform::headers;
-use routing::{ChoiceNeed, TargetFailure, TargetSlot};
+use routing::{ChoiceNeed, TargetSlot};
 use tokio::time::{self, Instant};
 use upstream::{SendError, TargetAnswer};
 
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
+use crate::run_reason::RunReason;
 
 /// Longest silence of a run. Weights take about a second to load, during which a run that goes
 /// on under the new version is silent; a target that is dark is left after this.
@@ -36,12 +37,6 @@
 /// Events from which on a text is long.
 const LONG_EVENTS: u32 = 32;
 
-/// Why a run was moved away from a slow engine.
-const SLOW: &str = "slow engine";
-
-/// Why a run was moved away from an engine that loads weights.
-const LOADS: &str = "engine loads";
-
 struct RunState<'a> {
     ctx: &'a ShardContext,
     keeper: &'a ShardKeeper,
@@ -75,9 +70,9 @@
         paced_at: None,
     };
     let started = Instant::now();
-    let (outcome, why) = state.run().await;
-    state.note(outcome, why, started);
-    RunEnd { outcome, events: state.events, logged: state.logged }
+    let reason = state.run().await;
+    state.note(reason, started);
+    RunEnd { outcome: reason.outcome(), events: state.events, logged: state.logged }
 }
 
 impl RunState<'_> {
@@ -101,50 +96,50 @@
         Some(request)
     }
 
-    async fn run(&mut self) -> (RunOutcome, &'static str) {
+    async fn run(&mut self) -> RunReason {
         let Some(request) = self.request() else {
-            return (RunOutcome::Impossible, "the item's request cannot be written");
+            return RunReason::Unwritable;
         };
         let sent = self.ctx.view.pool.send(self.slot.address, request);
         let answer = match time::timeout(SILENCE, sent).await {
             Err(_elapsed) => {
                 self.ctx.view.pool.forget_resting();
-                return (RunOutcome::Cut, "silent before the head");
+                return RunReason::SilentBeforeHead;
             }
-            Ok(Err(SendError::NotSent(_))) => return (RunOutcome::NotRun, "not sent"),
-            Ok(Err(SendError::Broken(_))) => return (RunOutcome::Cut, "broken before the head"),
+            Ok(Err(SendError::NotSent(_))) => return RunReason::NotSent,
+            Ok(Err(SendError::Broken(_))) => return RunReason::BrokenBeforeHead,
             Ok(Ok(answer)) => answer,
         };
         self.read(answer).await
     }
 
-    async fn read(&mut self, answer: TargetAnswer) -> (RunOutcome, &'static str) {
+    async fn read(&mut self, answer: TargetAnswer) -> RunReason {
         let view = &self.ctx.view;
         let facts = headers::answer_facts(answer.headers());
         let item = self.spec.request().map_or("", |item| item.id.as_str());
         if facts.request_id.as_deref().is_some_and(|id| id != item) {
-            return (RunOutcome::Cut, "answer to another request");
+            return RunReason::OtherAnswer;
         }
         if let Some(load) = facts.load {
             view.board().told_load(view.now(), &self.slot.instance, load);
         }
         match answer.status() {
-            StatusCode::MISDIRECTED_REQUEST => return (RunOutcome::NotRun, "another target"),
-            _ if facts.not_run => return (RunOutcome::NotRun, "full or loading"),
-            StatusCode::UNPROCESSABLE_ENTITY => return (RunOutcome::Impossible, "impossible"),
+            StatusCode::MISDIRECTED_REQUEST => return RunReason::OtherTarget,
+            _ if facts.not_run => return RunReason::FullOrLoading,
+            StatusCode::UNPROCESSABLE_ENTITY => return RunReason::Impossible,
             status if status.is_server_error() => {
-                return (RunOutcome::Failed, "error of the target");
+                return RunReason::TargetError;
             }
-            status if !status.is_success() => return (RunOutcome::Cut, "odd status"),
+            status if !status.is_success() => return RunReason::OddStatus,
             _ => {}
         }
         if facts.signature.is_none() {
-            return (RunOutcome::Cut, "unsigned");
+            return RunReason::Unsigned;
         }
         self.version = facts.version;
         self.told_version();
         if facts.version.is_some_and(|version| version < self.spec.job.min_version) {
-            return (RunOutcome::NotRun, "weights too old");
+            return RunReason::WeightsTooOld;
         }
         self.read_events(answer).await
     }
@@ -155,48 +150,48 @@
         self.ctx.view.board().told_version(&self.slot.instance, model, version);
     }
 
-    async fn read_events(&mut self, mut answer: TargetAnswer) -> (RunOutcome, &'static str) {
+    async fn read_events(&mut self, mut answer: TargetAnswer) -> RunReason {
         let mut reader = EventReader::default();
         let mut last_at = Instant::now();
         loop {
             let bytes = match time::timeout(LOOK_TIME, answer.next()).await {
-                Err(_elapsed) if self.should_leave() => return (RunOutcome::Moved, LOADS),
+                Err(_elapsed) if self.should_leave() => return RunReason::EngineLoads,
                 Err(_elapsed) if last_at.elapsed() >= SILENCE => {
-                    return (RunOutcome::Cut, "silent");
+                    return RunReason::Silent;
                 }
                 Err(_elapsed) => continue,
-                Ok(Err(_broken)) => return (RunOutcome::Cut, "broken"),
+                Ok(Err(_broken)) => return RunReason::Broken,
                 Ok(Ok(None)) => break,
                 Ok(Ok(Some(bytes))) => bytes,
             };
             last_at = Instant::now();
             let Ok(events) = reader.push(&bytes) else {
-                return (RunOutcome::Cut, "no events");
+                return RunReason::NoEvents;
             };
             for event in events {
                 let expected = self.spec.events + u32::try_from(self.events.len()).unwrap_or(0) + 1;
                 if event.id != Some(expected) {
-                    return (RunOutcome::Cut, "an event is missing");
+                    return RunReason::EventMissing;
                 }
                 if event.version.is_some() {
                     self.version = event.version;
                     self.told_version();
                 }
                 let Some(version) = self.version else {
-                    return (RunOutcome::Cut, "no version told");
+                    return RunReason::NoVersion;
                 };
                 self.events.push(RunEvent { data: event.data, version });
             }
             self.log_progress();
             if self.take_pace() {
-                return (RunOutcome::Moved, SLOW);
+                return RunReason::SlowEngine;
             }
         }
         if reader.has_rest() {
-            return (RunOutcome::Cut, "ended within an event");
+            return RunReason::EndedWithinEvent;
         }
         answer.reuse();
-        (RunOutcome::Whole, "whole")
+        RunReason::Whole
     }
 
     /// Gives new events to the log now and then, so that a long text survives this box.
@@ -247,34 +242,24 @@
             && board.free_elsewhere(now, &self.slot.instance, &self.need()) > 0
     }
 
-    fn note(&self, outcome: RunOutcome, why: &'static str, started: Instant) {
+    fn note(&self, reason: RunReason, started: Instant) {
         let view = &self.ctx.view;
-        view.metrics.ended("run", why);
-        let now = view.now();
-        let mut board = view.board();
+        view.metrics.ended("run", reason.word());
         let instance = &self.slot.instance;
-        match (outcome, why) {
-            (RunOutcome::Whole, _) => board.succeeded(instance),
-            (RunOutcome::NotRun, "another target") => {
-                board.failed(now, instance, TargetFailure::Gone);
-            }
-            (RunOutcome::NotRun, "full or loading" | "weights too old") => {
-                board.failed(now, instance, TargetFailure::Full);
-            }
-            (RunOutcome::Cut | RunOutcome::NotRun, _) => {
-                board.failed(now, instance, TargetFailure::Broken);
-            }
-            _ => {}
+        if reason == RunReason::Whole {
+            view.board().succeeded(instance);
+        }
+        if let Some(failure) = reason.failure() {
+            view.board().failed(view.now(), instance, failure);
         }
-        drop(board);
-        let level = if outcome == RunOutcome::Whole { log::Level::Debug } else { log::Level::Info };
+        let level = if reason == RunReason::Whole { log::Level::Debug } else { log::Level::Info };
         let item = self.spec.request().map_or("", |item| item.id.as_str());
         log::log!(
             target: "jobs", level, job:% = self.spec.item.job, item = item,
             target:% = instance, from_event = self.spec.events, events = self.events.len(),
             weight_version = self.version.unwrap_or(0), min_version = self.spec.job.min_version,
             took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX),
-            outcome = why;
+            outcome:% = reason;
             "run ended"
         );
     }
--- /dev/null
+++ b/crates/shards/src/run_reason.rs
@@ -0,0 +1,107 @@
+//! Why a run ended: what became of the item, and what it says of the engine.
+
+use std::fmt;
+
+use jobs::RunOutcome;
+use routing::TargetFailure;
+
+/// Why a run of an item ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunReason {
+    Whole,
+    /// The item's request cannot be written.
+    Unwritable,
+    NotSent,
+    SilentBeforeHead,
+    BrokenBeforeHead,
+    /// The answer belongs to another request.
+    OtherAnswer,
+    /// Another life of the engine, or another target, has the address.
+    OtherTarget,
+    FullOrLoading,
+    WeightsTooOld,
+    /// The engine says that the item can never be done.
+    Impossible,
+    TargetError,
+    OddStatus,
+    Unsigned,
+    NoVersion,
+    Silent,
+    Broken,
+    NoEvents,
+    EventMissing,
+    EndedWithinEvent,
+    SlowEngine,
+    EngineLoads,
+}
+
+impl RunReason {
+    /// What becomes of the item.
+    pub(crate) const fn outcome(self) -> RunOutcome {
+        match self {
+            Self::Whole => RunOutcome::Whole,
+            Self::Unwritable | Self::Impossible => RunOutcome::Impossible,
+            Self::NotSent | Self::OtherTarget | Self::FullOrLoading | Self::WeightsTooOld => {
+                RunOutcome::NotRun
+            }
+            Self::TargetError => RunOutcome::Failed,
+            Self::SlowEngine | Self::EngineLoads => RunOutcome::Moved,
+            Self::SilentBeforeHead
+            | Self::BrokenBeforeHead
+            | Self::OtherAnswer
+            | Self::OddStatus
+            | Self::Unsigned
+            | Self::NoVersion
+            | Self::Silent
+            | Self::Broken
+            | Self::NoEvents
+            | Self::EventMissing
+            | Self::EndedWithinEvent => RunOutcome::Cut,
+        }
+    }
+
+    /// What it says of the engine; `None` for nothing bad.
+    pub(crate) const fn failure(self) -> Option<TargetFailure> {
+        match self {
+            Self::OtherTarget => Some(TargetFailure::Gone),
+            Self::FullOrLoading | Self::WeightsTooOld => Some(TargetFailure::Full),
+            _ => match self.outcome() {
+                RunOutcome::Cut | RunOutcome::NotRun => Some(TargetFailure::Broken),
+                _ => None,
+            },
+        }
+    }
+
+    /// The word for logs and metrics.
+    pub(crate) const fn word(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Unwritable => "the item's request cannot be written",
+            Self::NotSent => "not sent",
+            Self::SilentBeforeHead => "silent before the head",
+            Self::BrokenBeforeHead => "broken before the head",
+            Self::OtherAnswer => "answer to another request",
+            Self::OtherTarget => "another target",
+            Self::FullOrLoading => "full or loading",
+            Self::WeightsTooOld => "weights too old",
+            Self::Impossible => "impossible",
+            Self::TargetError => "error of the target",
+            Self::OddStatus => "odd status",
+            Self::Unsigned => "unsigned",
+            Self::NoVersion => "no version told",
+            Self::Silent => "silent",
+            Self::Broken => "broken",
+            Self::NoEvents => "no events",
+            Self::EventMissing => "an event is missing",
+            Self::EndedWithinEvent => "ended within an event",
+            Self::SlowEngine => "slow engine",
+            Self::EngineLoads => "engine loads",
+        }
+    }
+}
+
+impl fmt::Display for RunReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.word())
+    }
+}
