--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -302,17 +302,6 @@
         })
     }
 
-    /// Slots that are free at targets which fit, `instance` left out.
-    pub fn free_elsewhere(&self, now: Moment, instance: &InstanceId, need: &ChoiceNeed<'_>) -> u32 {
-        let Some(here) = self.views.get(instance) else { return 0 };
-        let Some(others) = self.services.get(&here.record.service) else { return 0 };
-        let views = others.iter().filter(|other| *other != instance);
-        let fit = views
-            .filter_map(|other| self.views.get(other))
-            .filter(|view| now >= view.rest_until && view.fits(now, need));
-        fit.map(|view| view.slots().saturating_sub(view.load(now))).sum()
-    }
-
     /// Notes that a chosen request has ended there, well or not.
     pub fn ended(&mut self, instance: &InstanceId) {
         if let Some(view) = self.views.get_mut(instance) {
@@ -377,11 +366,6 @@
         self.views.get(instance).is_some_and(|view| now < view.rest_until)
     }
 
-    /// Whether a target is known to load weights.
-    pub fn is_loading(&self, now: Moment, instance: &InstanceId) -> bool {
-        self.views.get(instance).is_some_and(|view| now < view.busy_until)
-    }
-
     /// Takes a version that an answer or a report of the target told; versions only rise
     /// within one life.
     pub fn told_version(&mut self, instance: &InstanceId, model: &ModelName, told: ModelVersion) {
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -17,12 +17,9 @@
 use crate::keeper::ShardKeeper;
 use crate::run_reason::RunReason;
 
-/// Longest silence of a run. Weights take about a second to load, during which a run that goes
-/// on under the new version is silent; a target that is dark is left after this.
+/// Longest silence of a run; a target that is dark is left after this. Runs that go on while their engine
+/// loads weights are seldom silent, and moving those that were made no difference.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// A run that is silent for this long looks whether its engine loads weights. Events come every
-/// 40 ms or so.
-const LOOK_TIME: Duration = Duration::from_millis(150);
 /// Events that gather before they are given to the log: some 0.6 s of a run. Most texts are
 /// shorter, and are logged once, when they are listed.
 const PROGRESS_EVENTS: usize = 16;
@@ -152,19 +149,13 @@
 
     async fn read_events(&mut self, mut answer: TargetAnswer) -> RunReason {
         let mut reader = EventReader::default();
-        let mut last_at = Instant::now();
         loop {
-            let bytes = match time::timeout(LOOK_TIME, answer.next()).await {
-                Err(_elapsed) if self.should_leave() => return RunReason::EngineLoads,
-                Err(_elapsed) if last_at.elapsed() >= SILENCE => {
-                    return RunReason::Silent;
-                }
-                Err(_elapsed) => continue,
+            let bytes = match time::timeout(SILENCE, answer.next()).await {
+                Err(_elapsed) => return RunReason::Silent,
                 Ok(Err(_broken)) => return RunReason::Broken,
                 Ok(Ok(None)) => break,
                 Ok(Ok(Some(bytes))) => bytes,
             };
-            last_at = Instant::now();
             let Ok(events) = reader.push(&bytes) else {
                 return RunReason::NoEvents;
             };
@@ -234,14 +225,6 @@
         }
     }
 
-    /// Whether a silent run's engine loads weights while another has a free slot.
-    fn should_leave(&self) -> bool {
-        let view = &self.ctx.view;
-        let (now, board) = (view.now(), view.board());
-        board.is_loading(now, &self.slot.instance)
-            && board.free_elsewhere(now, &self.slot.instance, &self.need()) > 0
-    }
-
     fn note(&self, reason: RunReason, started: Instant) {
         let view = &self.ctx.view;
         view.metrics.ended("run", reason.word());
--- a/crates/shards/src/run_reason.rs
+++ b/crates/shards/src/run_reason.rs
@@ -32,7 +32,6 @@
     EventMissing,
     EndedWithinEvent,
     SlowEngine,
-    EngineLoads,
 }
 
 impl RunReason {
@@ -45,7 +44,7 @@
                 RunOutcome::NotRun
             }
             Self::TargetError => RunOutcome::Failed,
-            Self::SlowEngine | Self::EngineLoads => RunOutcome::Moved,
+            Self::SlowEngine => RunOutcome::Moved,
             Self::SilentBeforeHead
             | Self::BrokenBeforeHead
             | Self::OtherAnswer
@@ -95,7 +94,6 @@
             Self::EventMissing => "an event is missing",
             Self::EndedWithinEvent => "ended within an event",
             Self::SlowEngine => "slow engine",
-            Self::EngineLoads => "engine loads",
         }
     }
 }
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -79,15 +79,6 @@
             to: "        false && board.has_faster(view.now()",
         },
     },
-    Ablation {
-        name: "move-loading",
-        without: "runs stay on engines that load",
-        edit: SourceEdit {
-            file: "crates/shards/src/run.rs",
-            from: "        board.is_loading(now, &self.slot.instance)\n            &&",
-            to: "        false && board.is_loading(now, &self.slot.instance)\n            &&",
-        },
-    },
     Ablation {
         name: "progress",
         without: "long texts are in the log only once they are whole",
