--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -157,7 +157,7 @@
         edit: SourceEdit {
             file: "crates/links/src/pulse.rs",
             from: "if now >= pong_by { PulseStep::Dead }",
-            to: "if now >= pong_by && false { PulseStep::Dead }",
+            to: "if now >= pong_by { PulseStep::Wait(now + REST_TIME) }",
         },
     },
     Ablation {
