Tell which kind a lost or regained store is about, and how old a lost feed's proof was

Cause: from the logs of a box whose settings were out of date, nobody could say which watch had been answered when it called the store regained, nor how old the proof was that a fed box still believed.

Change: the lines of the store name the kind of object; the line of a lost feed names the box that told, the age of its proof and the version in force; the version in force is a gauge, so that boxes can be compared.

--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -61,8 +61,15 @@
     kinds: Vec<FedKind>,
     /// When boxes last failed to tell.
     silent: HashMap<BoxId, Instant>,
-    /// When the store last proved to be within reach of the box that tells.
-    heard: Option<Instant>,
+    /// Who told last, and when the store had last proved to be within reach of that box.
+    heard: Option<HeardProof>,
+}
+
+/// What was heard of a box's reach to the store.
+#[derive(Debug)]
+struct HeardProof {
+    teller: BoxId,
+    proven_at: Instant,
 }
 
 impl FeedListener {
@@ -92,9 +99,15 @@
 
     /// Ends the trust in what was heard once its proof is too old.
     fn expire(&mut self) {
-        let fresh = self.heard.is_some_and(|proven_at| proven_at.elapsed() < HEAR_TRUST);
-        if !fresh && self.view.feed.set_fed(false) {
-            log::warn!(target: "node", dependency = "feed"; "lost");
+        let Some(heard) = &self.heard else { return };
+        let age = heard.proven_at.elapsed();
+        if age >= HEAR_TRUST && self.view.feed.set_fed(false) {
+            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            log::warn!(
+                target: "node", dependency = "feed", peer:% = heard.teller, age_ms = age_ms,
+                config = self.view.table().version.get();
+                "lost"
+            );
         }
     }
 
@@ -144,11 +157,10 @@
             self.take_kind(kind).await;
         }
         let all_known = self.kinds.iter().all(|fed| *fed.revision.borrow() > 0);
-        if !all_known || proven_at.is_none_or(|at| at.elapsed() >= HEAR_TRUST) {
-            return false;
-        }
-        self.heard = proven_at;
-        self.view.store_answered(true);
+        let fresh = proven_at.filter(|at| at.elapsed() < HEAR_TRUST);
+        let Some(proven_at) = fresh.filter(|_| all_known) else { return false };
+        self.heard = Some(HeardProof { teller: teller.box_id.clone(), proven_at });
+        self.view.store_answered(Kind::Configuration, true);
         if self.view.feed.set_fed(true) {
             log::info!(
                 target: "node", dependency = "feed", peer:% = teller.box_id, age_ms = page.age_ms;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -120,7 +120,7 @@
             };
             match answered {
                 Ok(told) => {
-                    self.view.store_answered(true);
+                    self.view.store_answered(self.kind, true);
                     self.view.feed.proven(self.view.now());
                     pause = Duration::ZERO;
                     wait = self.usual_time();
@@ -136,7 +136,7 @@
                     known = None;
                 }
                 Err(error) => {
-                    self.view.store_answered(false);
+                    self.view.store_answered(self.kind, false);
                     wait = PROBE_TIME;
                     log::debug!(target: "node", kind:% = self.kind, error:% = error; "store call failed");
                     time::sleep(pause).await;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -7,6 +7,7 @@
 
 use axum::Router;
 use axum::routing::get;
+use ids::Generation;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -40,6 +41,7 @@
     jobs_held: Gauge,
     items_waiting: Gauge,
     job_bytes: Gauge,
+    config_version: Gauge,
 }
 
 impl fmt::Debug for NodeMetrics {
@@ -57,6 +59,12 @@
         let store_calls = Counter::default();
         let (jobs_held, items_waiting, job_bytes) =
             (Gauge::default(), Gauge::default(), Gauge::default());
+        let config_version = Gauge::default();
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            config_version.clone(),
+        );
         registry.register("ended", "What ended, and how", ended.clone());
         registry.register_with_unit(
             "request_latency",
@@ -73,7 +81,16 @@
             Unit::Bytes,
             job_bytes.clone(),
         );
-        Self { registry, ended, latency, store_calls, jobs_held, items_waiting, job_bytes }
+        Self {
+            registry,
+            ended,
+            latency,
+            store_calls,
+            jobs_held,
+            items_waiting,
+            job_bytes,
+            config_version,
+        }
     }
 }
 
@@ -101,6 +118,11 @@
         self.job_bytes.set(number(bytes));
     }
 
+    /// Notes which version of the configuration is in force.
+    pub fn config_in_force(&self, version: Generation) {
+        self.config_version.set(i64::try_from(version.get()).unwrap_or(i64::MAX));
+    }
+
     fn text(&self) -> String {
         let mut text = String::new();
         // Writing to a string cannot fail.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ids::{ModelName, ModelVersion, Moment, ServiceName};
-use platform::ObjectStore;
+use platform::{Kind, ObjectStore};
 use routing::{RouteTable, TargetBoard};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -99,6 +99,7 @@
         if table.version <= current.version {
             return false;
         }
+        self.metrics.config_in_force(table.version);
         *current = Arc::new(table);
         drop(current);
         self.wake();
@@ -146,8 +147,8 @@
         self.changed.subscribe()
     }
 
-    /// Notes whether a call to the store was answered.
-    pub fn store_answered(&self, up: bool) {
+    /// Notes whether a call about `kind` was answered by the store.
+    pub fn store_answered(&self, kind: Kind, up: bool) {
         let now = self.now();
         self.store_up.send_if_modified(|state| {
             if state.up == up {
@@ -155,9 +156,9 @@
             }
             *state = StoreState { up, since: now };
             if up {
-                log::info!(target: "node", dependency = "store"; "regained");
+                log::info!(target: "node", dependency = "store", kind:% = kind; "regained");
             } else {
-                log::warn!(target: "node", dependency = "store"; "lost");
+                log::warn!(target: "node", dependency = "store", kind:% = kind; "lost");
             }
             true
         });
--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -233,7 +233,7 @@
 /// An answer about a lease shows that the store is back, often sooner than a watch does.
 fn note_answer(ctx: &ShardContext, answered: bool) {
     if answered {
-        ctx.view.store_answered(true);
+        ctx.view.store_answered(Kind::Leases, true);
     }
 }
 
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -192,7 +192,7 @@
         without: "followers learn late of the store's return",
         edit: SourceEdit {
             file: "crates/shards/src/conductor.rs",
-            from: "        ctx.view.store_answered(true);",
+            from: "        ctx.view.store_answered(Kind::Leases, true);",
             to: "",
         },
     },
