--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -52,7 +52,8 @@
     KINDS.iter().find(|(known, _)| *known == number).map(|(_, kind)| *kind)
 }
 
-fn number_of(kind: Kind) -> Option<u32> {
+/// The number of a kind between boxes; `None` for one that is not told.
+pub fn number_of(kind: Kind) -> Option<u32> {
     KINDS.iter().find(|(_, known)| *known == kind).map(|(number, _)| *number)
 }
 
