Let only an answer about a kind prove that kind

Root cause of settings out of date on entry boxes that were well: a box that tells others dated its proof of reaching the store by the last answer of any watch. When it can be heard but not hear (its questions are lost, answers still come), watches that began before the cut are answered one after the other for up to 8 s, and each made its old settings look fresh. Class: the freshness of one thing inferred from a sign of life of another.

Change: proofs are kept by kind. The age that is told is the oldest of the kinds that bind callers, configuration and targets, among those asked for; targets are therefore watched as often as the configuration (a stale target is the same fault under another name), on every box, and gather for 400 ms in place of 800. The configuration's watch is always short: on a box that nobody fed it could hang for 4.7 s on a connection that had fallen silent. Whether a box is cut off looks at the configuration's proof as well.

Ruled out: the entry boxes' own watches (they made no call), a listener that stood still (the refusal came 2.9 s late; a question takes 0.7 s at most).

--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use node::NodeView;
+use platform::Kind;
 use tokio::sync::Notify;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
@@ -24,7 +25,8 @@
 const AGAIN_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for a keeping box to answer.
 const ASK_TIME: Duration = Duration::from_millis(400);
-/// An answer of the store to this box itself shows for this long that it is not cut off.
+/// An answer of the store to this box itself shows for this long that it is not cut off. The
+/// configuration's watch is never open for longer; one that is may outlive the way to the store.
 const STORE_TRUST: Duration = Duration::from_millis(1_300);
 /// A box is cut off once nothing was heard for this long: one question may be lost.
 const CUT_AFTER: Duration = Duration::from_millis(600);
@@ -91,5 +93,5 @@
 }
 
 fn hears_store(view: &NodeView) -> bool {
-    view.feed.age(view.now()).is_some_and(|age| age < STORE_TRUST)
+    view.feed.age(Kind::Configuration, view.now()).is_some_and(|age| age < STORE_TRUST)
 }
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -3,8 +3,13 @@
 //! Each call to the store has its price, and many boxes that all watch it ask the same. So a box
 //! that keeps data watches for itself and tells the others of its domain ([`serve_feed`]); these
 //! follow it ([`follow_feed`]) and ask the store only while nobody tells them. Whoever tells also
-//! says how long ago the store last answered it: where that is too long, the followers take the
-//! news and ask for themselves as well, before a change could be missed in time.
+//! says how long ago it last knew the kinds that bind callers to be current: where that is too long,
+//! the followers take the news and ask for themselves as well, before a change could be missed in
+//! time.
+//!
+//! Only an answer about a kind proves that kind. A box whose questions no longer reach the store
+//! may still be answered for a while, by watches of other kinds that began before; had these
+//! proven the configuration, the listeners would keep to settings that nobody renews.
 
 mod cache;
 mod client;
@@ -23,12 +28,12 @@
 use platform::{Changes, Kind, Listing, WatchTime};
 use tokio::sync::watch;
 
-/// The watch that proves the store to be within reach, on a box that tells others. One whose
-/// answer is overdue is begun again while the last proof is still good.
+/// The watch that proves a kind to be current. One whose answer is overdue is begun again while the
+/// last proof is still good.
 pub const PROOF_TIME: WatchTime =
     WatchTime { wait: Duration::from_millis(850), slack: Duration::from_millis(200) };
-/// A box whose last answer from the store is older than this does not wait for news: [`PROOF_TIME`]
-/// and a second try.
+/// A box whose oldest proof is older than this does not wait for news: [`PROOF_TIME`] and a second
+/// try.
 const TELL_TRUST: Duration = Duration::from_millis(1_300);
 /// Followers ask for themselves when the last proof they heard of is older than this. Changes must
 /// be known two seconds after they are made, and the store's answer takes some time of that.
@@ -36,8 +41,11 @@
 /// How long a question waits for news; also how often a follower learns that there are none.
 const FEED_WAIT: Duration = Duration::from_millis(400);
 
-/// A box that was not asked for this long needs no fresh proofs.
-const ASKED_TIME: Duration = Duration::from_secs(5);
+/// Whether a kind binds how callers are served: its changes must be heeded two seconds after the
+/// store has acknowledged them, so whoever tells must prove it by its own watch.
+pub(crate) const fn binds_callers(kind: Kind) -> bool {
+    matches!(kind, Kind::Configuration | Kind::Targets)
+}
 
 /// The kinds that are told, by their number between boxes.
 const KINDS: [(u32, Kind); 5] = [
@@ -61,23 +69,20 @@
 #[derive(Debug)]
 pub struct FeedBoard {
     caches: Mutex<HashMap<Kind, KindCache>>,
-    /// When the store last answered any watch of this box.
-    proven_at: watch::Sender<Option<Moment>>,
+    /// When the store last answered this box itself about a kind.
+    proven_at: Mutex<HashMap<Kind, Moment>>,
     /// Whether another box tells this one; its own watches rest meanwhile.
     fed: watch::Sender<bool>,
     changed: watch::Sender<u64>,
-    /// When another box last asked this one.
-    asked_at: Mutex<Option<Moment>>,
 }
 
 impl Default for FeedBoard {
     fn default() -> Self {
         Self {
             caches: Mutex::default(),
-            proven_at: watch::Sender::new(None),
+            proven_at: Mutex::default(),
             fed: watch::Sender::new(false),
             changed: watch::Sender::new(0),
-            asked_at: Mutex::default(),
         }
     }
 }
@@ -101,25 +106,18 @@
         }
     }
 
-    /// Notes that the store has answered a watch.
-    pub fn proven(&self, now: Moment) {
-        self.proven_at.send_replace(Some(now));
-    }
-
-    /// Notes that another box asks this one.
-    pub fn asked(&self, now: Moment) {
-        *self.asked_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+    /// Notes that the store has answered this box about `kind`.
+    pub fn proven(&self, kind: Kind, now: Moment) {
+        self.proofs().insert(kind, now);
     }
 
-    /// Whether another box has asked this one of late: then its proofs must be fresh.
-    pub fn is_asked(&self, now: Moment) -> bool {
-        let asked_at = *self.asked_at.lock().unwrap_or_else(PoisonError::into_inner);
-        asked_at.is_some_and(|at| now.since(at) < ASKED_TIME)
+    /// How long ago the store last answered this box itself about `kind`; `None` for never.
+    pub fn age(&self, kind: Kind, now: Moment) -> Option<Duration> {
+        self.proofs().get(&kind).map(|at| now.since(*at))
     }
 
-    /// How long ago the store last answered a watch of this box itself.
-    pub fn age(&self, now: Moment) -> Option<Duration> {
-        self.proven_at.borrow().map(|at| now.since(at))
+    fn proofs(&self) -> MutexGuard<'_, HashMap<Kind, Moment>> {
+        self.proven_at.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether another box tells this one.
--- a/crates/node/src/feed/serve.rs
+++ b/crates/node/src/feed/serve.rs
@@ -6,7 +6,7 @@
 use tokio::time::{self, Instant};
 use wire::peer::{FeedKind, FeedObject, FeedPage, FeedRead};
 
-use super::{FEED_WAIT, KindNews, TELL_TRUST, kind_of};
+use super::{FEED_WAIT, KindNews, TELL_TRUST, binds_callers, kind_of};
 use crate::NodeView;
 
 /// Answers a question for changes as soon as there are some, or after the wait that was asked
@@ -14,12 +14,11 @@
 /// same: news that is not the latest is still newer than none.
 pub async fn serve_feed(view: &NodeView, read: &FeedRead) -> FeedPage {
     let asked_at = Instant::now();
-    view.feed.asked(view.now());
     let wait = Duration::from_millis(u64::from(read.wait_ms)).min(FEED_WAIT);
     let until = asked_at + wait;
     let mut changes = view.feed.changed.subscribe();
     loop {
-        let age = proof_age(view);
+        let age = proof_age(view, read);
         let kinds = news(view, read);
         if !kinds.is_empty() || age >= TELL_TRUST || Instant::now() >= until {
             return FeedPage { kinds, age_ms: millis(age), held_ms: millis(asked_at.elapsed()) };
@@ -30,10 +29,18 @@
     }
 }
 
-/// How long ago the store answered this box itself; a box that only hears of it has no proof.
-fn proof_age(view: &NodeView) -> Duration {
-    let own = if view.feed.is_fed() { None } else { view.feed.age(view.now()) };
-    own.unwrap_or(Duration::MAX)
+/// How long ago this box last knew all binding kinds to be current of those that are asked for. A box
+/// that only hears of the store has no proof.
+fn proof_age(view: &NodeView, read: &FeedRead) -> Duration {
+    if view.feed.is_fed() {
+        return Duration::MAX;
+    }
+    let asked = read.cursors.iter().filter_map(|cursor| kind_of(cursor.kind));
+    let now = view.now();
+    let ages = asked
+        .filter(|kind| binds_callers(*kind))
+        .map(|kind| view.feed.age(kind, now).unwrap_or(Duration::MAX));
+    ages.max().unwrap_or(Duration::MAX)
 }
 
 fn millis(time: Duration) -> u32 {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -15,12 +15,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::NodeView;
-use crate::feed::{FedKind, FedNews, PROOF_TIME};
+use crate::feed::{FedKind, FedNews, PROOF_TIME, binds_callers};
 
 /// Room for a watch's answer: the store takes some tens of times as long as usual when it is slow.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
-/// Longest watch. An answer may be lost without a word, so a watch must end by itself soon enough
-/// for the configuration to be in force in time.
+/// Longest watch of the named versions. An answer may be lost without a word, so a watch must end by
+/// itself before trainers have waited for long.
 const WATCH_TIME: WatchTime = WatchTime { wait: Duration::from_secs(4), slack: WATCH_SLACK };
 /// The same for kinds that change seldom and bind no caller.
 const LONG_TIME: WatchTime = WatchTime { wait: Duration::from_secs(8), slack: WATCH_SLACK };
@@ -121,7 +121,7 @@
             match answered {
                 Ok(told) => {
                     self.view.store_answered(self.kind, true);
-                    self.view.feed.proven(self.view.now());
+                    self.view.feed.proven(self.kind, self.view.now());
                     pause = Duration::ZERO;
                     wait = self.usual_time();
                     let next = self.take(told);
@@ -176,9 +176,9 @@
 
     fn usual_time(&self) -> WatchTime {
         match self.kind {
-            Kind::Configuration if self.view.feed.is_asked(self.view.now()) => PROOF_TIME,
-            Kind::Configuration | Kind::Targets | Kind::ModelVersions => WATCH_TIME,
-            Kind::Duties | Kind::Retirements | Kind::Leases => LONG_TIME,
+            kind if binds_callers(kind) => PROOF_TIME,
+            Kind::ModelVersions => WATCH_TIME,
+            _ => LONG_TIME,
         }
     }
 }
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -28,8 +28,9 @@
 use crate::keeper::ShardKeeper;
 use crate::peers::send_beats;
 
-/// Changes of targets gather for this long between two watches; each watch has its price.
-const GATHER_TARGETS: Duration = Duration::from_millis(800);
+/// Changes of targets gather for this long between two watches; each watch has its price. With the
+/// watch that follows, the proof that targets are current stays young enough for those who are told.
+const GATHER_TARGETS: Duration = Duration::from_millis(400);
 /// Pause after a failed try to tell the store where this box is.
 const REGISTER_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for another box to take a shard that is handed over.
