End the trust in what is told by the clock

Cause: a box that is told looked whether its trust had run out only between two questions, so a question in flight (0.7 s) or news for a task that takes none held it up, the latter without an end.

Change: trust is a type of its own that ends when its last proof is 1.7 s old, whatever the listener waits for. News that their task does not take within 0.4 s are told again later; those of other kinds go on.

Ruled out: the expiry in the listener's loop with a shorter question; it would still wait for tasks.

--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use wire::peer::{FeedCursor, FeedKind, FeedPage, FeedRead, shard_answer, shard_request};
 
-use super::{FEED_WAIT, HEAR_TRUST, kind_of, number_of};
+use super::{FEED_WAIT, HeardProof, kind_of, number_of};
 use crate::NodeView;
 
 /// Room for an answer beyond the wait that was asked for.
@@ -48,40 +48,41 @@
     kinds: Vec<FedKind>,
     stop: CancellationToken,
 ) {
-    let mut listener = FeedListener { view, links, kinds, silent: HashMap::new(), heard: None };
+    let mut listener =
+        FeedListener { view: Arc::clone(&view), links, kinds, silent: HashMap::new() };
     tokio::select! {
         () = listener.run() => {}
+        () = view.feed.trust().expire(|proof| tell_lost(&view, proof)) => {}
         () = stop.cancelled() => {}
     }
 }
 
+fn tell_lost(view: &NodeView, proof: &HeardProof) {
+    let age_ms = u64::try_from(proof.proven_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    log::warn!(
+        target: "node", dependency = "feed", peer:% = proof.teller, age_ms = age_ms,
+        config = view.table().version.get();
+        "lost"
+    );
+}
+
 struct FeedListener {
     view: Arc<NodeView>,
     links: LinkPool,
     kinds: Vec<FedKind>,
     /// When boxes last failed to tell.
     silent: HashMap<BoxId, Instant>,
-    /// Who told last, and when the store had last proved to be within reach of that box.
-    heard: Option<HeardProof>,
-}
-
-/// What was heard of a box's reach to the store.
-#[derive(Debug)]
-struct HeardProof {
-    teller: BoxId,
-    proven_at: Instant,
 }
 
 impl FeedListener {
     async fn run(&mut self) {
         loop {
-            self.expire();
             let Some(teller) = self.teller() else {
                 time::sleep(LOOK_EVERY).await;
                 continue;
             };
             let asked_at = Instant::now();
-            let wait = if self.view.feed.is_fed() { FEED_WAIT } else { Duration::ZERO };
+            let wait = if self.view.feed.trust().is_fed() { FEED_WAIT } else { Duration::ZERO };
             if let Some(page) = self.ask(&teller, wait).await {
                 if self.take(&teller, asked_at, page).await {
                     self.silent.remove(&teller.box_id);
@@ -97,20 +98,6 @@
         }
     }
 
-    /// Ends the trust in what was heard once its proof is too old.
-    fn expire(&mut self) {
-        let Some(heard) = &self.heard else { return };
-        let age = heard.proven_at.elapsed();
-        if age >= HEAR_TRUST && self.view.feed.set_fed(false) {
-            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-            log::warn!(
-                target: "node", dependency = "feed", peer:% = heard.teller, age_ms = age_ms,
-                config = self.view.table().version.get();
-                "lost"
-            );
-        }
-    }
-
     /// The box to ask: the same for all boxes of the domain, as long as it tells.
     fn teller(&self) -> Option<CopyHolder> {
         let duties = self.view.duties();
@@ -157,11 +144,11 @@
             self.take_kind(kind).await;
         }
         let all_known = self.kinds.iter().all(|fed| *fed.revision.borrow() > 0);
-        let fresh = proven_at.filter(|at| at.elapsed() < HEAR_TRUST);
-        let Some(proven_at) = fresh.filter(|_| all_known) else { return false };
-        self.heard = Some(HeardProof { teller: teller.box_id.clone(), proven_at });
+        let proof =
+            proven_at.map(|proven_at| HeardProof { teller: teller.box_id.clone(), proven_at });
+        let Some(proof) = proof.filter(|proof| all_known && proof.is_fresh()) else { return false };
         self.view.store_answered(Kind::Configuration, true);
-        if self.view.feed.set_fed(true) {
+        if self.view.feed.trust().hear(proof) {
             log::info!(
                 target: "node", dependency = "feed", peer:% = teller.box_id, age_ms = page.age_ms;
                 "regained"
@@ -197,10 +184,16 @@
             let changes = removed.chain(objects.into_iter().map(Changed::Put)).collect();
             FedNews::Changed(Changes { changes, revision })
         };
-        // The task that keeps the kind ends with this box only.
-        let _ended = fed.news.send(news).await;
         let mut known = fed.revision.clone();
-        // Asked again before the task has taken it, the same would be told twice.
-        let _taken = time::timeout(FEED_WAIT, known.wait_for(|known| *known >= revision)).await;
+        // Asked again before the task has taken it, the same would be told twice. A task that takes
+        // nothing for that long is told again; news of other kinds must not wait for it.
+        let taken = async {
+            // The task that keeps the kind ends with this box only.
+            let _ended = fed.news.send(news).await;
+            let _known = known.wait_for(|known| *known >= revision).await;
+        };
+        if time::timeout(FEED_WAIT, taken).await.is_err() {
+            log::debug!(target: "node", kind:% = fed.kind; "news wait for their task");
+        }
     }
 }
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -14,11 +14,13 @@
 mod cache;
 mod client;
 mod serve;
+mod trust;
 
 pub use cache::{KindCache, KindNews};
 pub(crate) use client::FedNews;
 pub use client::{FedKind, follow_feed};
 pub use serve::serve_feed;
+pub use trust::{FeedTrust, HeardProof};
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -35,9 +37,6 @@
 /// A box whose oldest proof is older than this does not wait for news: [`PROOF_TIME`] and a second
 /// try.
 const TELL_TRUST: Duration = Duration::from_millis(1_300);
-/// Followers ask for themselves when the last proof they heard of is older than this. Changes must
-/// be known two seconds after they are made, and the store's answer takes some time of that.
-const HEAR_TRUST: Duration = Duration::from_millis(1_700);
 /// How long a question waits for news; also how often a follower learns that there are none.
 const FEED_WAIT: Duration = Duration::from_millis(400);
 
@@ -71,8 +70,8 @@
     caches: Mutex<HashMap<Kind, KindCache>>,
     /// When the store last answered this box itself about a kind.
     proven_at: Mutex<HashMap<Kind, Moment>>,
-    /// Whether another box tells this one; its own watches rest meanwhile.
-    fed: watch::Sender<bool>,
+    /// Whether another box tells this one.
+    trust: FeedTrust,
     changed: watch::Sender<u64>,
 }
 
@@ -81,7 +80,7 @@
         Self {
             caches: Mutex::default(),
             proven_at: Mutex::default(),
-            fed: watch::Sender::new(false),
+            trust: FeedTrust::default(),
             changed: watch::Sender::new(0),
         }
     }
@@ -120,17 +119,8 @@
         self.proven_at.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether another box tells this one.
-    pub fn is_fed(&self) -> bool {
-        *self.fed.borrow()
-    }
-
-    /// Tells when that changes.
-    pub fn fed_states(&self) -> watch::Receiver<bool> {
-        self.fed.subscribe()
-    }
-
-    fn set_fed(&self, fed: bool) -> bool {
-        self.fed.send_if_modified(|state| std::mem::replace(state, fed) != fed)
+    /// Whether another box tells this one, so that its own watches rest.
+    pub const fn trust(&self) -> &FeedTrust {
+        &self.trust
     }
 }
--- a/crates/node/src/feed/serve.rs
+++ b/crates/node/src/feed/serve.rs
@@ -32,7 +32,7 @@
 /// How long ago this box last knew all binding kinds to be current of those that are asked for. A box
 /// that only hears of the store has no proof.
 fn proof_age(view: &NodeView, read: &FeedRead) -> Duration {
-    if view.feed.is_fed() {
+    if view.feed.trust().is_fed() {
         return Duration::MAX;
     }
     let asked = read.cursors.iter().filter_map(|cursor| kind_of(cursor.kind));
--- /dev/null
+++ b/crates/node/src/feed/trust.rs
@@ -0,0 +1,85 @@
+//! Whether a box believes what another one tells it, and until when.
+//!
+//! Trust ends by the clock. Whoever hears may be held up, by a question that nobody answers or by
+//! news for a task that takes none; settings must not count as fresh for that long.
+
+use std::time::Duration;
+
+use ids::BoxId;
+use tokio::sync::watch;
+use tokio::time::{self, Instant};
+
+/// A box asks the store for itself when the last proof it heard of is older than this. Changes must
+/// be known two seconds after they are made, and the store's answer takes some time of that.
+pub(super) const HEAR_TRUST: Duration = Duration::from_millis(1_700);
+
+/// What was heard of another box's reach to the store.
+#[derive(Debug, Clone)]
+pub struct HeardProof {
+    /// Who told.
+    pub teller: BoxId,
+    /// When that box last knew to be current what binds callers.
+    pub proven_at: Instant,
+}
+
+impl HeardProof {
+    /// Whether it is young enough to do without the store.
+    pub fn is_fresh(&self) -> bool {
+        self.proven_at.elapsed() < HEAR_TRUST
+    }
+}
+
+/// Whether a box is told by another one, so that its own watches rest.
+#[derive(Debug)]
+pub struct FeedTrust {
+    heard: watch::Sender<Option<HeardProof>>,
+    fed: watch::Sender<bool>,
+}
+
+impl Default for FeedTrust {
+    fn default() -> Self {
+        Self { heard: watch::Sender::new(None), fed: watch::Sender::new(false) }
+    }
+}
+
+impl FeedTrust {
+    /// Takes a proof; `true` when the box was not told before.
+    pub fn hear(&self, proof: HeardProof) -> bool {
+        // In this order: the proof wakes whoever ends the trust, and it must be there to be ended.
+        let is_new = self.set(true);
+        self.heard.send_replace(Some(proof));
+        is_new
+    }
+
+    /// Whether another box tells this one.
+    pub fn is_fed(&self) -> bool {
+        *self.fed.borrow()
+    }
+
+    /// Tells when that changes.
+    pub fn states(&self) -> watch::Receiver<bool> {
+        self.fed.subscribe()
+    }
+
+    /// Ends the trust whenever the last proof gets too old; `lost` hears of each time.
+    pub async fn expire(&self, lost: impl Fn(&HeardProof)) {
+        let mut heard = self.heard.subscribe();
+        loop {
+            let proof = heard.borrow_and_update().clone();
+            if let Some(proof) = proof.filter(|_| self.is_fed()) {
+                let stale_at = proof.proven_at + HEAR_TRUST;
+                let renewed = time::timeout_at(stale_at, heard.changed()).await;
+                if renewed.is_err() && self.set(false) {
+                    lost(&proof);
+                }
+                continue;
+            }
+            // The sender lives as long as `self`.
+            let _heard = heard.changed().await;
+        }
+    }
+
+    fn set(&self, fed: bool) -> bool {
+        self.fed.send_if_modified(|state| std::mem::replace(state, fed) != fed)
+    }
+}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -94,7 +94,7 @@
     }
 
     async fn follow(&mut self) {
-        let mut fed = self.view.feed.fed_states();
+        let mut fed = self.view.feed.trust().states();
         let mut pause = Duration::ZERO;
         let mut wait = self.usual_time();
         let mut known = None;
