--- a/crates/client/src/step.rs
+++ b/crates/client/src/step.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use api::{AdvanceBody, ErrorBody, ErrorKind, HeldBody, OpenBody, PullAnswer, PullBody, StepState};
-use ids::{ModelVersion, PoolName, TrainerId};
+use ids::{ModelVersion, PoolName, TrainerId, whole_millis};
 use ledger::{Sample, StepIntake, StepSpec};
 use reqwest::Method;
 use serde::Serialize;
@@ -121,7 +121,7 @@
             self.account(cause, started);
             let samples = pulled?;
             if !samples.is_empty() {
-                let gap = millis(self.last_sample.elapsed());
+                let gap = whole_millis(self.last_sample.elapsed());
                 self.idle.longest_gap_ms = self.idle.longest_gap_ms.max(gap);
                 self.last_sample = Instant::now();
                 return Ok(Some(samples));
@@ -159,7 +159,7 @@
             held: self.intake.held().clone(),
             seen: self.intake.seen(),
             most: MOST_SAMPLES,
-            wait_ms: millis(PULL_WAIT),
+            wait_ms: whole_millis(PULL_WAIT),
         };
         let pulled = self.client.post(&self.intake, "pull", &body, PULL_WAIT).await;
         let answer: PullAnswer = match pulled {
@@ -188,15 +188,11 @@
     }
 
     fn account(&mut self, cause: &str, since: Instant) {
-        let waited = millis(since.elapsed());
+        let waited = whole_millis(since.elapsed());
         *self.idle.by_cause_ms.entry(cause.to_owned()).or_default() += waited;
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn not_open(error: &ClientError) -> bool {
     matches!(error, ClientError::Refused(ErrorBody { kind: ErrorKind::NotOpen, .. }))
 }
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -12,7 +12,7 @@
 
 use std::time::Duration;
 
-use ids::{BoxId, FencingToken, Incarnation, Moment, ObjectVersion};
+use ids::{BoxId, FencingToken, Incarnation, Moment, ObjectVersion, whole_millis};
 use serde::{Deserialize, Serialize};
 
 /// Share of the term kept as a margin: the holder stops acting one part in this many early.
@@ -399,10 +399,10 @@
             incarnation: self.incarnation,
             token,
             address: self.address.clone(),
-            term_ms: millis(self.term),
+            term_ms: whole_millis(self.term),
             write: self.writes,
             released,
-            quiet_ms: millis(self.quiet_until.since(now)),
+            quiet_ms: whole_millis(self.quiet_until.since(now)),
         };
         LeaseAction::Write { expect, record }
     }
@@ -478,7 +478,3 @@
         self.next_at = now;
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -25,8 +25,8 @@
 const AGAIN_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for a keeping box to answer.
 const ASK_TIME: Duration = Duration::from_millis(400);
-/// An answer of the store to this box itself shows for this long that it is not cut off. The
-/// configuration's watch is never open for longer; one that is may outlive the way to the store.
+/// An answer of the store about the configuration shows for this long that the box is not cut off. It
+/// is asked for as often; a watch that waits for longer may be answered though the way there is lost.
 const STORE_TRUST: Duration = Duration::from_millis(1_300);
 /// A box is cut off once nothing was heard for this long: one question may be lost.
 const CUT_AFTER: Duration = Duration::from_millis(600);
--- a/crates/front/src/plain.rs
+++ b/crates/front/src/plain.rs
@@ -8,6 +8,7 @@
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use ids::whole_millis;
 use node::{NodeView, PlainCall, PlainEnd, call_plain};
 use platform::headers;
 use routing::Route;
@@ -116,7 +117,7 @@
     view.metrics.ended("plain", outcome);
     view.metrics.took(received.elapsed());
     if outcome != "answered" {
-        let took_ms = u64::try_from(received.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let took_ms = whole_millis(received.elapsed());
         log::info!(
             target: "entry", request = id.as_str(), route:% = route.name, outcome = outcome,
             took_ms = took_ms, config = view.table().version.get();
--- a/crates/gannetctl/src/commands.rs
+++ b/crates/gannetctl/src/commands.rs
@@ -7,7 +7,7 @@
 
 use api::{AppliedBody, DEADLINE_HEADER, ErrorBody, REPEATABLE_HEADER, REQUEST_ID_HEADER};
 use client::{ClientError, EntryClient, IdleReport, TrainerClient};
-use ids::{AnswerDigest, ModelVersion};
+use ids::{AnswerDigest, ModelVersion, whole_millis};
 use ledger::{GroupSpec, Sample, SlotSet, StepSpec};
 use pools::parse_pool;
 use rand::Rng;
@@ -85,7 +85,7 @@
         }
     }
     let idle = open.close().await?;
-    let took_ms = millis(started.elapsed());
+    let took_ms = whole_millis(started.elapsed());
     let report = tally.report(slots, &idle, took_ms);
     print(output, &report, || step_table(&report));
     if report.missing > 0 || tally.doubled > 0 {
@@ -94,10 +94,6 @@
     Ok(())
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn step_spec(args: &StepArgs) -> Result<StepSpec, CliError> {
     let group = u32::from(args.group);
     if group == 0 || !args.samples.is_multiple_of(group) {
--- a/crates/gannetwayd/src/clock.rs
+++ b/crates/gannetwayd/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use ids::{Incarnation, Moment};
+use ids::{Incarnation, Moment, whole_millis};
 use tokio::time::Instant;
 
 /// Counts from the start of the process.
@@ -35,5 +35,5 @@
 /// makes the box look like an older life until it has caught up; its peers then ignore it.
 pub fn incarnation_from_wall_clock() -> Incarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-    Incarnation::new(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    Incarnation::new(whole_millis(since))
 }
--- a/crates/gannetwayd/src/context.rs
+++ b/crates/gannetwayd/src/context.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coord::members::{MemberRecord, MemberTable};
-use ids::{RequestId, TargetId};
+use ids::{RequestId, TargetId, whole_millis};
 use links::{AnswerSink, AnswerStream, CallError, LinkPool};
 use objects::HttpStore;
 use pools::{FleetConfig, TargetIndex, TargetRecord};
@@ -158,7 +158,7 @@
 
 /// A time in milliseconds, for the wire.
 pub fn wire_millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    whole_millis(time)
 }
 
 /// A fresh request id.
--- a/crates/gannetwayd/src/refuse.rs
+++ b/crates/gannetwayd/src/refuse.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use api::{ErrorBody, ErrorKind};
-use ids::ModelVersion;
+use ids::{ModelVersion, whole_millis};
 use keeping::KeeperRefusal;
 use ledger::LedgerError;
 use links::CallError;
@@ -16,10 +16,6 @@
 /// Retry-After is spread by up to this factor, so that callers do not return all at once.
 const SPREAD: f64 = 1.0;
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Short stable names of the reasons, for the wire.
 const REASONS: [(&str, NotRun); 10] = [
     ("overloaded", NotRun::Overloaded),
@@ -45,7 +41,7 @@
         Refusal::NotRun { reason, retry_after } => Refused {
             kind: RefusedKind::NotRun.into(),
             message: reason.to_string(),
-            retry_after_ms: millis(*retry_after),
+            retry_after_ms: whole_millis(*retry_after),
             reason: reason_name(*reason).to_owned(),
             load,
             ..Refused::default()
@@ -119,7 +115,7 @@
     Refused {
         kind: kind.into(),
         message: refusal.to_string(),
-        retry_after_ms: millis(retry_after),
+        retry_after_ms: whole_millis(retry_after),
         reason: reason.to_owned(),
         keeper_address: holder.unwrap_or_default(),
         load: None,
@@ -150,5 +146,5 @@
     };
     let pause = Duration::from_millis(refused.retry_after_ms);
     let spread = pause.mul_f64(1.0 + SPREAD * random.clamp(0.0, 1.0));
-    ErrorBody { kind, message: refused.message.clone(), retry_after_ms: millis(spread) }
+    ErrorBody { kind, message: refused.message.clone(), retry_after_ms: whole_millis(spread) }
 }
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -12,7 +12,7 @@
 mod window;
 
 pub use digest::{AnswerDigest, DigestWriter};
-pub use moment::Moment;
+pub use moment::{Moment, whole_millis};
 pub use number::{
     FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion, ShardIndex,
     SlotIndex, StepNumber, TokenCount,
--- a/crates/ids/src/moment.rs
+++ b/crates/ids/src/moment.rs
@@ -52,3 +52,9 @@
         write!(f, "{}.{:03}s", self.0 / 1_000_000, self.0 / 1_000 % 1_000)
     }
 }
+
+/// Whole milliseconds of a span, for logs and messages. What a `u64` cannot hold, some 500 million years,
+/// becomes its largest value.
+pub fn whole_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/links/src/shard.rs
+++ b/crates/links/src/shard.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ids::whole_millis;
 use wire::peer::{Request, ShardAnswer, ShardRequest, item, request, shard_answer, shard_request};
 
 use crate::{AnswerStream, CallError, LinkPool};
@@ -18,7 +19,7 @@
         let request = Request {
             request_id: request_id.to_owned(),
             traceparent: String::new(),
-            time_left_ms: u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+            time_left_ms: whole_millis(time),
             body: Some(request::Body::Shard(ShardRequest { body: Some(body) })),
         };
         self.call(address, request).await
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::BoxId;
+use ids::{BoxId, whole_millis};
 use joblog::CopyHolder;
 use links::LinkPool;
 use platform::{Changed, Changes, Kind, Listing, Stored};
@@ -58,7 +58,7 @@
 }
 
 fn tell_lost(view: &NodeView, proof: &HeardProof) {
-    let age_ms = u64::try_from(proof.proven_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let age_ms = whole_millis(proof.proven_at.elapsed());
     log::warn!(
         target: "node", dependency = "feed", peer:% = proof.teller, age_ms = age_ms,
         config = view.table().version.get();
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
-use ids::InstanceId;
+use ids::{InstanceId, whole_millis};
 use platform::headers::{self, AnswerFacts};
 use rand::Rng;
 use routing::{ChoiceNeed, Route, RouteKind, TargetFailure, TargetSlot};
@@ -174,17 +174,13 @@
     if outcome != TryOutcome::Answered {
         log::info!(
             target: "targets", request = call.request_id, target:% = slot.instance,
-            outcome = outcome.word(), took_ms = millis(started.elapsed()), left_ms = millis(left);
+            outcome = outcome.word(), took_ms = whole_millis(started.elapsed()), left_ms = whole_millis(left);
             "try ended"
         );
     }
     end
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Whether an answer is the target's answer to this request.
 fn judge(
     view: &NodeView,
--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ids::ObjectVersion;
+use ids::{ObjectVersion, whole_millis};
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
@@ -95,7 +95,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<ListedObjects, StoreError> {
-        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let wait_ms = whole_millis(wait);
         let request =
             self.client.get(self.kind(kind)).query(&[("after", after), ("wait_ms", wait_ms)]);
         let response = send(request, wait + WATCH_SLACK).await?;
--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -13,7 +13,7 @@
 };
 use ids::{
     FencingToken, Incarnation, InstanceId, ModelName, ModelVersion, Moment, ObjectVersion,
-    ServiceName,
+    ServiceName, whole_millis,
 };
 use joblog::shard_of;
 use platform::orders::SwapMode;
@@ -247,7 +247,7 @@
     log::info!(
         target: "conductor", service:% = held.service, token = token.get(),
         after:% = before.map_or("none", |record| record.holder.as_str()),
-        wait_ms = u64::try_from(from.since(now).as_millis()).unwrap_or(u64::MAX);
+        wait_ms = whole_millis(from.since(now));
         "lease held"
     );
 }
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{BoxId, ShardIndex};
+use ids::{BoxId, ShardIndex, whole_millis};
 use joblog::CopyFolder;
 use links::{LinkPool, LinkSettings, serve_links};
 use node::duties::{DutySink, box_object};
@@ -184,7 +184,7 @@
     ctx.stopping.cancel();
     hand_over(ctx, keepers).await;
     time::sleep(STOP_TIME.saturating_sub(asked.elapsed())).await;
-    log::info!(target: "shard", took_ms = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX); "stopped");
+    log::info!(target: "shard", took_ms = whole_millis(asked.elapsed()); "stopped");
 }
 
 /// Empties this box when the platform asks for it, and says so once nothing is owed here.
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
-use ids::{ModelName, ModelVersion};
+use ids::{ModelName, ModelVersion, whole_millis};
 use jobs::{RunEnd, RunEvent, RunSpec};
 use platform::events::EventReader;
 use platform::headers;
@@ -241,7 +241,7 @@
             target: "jobs", level, job:% = self.spec.item.job, item = item,
             target:% = instance, from_event = self.spec.events, events = self.events.len(),
             weight_version = self.version.unwrap_or(0), min_version = self.spec.job.min_version,
-            took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX),
+            took_ms = whole_millis(started.elapsed()),
             outcome:% = reason;
             "run ended"
         );
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -15,7 +15,9 @@
 use axum::routing::{get, post};
 use bytes::Bytes;
 use futures::stream;
-use ids::{AnswerDigest, DigestWriter, Incarnation, ModelVersion, Moment, TokenCount};
+use ids::{
+    AnswerDigest, DigestWriter, Incarnation, ModelVersion, Moment, TokenCount, whole_millis,
+};
 use serde::{Deserialize, Serialize};
 use targets::{
     EngineLine, EngineState, GenerateRequest, LoadReport, NOT_RUN_HEADER, OrderAnswer,
@@ -260,7 +262,7 @@
             };
             self.report = (now, fresh);
         }
-        let age_ms = u64::try_from(now.since(taken_at).as_millis()).unwrap_or(u64::MAX);
+        let age_ms = whole_millis(now.since(taken_at));
         LoadReport { age_ms, ..report }
     }
 }
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -198,6 +198,11 @@
     },
 ];
 
+/// The edits of all ablations.
+pub fn edits() -> impl Iterator<Item = SourceEdit> {
+    ABLATIONS.iter().map(|ablation| ablation.edit)
+}
+
 /// Lists the mechanisms, one a line: name, and what happens without it.
 pub fn list() {
     for ablation in ABLATIONS {
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -23,6 +23,8 @@
     Codegen,
     /// Fails when the committed wire code is not what the .proto file gives.
     CheckCodegen,
+    /// Fails when a mutation or an ablation changes source that does not stand there any more.
+    CheckEdits,
     /// Removes one mechanism after the other in a scratch copy; each must make a test fail.
     Mutate {
         /// Only mutations whose name holds this.
@@ -44,6 +46,7 @@
     let done = match cli.chore {
         Chore::Codegen => codegen(&generated_dir()),
         Chore::CheckCodegen => check_codegen(),
+        Chore::CheckEdits => check_edits(),
         Chore::Ablate { name: Some(name), to: Some(to) } => {
             ablate::ablate(&root_dir(), &name, &to).map_err(Into::into)
         }
@@ -96,3 +99,10 @@
     }
     Err("the committed wire code is stale: run `cargo run -p xtask -- codegen`".into())
 }
+
+fn check_edits() -> Fallible {
+    for edit in mutate::edits().chain(ablate::edits()) {
+        edit.find(&root_dir())?;
+    }
+    Ok(())
+}
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -21,6 +21,17 @@
     test: &'static str,
 }
 
+impl Mutation {
+    const fn edit(&self) -> SourceEdit {
+        SourceEdit { file: self.file, from: self.from, to: self.to }
+    }
+}
+
+/// The edits of all mutations.
+pub fn edits() -> impl Iterator<Item = SourceEdit> {
+    MUTATIONS.iter().map(Mutation::edit)
+}
+
 const MUTATIONS: &[Mutation] = &[
     Mutation {
         name: "1: a missing stamp is taken for the last version",
@@ -97,7 +108,7 @@
     Mutation {
         name: "3: a taker does not wait for the term",
         file: "crates/coord/src/lease.rs",
-        from: "if sighting.record.released || now.since(unchanged_since) >= term {",
+        from: "if free || now >= due {",
         to: "if true {",
         package: "coord",
         test: "never_two_holders",
@@ -105,8 +116,8 @@
     Mutation {
         name: "3: a holder counts from the answer instead of from before the write",
         file: "crates/coord/src/lease.rs",
-        from: "WriteOutcome::Applied(version) => self.hold(token, version, sent_at),",
-        to: "WriteOutcome::Applied(version) => self.hold(token, version, now + self.term / 4),",
+        from: "self.hold(token, version, sent_at);",
+        to: "self.hold(token, version, now + self.term / 4);",
         package: "coord",
         test: "",
     },
@@ -129,8 +140,8 @@
     Mutation {
         name: "5: a broken answer counts as not run",
         file: "crates/links/src/error.rs",
-        from: "Self::Broken { .. } => false,",
-        to: "Self::Broken { .. } => true,",
+        from: "Self::Broken { .. } | Self::LinkLost => false,",
+        to: "Self::Broken { .. } | Self::LinkLost => true,",
         package: "links",
         test: "is_an_error",
     },
@@ -254,6 +265,30 @@
         package: "platform-standin",
         test: "jobs_that_ended_long_ago",
     },
+    Mutation {
+        name: "platform: an answer about any kind proves the settings",
+        file: "crates/node/src/follow.rs",
+        from: "self.view.feed.proven(self.kind, self.view.now());",
+        to: "self.view.feed.proven(Kind::Configuration, self.view.now());",
+        package: "platform-standin",
+        test: "an_answer_about_another_kind",
+    },
+    Mutation {
+        name: "platform: trust in what is told does not end by the clock",
+        file: "crates/node/src/feed/trust.rs",
+        from: "if renewed.is_err() && self.set(false) {",
+        to: "if renewed.is_err() && self.fed.is_closed() {",
+        package: "platform-standin",
+        test: "trust_lasts_as_long",
+    },
+    Mutation {
+        name: "platform: a connection to the store that rested is used again",
+        file: "platform/src/store.rs",
+        from: "const IDLE_TIME: Duration = Duration::from_millis(600);",
+        to: "const IDLE_TIME: Duration = Duration::from_secs(60);",
+        package: "platform",
+        test: "a_connection_that_rested",
+    },
 ];
 
 /// Runs every mutation; an error names those that no test noticed.
@@ -267,8 +302,7 @@
             let fault = format!("{}: its test fails without any mutation", mutation.name);
             return Err(io::Error::other(fault));
         }
-        let edit = SourceEdit { file: mutation.file, from: mutation.from, to: mutation.to };
-        edit.apply(&copy)?;
+        mutation.edit().apply(&copy)?;
         let noticed = !passes(&copy, mutation)?;
         println!("{} {}", if noticed { "noticed  " } else { "UNNOTICED" }, mutation.name);
         if !noticed {
--- a/crates/xtask/src/scratch.rs
+++ b/crates/xtask/src/scratch.rs
@@ -18,14 +18,18 @@
 impl SourceEdit {
     /// Edits the tree at `root`.
     pub fn apply(&self, root: &Path) -> io::Result<()> {
-        let path = root.join(self.file);
-        let text = fs::read_to_string(&path)?;
-        if !text.contains(self.from) {
-            let fault =
-                format!("`{}` is not in {}: bring the table up to date", self.from, self.file);
-            return Err(io::Error::other(fault));
+        let text = self.find(root)?;
+        fs::write(root.join(self.file), text.replacen(self.from, self.to, 1))
+    }
+
+    /// The text of the file to edit; an error when what is to be changed does not stand there.
+    pub fn find(&self, root: &Path) -> io::Result<String> {
+        let text = fs::read_to_string(root.join(self.file))?;
+        if text.contains(self.from) {
+            return Ok(text);
         }
-        fs::write(path, text.replacen(self.from, self.to, 1))
+        let fault = format!("`{}` is not in {}: bring the table up to date", self.from, self.file);
+        Err(io::Error::other(fault))
     }
 }
 
