Tell what each step's trainer waited for, and which calls a box makes to the store

Cause: of a late step the logs told neither its last item nor what that one spent its time on, and which box calls the store for what could be counted only by the platform.

Change: the book keeps an account for each job (first run, last wanted item listed and read; what that item spent on waiting, runs and the reward call; how long some item could not start, by the reason), one line `step told` at its end. `gannetctl steps LOG...` shows them as a table, JSON or an SVG picture. `item given up` names job, item and why. A line each 10 s and metric labels tell the calls to the store by kind.

--- a/crates/gannetctl/src/cli.rs
+++ b/crates/gannetctl/src/cli.rs
@@ -6,7 +6,9 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use client::{EntryClient, EntrySettings};
-use ids::{Generation, ModelVersion, PoolName, ServiceName, StepNumber, TokenCount, TrainerId};
+use ids::{
+    Generation, ModelName, ModelVersion, PoolName, ServiceName, StepNumber, TokenCount, TrainerId,
+};
 
 use crate::exit::CliError;
 
@@ -66,6 +68,8 @@
     Call(CallArgs),
     /// Tells what the boxes' logs say of a request, a job or an item.
     Explain(ExplainArgs),
+    /// Tells what the trainers waited for, step by step, from the keeping boxes' logs.
+    Steps(StepsArgs),
 }
 
 /// Arguments of `explain`.
@@ -78,6 +82,20 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Arguments of `steps`.
+#[derive(Debug, Args)]
+pub struct StepsArgs {
+    /// Logs of boxes, as they were written to standard output.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+    /// Only steps of this model.
+    #[arg(long)]
+    pub model: Option<ModelName>,
+    /// Draws the steps, a bar each, into this SVG file.
+    #[arg(long)]
+    pub picture: Option<PathBuf>,
+}
+
 /// Arguments of `apply`.
 #[derive(Debug, Args)]
 pub struct ApplyArgs {
--- a/crates/gannetctl/src/main.rs
+++ b/crates/gannetctl/src/main.rs
@@ -4,8 +4,12 @@
 mod commands;
 mod exit;
 mod explain;
+mod log_lines;
 mod output;
 mod queries;
+mod step_account;
+mod step_picture;
+mod steps;
 
 use std::process::ExitCode;
 
@@ -31,12 +35,16 @@
 
 async fn run(cli: Cli) -> Result<(), CliError> {
     let output = cli.output;
-    if let Command::Explain(args) = &cli.command {
-        return explain::explain(args, output);
+    // What only reads files needs no entry box.
+    match &cli.command {
+        Command::Explain(args) => return explain::explain(args, output),
+        Command::Steps(args) => return steps::steps(args, output),
+        _ => {}
     }
     let entry = cli.entry_client()?;
     match cli.command {
         Command::Explain(args) => explain::explain(&args, output),
+        Command::Steps(args) => steps::steps(&args, output),
         Command::Apply(apply) => commands::apply(&entry, apply, output).await,
         Command::Step(step) => commands::step(entry, step, output).await,
         Command::Call(call) => commands::call(&cli.entry, call, output).await,
--- /dev/null
+++ b/crates/gannetctl/tests/steps.rs
@@ -0,0 +1,98 @@
+//! What trainers waited for, as told from boxes' logs.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+const KEEPER: &str = r#"
+{"box":"keep-1","event":"version named","part":"config","t":99.0,"level":"info","model":"m0","weight_version":3}
+{"box":"keep-2","event":"version named","part":"config","t":99.5,"level":"info","model":"m0","weight_version":3}
+{"box":"keep-1","event":"step told","part":"jobs","t":107.0,"level":"info","job":"j1","shard":0,"model":"m0","step":4,"min_version":3,"wanted":2,"carried":8,"first_run_ms":500,"wanted_ms":6000,"read_ms":6400,"ended_ms":7000,"item":"i9","target":"e7","runs":2,"waited_ms":1500,"ran_ms":4000,"scored_ms":300,"old_ms":1200,"loading_ms":0,"resting_ms":0,"full_ms":400,"no_route_ms":0}
+{"box":"keep-1","event":"step told","part":"jobs","t":120.0,"level":"info","job":"j2","shard":0,"model":"m1","step":1,"min_version":2,"wanted":2,"carried":0,"first_run_ms":4000,"wanted_ms":-1,"read_ms":-1,"ended_ms":12000,"item":"","target":"","runs":0,"waited_ms":0,"ran_ms":0,"scored_ms":0,"old_ms":9000,"loading_ms":100,"resting_ms":0,"full_ms":0,"no_route_ms":0}
+"#;
+
+const ENTRY: &str = r#"{"box":"entry-1","event":"job handed in","items":2,"job":"j1","outcome":"not served","part":"entry","shard":0,"t":99.9,"level":"info"}
+{"box":"entry-1","event":"job handed in","items":2,"job":"j1","outcome":"accepted","part":"entry","shard":0,"t":100.1,"level":"info"}
+"#;
+
+struct Logs(Vec<PathBuf>);
+
+impl Logs {
+    fn write(name: &str) -> Self {
+        let folder = std::env::temp_dir();
+        let path = |part: &str| {
+            folder.join(format!("gannetway-steps-{name}-{part}-{}", std::process::id()))
+        };
+        let files = vec![path("keep.log"), path("entry.log"), path("picture.svg")];
+        fs::write(&files[0], KEEPER).expect("written");
+        fs::write(&files[1], ENTRY).expect("written");
+        Self(files)
+    }
+
+    fn steps(&self, more: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gannetctl"));
+        command.arg("steps").args(more).args(&self.0[..2]).output().expect("it runs")
+    }
+}
+
+impl Drop for Logs {
+    fn drop(&mut self) {
+        for file in &self.0 {
+            let _gone = fs::remove_file(file);
+        }
+    }
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[test]
+fn each_step_tells_what_its_last_item_waited_for() {
+    let told = text(&Logs::write("table").steps(&[]));
+    let expected = "\
+MODEL  STEP  TAKEN AT  NAMED  FIRST RUN  WANTED  READ  ENDED  LAST ITEM  RUNS  WAITED  RAN   SCORED  WAITED FOR
+m0     4     100.00    -1.00  0.50       6.00    6.40  7.00   i9         2     1.50    4.00  0.30    runs 4.0 s
+m1     1     108.00    -      4.00       -       -     12.00             0     0.00    0.00  0.00    not whole; engine of an older version 9.0 s
+";
+    assert_eq!(told, expected);
+}
+
+#[test]
+fn programs_get_all_moments_as_json() {
+    let told = text(&Logs::write("json").steps(&["--output", "json", "--model", "m0"]));
+    let told: serde_json::Value = serde_json::from_str(&told).expect("JSON");
+    assert_eq!(told.as_array().map(Vec::len), Some(1));
+    let step = &told[0];
+    assert_eq!(step["asked_at"], 100.1, "the try that was accepted");
+    assert_eq!(step["named_at"], 99.0, "the first box that heard of it");
+    assert_eq!(step["carried"], 8);
+    assert_eq!(step["last"]["target"], "e7");
+    let listing = step["last"]["listing_s"].as_f64().expect("a number");
+    assert!((listing - 0.2).abs() < 1e-9, "what is left of 6 s: {listing}");
+    assert_eq!(step["holds"][0]["why"], "engine of an older version");
+    assert_eq!(step["holds"].as_array().map(Vec::len), Some(2), "those that were");
+}
+
+#[test]
+fn a_picture_has_a_bar_for_each_part_of_a_step() {
+    let logs = Logs::write("picture");
+    let picture = logs.0[2].to_str().expect("a path").to_owned();
+    let output = logs.steps(&["--picture", &picture]);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let drawn = fs::read_to_string(&picture).expect("drawn");
+    let count = |color: &str| drawn.matches(&format!("fill=\"{color}\"")).count();
+    assert_eq!(count("#AAAAAA"), 2, "before the first run");
+    assert_eq!(count("#4678BE"), 1, "until the wanted items were listed");
+    assert_eq!(count("#FF0000"), 1, "a step that was not whole");
+    assert!(drawn.contains("m0 4") && drawn.contains("m1 1"));
+}
+
+#[test]
+fn logs_without_a_step_are_refused_with_the_remedy() {
+    let logs = Logs::write("none");
+    let output = logs.steps(&["--model", "m9"]);
+    assert_eq!(output.status.code(), Some(2));
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(error.contains("name the logs of the keeping boxes"), "{error}");
+}
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -11,7 +11,11 @@
 use crate::item::{ItemPhase, ItemState};
 use crate::order::TextPace;
 use crate::state::{JobState, ListedItem, record, request_bytes};
-use crate::{ItemRef, RewardEnd, RunEnd, RunOutcome, RunSpec, pack_text, run_order, unpack_text};
+use crate::trace::StepTrace;
+use crate::{
+    ItemRef, LossReason, RewardEnd, RunEnd, RunOutcome, RunSpec, StepAccount, pack_text, run_order,
+    unpack_text,
+};
 
 /// Pause before an item that failed is started again, so that a target in trouble, or the list
 /// that still names it, has time to change.
@@ -68,7 +72,7 @@
     pub fn apply_at(&mut self, now: Moment, record: LogRecord, place: Option<RecordPlace>) {
         match record.body {
             Some(Body::Accepted(job)) => self.apply_accepted(now, job),
-            Some(Body::Listed(listed)) => self.apply_listed(listed, place),
+            Some(Body::Listed(listed)) => self.apply_listed(now, listed, place),
             Some(Body::Ended(ended)) => self.apply_ended(&ended.job),
             Some(Body::Dropped(dropped)) => self.apply_dropped(&dropped.job),
             Some(Body::Progress(progress)) => self.apply_progress(&progress),
@@ -83,6 +87,7 @@
         }
         let job = Arc::new(job);
         let order = run_order(&job);
+        let trace = StepTrace::new(now, &job, |item| self.holders.contains_key(&item.id));
         let mut items = vec![ItemState::new(); job.items.len()];
         for (index, item) in job.items.iter().enumerate() {
             if let Some(state) = self.carried(&job, &item.id) {
@@ -104,6 +109,7 @@
             ending: false,
             dropping: false,
             bytes,
+            trace,
         };
         self.jobs.insert(id.clone(), state);
         self.open.push(id);
@@ -139,7 +145,7 @@
         (!state.versions.is_empty() && ItemState::fits(&state.versions, job)).then_some(state)
     }
 
-    fn apply_listed(&mut self, listed: ListedResult, place: Option<RecordPlace>) {
+    fn apply_listed(&mut self, now: Moment, listed: ListedResult, place: Option<RecordPlace>) {
         let Some(state) = self.state_mut(&listed.job) else { return };
         let Some(result) = listed.result else { return };
         if listed.position as usize != state.listed.len() {
@@ -150,6 +156,9 @@
             state.items[index].phase = ItemPhase::Listed;
             state.items[index].text = Vec::new();
             state.waiting.retain(|waiting| *waiting as usize != index);
+            let group = &state.job.items[index].group;
+            let index = u32::try_from(index).unwrap_or(u32::MAX);
+            state.trace.listed(now, index, listed.position, group);
         }
         let bytes = result.packed_text.len();
         state.listed.push(ListedItem { result, place });
@@ -262,6 +271,7 @@
         if entry.phase != ItemPhase::Running || entry.run != spec.run {
             return false;
         }
+        state.trace.ran(now, item.index);
         if run.outcome == RunOutcome::Unusable || entry.events < spec.events {
             entry.forget_text();
         } else {
@@ -304,6 +314,7 @@
         if entry.phase != ItemPhase::Running || state.ending {
             return None;
         }
+        state.trace.scored(now, item.index);
         match end {
             RewardEnd::Scored(score) => {
                 entry.score = Some(score);
@@ -323,8 +334,8 @@
         None
     }
 
-    /// The records of items that failed so often, or waited so long, that they are given up.
-    pub fn give_up(&mut self, now: Moment) -> Vec<LogRecord> {
+    /// The records of items that failed so often, or waited so long, that they are given up, and why.
+    pub fn give_up(&mut self, now: Moment) -> Vec<(LogRecord, LossReason)> {
         if self.closed {
             return Vec::new();
         }
@@ -338,13 +349,19 @@
             for index in &state.waiting {
                 let item = &state.items[*index as usize];
                 let rewards = item.reward_attempts.max(attempts);
-                let spent = item.failures >= attempts || item.reward_failures >= rewards;
-                if spent || late {
-                    lost.push(ItemRef { job: id.clone(), index: *index });
-                }
+                let why = if item.failures >= attempts {
+                    LossReason::Failures
+                } else if item.reward_failures >= rewards {
+                    LossReason::RewardFailures
+                } else if late {
+                    LossReason::TooLate
+                } else {
+                    continue;
+                };
+                lost.push((ItemRef { job: id.clone(), index: *index }, why));
             }
         }
-        lost.iter().filter_map(|item| self.list(item, false)).collect()
+        lost.iter().filter_map(|(item, why)| Some((self.list(item, false)?, *why))).collect()
     }
 
     fn list(&mut self, item: &ItemRef, done: bool) -> Option<LogRecord> {
@@ -391,6 +408,19 @@
         Some(record(Body::Ended(EndedJob { job: id.to_string() })))
     }
 
+    /// Notes that results of a job before position `until` were told.
+    pub fn told(&mut self, now: Moment, id: &JobId, until: u32) {
+        if let Some(state) = self.jobs.get_mut(id) {
+            state.trace.read(now, until);
+        }
+    }
+
+    /// What became of a job that ends now; `None` when it is not held or has ended before.
+    pub fn account(&mut self, now: Moment, id: &JobId) -> Option<StepAccount> {
+        let state = self.jobs.get_mut(id).filter(|state| !state.ended)?;
+        Some(state.trace.end(now, state.taken_at, &state.job))
+    }
+
     /// The records that drop ended jobs past their retention.
     pub fn expire(&mut self, now: Moment) -> Vec<LogRecord> {
         if self.closed {
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -1,5 +1,6 @@
 //! One item of a job on its way to a result.
 
+use std::fmt;
 use std::sync::Arc;
 
 use ids::{JobId, Moment};
@@ -119,6 +120,27 @@
     Missed,
 }
 
+/// Why an item is given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossReason {
+    /// Its targets failed at it as often as its route allows, or said that it can never be done.
+    Failures,
+    /// So did the targets of its reward call.
+    RewardFailures,
+    /// It has waited for as long as its route allows.
+    TooLate,
+}
+
+impl fmt::Display for LossReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Failures => "its targets failed",
+            Self::RewardFailures => "its reward calls failed",
+            Self::TooLate => "it waited too long",
+        })
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ItemPhase {
     /// To be started.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,14 +17,16 @@
 mod reads;
 mod snapshot;
 mod state;
+mod trace;
 mod turns;
 
 pub use book::JobBook;
-pub use item::{ItemRef, RewardEnd, RunEnd, RunEvent, RunOutcome, RunSpec};
+pub use item::{ItemRef, LossReason, RewardEnd, RunEnd, RunEvent, RunOutcome, RunSpec};
 pub use order::run_order;
 pub use packed::{UnpackError, pack_text, unpack_text};
-pub use reads::{BookPage, JobCounts};
+pub use reads::{BookPage, JobCounts, StepNames};
 pub use snapshot::{SnapshotCursor, SnapshotPiece};
+pub use trace::{ItemAccount, StartHold, StepAccount};
 
 /// Short names of the reasons for which a shard's server refuses a call.
 pub mod reason {
--- a/crates/jobs/src/reads.rs
+++ b/crates/jobs/src/reads.rs
@@ -19,6 +19,19 @@
     pub bytes: usize,
 }
 
+/// Which step a job is.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StepNames {
+    /// The model that it trains.
+    pub model: String,
+    /// The step's number.
+    pub number: u64,
+    /// The oldest version of the weights that may make any part of a sample.
+    pub min_version: u64,
+    /// Whole groups that the trainer waits for.
+    pub wanted_groups: u32,
+}
+
 /// Results of a job.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BookPage {
@@ -29,6 +42,17 @@
 }
 
 impl JobBook {
+    /// Which step a job is; all empty when it is not held.
+    pub fn step(&self, id: &JobId) -> StepNames {
+        let Some(state) = self.jobs.get(id) else { return StepNames::default() };
+        StepNames {
+            model: state.job.model.clone(),
+            number: state.job.step,
+            min_version: state.job.min_version,
+            wanted_groups: state.job.wanted_groups,
+        }
+    }
+
     /// Whether a job is held.
     pub fn knows(&self, id: &JobId) -> bool {
         self.jobs.contains_key(id)
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -12,6 +12,7 @@
 
 use crate::item::{ItemPhase, ItemState};
 use crate::pack_text;
+use crate::trace::StepTrace;
 
 /// A result that is on every copy of the log.
 #[derive(Debug)]
@@ -46,6 +47,8 @@
     pub ending: bool,
     pub dropping: bool,
     pub bytes: usize,
+    /// What its trainer waits for.
+    pub trace: StepTrace,
 }
 
 impl JobState {
@@ -63,6 +66,7 @@
             };
         }
         self.job = Arc::new(job);
+        self.trace.strip();
         self.bytes = self.bytes.saturating_sub(freed);
         freed
     }
--- a/crates/jobs/src/turns.rs
+++ b/crates/jobs/src/turns.rs
@@ -8,11 +8,11 @@
 
 use std::sync::Arc;
 
-use ids::{JobId, Moment};
+use ids::{InstanceId, JobId, Moment};
 
 use crate::item::ItemPhase;
 use crate::order::LatestStart;
-use crate::{ItemRef, JobBook, RunSpec};
+use crate::{ItemRef, JobBook, RunSpec, StartHold};
 
 /// The next item of one job.
 struct JobTurn {
@@ -33,15 +33,22 @@
 
 impl JobBook {
     /// Items that may start now, best first, each with the model and the oldest version that
-    /// its target must hold. `start` says whether it has found a target for the item; when it
-    /// has not, the rest of that job waits too.
+    /// its target must hold. `start` says which target it has found for the item, none where only its
+    /// reward call is missing; when it finds none for a run, the rest of that job waits too.
     ///
     /// Of all jobs' first items, the one goes first whose latest start is the soonest: a long text of
     /// a later job before a short one of an earlier job.
-    pub fn start_ready(&mut self, now: Moment, mut start: impl FnMut(RunSpec) -> bool) {
+    pub fn start_ready(
+        &mut self,
+        now: Moment,
+        mut start: impl FnMut(RunSpec) -> Result<Option<InstanceId>, StartHold>,
+    ) {
         let mut turns: Vec<JobTurn> = Vec::new();
-        for id in &self.open {
-            turns.extend(self.turn(now, id.clone(), 0));
+        for id in self.open.clone() {
+            if let Some(state) = self.jobs.get_mut(&id) {
+                state.trace.hold(now, None);
+            }
+            turns.extend(self.turn(now, id, 0));
         }
         while let Some(turn) = take_first(&mut turns) {
             let Some(state) = self.jobs.get_mut(&turn.job) else { continue };
@@ -55,9 +62,14 @@
                 whole: item.whole,
                 run: item.run + 1,
             };
-            if !start(spec) {
-                continue;
-            }
+            let target = match start(spec) {
+                Ok(target) => target,
+                Err(hold) => {
+                    state.trace.hold(now, Some(hold));
+                    continue;
+                }
+            };
+            state.trace.started(now, index, target);
             let item = &mut state.items[index as usize];
             item.phase = ItemPhase::Running;
             item.run += 1;
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -4,7 +4,9 @@
 
 use common::{accepted, at, book, events, job, run, start_all, text_of};
 use ids::{JobId, RecordPlace};
-use jobs::{JobBook, RewardEnd, RunOutcome, pack_text, run_order, unpack_text};
+use jobs::{
+    JobBook, LossReason, RewardEnd, RunOutcome, StartHold, pack_text, run_order, unpack_text,
+};
 use wire::peer::log_record::Body;
 use wire::peer::{ItemProgress, LogRecord};
 
@@ -22,6 +24,10 @@
     book.scored(at(11), &spec.item, scored()).expect("it is listed")
 }
 
+fn reasons(lost: &[(LogRecord, LossReason)]) -> Vec<LossReason> {
+    lost.iter().map(|(_, why)| *why).collect()
+}
+
 #[test]
 fn a_result_is_read_only_after_its_record_was_applied() {
     let mut book = book();
@@ -168,7 +174,8 @@
         let spec = start_all(&mut book, at(attempt * 500 + 400)).remove(0);
         book.run_ended(at(attempt * 500 + 450), &spec, &run(RunOutcome::Failed, Vec::new()));
     }
-    assert_eq!(book.give_up(at(1_600)).len(), 1);
+    let lost = book.give_up(at(1_600));
+    assert_eq!(reasons(&lost), [LossReason::Failures]);
 }
 
 #[test]
@@ -185,7 +192,8 @@
         assert!(again.iter().any(|other| other.item == spec.item && other.whole));
     }
     book.scored(at(2_500), &spec.item, failed);
-    assert_eq!(book.give_up(at(2_600)).len(), 1);
+    let lost = book.give_up(at(2_600));
+    assert_eq!(reasons(&lost), [LossReason::RewardFailures]);
 }
 
 #[test]
@@ -193,7 +201,8 @@
     let mut book = book();
     book.apply(at(0), accepted(job("j", 1)));
     assert!(book.give_up(at(40_900)).is_empty());
-    assert_eq!(book.give_up(at(41_100)).len(), 2);
+    let lost = book.give_up(at(41_100));
+    assert_eq!(reasons(&lost), [LossReason::TooLate; 2]);
 }
 
 #[test]
@@ -364,7 +373,7 @@
     let mut asked = Vec::new();
     book.start_ready(at(2), |spec| {
         asked.push(spec.item.job.to_string());
-        spec.item.job.as_str() == "b"
+        if spec.item.job.as_str() == "b" { Ok(None) } else { Err(StartHold::Full) }
     });
     assert_eq!(asked, ["a", "b", "b"]);
 }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -55,7 +55,7 @@
     let mut started = Vec::new();
     book.start_ready(now, |spec| {
         started.push(spec);
-        true
+        Ok(None)
     });
     started
 }
--- a/crates/jobs/tests/replay.rs
+++ b/crates/jobs/tests/replay.rs
@@ -33,7 +33,7 @@
                 records.extend(book.end(&id));
             }
             2..5 => running.extend(start_all(&mut book, now).into_iter().map(|spec| (spec, 0))),
-            5 => records.extend(book.give_up(now)),
+            5 => records.extend(book.give_up(now).into_iter().map(|(record, _)| record)),
             6 if !running.is_empty() => {
                 let at = rng.random_range(0..running.len());
                 let (spec, sent) = &mut running[at];
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -14,8 +14,8 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
-use crate::NodeView;
 use crate::feed::{FedKind, FedNews, PROOF_TIME, binds_callers};
+use crate::{NodeView, StoreCall};
 
 /// Room for a watch's answer: the store takes some tens of times as long as usual when it is slow.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
@@ -204,10 +204,11 @@
     known: Option<u64>,
     time: WatchTime,
 ) -> Result<FedNews, StoreError> {
-    view.metrics.store_call();
     let Some(known) = known else {
+        view.metrics.store_call(kind, StoreCall::List);
         return Ok(FedNews::Listed(view.store.list(kind).await?));
     };
+    view.metrics.store_call(kind, StoreCall::Watch);
     let mut changes = view.store.watch(kind, known, time).await?;
     changes.revision = changes.revision.max(known);
     Ok(FedNews::Changed(changes))
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,7 +15,7 @@
 mod stop;
 mod view;
 
-pub use metrics::{NodeMetrics, serve_metrics};
+pub use metrics::{NodeMetrics, StoreCall, serve_metrics, tell_store_calls};
 pub use plain::{PlainCall, PlainEnd, call_plain};
 pub use settings::{
     NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,13 +1,15 @@
 //! What a box counts, and the address that tells it.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use axum::Router;
 use axum::routing::get;
 use ids::Generation;
+use platform::Kind;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -16,6 +18,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 use tokio::net::TcpListener;
+use tokio::time;
 
 /// Labels of an outcome: what was done, and how it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -32,12 +35,54 @@
     }
 }
 
+/// What a call to the store does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum StoreCall {
+    /// Lists a kind.
+    List,
+    /// Waits for changes of a kind.
+    Watch,
+    /// Reads one object.
+    Read,
+    /// Writes one object.
+    Write,
+}
+
+impl StoreCall {
+    /// The word for metrics and logs.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Watch => "watch",
+            Self::Read => "read",
+            Self::Write => "write",
+        }
+    }
+}
+
+/// Labels of a call to the store: of what kind of object, and what it did.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct CallLabels {
+    kind: Kind,
+    call: StoreCall,
+}
+
+impl EncodeLabelSet for CallLabels {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), fmt::Error> {
+        use prometheus_client::encoding::EncodeLabel;
+        ("kind", self.kind.to_string()).encode(encoder.encode_label())?;
+        ("call", self.call.word()).encode(encoder.encode_label())
+    }
+}
+
 /// What a box counts. Labels are fixed words, so their number is bounded.
 pub struct NodeMetrics {
     registry: Registry,
     ended: Family<OutcomeLabels, Counter>,
     latency: Histogram,
-    store_calls: Counter,
+    store_calls: Family<CallLabels, Counter>,
+    /// Calls that no line has told yet.
+    untold_calls: Mutex<BTreeMap<(&'static str, &'static str), u64>>,
     jobs_held: Gauge,
     items_waiting: Gauge,
     job_bytes: Gauge,
@@ -56,7 +101,7 @@
         let ended = Family::default();
         // From 1 ms, doubling up to 16 s: an answer's aim lies in the middle.
         let latency = Histogram::new(exponential_buckets(0.001, 2.0, 15));
-        let store_calls = Counter::default();
+        let store_calls = Family::default();
         let (jobs_held, items_waiting, job_bytes) =
             (Gauge::default(), Gauge::default(), Gauge::default());
         let config_version = Gauge::default();
@@ -86,6 +131,7 @@
             ended,
             latency,
             store_calls,
+            untold_calls: Mutex::default(),
             jobs_held,
             items_waiting,
             job_bytes,
@@ -106,8 +152,23 @@
     }
 
     /// Counts a call to the store.
-    pub fn store_call(&self) {
-        self.store_calls.inc();
+    pub fn store_call(&self, kind: Kind, call: StoreCall) {
+        self.store_calls.get_or_create(&CallLabels { kind, call }).inc();
+        *self.untold().entry((kind.word(), call.word())).or_default() += 1;
+    }
+
+    fn untold(&self) -> MutexGuard<'_, BTreeMap<(&'static str, &'static str), u64>> {
+        self.untold_calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls to the store since the last time this was asked, as `watch config 12`, by number; none
+    /// when there were none.
+    pub fn take_store_calls(&self) -> Option<(u64, String)> {
+        let calls = std::mem::take(&mut *self.untold());
+        let total = calls.values().sum();
+        let told: Vec<String> =
+            calls.iter().map(|((kind, call), count)| format!("{call} {kind} {count}")).collect();
+        (total > 0).then(|| (total, told.join(", ")))
     }
 
     /// Notes what the shards served here hold.
@@ -131,6 +192,20 @@
     }
 }
 
+/// How often the calls to the store are told: a line a box at most, so that its volume is bounded
+/// however many calls there are.
+const TELL_CALLS_EVERY: Duration = Duration::from_secs(10);
+
+/// Tells in the log which calls this box makes to the store, while it makes any.
+pub async fn tell_store_calls(view: Arc<crate::NodeView>) {
+    loop {
+        time::sleep(TELL_CALLS_EVERY).await;
+        if let Some((calls, told)) = view.metrics.take_store_calls() {
+            log::info!(target: "node", dependency = "store", calls = calls, told = told.as_str(); "store calls");
+        }
+    }
+}
+
 /// Serves the metrics as text, under `/metrics`.
 pub async fn serve_metrics(view: Arc<crate::NodeView>, address: SocketAddr) {
     let listener = match TcpListener::bind(address).await {
--- a/crates/node/src/sinks.rs
+++ b/crates/node/src/sinks.rs
@@ -86,11 +86,12 @@
         Self { view, missing: Arc::default() }
     }
 
-    fn put(&self, stored: &Stored) {
+    /// Takes a target; `told` when the line of a whole listing tells of it.
+    fn put(&self, stored: &Stored, told: bool) {
         match platform::targets::read_target(stored) {
             Ok(record) => {
                 let known = self.view.board().record(&record.instance).map(|known| known.leaving);
-                if known != Some(record.leaving) {
+                if known != Some(record.leaving) && !told {
                     log::info!(
                         target: "targets", target:% = record.instance, service:% = record.service,
                         leaving = record.leaving, revision = stored.revision;
@@ -164,8 +165,16 @@
 
 impl KindSink for TargetSink {
     fn listed(&mut self, listing: &Listing) {
+        // The first listing is told in one line: each of hundreds of boxes lists hundreds of targets.
+        let is_first = self.view.board().instances().next().is_none();
+        if is_first {
+            log::info!(
+                target: "targets", targets = listing.objects.len(), revision = listing.revision;
+                "listed"
+            );
+        }
         for stored in &listing.objects {
-            self.put(stored);
+            self.put(stored, is_first);
         }
         let listed: HashSet<&str> =
             listing.objects.iter().map(|stored| stored.name.as_str()).collect();
@@ -183,7 +192,7 @@
 
     fn changed(&mut self, change: &Changed) {
         match change {
-            Changed::Put(stored) => self.put(stored),
+            Changed::Put(stored) => self.put(stored, false),
             Changed::Removed(name) => self.missing(name.parse().into_iter().collect()),
         }
         // Whatever rests at targets that are gone or idle goes as well.
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -99,6 +99,19 @@
     pub avoid: &'a [InstanceId],
 }
 
+/// Why no target was found for a request that may wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetShortage {
+    /// None holds the model in a version that is new enough.
+    OldVersion,
+    /// Those that do load weights.
+    Loading,
+    /// Those that do rest after a failure or a refusal.
+    Resting,
+    /// Those that do have no free slot.
+    Full,
+}
+
 /// A target chosen for one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetSlot {
@@ -145,14 +158,16 @@
     }
 
     fn fits(&self, now: Moment, need: &ChoiceNeed<'_>) -> bool {
-        if self.gone || self.record.leaving || now < self.busy_until {
-            return false;
-        }
-        if need.avoid.contains(&self.record.instance) {
+        if now < self.busy_until || !self.is_able(need) {
             return false;
         }
         // Work that may wait does not go where it was turned away a moment ago.
-        if need.free_slot && (now < self.rest_until || self.load(now) >= self.slots()) {
+        !need.free_slot || (now >= self.rest_until && self.load(now) < self.slots())
+    }
+
+    /// Whether it could serve the need at another time.
+    fn is_able(&self, need: &ChoiceNeed<'_>) -> bool {
+        if self.gone || self.record.leaving || need.avoid.contains(&self.record.instance) {
             return false;
         }
         let Some((model, floor)) = need.model else { return true };
@@ -266,6 +281,28 @@
         })
     }
 
+    /// Why [`Self::choose`] has found none: what holds up the target that lacks the least.
+    pub fn shortage(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        need: &ChoiceNeed<'_>,
+    ) -> TargetShortage {
+        let instances = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let views = instances.iter().filter_map(|instance| self.views.get(instance));
+        let able: Vec<&TargetView> = views.filter(|view| view.is_able(need)).collect();
+        let awake: Vec<&&TargetView> = able.iter().filter(|view| now >= view.busy_until).collect();
+        if able.is_empty() {
+            TargetShortage::OldVersion
+        } else if awake.is_empty() {
+            TargetShortage::Loading
+        } else if awake.iter().all(|view| now < view.rest_until) {
+            TargetShortage::Resting
+        } else {
+            TargetShortage::Full
+        }
+    }
+
     fn fastest(&self, instances: &[InstanceId]) -> f64 {
         let paces = instances.iter().filter_map(|instance| self.views.get(instance));
         paces.map(|view| view.pace).filter(|pace| *pace > 0.0).fold(f64::INFINITY, f64::min)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 mod table;
 
 pub use board::{
-    ChoiceNeed, HeldModel, TargetBoard, TargetFailure, TargetLoad, TargetRecord, TargetSlot,
+    ChoiceNeed, HeldModel, TargetBoard, TargetFailure, TargetLoad, TargetRecord, TargetShortage,
+    TargetSlot,
 };
 pub use table::{CallerLimits, Route, RouteKind, RouteTable, ServiceSpec, WeightedService};
--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -16,6 +16,7 @@
     ServiceName, whole_millis,
 };
 use joblog::shard_of;
+use node::StoreCall;
 use platform::orders::SwapMode;
 use platform::{Kind, StoreError};
 use routing::{RouteKind, TargetRecord};
@@ -170,7 +171,11 @@
 
 async fn carry_out(ctx: &ShardContext, held: &ServiceClaim, action: LeaseAction) {
     let name = lease_object(&held.service);
-    ctx.view.metrics.store_call();
+    let call = match &action {
+        LeaseAction::Read => StoreCall::Read,
+        LeaseAction::Write { .. } => StoreCall::Write,
+    };
+    ctx.view.metrics.store_call(Kind::Leases, call);
     match action {
         LeaseAction::Read => {
             let read = ctx.view.store.get(Kind::Leases, &name).await;
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use ids::{ModelName, ModelVersion, ServiceName};
-use jobs::{RewardEnd, RunEnd, RunOutcome, RunSpec};
+use jobs::{RewardEnd, RunEnd, RunOutcome, RunSpec, StartHold};
 use rand::Rng;
-use routing::{ChoiceNeed, TargetSlot};
+use routing::{ChoiceNeed, TargetShortage, TargetSlot};
 use tokio::time;
+use wire::peer::{LogRecord, log_record};
 
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
@@ -62,31 +63,31 @@
     let lost = book.give_up(now);
     let dropped = book.expire(now);
     drop(book);
-    for record in &lost {
-        log::info!(target: "jobs", shard = keeper.shard().get(), record:? = record_id(record); "item given up");
+    for (record, why) in &lost {
+        let (job, item) = listed_ids(record);
+        log::info!(target: "jobs", shard = keeper.shard().get(), job = job, item = item, why:% = why; "item given up");
     }
-    keeper.log(lost.into_iter().chain(dropped).collect());
+    keeper.log(lost.into_iter().map(|(record, _)| record).chain(dropped).collect());
 }
 
-fn record_id(record: &wire::peer::LogRecord) -> Option<(&str, &str)> {
-    match &record.body {
-        Some(wire::peer::log_record::Body::Listed(listed)) => {
-            let item = listed.result.as_ref().map_or("", |result| result.item.as_str());
-            Some((listed.job.as_str(), item))
-        }
-        _ => None,
-    }
+/// The job and the item of a record that lists a result.
+fn listed_ids(record: &LogRecord) -> (&str, &str) {
+    let Some(log_record::Body::Listed(listed)) = &record.body else { return ("", "") };
+    let item = listed.result.as_ref().map_or("", |result| result.item.as_str());
+    (listed.job.as_str(), item)
 }
 
 fn start_items(ctx: &Arc<ShardContext>, keeper: &Arc<ShardKeeper>) {
     let now = ctx.view.now();
     let mut starts = Vec::new();
-    keeper.book().start_ready(now, |spec| match next_step(ctx, &spec) {
-        Some(step) => {
-            starts.push((spec, step));
-            true
-        }
-        None => false,
+    keeper.book().start_ready(now, |spec| {
+        let step = next_step(ctx, &spec)?;
+        let target = match &step {
+            NextStep::Run(slot) => Some(slot.instance.clone()),
+            NextStep::Reward => None,
+        };
+        starts.push((spec, step));
+        Ok(target)
     });
     for (spec, step) in starts {
         let (ctx, keeper) = (Arc::clone(ctx), Arc::clone(keeper));
@@ -120,12 +121,12 @@
     RunEnd { outcome: RunOutcome::Cut, events: Vec::new(), logged: 0 }
 }
 
-/// A target for the item, or the reward call. `None` when the item has to wait.
-fn next_step(ctx: &ShardContext, spec: &RunSpec) -> Option<NextStep> {
+/// A target for the item, or the reward call; or why the item has to wait.
+fn next_step(ctx: &ShardContext, spec: &RunSpec) -> Result<NextStep, StartHold> {
     if spec.whole {
-        return Some(NextStep::Reward);
+        return Ok(NextStep::Reward);
     }
-    let service = item_service(ctx, spec)?;
+    let service = item_service(ctx, spec).ok_or(StartHold::NoRoute)?;
     let model: Option<ModelName> = spec.job.model.parse().ok();
     let floor = ModelVersion::new(spec.job.min_version);
     let need = ChoiceNeed {
@@ -135,7 +136,14 @@
         avoid: &[],
     };
     let now = ctx.view.now();
-    ctx.view.board().choose(now, &service, &need, &mut rand::rng()).map(NextStep::Run)
+    let mut board = ctx.view.board();
+    let slot = board.choose(now, &service, &need, &mut rand::rng());
+    slot.map(NextStep::Run).ok_or_else(|| match board.shortage(now, &service, &need) {
+        TargetShortage::OldVersion => StartHold::OldWeights,
+        TargetShortage::Loading => StartHold::Loading,
+        TargetShortage::Resting => StartHold::Resting,
+        TargetShortage::Full => StartHold::Full,
+    })
 }
 
 /// The service that the configuration in force names for an item.
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -8,6 +8,7 @@
     CopyHolder, DutyIntent, DutyView, EpochFormer, EpochId, FormFault, FormStep, PlanWrite,
     ReadPlan, ShardDuty, ShardPlan, shard_duty,
 };
+use node::StoreCall;
 use node::duties::{PlanSighting, shard_object};
 use platform::{Kind, StoreError};
 use rand::Rng;
@@ -256,7 +257,7 @@
 }
 
 async fn read_plan(ctx: &ShardContext, shard: ShardIndex) -> Result<Option<ReadPlan>, ()> {
-    ctx.view.metrics.store_call();
+    ctx.view.metrics.store_call(Kind::Duties, StoreCall::Read);
     let stored = ctx.view.store.get(Kind::Duties, &shard_object(shard)).await;
     let stored = stored.map_err(|error| {
         log::debug!(target: "shard", shard = shard.get(), error:% = error; "plan not read");
@@ -299,7 +300,7 @@
     plan: &ShardPlan,
 ) -> PlanWrite {
     let name = shard_object(shard);
-    ctx.view.metrics.store_call();
+    ctx.view.metrics.store_call(Kind::Duties, StoreCall::Write);
     let written = match base {
         Some(base) => ctx.view.store.replace(Kind::Duties, &name, base, plan).await,
         None => ctx.view.store.create(Kind::Duties, &name, plan).await,
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -16,6 +16,7 @@
     log_record, request, shard_answer, shard_request,
 };
 
+use crate::account::log_account;
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
 use crate::peers::own_beat;
@@ -205,7 +206,12 @@
             let whole = u32::try_from(page.results.len()).unwrap_or(u32::MAX);
             let more = read.from.saturating_add(whole) < page.total;
             if !page.results.is_empty() || !more || Instant::now() >= until {
-                return Self::page(keeper, page, on_disk).await;
+                let answered = Self::page(keeper, page, on_disk).await;
+                if answered.is_ok() {
+                    let until = read.from.saturating_add(whole);
+                    keeper.book().told(self.ctx.view.now(), &id, until);
+                }
+                return answered;
             }
             // Whether it changed or the time is over, the page is looked at once more.
             let _elapsed = time::timeout_at(until, changes.changed()).await;
@@ -266,8 +272,12 @@
         if !keeper.book().knows(&id) {
             return Err(self.surely_unknown(keeper).await);
         }
+        let account = keeper.book().account(self.ctx.view.now(), &id);
         let records = keeper.book().end(&id);
         keeper.cancel_runs(&id);
+        if let Some(account) = account.filter(|_| records.is_some()) {
+            log_account(keeper, &id, &account);
+        }
         // Without a record this waits for an end that is under way.
         let logged = log_in_time(keeper, records.into_iter().collect()).await;
         log::info!(
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -5,6 +5,7 @@
 //! box. The box that serves the shard of a service's name also orders that service's engines to
 //! load weights, under a lease.
 
+mod account;
 mod conductor;
 mod context;
 mod copies;
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -12,7 +12,7 @@
 use node::feed::follow_feed;
 use node::follow::{KindFollower, KindSink};
 use node::sinks::{ConfigSink, TargetSink, VersionSink};
-use node::{NodeView, StorageSettings, serve_metrics};
+use node::{NodeView, StorageSettings, StoreCall, serve_metrics, tell_store_calls};
 use platform::{Changed, Kind, Listing, ObjectStore, StoreError};
 use tokio::net::TcpListener;
 use tokio::time::{self, Instant};
@@ -72,6 +72,7 @@
     }
     tokio::spawn(conduct(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(retire_when_asked(Arc::clone(&ctx), Arc::clone(&keepers)));
+    tokio::spawn(tell_store_calls(Arc::clone(&view)));
     if let Some(address) = node.metrics {
         tokio::spawn(serve_metrics(view, address));
     }
@@ -129,7 +130,7 @@
 async fn register(ctx: Arc<ShardContext>) {
     let name = box_object(&ctx.me.box_id);
     loop {
-        ctx.view.metrics.store_call();
+        ctx.view.metrics.store_call(Kind::Duties, StoreCall::Read);
         let registered = match ctx.view.store.get(Kind::Duties, &name).await {
             Ok(Some(stored))
                 if stored.parse().is_ok_and(|copy: joblog::CopyHolder| copy == ctx.me) =>
@@ -137,9 +138,13 @@
                 return;
             }
             Ok(Some(stored)) => {
+                ctx.view.metrics.store_call(Kind::Duties, StoreCall::Write);
                 ctx.view.store.replace(Kind::Duties, &name, stored.revision, &ctx.me).await
             }
-            Ok(None) => ctx.view.store.create(Kind::Duties, &name, &ctx.me).await,
+            Ok(None) => {
+                ctx.view.metrics.store_call(Kind::Duties, StoreCall::Write);
+                ctx.view.store.create(Kind::Duties, &name, &ctx.me).await
+            }
             Err(error) => Err(error),
         };
         match registered {
@@ -208,7 +213,7 @@
 }
 
 async fn tell_retirement(ctx: &ShardContext, name: &str, done: bool) -> bool {
-    ctx.view.metrics.store_call();
+    ctx.view.metrics.store_call(Kind::Retirements, StoreCall::Write);
     let told = ctx.view.store.retirement_status(name, done).await;
     log::info!(target: "shard", done = done, outcome = if told.is_ok() { "told" } else { "failed" }; "retirement");
     told.is_ok()
@@ -219,7 +224,7 @@
     if ctx.view.duties().has_duty(&ctx.me.box_id) {
         return false;
     }
-    ctx.view.metrics.store_call();
+    ctx.view.metrics.store_call(Kind::Duties, StoreCall::List);
     let Ok(listing) = ctx.view.store.list(Kind::Duties).await else { return false };
     DutySink(Arc::clone(&ctx.view)).listed(&listing);
     !ctx.view.duties().has_duty(&ctx.me.box_id)
