Let reward calls take the time they need, with a second one beside those that take long

Cause: a reward call was cut off after 0.9 s and made anew. On the large deployment one call in a hundred takes five times the mean of 0.2 s wherever it is made, so it was never answered: its sample, its group and in the end its step waited 5 to 8 s, or for ever (steps of 13 groups of 16, of which 12 must be whole, lost all). The targets' 504 was not logged, so the logs told nothing of it.

Change: a call may take as long as its route allows; after the route's goal (0.3 to 0.9 s) the same call is made at a second and a third target, for at most a tenth of the calls, and the first good answer counts. An item is given up with its last failed call and not up to 1 s later. A whole text's reward call does not wait behind items that find no engine. An answer of 5xx is logged.

Ruled out: slow or busy targets (15% of their slots in use), silent ones (27 of 12,182 tries).

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 mod order;
 mod packed;
 mod reads;
+mod reward_plan;
 mod snapshot;
 mod state;
 mod trace;
@@ -25,6 +26,7 @@
 pub use order::run_order;
 pub use packed::{UnpackError, pack_text, unpack_text};
 pub use reads::{BookPage, JobCounts, StepNames};
+pub use reward_plan::RewardPlan;
 pub use snapshot::{SnapshotCursor, SnapshotPiece};
 pub use trace::{ItemAccount, StartHold, StepAccount};
 
--- a/crates/jobs/src/turns.rs
+++ b/crates/jobs/src/turns.rs
@@ -20,6 +20,8 @@
     /// Its place among those that wait.
     at: usize,
     index: u32,
+    /// The job's runs wait: only items that need no engine may start.
+    held: bool,
     latest_start: LatestStart,
 }
 
@@ -34,7 +36,7 @@
 impl JobBook {
     /// Items that may start now, best first, each with the model and the oldest version that
     /// its target must hold. `start` says which target it has found for the item, none where only its
-    /// reward call is missing; when it finds none for a run, the rest of that job waits too.
+    /// reward call is missing; when it finds none for a run, the runs of that job wait too.
     ///
     /// Of all jobs' first items, the one goes first whose latest start is the soonest: a long text of
     /// a later job before a short one of an earlier job.
@@ -48,7 +50,7 @@
             if let Some(state) = self.jobs.get_mut(&id) {
                 state.trace.hold(now, None);
             }
-            turns.extend(self.turn(now, id, 0));
+            turns.extend(self.turn(now, id, 0, false));
         }
         while let Some(turn) = take_first(&mut turns) {
             let Some(state) = self.jobs.get_mut(&turn.job) else { continue };
@@ -66,6 +68,7 @@
                 Ok(target) => target,
                 Err(hold) => {
                     state.trace.hold(now, Some(hold));
+                    turns.extend(self.turn(now, turn.job, turn.at + 1, true));
                     continue;
                 }
             };
@@ -75,18 +78,21 @@
             item.run += 1;
             item.started_at = now;
             state.waiting.remove(turn.at);
-            turns.extend(self.turn(now, turn.job, turn.at));
+            turns.extend(self.turn(now, turn.job, turn.at, turn.held));
         }
     }
 
-    /// The next item of a job that may start, from a place in its order on.
-    fn turn(&self, now: Moment, job: JobId, from: usize) -> Option<JobTurn> {
+    /// The next item of a job that may start, from a place in its order on; while the job is `held`, the
+    /// next one of which only the reward call is missing.
+    fn turn(&self, now: Moment, job: JobId, from: usize, held: bool) -> Option<JobTurn> {
         let state = self.jobs.get(&job).filter(|state| !state.ended && !state.ending)?;
         let mut waiting = state.waiting.iter().copied().enumerate().skip(from);
-        let (at, index) =
-            waiting.find(|(_, index)| now >= state.items[*index as usize].not_before)?;
+        let (at, index) = waiting.find(|(_, index)| {
+            let item = &state.items[*index as usize];
+            now >= item.not_before && (item.whole || !held)
+        })?;
         let hint = state.job.items.get(index as usize).map_or(0, |item| item.length_hint);
         let latest_start = self.pace.latest_start(state.taken_at, hint);
-        Some(JobTurn { job, at, index, latest_start })
+        Some(JobTurn { job, at, index, held, latest_start })
     }
 }
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -378,6 +378,24 @@
     assert_eq!(asked, ["a", "b", "b"]);
 }
 
+#[test]
+fn a_reward_call_does_not_wait_behind_items_that_find_no_engine() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 2)));
+    let specs = start_all(&mut book, at(1));
+    book.run_ended(at(2), &specs[1], &run(RunOutcome::Whole, events(1, 1, 3)));
+    book.scored(at(3), &specs[1].item, RewardEnd::Missed);
+    // Cut after the call, so it comes before the whole one in the order.
+    book.run_ended(at(4), &specs[0], &run(RunOutcome::Cut, Vec::new()));
+    book.run_ended(at(4), &specs[2], &run(RunOutcome::Cut, Vec::new()));
+    let mut asked = Vec::new();
+    book.start_ready(at(500), |spec| {
+        asked.push(spec.item.index);
+        if spec.whole { Ok(None) } else { Err(StartHold::Full) }
+    });
+    assert_eq!(asked, [2, 1], "one try for an engine, then the reward call");
+}
+
 #[test]
 fn an_ended_job_keeps_its_results_and_frees_its_requests() {
     let mut book = book();
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -171,10 +171,14 @@
         Ok(Ok(answer)) => judge(view, call, slot, answer),
     };
     note_try(view, slot, &end, outcome, started.elapsed());
-    if outcome != TryOutcome::Answered {
+    let status = match &end {
+        TryEnd::Answered(answer) => answer.status.as_u16(),
+        _ => 0,
+    };
+    if outcome != TryOutcome::Answered || status >= StatusCode::INTERNAL_SERVER_ERROR.as_u16() {
         log::info!(
             target: "targets", request = call.request_id, target:% = slot.instance,
-            outcome = outcome.word(), took_ms = whole_millis(started.elapsed()), left_ms = whole_millis(left);
+            outcome = outcome.word(), status = status, took_ms = whole_millis(started.elapsed()), left_ms = whole_millis(left);
             "try ended"
         );
     }
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -13,6 +13,7 @@
 
 use crate::copies::OpenCopies;
 use crate::peers::PeerTable;
+use crate::reward::SecondCalls;
 use crate::work::WorkBoard;
 
 /// Shared by all tasks of a keeping box.
@@ -32,6 +33,8 @@
     pub peers: PeerTable,
     /// How much work each model has.
     pub work: WorkBoard,
+    /// How many reward calls may be made at two targets at once.
+    pub second_calls: SecondCalls,
     /// Set once the box is asked to stop.
     pub stopping: CancellationToken,
     retiring: Mutex<HashSet<BoxId>>,
@@ -63,6 +66,7 @@
             copies,
             peers,
             work: WorkBoard::default(),
+            second_calls: SecondCalls::default(),
             stopping: CancellationToken::new(),
             retiring: Mutex::default(),
             leases: Mutex::default(),
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -58,16 +58,19 @@
 }
 
 fn sweep(ctx: &ShardContext, keeper: &ShardKeeper) {
-    let now = ctx.view.now();
-    let mut book = keeper.book();
-    let lost = book.give_up(now);
-    let dropped = book.expire(now);
-    drop(book);
+    give_up(ctx, keeper);
+    let dropped = keeper.book().expire(ctx.view.now());
+    keeper.log(dropped);
+}
+
+/// Lists items as lost that are not to be tried again.
+fn give_up(ctx: &ShardContext, keeper: &ShardKeeper) {
+    let lost = keeper.book().give_up(ctx.view.now());
     for (record, why) in &lost {
         let (job, item) = listed_ids(record);
         log::info!(target: "jobs", shard = keeper.shard().get(), job = job, item = item, why:% = why; "item given up");
     }
-    keeper.log(lost.into_iter().map(|(record, _)| record).chain(dropped).collect());
+    keeper.log(lost.into_iter().map(|(record, _)| record).collect());
 }
 
 /// The job and the item of a record that lists a result.
@@ -103,6 +106,9 @@
                     ctx.view.board().ended(&slot.instance);
                     keeper.log(spec.rest(&run).into_iter().collect());
                     let whole = keeper.book().run_ended(ctx.view.now(), &spec, &run);
+                    if matches!(run.outcome, RunOutcome::Failed | RunOutcome::Impossible) {
+                        give_up(&ctx, &keeper);
+                    }
                     keeper.wake();
                     whole
                 }
@@ -161,7 +167,12 @@
         (None, None) => RewardEnd::Scored(String::new()),
         (None, Some(reward)) => call_reward(ctx, reward).await,
     };
+    let failed = matches!(end, RewardEnd::Failed { .. });
     let record = keeper.book().scored(ctx.view.now(), &spec.item, end);
     keeper.log(record.into_iter().collect());
+    if failed {
+        // At the last failure the trainer need not wait for the next look.
+        give_up(ctx, keeper);
+    }
     keeper.wake();
 }
--- a/crates/shards/src/reward.rs
+++ b/crates/shards/src/reward.rs
@@ -1,31 +1,94 @@
 //! Reward calls: the request whose signature becomes a sample's score.
 
-use std::time::Duration;
+use std::sync::{Mutex, PoisonError};
 
 use bytes::Bytes;
+use coord::retry::RetryBudget;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::{HeaderMap, HeaderValue, Method, Uri};
-use jobs::RewardEnd;
+use jobs::{RewardEnd, RewardPlan};
 use node::{PlainCall, PlainEnd, call_plain};
 use platform::headers;
 use routing::Route;
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 use wire::peer::RewardCall;
 
 use crate::context::ShardContext;
 
-/// Longest time for one reward call; it may be repeated, so a slow target is left early.
-const REWARD_TIME: Duration = Duration::from_millis(900);
+/// Calls that may be made elsewhere while they go on, in a thousand: ten times as many as take long
+/// where nothing is wrong, and little work more where all targets are slow.
+const SECOND_CALLS: u64 = 100;
+/// Such calls that may be made at one moment: as many as a group of samples has items.
+const SECOND_CALLS_AT_ONCE: u64 = 16;
 
-/// Makes one reward call, at one target.
+/// How many reward calls may be made at a second target while the first goes on.
+#[derive(Debug)]
+pub struct SecondCalls(Mutex<RetryBudget>);
+
+impl Default for SecondCalls {
+    fn default() -> Self {
+        Self(Mutex::new(RetryBudget::new(SECOND_CALLS, SECOND_CALLS_AT_ONCE)))
+    }
+}
+
+impl SecondCalls {
+    fn first(&self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).attempt();
+    }
+
+    fn may_make(&self) -> bool {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).try_retry()
+    }
+}
+
+/// Makes one reward call, at a second and a third target too if it takes long; the first good answer
+/// counts.
 pub async fn call_reward(ctx: &ShardContext, reward: &RewardCall) -> RewardEnd {
     let table = ctx.view.table();
     let Some(route) = table.find(&reward.host, &reward.path) else {
         log::info!(target: "jobs", request = reward.id.as_str(), config = table.version.get(); "no route for a reward call");
         return RewardEnd::Missed;
     };
+    let plan = RewardPlan::new(route.goal, route.timeout);
+    let begun = Instant::now();
+    let deadline = begun + plan.limit();
+    let mut calls = FuturesUnordered::new();
+    calls.push(call_once(ctx, reward, route, deadline));
+    ctx.second_calls.first();
+    let mut made = 1;
+    let mut worst = RewardEnd::Missed;
+    loop {
+        let next = plan.next_call(made);
+        let next_at = begun + next.unwrap_or_default();
+        tokio::select! {
+            ended = calls.next() => match ended {
+                Some(end @ RewardEnd::Scored(_)) => return end,
+                Some(RewardEnd::Missed) => {}
+                Some(failed) => worst = failed,
+                None => return worst,
+            },
+            () = time::sleep_until(next_at), if next.is_some() => {
+                made += 1;
+                // Calls that all failed are made again by whoever asked.
+                if !calls.is_empty() && ctx.second_calls.may_make() {
+                    calls.push(call_once(ctx, reward, route, deadline));
+                }
+            }
+        }
+    }
+}
+
+/// One call at one target.
+async fn call_once(
+    ctx: &ShardContext,
+    reward: &RewardCall,
+    route: &Route,
+    deadline: Instant,
+) -> RewardEnd {
     let attempts = route.attempts;
     // One run a call, so that failures are counted as the targets answered them.
-    let route = Route { attempts: 1, ..route.as_ref().clone() };
+    let route = Route { attempts: 1, ..route.clone() };
     let Ok(uri) = reward.path.parse::<Uri>() else { return RewardEnd::Missed };
     let mut sent = HeaderMap::new();
     let (Ok(host), Ok(id)) =
@@ -35,7 +98,6 @@
     };
     sent.insert(http::header::HOST, host);
     sent.insert(headers::REQUEST_ID, id);
-    let time = route.timeout.map_or(REWARD_TIME, |timeout| timeout.min(REWARD_TIME));
     let call = PlainCall {
         route: &route,
         request_id: &reward.id,
@@ -43,7 +105,7 @@
         uri,
         headers: sent,
         body: Bytes::from(reward.body.clone()),
-        deadline: Instant::now() + time,
+        deadline,
     };
     match call_plain(&ctx.view, call).await {
         PlainEnd::Answered(answer) if answer.status.is_success() => {
