Let a box that starts be told before it lists for itself

Change: a box that starts lists only the duties, which tell whom to ask (entry boxes as they were some seconds ago, at a tenth of the price), and waits up to 1 s for the first news of other kinds, 0.5 s where no box of its domain is known; the first box of a domain does not wait.

Ruled out: reading settings that may be old; only the duties' first listing may be, and a watch from its revision follows.

--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -92,6 +92,8 @@
     let mut config = KindFollower::new(view, Kind::Configuration, none, ConfigSink(v()));
     let mut targets = KindFollower::new(view, Kind::Targets, GATHER_TARGETS, TargetSink::new(v()));
     let mut duties = KindFollower::new(view, Kind::Duties, GATHER_DUTIES, DutySink(v()));
+    // It tells which boxes to ask, and whom to hand jobs to; who is asked in vain says so.
+    duties.begin_old();
     let fed = vec![config.feed(), targets.feed(), duties.feed()];
     tokio::spawn(config.run(end.clone()));
     tokio::spawn(targets.run(end.clone()));
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -24,6 +24,10 @@
 /// Pause while no box of the domain can tell.
 const LOOK_EVERY: Duration = Duration::from_millis(300);
 
+/// How long a box that starts looks for another one of its domain that could tell it. All boxes of a
+/// deployment may start at once.
+const NO_BOX_TIME: Duration = Duration::from_millis(500);
+
 /// News of one kind, for the task that keeps it.
 #[derive(Debug)]
 pub(crate) enum FedNews {
@@ -76,9 +80,15 @@
 
 impl FeedListener {
     async fn run(&mut self) {
+        let started = Instant::now();
+        let mut changes = self.view.changes();
         loop {
             let Some(teller) = self.teller() else {
-                time::sleep(LOOK_EVERY).await;
+                if self.is_first() || started.elapsed() >= NO_BOX_TIME {
+                    self.view.feed.trust().tell_nobody();
+                }
+                // Changed or not, it is looked again.
+                let _elapsed = time::timeout(LOOK_EVERY, changes.changed()).await;
                 continue;
             };
             let asked_at = Instant::now();
@@ -98,6 +108,16 @@
         }
     }
 
+    /// Whether this box is the one that tells its domain.
+    fn is_first(&self) -> bool {
+        let duties = self.view.duties();
+        let domain = &self.view.settings.domain;
+        let here = duties.boxes().filter(|copy| copy.domain == *domain).map(|copy| &copy.box_id);
+        let here: Vec<&BoxId> = here.collect();
+        let ranked = coord::rendezvous::ranked(domain.as_str(), here.iter().copied(), here.len());
+        ranked.first().is_some_and(|first| **first == self.view.settings.box_id)
+    }
+
     /// The box to ask: the same for all boxes of the domain, as long as it tells.
     fn teller(&self) -> Option<CopyHolder> {
         let duties = self.view.duties();
--- a/crates/node/src/feed/trust.rs
+++ b/crates/node/src/feed/trust.rs
@@ -34,11 +34,17 @@
 pub struct FeedTrust {
     heard: watch::Sender<Option<HeardProof>>,
     fed: watch::Sender<bool>,
+    /// Whether it is known that nobody tells this box.
+    nobody: watch::Sender<bool>,
 }
 
 impl Default for FeedTrust {
     fn default() -> Self {
-        Self { heard: watch::Sender::new(None), fed: watch::Sender::new(false) }
+        Self {
+            heard: watch::Sender::new(None),
+            fed: watch::Sender::new(false),
+            nobody: watch::Sender::new(false),
+        }
     }
 }
 
@@ -51,6 +57,18 @@
         is_new
     }
 
+    /// Notes that no box tells this one.
+    pub fn tell_nobody(&self) {
+        self.nobody.send_replace(true);
+    }
+
+    /// Returns once it is known that no box tells this one.
+    pub async fn wait_for_nobody(&self) {
+        // The sender lives as long as `self`.
+        let mut nobody = self.nobody.subscribe();
+        let _known = nobody.wait_for(|nobody| *nobody).await;
+    }
+
     /// Whether another box tells this one.
     pub fn is_fed(&self) -> bool {
         *self.fed.borrow()
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -2,7 +2,7 @@
 //!
 //! A follower lists its kind and then watches it from the listing's revision on. A watch that is
 //! cut, or whose history is forgotten, begins again; nothing is ever taken from a read that may
-//! be stale. While the store is away only the configuration's follower asks it; the others wait
+//! be stale, but where a kind's first listing decides nothing by itself. While the store is away only the configuration's follower asks it; the others wait
 //! for its word, since every call has its price. A follower that another box feeds asks the store
 //! only while it is not fed.
 
@@ -27,7 +27,7 @@
 /// The watch that finds out whether the store is back: one that waits for changes would tell it
 /// only seconds later.
 const PROBE_TIME: WatchTime = WatchTime { wait: Duration::from_millis(20), slack: WATCH_SLACK };
-/// After the store's return, how long a follower that was fed before waits to be fed again.
+/// After the store's return, or its first news, how long a follower waits to be fed.
 const FEED_RETURN: Duration = Duration::from_millis(700);
 /// Pause after the second failed call in a row; doubles up to [`MOST_PAUSE`]. The first is made
 /// again at once: a watch may be cut without a word while the store is well.
@@ -38,6 +38,24 @@
 /// place of 0.738 (mean of six seeds), at some 30 calls more.
 const MOST_PAUSE: Duration = Duration::from_millis(300);
 
+/// How long a follower that may be fed waits for the first news before it asks the store itself. A box
+/// that starts among hundreds makes one or two calls so, in place of six.
+const FIRST_FEED: Duration = Duration::from_secs(1);
+/// How long changes gather after a first listing that may be old: all boxes of a deployment that starts
+/// are there by then.
+const FIRST_GATHER: Duration = Duration::from_millis(300);
+
+/// How a follower begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FirstLook {
+    /// It lists its kind.
+    Lists,
+    /// It lists its kind as it was some seconds ago, and asks what has changed since.
+    ListsOld,
+    /// It waits for another box to feed it.
+    WaitsForFeed,
+}
+
 /// Takes what a follower hears.
 pub trait KindSink: Send + 'static {
     /// All objects of the kind, as they are now. Where no object goes away, each of them is a
@@ -65,6 +83,7 @@
     /// How long changes may gather between two watches.
     gather: Duration,
     sink: S,
+    first: FirstLook,
     /// Up to which revision the kind is known; zero for not at all.
     revision: watch::Sender<u64>,
     /// News from another box, if the kind is fed.
@@ -75,16 +94,26 @@
     /// A follower that knows nothing yet.
     pub fn new(view: &Arc<NodeView>, kind: Kind, gather: Duration, sink: S) -> Self {
         let view = Arc::clone(view);
-        Self { view, kind, gather, sink, revision: watch::Sender::new(0), news: None }
+        let first = FirstLook::Lists;
+        Self { view, kind, gather, sink, first, revision: watch::Sender::new(0), news: None }
     }
 
     /// Lets another box's news feed this follower; its own watches rest meanwhile.
     pub fn feed(&mut self) -> FedKind {
         let (sender, news) = mpsc::channel(1);
         self.news = Some(news);
+        // The duties tell who feeds.
+        if self.kind != Kind::Duties {
+            self.first = FirstLook::WaitsForFeed;
+        }
         FedKind { kind: self.kind, revision: self.revision.subscribe(), news: sender }
     }
 
+    /// Lets the first listing be some seconds old, where nothing is decided by what is not in it.
+    pub fn begin_old(&mut self) {
+        self.first = FirstLook::ListsOld;
+    }
+
     /// Follows the kind until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
         tokio::select! {
@@ -102,6 +131,11 @@
         let listens = news.is_some();
         // The first box of its domain is fed by nobody, and would wait in vain.
         let mut was_fed = false;
+        match self.first {
+            FirstLook::Lists => {}
+            FirstLook::ListsOld => known = self.list_old().await,
+            FirstLook::WaitsForFeed => known = self.first_news(&mut news).await,
+        }
         loop {
             let resting = listens && *fed.borrow_and_update();
             was_fed |= resting;
@@ -153,6 +187,36 @@
         }
     }
 
+    /// The first news of another box; `None` when nobody tells this one.
+    async fn first_news(&mut self, news: &mut Option<mpsc::Receiver<FedNews>>) -> Option<u64> {
+        let told = tokio::select! {
+            biased;
+            told = next_news(news) => told,
+            _nobody = time::timeout(FIRST_FEED, self.view.feed.trust().wait_for_nobody()) => None,
+        };
+        let known = self.take(told?);
+        // The same answer told of other kinds, and counts as heard once their tasks have taken them.
+        let mut fed = self.view.feed.trust().states();
+        let _fed = time::timeout(FEED_RETURN, fed.wait_for(|fed| *fed)).await;
+        Some(known)
+    }
+
+    /// Lists the kind as it was a while ago; `None` when the store does not tell.
+    async fn list_old(&mut self) -> Option<u64> {
+        self.view.metrics.store_call(self.kind, StoreCall::ListOld);
+        match self.view.store.list_old(self.kind).await {
+            Ok(listing) => {
+                let known = self.take(FedNews::Listed(listing));
+                time::sleep(FIRST_GATHER).await;
+                Some(known)
+            }
+            Err(error) => {
+                log::debug!(target: "node", kind:% = self.kind, error:% = error; "store call failed");
+                None
+            }
+        }
+    }
+
     /// Takes what was told; says up to which revision the kind is known now.
     fn take(&mut self, told: FedNews) -> u64 {
         let revision = match told {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,6 +40,8 @@
 pub enum StoreCall {
     /// Lists a kind.
     List,
+    /// Lists a kind as it was a while ago.
+    ListOld,
     /// Waits for changes of a kind.
     Watch,
     /// Reads one object.
@@ -53,6 +55,7 @@
     pub const fn word(self) -> &'static str {
         match self {
             Self::List => "list",
+            Self::ListOld => "list-old",
             Self::Watch => "watch",
             Self::Read => "read",
             Self::Write => "write",
