Do not wait for copies that are known to be lost

Cause: after a loss of all power together with the disks of a plan's first two boxes, the third waited 1.7 s for them to say that they serve, though they run again and know that they cannot.

Change: a box that the plan names and whose disk has no copy says so with its beats, under the plan's token; boxes after it do not wait for it. Taking over was safe at any time before: the copy is closed and the plan written conditionally.

Ruled out: sooner takeovers in general (a silent server may be paused, and would be replaced in vain).

--- a/crates/joblog/src/duty.rs
+++ b/crates/joblog/src/duty.rs
@@ -45,6 +45,9 @@
     pub plan: Option<&'a ShardPlan>,
     /// Whether this box has the plan's copy on its disk.
     pub has_copy: bool,
+    /// Copies before this box's in the plan whose boxes say that their disks have lost them: nobody needs
+    /// to wait for these. After all boxes have lost power and two disks, the third box goes on 1.7 s sooner.
+    pub lost_before: usize,
     /// How long the plan's server has not said that it serves the shard.
     pub server_silent: Duration,
     /// Whether the server's box refuses connections since it was last heard.
@@ -78,6 +81,7 @@
                 let leaves = view.intent == DutyIntent::Leaves;
                 let extra = if leaves { LEAVING_PATIENCE } else { Duration::ZERO };
                 let restart = if view.server_restarts { RESTART_PATIENCE } else { Duration::ZERO };
+                let rank = rank.saturating_sub(view.lost_before);
                 let extra = if rank > 0 { extra + restart } else { extra };
                 let patience = TAKE_AFTER * u32::try_from(rank).unwrap_or(u32::MAX) + extra;
                 view.intent == DutyIntent::Asked || view.server_silent >= patience
--- /dev/null
+++ b/crates/joblog/tests/duty.rs
@@ -0,0 +1,63 @@
+//! Who takes a shard when its server is silent, and how soon.
+
+use std::time::Duration;
+
+use ids::{BoxId, FencingToken};
+use joblog::{
+    CopyHolder, DutyIntent, DutyView, EpochId, RESTART_PATIENCE, ShardDuty, ShardPlan, TAKE_AFTER,
+    shard_duty,
+};
+
+fn box_id(text: &str) -> BoxId {
+    text.parse().expect("an id")
+}
+
+fn plan() -> ShardPlan {
+    let copies = ["a", "b", "c"].map(|name| CopyHolder {
+        box_id: box_id(name),
+        address: "127.0.0.1:1".to_owned(),
+        domain: "domain-1".parse().expect("a domain"),
+    });
+    let epoch = EpochId { token: FencingToken::new(3), number: 1, by: box_id("a") };
+    ShardPlan { epoch, copies: copies.into() }
+}
+
+fn takes(me: &str, lost_before: usize, server_silent: Duration, restarts: bool) -> bool {
+    let (me, plan) = (box_id(me), plan());
+    let view = DutyView {
+        me: &me,
+        plan: Some(&plan),
+        has_copy: true,
+        lost_before,
+        server_silent,
+        server_restarts: restarts,
+        first_rank: 0,
+        no_plan_for: Duration::ZERO,
+        intent: DutyIntent::Stays,
+    };
+    shard_duty(&view) == ShardDuty::Take
+}
+
+#[test]
+fn boxes_take_over_in_the_order_of_the_plan() {
+    assert!(takes("a", 0, Duration::ZERO, false), "the server itself goes on at once");
+    assert!(!takes("b", 0, TAKE_AFTER.saturating_sub(Duration::from_millis(1)), false));
+    assert!(takes("b", 0, TAKE_AFTER, false));
+    assert!(!takes("c", 0, TAKE_AFTER, false));
+    assert!(takes("c", 0, 2 * TAKE_AFTER, false));
+}
+
+#[test]
+fn a_server_that_starts_again_is_given_time() {
+    assert!(!takes("b", 0, TAKE_AFTER, true));
+    assert!(takes("b", 0, TAKE_AFTER + RESTART_PATIENCE, true));
+}
+
+/// All boxes have lost power, and the first two their disks as well.
+#[test]
+fn nobody_waits_for_copies_that_are_known_to_be_lost() {
+    assert!(takes("c", 2, Duration::ZERO, true), "nobody else can go on");
+    assert!(takes("b", 1, Duration::ZERO, true));
+    assert!(!takes("c", 1, TAKE_AFTER, true), "the one between them may go on");
+    assert!(takes("c", 1, TAKE_AFTER + RESTART_PATIENCE, true));
+}
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use ids::{BoxId, ShardIndex};
+use ids::{BoxId, FencingToken, ShardIndex};
 use joblog::{CopyHolder, choose_sound_partners};
 use links::{CallError, LinkPool};
 use node::{NodeView, StorageSettings};
@@ -100,6 +100,17 @@
         self.news.notify_one();
     }
 
+    /// The token of a shard's plan that names this box, if its disk has no copy of it.
+    pub fn lost_copy(&self, shard: ShardIndex) -> Option<FencingToken> {
+        let epoch = {
+            let duties = self.view.duties();
+            let plan = &duties.plan(shard)?.plan;
+            plan.rank(&self.me.box_id)?;
+            plan.epoch.clone()
+        };
+        (!self.copies.folder().has(shard, &epoch)).then_some(epoch.token)
+    }
+
     /// The boxes for the other copies of a shard; `None` when there are too few.
     pub fn choose_copies(&self, shard: ShardIndex) -> Option<Vec<CopyHolder>> {
         let now = self.view.now();
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -103,6 +103,7 @@
         me: &ctx.me.box_id,
         plan,
         has_copy: plan.is_some_and(|plan| ctx.copies.folder().has(shard, &plan.epoch)),
+        lost_before: plan.map_or(0, |plan| lost_before(ctx, shard, plan)),
         server_silent: sighting.map(|told| server_silence(ctx, shard, told)).unwrap_or_default(),
         server_restarts: server.is_some_and(|server| ctx.peers.restarts(&server.box_id)),
         first_rank: first_rank.unwrap_or(boxes.len()),
@@ -125,6 +126,14 @@
     plan.copies.iter().take(rank).any(|copy| ctx.peers.forms(now, shard, &copy.box_id))
 }
 
+/// Copies that go before this box's in the plan and that their boxes say they have lost.
+fn lost_before(ctx: &ShardContext, shard: ShardIndex, plan: &ShardPlan) -> usize {
+    let rank = plan.rank(&ctx.me.box_id).unwrap_or_default();
+    let now = ctx.view.now();
+    let before = plan.copies.iter().take(rank);
+    before.filter(|copy| ctx.peers.lacks(now, shard, &copy.box_id, plan.epoch.token)).count()
+}
+
 /// How long the plan's server has not said that it serves the shard. A plan that was just learnt: its
 /// server has had no time to tell.
 fn server_silence(ctx: &ShardContext, shard: ShardIndex, sighting: &PlanSighting) -> Duration {
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -46,6 +46,8 @@
     refused: HashMap<BoxId, Moment>,
     /// When a box last said that it makes new copies of a shard.
     forming: HashMap<(ShardIndex, BoxId), Moment>,
+    /// When a box last said that its disk lacks a shard's copy, and under which token.
+    lacking: HashMap<(ShardIndex, BoxId), (FencingToken, Moment)>,
     /// When a call to a box last broke off or got no answer in time.
     failed: HashMap<BoxId, Moment>,
 }
@@ -80,6 +82,10 @@
         for shard in &beat.forming {
             states.forming.insert((ShardIndex::new(*shard), box_id.clone()), now);
         }
+        for lacking in &beat.lacking {
+            let key = (ShardIndex::new(lacking.shard), box_id.clone());
+            states.lacking.insert(key, (FencingToken::new(lacking.token), now));
+        }
         for held in &beat.leases {
             let token = FencingToken::new(held.token);
             let known = states.notes.get(&held.name);
@@ -136,6 +142,18 @@
         told.is_some_and(|at| now.since(at) < FIT_TIME)
     }
 
+    /// Whether a box has said a moment ago that its disk lacks the copy of a plan with this token.
+    pub fn lacks(
+        &self,
+        now: Moment,
+        shard: ShardIndex,
+        box_id: &BoxId,
+        token: FencingToken,
+    ) -> bool {
+        let told = self.lock().lacking.get(&(shard, box_id.clone())).copied();
+        told.is_some_and(|(lacking, at)| lacking == token && now.since(at) < FIT_TIME)
+    }
+
     /// How long a box has not said that it serves a shard under `token` or a later one.
     pub fn silent(
         &self,
@@ -162,8 +180,13 @@
         let token = keeper.served_token()?;
         Some(ServedShard { shard: keeper.shard().get(), token: token.get() })
     });
+    let lacking = keepers.iter().filter_map(|keeper| {
+        let token = ctx.lost_copy(keeper.shard())?;
+        Some(ServedShard { shard: keeper.shard().get(), token: token.get() })
+    });
     ShardBeat {
         box_id: ctx.me.box_id.to_string(),
+        lacking: lacking.collect(),
         served: served.collect(),
         leaving: ctx.is_leaving(),
         domain: ctx.me.domain.to_string(),
