Test what the new logs and decisions rest on, and let mutations and ablations know them

Five mutations (reward call cut off, silent target, reward call behind items, listing at start, lost copy) and three ablations (second-call, first-feed, lost-copy).

--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use routing::{
     CallerLimits, ChoiceNeed, HeldModel, Route, RouteKind, RouteTable, TargetBoard, TargetFailure,
-    TargetLoad, TargetRecord, WeightedService,
+    TargetLoad, TargetRecord, TargetShortage, WeightedService,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -210,3 +210,27 @@
     board.failed(now, &well[0], TargetFailure::Full);
     assert!(!fits(&board, now + Duration::from_millis(60)));
 }
+
+#[test]
+fn a_shortage_is_told_by_what_the_best_target_lacks() {
+    let now = Moment::START + Duration::from_secs(1);
+    let model = model();
+    let need = ChoiceNeed {
+        model: Some((&model, ModelVersion::new(3))),
+        free_slot: true,
+        ..ChoiceNeed::default()
+    };
+    let mut board = board(&[target("old", "home", 2), target("new", "home", 3)]);
+    let told = |board: &TargetBoard| board.shortage(now, &service("a"), &need);
+    for _ in 0..4 {
+        assert_eq!(choose(&mut board, now, &need), Some("new".to_owned()));
+    }
+    assert_eq!(choose(&mut board, now, &need), None);
+    assert_eq!(told(&board), TargetShortage::Full);
+    board.failed(now, &instance("new"), TargetFailure::Broken);
+    assert_eq!(told(&board), TargetShortage::Resting);
+    board.loading(&instance("new"), now + Duration::from_secs(1));
+    assert_eq!(told(&board), TargetShortage::Loading);
+    board.remove(&instance("new"));
+    assert_eq!(told(&board), TargetShortage::OldVersion);
+}
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -16,6 +16,33 @@
 }
 
 const ABLATIONS: &[Ablation] = &[
+    Ablation {
+        name: "second-call",
+        without: "a reward call is made at one target at a time",
+        edit: SourceEdit {
+            file: "crates/jobs/src/reward_plan.rs",
+            from: "const MOST_AT_ONCE: u32 = 3;",
+            to: "const MOST_AT_ONCE: u32 = 1;",
+        },
+    },
+    Ablation {
+        name: "first-feed",
+        without: "a box that starts lists all kinds for itself",
+        edit: SourceEdit {
+            file: "crates/node/src/follow.rs",
+            from: "            self.first = FirstLook::WaitsForFeed;",
+            to: "            self.first = FirstLook::Lists;",
+        },
+    },
+    Ablation {
+        name: "lost-copy",
+        without: "copies that are known to be lost are waited for",
+        edit: SourceEdit {
+            file: "crates/joblog/src/duty.rs",
+            from: "let rank = rank.saturating_sub(view.lost_before);",
+            to: "let rank = rank.saturating_sub(0 * view.lost_before);",
+        },
+    },
     Ablation {
         name: "pace",
         without: "runs take the near and idle engines, not the fast ones",
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -289,6 +289,46 @@
         package: "platform",
         test: "a_connection_that_rested",
     },
+    Mutation {
+        name: "platform: a reward call is cut off where most have ended",
+        file: "crates/jobs/src/reward_plan.rs",
+        from: "limit: timeout.unwrap_or(MOST_TIME) }",
+        to: "limit: timeout.unwrap_or(MOST_TIME).min(MOST_PATIENCE) }",
+        package: "jobs",
+        test: "five_times_the_mean",
+    },
+    Mutation {
+        name: "platform: a reward call waits for a silent target alone",
+        file: "crates/jobs/src/reward_plan.rs",
+        from: "(made < MOST_AT_ONCE && at < self.limit).then_some(at)",
+        to: "(made < 1 && at < self.limit).then_some(at)",
+        package: "jobs",
+        test: "a_silent_target_costs",
+    },
+    Mutation {
+        name: "platform: a reward call waits behind items that need an engine",
+        file: "crates/jobs/src/turns.rs",
+        from: "turns.extend(self.turn(now, turn.job, turn.at + 1, true));",
+        to: "let _ = turn.held;",
+        package: "jobs",
+        test: "a_reward_call_does_not_wait",
+    },
+    Mutation {
+        name: "platform: a box that starts lists what it is about to be told",
+        file: "crates/node/src/follow.rs",
+        from: "            self.first = FirstLook::WaitsForFeed;",
+        to: "            self.first = FirstLook::Lists;",
+        package: "platform-standin",
+        test: "told_at_its_start_does_not_ask",
+    },
+    Mutation {
+        name: "platform: a copy that is known to be lost is waited for",
+        file: "crates/joblog/src/duty.rs",
+        from: "let rank = rank.saturating_sub(view.lost_before);",
+        to: "let rank = rank.saturating_sub(0 * view.lost_before);",
+        package: "joblog",
+        test: "known_to_be_lost",
+    },
 ];
 
 /// Runs every mutation; an error names those that no test noticed.
