--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -14,7 +14,6 @@
 mod forming;
 mod handler;
 mod keeper;
-mod keepers;
 mod log_writer;
 mod order;
 mod peers;
