--- a/crates/gannetctl/tests/explain.rs
+++ b/crates/gannetctl/tests/explain.rs
@@ -1,8 +1,10 @@
 //! From an id to its cause, as an on-call engineer would see it.
 
-use std::fs;
-use std::path::PathBuf;
-use std::process::{Command, Output};
+mod common;
+
+use std::process::Output;
+
+use common::{LogFiles, fault, text};
 
 const KEEPER: &str = r#"
    5.1 keep-1 {"box":"keep-1","event":"job taken","items":2,"job":"j1","min_version":3,"outcome":"accepted","part":"jobs","shard":0,"t":100.5,"level":"info"}
@@ -19,41 +21,14 @@
 {"box":"entry-1","event":"request ended","config":3,"outcome":"not run","part":"entry","request":"r1","route":"plain","t":101.25,"level":"info","took_ms":700}
 "#;
 
-struct Logs(Vec<PathBuf>);
-
-impl Logs {
-    fn write(name: &str) -> Self {
-        let folder = std::env::temp_dir();
-        let path = |part: &str| {
-            folder.join(format!("gannetway-explain-{name}-{part}-{}.log", std::process::id()))
-        };
-        let files = vec![path("keep"), path("entry")];
-        fs::write(&files[0], KEEPER).expect("written");
-        fs::write(&files[1], ENTRY).expect("written");
-        Self(files)
-    }
-
-    fn explain(&self, more: &[&str], id: &str) -> Output {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_gannetctl"));
-        command.args(more).args(["explain", id]).args(&self.0).output().expect("it runs")
-    }
-}
-
-impl Drop for Logs {
-    fn drop(&mut self) {
-        for file in &self.0 {
-            let _gone = fs::remove_file(file);
-        }
-    }
-}
-
-fn text(output: &Output) -> String {
-    String::from_utf8_lossy(&output.stdout).into_owned()
+fn explain(name: &str, more: &[&str], id: &str) -> Output {
+    let logs = LogFiles::write(&format!("explain-{name}"), &[KEEPER, ENTRY]);
+    logs.run(&[more, &["explain", id]].concat())
 }
 
 #[test]
 fn a_refused_request_is_told_from_its_tries_to_its_end() {
-    let told = text(&Logs::write("request").explain(&[], "r1"));
+    let told = text(&explain("request", &[], "r1"));
     let expected = "\
 AFTER S  BOX      EVENT          FIELDS
 0.000    entry-1  try ended      left_ms=900 outcome=silent request=r1 target=d1 took_ms=450
@@ -66,7 +41,7 @@
 
 #[test]
 fn an_item_leads_to_its_job_and_its_shard() {
-    let told = text(&Logs::write("item").explain(&[], "i1"));
+    let told = text(&explain("item", &[], "i1"));
     let events: Vec<&str> = told.lines().skip(1).take(4).collect();
     assert_eq!(events.len(), 4, "{told}");
     assert!(events[0].contains("keep-1   job taken"), "{told}");
@@ -79,7 +54,7 @@
 
 #[test]
 fn programs_get_the_same_as_json() {
-    let told = text(&Logs::write("json").explain(&["--output", "json"], "r1"));
+    let told = text(&explain("json", &["--output", "json"], "r1"));
     let told: serde_json::Value = serde_json::from_str(&told).expect("JSON");
     assert_eq!(told["deciding"]["fields"]["outcome"], "not run");
     assert_eq!(told["lines"].as_array().map(Vec::len), Some(2));
@@ -88,14 +63,13 @@
 
 #[test]
 fn without_a_line_it_says_what_was_read() {
-    let logs = Logs::write("none");
-    let output = logs.explain(&[], "r2");
+    let output = explain("none", &[], "r2");
     assert_eq!(output.status.code(), Some(2));
-    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    let error = fault(&output);
     assert!(error.contains("no line names r2"), "{error}");
     assert!(error.contains("6 lines, from 50.000 to 103.000"), "{error}");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_gannetctl"));
-    let output = command.args(["explain", "r1", "no-such-file.log"]).output().expect("it runs");
+    let output =
+        LogFiles::write("explain-missing", &[]).run(&["explain", "r1", "no-such-file.log"]);
     assert_eq!(output.status.code(), Some(2));
-    assert!(String::from_utf8_lossy(&output.stderr).contains("name log files of boxes"));
+    assert!(fault(&output).contains("name log files of boxes"));
 }
--- a/crates/gannetctl/tests/steps.rs
+++ b/crates/gannetctl/tests/steps.rs
@@ -1,8 +1,11 @@
 //! What trainers waited for, as told from boxes' logs.
 
+mod common;
+
 use std::fs;
-use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::Output;
+
+use common::{LogFiles, fault, text};
 
 const KEEPER: &str = r#"
 {"box":"keep-1","event":"version named","part":"config","t":99.0,"level":"info","model":"m0","weight_version":3}
@@ -15,41 +18,14 @@
 {"box":"entry-1","event":"job handed in","items":2,"job":"j1","outcome":"accepted","part":"entry","shard":0,"t":100.1,"level":"info"}
 "#;
 
-struct Logs(Vec<PathBuf>);
-
-impl Logs {
-    fn write(name: &str) -> Self {
-        let folder = std::env::temp_dir();
-        let path = |part: &str| {
-            folder.join(format!("gannetway-steps-{name}-{part}-{}", std::process::id()))
-        };
-        let files = vec![path("keep.log"), path("entry.log"), path("picture.svg")];
-        fs::write(&files[0], KEEPER).expect("written");
-        fs::write(&files[1], ENTRY).expect("written");
-        Self(files)
-    }
-
-    fn steps(&self, more: &[&str]) -> Output {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_gannetctl"));
-        command.arg("steps").args(more).args(&self.0[..2]).output().expect("it runs")
-    }
-}
-
-impl Drop for Logs {
-    fn drop(&mut self) {
-        for file in &self.0 {
-            let _gone = fs::remove_file(file);
-        }
-    }
-}
-
-fn text(output: &Output) -> String {
-    String::from_utf8_lossy(&output.stdout).into_owned()
+fn steps(name: &str, more: &[&str]) -> Output {
+    let logs = LogFiles::write(&format!("steps-{name}"), &[KEEPER, ENTRY]);
+    logs.run(&[&["steps"], more].concat())
 }
 
 #[test]
 fn each_step_tells_what_its_last_item_waited_for() {
-    let told = text(&Logs::write("table").steps(&[]));
+    let told = text(&steps("table", &[]));
     let expected = "\
 MODEL  STEP  TAKEN AT  NAMED  FIRST RUN  WANTED  READ  ENDED  LAST ITEM  RUNS  WAITED  RAN   SCORED  WAITED FOR
 m0     4     100.00    -1.00  0.50       6.00    6.40  7.00   i9         2     1.50    4.00  0.30    runs 4.0 s
@@ -60,7 +36,7 @@
 
 #[test]
 fn programs_get_all_moments_as_json() {
-    let told = text(&Logs::write("json").steps(&["--output", "json", "--model", "m0"]));
+    let told = text(&steps("json", &["--output", "json", "--model", "m0"]));
     let told: serde_json::Value = serde_json::from_str(&told).expect("JSON");
     assert_eq!(told.as_array().map(Vec::len), Some(1));
     let step = &told[0];
@@ -76,11 +52,11 @@
 
 #[test]
 fn a_picture_has_a_bar_for_each_part_of_a_step() {
-    let logs = Logs::write("picture");
-    let picture = logs.0[2].to_str().expect("a path").to_owned();
-    let output = logs.steps(&["--picture", &picture]);
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let picture = std::env::temp_dir().join(format!("gannetway-steps-{}.svg", std::process::id()));
+    let output = steps("picture", &["--picture", picture.to_str().expect("a path")]);
+    assert!(output.status.success(), "{}", fault(&output));
     let drawn = fs::read_to_string(&picture).expect("drawn");
+    fs::remove_file(&picture).expect("removed");
     let count = |color: &str| drawn.matches(&format!("fill=\"{color}\"")).count();
     assert_eq!(count("#AAAAAA"), 2, "before the first run");
     assert_eq!(count("#4678BE"), 1, "until the wanted items were listed");
@@ -90,9 +66,8 @@
 
 #[test]
 fn logs_without_a_step_are_refused_with_the_remedy() {
-    let logs = Logs::write("none");
-    let output = logs.steps(&["--model", "m9"]);
+    let output = steps("none", &["--model", "m9"]);
     assert_eq!(output.status.code(), Some(2));
-    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    let error = fault(&output);
     assert!(error.contains("name the logs of the keeping boxes"), "{error}");
 }
--- a/crates/xtask/tests/tidy.rs
+++ b/crates/xtask/tests/tidy.rs
@@ -101,3 +101,35 @@
     }
     assert!(silent.is_empty(), "begin these files with a line of `//!`: {silent:#?}");
 }
+
+/// Underscores from which on a word in backquotes is the name of a test and not of a file or a type.
+const TEST_NAME_UNDERSCORES: usize = 3;
+
+/// Names of tests in backquotes, each with whether it is only the beginning of one.
+fn named_tests(page: &str) -> Vec<(String, bool)> {
+    let quoted = page.split('`').skip(1).step_by(2);
+    let names = quoted.filter_map(|word| {
+        let name = word.trim_end_matches('…');
+        let plain = name.chars().all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '_');
+        let long = name.matches('_').count() >= TEST_NAME_UNDERSCORES;
+        (plain && long).then(|| (name.to_owned(), name != word))
+    });
+    names.collect()
+}
+
+#[test]
+fn each_test_that_the_promises_name_is_there() {
+    let page = fs::read_to_string(root().join("docs/PROMISES.md")).expect("the page is readable");
+    let mut files = Vec::new();
+    for folder in ["crates", "platform"] {
+        rust_files(&root().join(folder), &mut files);
+    }
+    let code: String =
+        files.iter().map(|file| fs::read_to_string(file).expect("the file is readable")).collect();
+    let named = named_tests(&page);
+    assert!(named.len() > 20, "the names are found: {named:?}");
+    for (name, is_beginning) in named {
+        let function = if is_beginning { format!("fn {name}") } else { format!("fn {name}(") };
+        assert!(code.contains(&function), "docs/PROMISES.md names `{name}`: no test is called so");
+    }
+}
