--- a/crates/shards/src/reward.rs
+++ b/crates/shards/src/reward.rs
@@ -60,6 +60,7 @@
     let mut worst = RewardEnd::Missed;
     loop {
         let next = plan.next_call(made);
+        // Where there is no next call, the branch that waits for this moment is off.
         let next_at = begun + next.unwrap_or_default();
         tokio::select! {
             ended = calls.next() => match ended {
