Let the boxes agree on the number of shards by how many have disks

At the deployment's own size the loss of that server stops all six trainers for 1.4 to 1.8 s, most of it copying the whole book.

A deployment that has plans already keeps their number. `--shards` 0 is the default; any other number holds as before.

Ruled out: a number in the settings alone, which cannot follow from the boxes there are; a limit of open connections in the one server, which would only refuse what five can take.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -223,8 +223,9 @@
 
     /// The shard of the jobs that are handed in at `host`. The jobs of one trainer share a host,
     /// and so a shard: text that one job has left over is there when the next one wants it.
-    fn shard(&self, host: &str) -> ShardIndex {
-        shard_of(&host.to_ascii_lowercase(), self.view.settings.shards)
+    /// `None` while the boxes have not agreed on the number of shards.
+    fn shard(&self, host: &str) -> Option<ShardIndex> {
+        Some(shard_of(&host.to_ascii_lowercase(), self.view.shards()?))
     }
 }
 
@@ -274,7 +275,9 @@
         }
     };
     let items = job.items.len();
-    let shard = client.shard(host);
+    let Some(shard) = client.shard(host) else {
+        return answer::not_run("shard not served", Some(id));
+    };
     let call = shard_request::Body::Submit(JobSubmit { shard: shard.get(), job: Some(job) });
     let end = client.ask(shard, id, SUBMIT_TIME, &call).await;
     let outcome = match &end {
@@ -308,7 +311,9 @@
     call: JobCall,
     wait: Option<Duration>,
 ) -> Response<FrontBody> {
-    let shard = client.shard(host);
+    let Some(shard) = client.shard(host) else {
+        return answer::not_run("shard not served", None);
+    };
     match call {
         JobCall::Read { job, from } => read(client, shard, &job, from, wait).await,
         JobCall::Body { job, item } => item_body(client, shard, &job, &item).await,
--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -19,6 +19,7 @@
 mod copy;
 mod duty;
 mod former;
+mod layout;
 mod plan;
 mod record;
 
@@ -28,5 +29,6 @@
     choose_partners, choose_sound_partners, shard_duty, shard_of,
 };
 pub use former::{EpochFormer, FormFault, FormStep, PlanWrite, ReadPlan};
+pub use layout::ShardLayout;
 pub use plan::{CopyHolder, EpochError, EpochId, ShardPlan};
 pub use record::{decode_records, encode_record};
--- a/crates/node/src/duties.rs
+++ b/crates/node/src/duties.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use ids::{BoxId, Moment, ShardIndex};
-use joblog::{CopyHolder, ShardPlan};
+use joblog::{CopyHolder, ShardLayout, ShardPlan};
 use platform::{Changed, Listing, Stored};
 
 use crate::NodeView;
@@ -12,6 +12,8 @@
 
 const BOX_PREFIX: &str = "box-";
 const SHARD_PREFIX: &str = "shard-";
+/// Name of the object that holds the number of shards.
+pub const LAYOUT_NAME: &str = "layout";
 
 /// Name of the object that tells where a box with a disk is.
 pub fn box_object(box_id: &BoxId) -> String {
@@ -39,6 +41,8 @@
 pub struct DutyBoard {
     boxes: BTreeMap<BoxId, CopyHolder>,
     plans: HashMap<ShardIndex, PlanSighting>,
+    /// Into how many shards jobs are divided, if the boxes have agreed on it.
+    layout: Option<ShardLayout>,
     /// Whether the store has been read at all.
     read: bool,
 }
@@ -54,6 +58,16 @@
         self.plans.get(&shard)
     }
 
+    /// The layout that the boxes have agreed on.
+    pub const fn layout(&self) -> Option<ShardLayout> {
+        self.layout
+    }
+
+    /// The last shard that has a plan.
+    pub fn last_shard(&self) -> Option<ShardIndex> {
+        self.plans.keys().max().copied()
+    }
+
     /// Whether the store has been read, so that a plan not known is not there.
     pub const fn is_read(&self) -> bool {
         self.read
@@ -95,6 +109,11 @@
                 }
                 Err(error) => log::warn!(target: "shard", error:% = error; "plan refused"),
             }
+        } else if stored.name == LAYOUT_NAME {
+            match stored.parse() {
+                Ok(layout) => self.layout = Some(layout),
+                Err(error) => log::warn!(target: "shard", error:% = error; "layout refused"),
+            }
         } else if stored.name.starts_with(BOX_PREFIX) {
             match stored.parse::<CopyHolder>() {
                 Ok(copy) => {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -41,8 +41,9 @@
     /// The deployment's key, shared by all boxes.
     #[arg(long, env = "GANNETWAY_KEY", hide_env_values = true)]
     pub key: String,
-    /// Shares into which jobs are divided; the same on all boxes.
-    #[arg(long, env = "GANNETWAY_SHARDS", default_value_t = 1)]
+    /// Shards into which jobs are divided, the same on all boxes; 0 lets the boxes agree on a number, once,
+    /// by how many of them have disks.
+    #[arg(long, env = "GANNETWAY_SHARDS", default_value_t = 0)]
     pub shards: u32,
     /// After a request to stop, how long the process may live, in seconds.
     #[arg(long, env = "GANNETWAY_GRACE_S", default_value_t = 8.0)]
@@ -101,7 +102,7 @@
     pub store: SocketAddr,
     /// The deployment's key.
     pub key: DeploymentKey,
-    /// Shares of jobs.
+    /// Shards of jobs; 0 for as many as the boxes agree on.
     pub shards: u32,
     /// Time to stop in.
     pub grace: Duration,
@@ -155,8 +156,8 @@
         if let Err(error) = &key {
             faults.push(format!("--key: {error}"));
         }
-        if self.shards == 0 || self.shards > MOST_SHARDS {
-            faults.push(format!("--shards is {}: give 1 to {MOST_SHARDS}", self.shards));
+        if self.shards > MOST_SHARDS {
+            faults.push(format!("--shards is {}: give 0 to {MOST_SHARDS}", self.shards));
         }
         if !(0.0..=MOST_GRACE_S).contains(&self.grace_s) {
             faults.push(format!("--grace-s is {}: give 0 to {MOST_GRACE_S}", self.grace_s));
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -116,6 +116,14 @@
         self.duties.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Into how many shards jobs are divided: by the settings, or as the boxes have agreed.
+    pub fn shards(&self) -> Option<u32> {
+        if self.settings.shards > 0 {
+            return Some(self.settings.shards);
+        }
+        self.duties().layout().map(|layout| layout.shards)
+    }
+
     /// Takes the version that is named for a model; versions only rise.
     pub fn name_version(&self, model: ModelName, version: ModelVersion) {
         let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -25,7 +25,7 @@
 use wire::peer::HeldLease;
 
 use crate::context::ShardContext;
-use crate::keeper::ShardKeeper;
+use crate::keepers::KeeperSet;
 use crate::order::{OrderEnd, OrderSpec, order_engine};
 
 /// Term of the lease. A holder that is gone delays orders by this and by the gap between
@@ -88,7 +88,7 @@
 /// Conducts engines: those of a service whose name's shard is served here, and those that this
 /// box holds the lease of already. A holder that is well keeps its lease when the shard moves,
 /// and takes it up again after a restart, since every change of holder costs a pause.
-pub async fn conduct(ctx: Arc<ShardContext>, keepers: Arc<Vec<Arc<ShardKeeper>>>) {
+pub async fn conduct(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>) {
     let mut claims: Vec<Arc<ServiceClaim>> = Vec::new();
     loop {
         for (service, _) in ctx.view.engine_services() {
@@ -109,17 +109,18 @@
     }
 }
 
-fn serves_shard(ctx: &ShardContext, keepers: &[Arc<ShardKeeper>], claim: &ServiceClaim) -> bool {
-    let shard = shard_of(claim.service.as_str(), ctx.settings.node.shards);
-    let index = usize::try_from(shard.get()).unwrap_or(usize::MAX);
-    keepers.get(index).is_some_and(|keeper| keeper.is_proven())
+fn serves_shard(ctx: &ShardContext, keepers: &KeeperSet, claim: &ServiceClaim) -> bool {
+    let shards = ctx.view.shards().unwrap_or(1);
+    let shard = shard_of(claim.service.as_str(), shards);
+    keepers.get(shard).is_some_and(|keeper| keeper.is_proven())
 }
 
 /// Whether this box should hold the lease in place of the shard's server: it has a copy of the
 /// shard's log, reaches the store, and no holder has told of a write for long. The server itself may be
 /// one that the store turns away.
 fn stands_in(ctx: &ShardContext, claim: &ServiceClaim) -> bool {
-    let shard = shard_of(claim.service.as_str(), ctx.settings.node.shards);
+    let Some(shards) = ctx.view.shards() else { return false };
+    let shard = shard_of(claim.service.as_str(), shards);
     let duties = ctx.view.duties();
     let Some(sighting) = duties.plan(shard) else { return false };
     let Some(rank) = sighting.plan.rank(&ctx.me.box_id).filter(|rank| *rank > 0) else {
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -19,6 +19,7 @@
 use crate::account::log_account;
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
+use crate::keepers::KeeperSet;
 use crate::peers::own_beat;
 
 /// Longest wait for the log when a call changes something.
@@ -32,7 +33,7 @@
 #[derive(Debug, Clone)]
 pub struct ShardHandler {
     ctx: Arc<ShardContext>,
-    keepers: Arc<Vec<Arc<ShardKeeper>>>,
+    keepers: Arc<KeeperSet>,
 }
 
 type Answered = Result<shard_answer::Body, Refused>;
@@ -122,14 +123,17 @@
 
 impl ShardHandler {
     /// A handler for the shards of this box.
-    pub const fn new(ctx: Arc<ShardContext>, keepers: Arc<Vec<Arc<ShardKeeper>>>) -> Self {
+    pub const fn new(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>) -> Self {
         Self { ctx, keepers }
     }
 
     fn keeper(&self, shard: u32) -> Result<&Arc<ShardKeeper>, Refused> {
-        let index = usize::try_from(shard).unwrap_or(usize::MAX);
+        if self.keepers.all().is_empty() {
+            // It has not heard yet how many there are.
+            return Err(not_kept());
+        }
         let message = "there is no such shard: give all boxes the same number of shards";
-        self.keepers.get(index).ok_or_else(|| wrong(message))
+        self.keepers.get(ShardIndex::new(shard)).ok_or_else(|| wrong(message))
     }
 
     fn served(&self, shard: u32) -> Result<&Arc<ShardKeeper>, Refused> {
@@ -153,7 +157,7 @@
             shard_request::Body::Beat(beat) => {
                 self.ctx.peers.heard(self.ctx.view.now(), &beat);
                 self.ctx.work.heard(self.ctx.view.now(), &beat);
-                Ok(shard_answer::Body::Beat(own_beat(&self.ctx, &self.keepers)))
+                Ok(shard_answer::Body::Beat(own_beat(&self.ctx, self.keepers.all())))
             }
             shard_request::Body::HandOver(hand_over) => self.hand_over(&hand_over),
             shard_request::Body::Served(asked) => {
@@ -174,7 +178,7 @@
         }
         let bytes: usize = job.items.iter().map(|item| item.body.len()).sum();
         // One limit for all shards: any box may come to serve each of them.
-        let held: usize = self.keepers.iter().map(|keeper| keeper.book().bytes()).sum();
+        let held: usize = self.keepers.all().iter().map(|keeper| keeper.book().bytes()).sum();
         if held + bytes > self.ctx.settings.job_bytes {
             let message = "the shard holds as much as it may: send the job later";
             return Err(refused(RefusedKind::NotRun, reason::FULL, message));
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -14,6 +14,7 @@
 mod forming;
 mod handler;
 mod keeper;
+mod keepers;
 mod log_writer;
 mod order;
 mod peers;
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
+use crate::keepers::KeeperSet;
 
 /// Time between beats.
 const BEAT_EVERY: Duration = Duration::from_millis(250);
@@ -201,12 +202,12 @@
 }
 
 /// Sends beats to all other boxes until the box ends.
-pub async fn send_beats(ctx: Arc<ShardContext>, keepers: Arc<Vec<Arc<ShardKeeper>>>) {
+pub async fn send_beats(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>) {
     let mut turn: u64 = 0;
     loop {
         turn += 1;
         let now = ctx.view.now();
-        ctx.work.sample(&keepers);
+        ctx.work.sample(keepers.all());
         let others: Vec<_> = ctx
             .view
             .duties()
@@ -221,7 +222,7 @@
             let (ctx, keepers) = (Arc::clone(&ctx), Arc::clone(&keepers));
             tokio::spawn(async move {
                 let asked_at = time::Instant::now();
-                let beat = shard_request::Body::Beat(own_beat(&ctx, &keepers));
+                let beat = shard_request::Body::Beat(own_beat(&ctx, keepers.all()));
                 match ctx.ask(&other.address, BEAT_TIME, beat).await {
                     Ok(shard_answer::Body::Beat(beat)) => {
                         ctx.peers.heard(ctx.view.now(), &beat);
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{BoxId, ShardIndex, whole_millis};
+use ids::{BoxId, whole_millis};
 use joblog::CopyFolder;
 use links::{LinkPool, LinkSettings, serve_links};
 use node::duties::{DutySink, box_object};
@@ -26,6 +26,7 @@
 use crate::forming::keep_shard;
 use crate::handler::ShardHandler;
 use crate::keeper::ShardKeeper;
+use crate::keepers::KeeperSet;
 use crate::peers::send_beats;
 
 /// Changes of targets gather for this long between two watches; each watch has its price. With the
@@ -59,17 +60,11 @@
     log::info!(target: "shard", peer:% = node.peer, store:% = node.store, shards = node.shards; "started");
     start_followers(&ctx, &end);
     tokio::spawn(register(Arc::clone(&ctx)));
-    let shards = (0..node.shards).map(ShardIndex::new);
-    let keepers: Vec<Arc<ShardKeeper>> =
-        shards.map(|shard| Arc::new(ShardKeeper::new(Arc::clone(&ctx), shard))).collect();
-    let keepers = Arc::new(keepers);
+    let keepers = Arc::new(KeeperSet::default());
     let handler = ShardHandler::new(Arc::clone(&ctx), Arc::clone(&keepers));
     tokio::spawn(serve_links(listener, node.key.clone(), handler, end.clone()));
     tokio::spawn(send_beats(Arc::clone(&ctx), Arc::clone(&keepers)));
-    for keeper in keepers.iter() {
-        tokio::spawn(keep_shard(Arc::clone(&ctx), Arc::clone(keeper)));
-        tokio::spawn(dispatch_items(Arc::clone(&ctx), Arc::clone(keeper)));
-    }
+    tokio::spawn(begin_shards(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(conduct(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(retire_when_asked(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(tell_store_calls(Arc::clone(&view)));
@@ -77,11 +72,19 @@
         tokio::spawn(serve_metrics(view, address));
     }
     stop.await?;
-    stop_calmly(&ctx, &keepers).await;
+    stop_calmly(&ctx, keepers.all()).await;
     end.cancel();
     Ok(())
 }
 
+/// Keeps the shards, once their number is known.
+async fn begin_shards(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>) {
+    for keeper in keepers.begin(&ctx).await {
+        tokio::spawn(keep_shard(Arc::clone(&ctx), Arc::clone(keeper)));
+        tokio::spawn(dispatch_items(Arc::clone(&ctx), Arc::clone(keeper)));
+    }
+}
+
 fn start_followers(ctx: &Arc<ShardContext>, end: &CancellationToken) {
     let view = &ctx.view;
     let v = || Arc::clone(view);
@@ -193,7 +196,7 @@
 }
 
 /// Empties this box when the platform asks for it, and says so once nothing is owed here.
-async fn retire_when_asked(ctx: Arc<ShardContext>, keepers: Arc<Vec<Arc<ShardKeeper>>>) {
+async fn retire_when_asked(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>) {
     let name = ctx.me.box_id.to_string();
     let mut told_active = false;
     loop {
@@ -205,7 +208,7 @@
         if !told_active {
             told_active = tell_retirement(&ctx, &name, false).await;
         }
-        hand_over(&ctx, &keepers).await;
+        hand_over(&ctx, keepers.all()).await;
         if is_free(&ctx).await && tell_retirement(&ctx, &name, true).await {
             return;
         }
