--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -321,6 +321,14 @@
         package: "platform-standin",
         test: "told_at_its_start_does_not_ask",
     },
+    Mutation {
+        name: "platform: few boxes with disks have many shards",
+        file: "crates/joblog/src/layout.rs",
+        from: "copies.max(1) * BOXES_PER_COPY",
+        to: "copies.max(1)",
+        package: "joblog",
+        test: "a_small_deployment_has_one_server",
+    },
     Mutation {
         name: "platform: a copy that is known to be lost is waited for",
         file: "crates/joblog/src/duty.rs",
