Pause between two tries to agree on the number of shards

Seen on reading: where the store answers reads and takes no writes, the box whose turn it is would have asked it without a pause. No test: the stand-in refuses all calls or none.

--- a/crates/shards/src/keepers.rs
+++ b/crates/shards/src/keepers.rs
@@ -91,11 +91,13 @@
     );
     ctx.view.metrics.store_call(Kind::Duties, StoreCall::Read);
     match ctx.view.store.get(Kind::Duties, LAYOUT_NAME).await {
-        Ok(Some(stored)) => DutySink(Arc::clone(&ctx.view)).changed(&Changed::Put(stored)),
-        Ok(None) => {}
-        Err(error) => {
-            log::debug!(target: "shard", error:% = error; "layout not read");
-            time::sleep(LOOK_EVERY).await;
+        Ok(Some(stored)) => {
+            DutySink(Arc::clone(&ctx.view)).changed(&Changed::Put(stored));
+            return;
         }
+        Ok(None) => {}
+        Err(error) => log::debug!(target: "shard", error:% = error; "layout not read"),
     }
+    // A store that takes no writes is not asked again at once.
+    time::sleep(LOOK_EVERY).await;
 }
