Tell the servers of jobs which engines load

Cause: an engine turns work away while it loads. Change: the box that orders tells the servers which engines load and which loads have ended a moment ago, 30 ms after a change and with each beat (LoadBoard); a load that was told is believed for 0.7 s. Ruled out: one box for both duties, which a change of server or of holder takes apart again.

--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -12,6 +12,7 @@
 use wire::peer::{HeldLease, shard_answer, shard_request};
 
 use crate::copies::OpenCopies;
+use crate::loads::LoadBoard;
 use crate::peers::PeerTable;
 use crate::reward::SecondCalls;
 use crate::work::WorkBoard;
@@ -33,6 +34,8 @@
     pub peers: PeerTable,
     /// How much work each model has.
     pub work: WorkBoard,
+    /// Engines that load by this box's orders.
+    pub loads: LoadBoard,
     /// How many reward calls may be made at two targets at once.
     pub second_calls: SecondCalls,
     /// Set once the box is asked to stop.
@@ -66,6 +69,7 @@
             copies,
             peers,
             work: WorkBoard::default(),
+            loads: LoadBoard::default(),
             second_calls: SecondCalls::default(),
             stopping: CancellationToken::new(),
             retiring: Mutex::default(),
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -11,15 +11,16 @@
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 use wire::peer::{
-    Beat, Item, Job, JobAccepted, JobBytes, JobEnded, JobPage, JobRead, ListedResult, LogAppend,
-    LogCopy, LogRecord, LogSynced, Refused, RefusedKind, Request, ShardAnswer, ShardHandOver, item,
-    log_record, request, shard_answer, shard_request,
+    Beat, EngineLoad, Item, Job, JobAccepted, JobBytes, JobEnded, JobPage, JobRead, ListedResult,
+    LogAppend, LogCopy, LogRecord, LogSynced, Refused, RefusedKind, Request, ShardAnswer,
+    ShardHandOver, item, log_record, request, shard_answer, shard_request,
 };
 
 use crate::account::log_account;
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
+use crate::loads::hear_loads;
 use crate::peers::own_beat;
 
 /// Longest wait for the log when a call changes something.
@@ -157,6 +158,7 @@
             shard_request::Body::Beat(beat) => {
                 self.ctx.peers.heard(self.ctx.view.now(), &beat);
                 self.ctx.work.heard(self.ctx.view.now(), &beat);
+                self.hear_loads(&beat.loads);
                 Ok(shard_answer::Body::Beat(own_beat(&self.ctx, self.keepers.all())))
             }
             shard_request::Body::HandOver(hand_over) => self.hand_over(&hand_over),
@@ -170,6 +172,16 @@
         }
     }
 
+    fn hear_loads(&self, loads: &[EngineLoad]) {
+        if loads.is_empty() {
+            return;
+        }
+        let view = &self.ctx.view;
+        hear_loads(&mut view.board(), view.now(), loads);
+        // Items may be waiting for these engines.
+        view.wake();
+    }
+
     async fn submit(&self, shard: u32, job: Job) -> Answered {
         let keeper = self.served(shard)?;
         let id: JobId = job.id.parse().map_err(|_fault| wrong("the job's id is not an id"))?;
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -15,6 +15,7 @@
 mod handler;
 mod keeper;
 mod keepers;
+mod loads;
 mod log_writer;
 mod order;
 mod peers;
@@ -26,4 +27,5 @@
 
 pub use context::ShardContext;
 pub use keeper::ShardKeeper;
+pub use loads::{LoadBoard, hear_loads};
 pub use role::run_storage;
--- /dev/null
+++ b/crates/shards/src/loads.rs
@@ -0,0 +1,118 @@
+//! Which engines load by this box's orders, told to the boxes that run items.
+//!
+//! An engine turns work away while it loads, and the box that orders it is not always the one that runs
+//! items at it. Without word of its loads a server finds them out one refusal at a time, rests each engine
+//! after it, and hears of the new version only with the store's list.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ids::{BoxId, InstanceId, ModelName, ModelVersion, Moment, ShardIndex};
+use routing::TargetBoard;
+use tokio::sync::Notify;
+use tokio::time;
+use wire::peer::EngineLoad;
+
+use crate::context::ShardContext;
+use crate::keepers::KeeperSet;
+use crate::peers::send_beat;
+
+/// How long a load that was told is believed: beats come every 250 ms, and two of them may be lost.
+const LOAD_TRUST: Duration = Duration::from_millis(700);
+/// How long an ended load is told, in case a beat is lost.
+const ENDED_TIME: Duration = Duration::from_secs(1);
+/// Loads begin and end in groups: news of them gather for this long before they are told.
+const GATHER: Duration = Duration::from_millis(30);
+
+#[derive(Debug)]
+struct LoadState {
+    model: ModelName,
+    version: ModelVersion,
+    /// When it ended, and whether the engine holds the version.
+    ended: Option<(Moment, bool)>,
+}
+
+/// The loads that this box has ordered.
+#[derive(Debug, Default)]
+pub struct LoadBoard {
+    loads: Mutex<HashMap<InstanceId, LoadState>>,
+    changed: Notify,
+}
+
+impl LoadBoard {
+    fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, LoadState>> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that an engine was ordered to load.
+    pub fn begun(&self, engine: &InstanceId, model: &ModelName, version: ModelVersion) {
+        let state = LoadState { model: model.clone(), version, ended: None };
+        self.lock().insert(engine.clone(), state);
+        self.changed.notify_one();
+    }
+
+    /// Notes that an engine takes work again, if it was ordered to load.
+    pub fn ended(&self, now: Moment, engine: &InstanceId, holds: bool) {
+        let mut loads = self.lock();
+        let Some(state) = loads.get_mut(engine) else { return };
+        if state.ended.is_none() {
+            state.ended = Some((now, holds));
+            self.changed.notify_one();
+        }
+    }
+
+    /// The loads that are under way or ended a moment ago.
+    pub fn told(&self, now: Moment) -> Vec<EngineLoad> {
+        let mut loads = self.lock();
+        loads.retain(|_, state| state.ended.is_none_or(|(at, _)| now.since(at) < ENDED_TIME));
+        let told = loads.iter().map(|(engine, state)| EngineLoad {
+            target: engine.to_string(),
+            model: state.model.to_string(),
+            version: state.version.get(),
+            ended: state.ended.is_some(),
+            holds: state.ended.is_some_and(|(_, holds)| holds),
+        });
+        told.collect()
+    }
+}
+
+/// The loads that a box is told: those that run no items need none.
+pub fn told_loads(ctx: &ShardContext, other: &BoxId) -> Vec<EngineLoad> {
+    if servers(ctx).contains(other) { ctx.loads.told(ctx.view.now()) } else { Vec::new() }
+}
+
+/// Takes what another box tells of its loads.
+pub fn hear_loads(board: &mut TargetBoard, now: Moment, loads: &[EngineLoad]) {
+    for load in loads {
+        let (Ok(engine), Ok(model)) = (load.target.parse(), load.model.parse()) else { continue };
+        if load.holds {
+            board.told_version(&engine, &model, ModelVersion::new(load.version));
+        }
+        board.loading(&engine, if load.ended { now } else { now + LOAD_TRUST });
+    }
+}
+
+/// Tells servers of shards of loads as they begin and end, until the box ends.
+pub async fn tell_loads(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>) {
+    loop {
+        ctx.loads.changed.notified().await;
+        time::sleep(GATHER).await;
+        let servers = servers(&ctx);
+        let duties = ctx.view.duties();
+        for other in duties.boxes().filter(|copy| servers.contains(&copy.box_id)) {
+            if other.box_id != ctx.me.box_id {
+                tokio::spawn(send_beat(Arc::clone(&ctx), Arc::clone(&keepers), other.clone()));
+            }
+        }
+    }
+}
+
+/// The boxes that serve a shard, by the plans in force.
+fn servers(ctx: &ShardContext) -> Vec<BoxId> {
+    let shards = ctx.view.shards().unwrap_or_default();
+    let duties = ctx.view.duties();
+    let plans = (0..shards).filter_map(|shard| duties.plan(ShardIndex::new(shard)));
+    let servers = plans.filter_map(|sighting| sighting.plan.server());
+    servers.map(|copy| copy.box_id.clone()).collect()
+}
--- a/crates/shards/src/order.rs
+++ b/crates/shards/src/order.rs
@@ -62,6 +62,7 @@
 ) -> OrderEnd {
     let end = order_once(ctx, spec, token).await;
     ctx.view.board().loading(&spec.target.instance, ctx.view.now());
+    ctx.loads.ended(ctx.view.now(), &spec.target.instance, end == OrderEnd::Holds);
     if end == OrderEnd::Holds {
         ctx.view.board().told_version(&spec.target.instance, &spec.model, spec.version);
     }
@@ -113,6 +114,7 @@
     );
     let body = Bytes::from(orders::write_order(&order));
     ctx.view.board().loading(&spec.target.instance, ctx.view.now() + MOST_LOAD);
+    ctx.loads.begun(&spec.target.instance, &spec.model, spec.version);
     match ask(ctx, spec, Method::POST, orders::ORDER_PATH, body).await {
         Ok((StatusCode::ACCEPTED, _)) => {}
         Ok((StatusCode::OK, _)) => return OrderEnd::Holds,
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -6,6 +6,7 @@
 
 use coord::lease::LeaseNote;
 use ids::{BoxId, FencingToken, Moment, ShardIndex};
+use joblog::CopyHolder;
 use links::CallError;
 use tokio::time;
 use wire::peer::{ServedShard, ShardBeat, shard_answer, shard_request};
@@ -13,6 +14,7 @@
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
+use crate::loads::told_loads;
 
 /// Time between beats.
 const BEAT_EVERY: Duration = Duration::from_millis(250);
@@ -193,6 +195,7 @@
         domain: ctx.me.domain.to_string(),
         leases: ctx.held_leases(),
         work: ctx.work.own(),
+        loads: Vec::new(),
         forming: keepers
             .iter()
             .filter(|keeper| keeper.is_forming())
@@ -219,29 +222,32 @@
             if ctx.peers.silent_long(now, &other.box_id) && !turn.is_multiple_of(SILENT_BEATS) {
                 continue;
             }
-            let (ctx, keepers) = (Arc::clone(&ctx), Arc::clone(&keepers));
-            tokio::spawn(async move {
-                let asked_at = time::Instant::now();
-                let beat = shard_request::Body::Beat(own_beat(&ctx, keepers.all()));
-                match ctx.ask(&other.address, BEAT_TIME, beat).await {
-                    Ok(shard_answer::Body::Beat(beat)) => {
-                        ctx.peers.heard(ctx.view.now(), &beat);
-                        ctx.work.heard(ctx.view.now(), &beat);
-                    }
-                    Ok(_) => {}
-                    Err(CallError::NotSent { .. }) if asked_at.elapsed() < REFUSED_TIME => {
-                        ctx.peers.refused(ctx.view.now(), &other.box_id);
-                        ctx.peers.failed(ctx.view.now(), &other.box_id);
-                    }
-                    // Silence is what the table tells.
-                    Err(error) => {
-                        ctx.peers.failed(ctx.view.now(), &other.box_id);
-                        log::debug!(target: "shard", peer:% = other.box_id, error:% = error; "beat unanswered");
-                    }
-                }
-            });
+            tokio::spawn(send_beat(Arc::clone(&ctx), Arc::clone(&keepers), other));
         }
         // Early or in time makes no difference to what a beat says.
         let _early = time::timeout(BEAT_EVERY, ctx.news.notified()).await;
     }
 }
+
+/// Sends one beat, and takes what its answer says.
+pub async fn send_beat(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>, other: CopyHolder) {
+    let asked_at = time::Instant::now();
+    let mut beat = own_beat(&ctx, keepers.all());
+    beat.loads = told_loads(&ctx, &other.box_id);
+    match ctx.ask(&other.address, BEAT_TIME, shard_request::Body::Beat(beat)).await {
+        Ok(shard_answer::Body::Beat(beat)) => {
+            ctx.peers.heard(ctx.view.now(), &beat);
+            ctx.work.heard(ctx.view.now(), &beat);
+        }
+        Ok(_) => {}
+        Err(CallError::NotSent { .. }) if asked_at.elapsed() < REFUSED_TIME => {
+            ctx.peers.refused(ctx.view.now(), &other.box_id);
+            ctx.peers.failed(ctx.view.now(), &other.box_id);
+        }
+        // Silence is what the table tells.
+        Err(error) => {
+            ctx.peers.failed(ctx.view.now(), &other.box_id);
+            log::debug!(target: "shard", peer:% = other.box_id, error:% = error; "beat unanswered");
+        }
+    }
+}
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -27,6 +27,7 @@
 use crate::handler::ShardHandler;
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
+use crate::loads::tell_loads;
 use crate::peers::send_beats;
 
 /// Changes of targets gather for this long between two watches; each watch has its price. With the
@@ -64,6 +65,7 @@
     let handler = ShardHandler::new(Arc::clone(&ctx), Arc::clone(&keepers));
     tokio::spawn(serve_links(listener, node.key.clone(), handler, end.clone()));
     tokio::spawn(send_beats(Arc::clone(&ctx), Arc::clone(&keepers)));
+    tokio::spawn(tell_loads(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(begin_shards(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(conduct(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(retire_when_asked(Arc::clone(&ctx), Arc::clone(&keepers)));
