Divide jobs by trainer, not by host, and begin shards on boxes of their own

Cause: jobs were divided into shards by their host. With it one box held the connections of all items, its loss stopped every trainer, and its book of 69 jobs took 2.0 s to copy after all had lost power. Chance also put two of five shards on one box and two more into one failure domain. Change: the shard follows from host and model. A read names a job only, so an entry box that does not know where it is asks all servers, which answer from memory, and remembers it; a job is called unknown only when all shards are sure. A shard without a plan is begun by a box of its own, in another failure domain than the others for as long as there are any. Ruled out: shards by job: text that is left over would lie elsewhere, and all servers would share all engines.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -1,7 +1,7 @@
 //! Trainers' calls: jobs handed in, read and ended, at whichever box serves the job's shard.
 
 use std::collections::HashSet;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,7 +9,7 @@
 use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
 use ids::ShardIndex;
-use joblog::{CopyHolder, EpochId, shard_of};
+use joblog::{CopyHolder, EpochId, shard_of_job};
 use jobs::{reason, unpack_text};
 use links::{CallError, LinkPool};
 use node::NodeView;
@@ -24,12 +24,16 @@
 
 use crate::answer::{self, FrontBody};
 use crate::isolation::ReachDoubt;
+use crate::search::{JobPlaces, JobSearch, ShardFault};
 
 /// Longest time for a job to be on all copies of its log. The sender comes again elsewhere when
 /// it hears nothing, so this only bounds what is held here.
 const SUBMIT_TIME: Duration = Duration::from_secs(3);
 /// Longest time for a call that waits for nothing.
 const CALL_TIME: Duration = Duration::from_millis(1_500);
+/// Longest time to find the shard that holds a job: its server answers from memory, and where that takes
+/// longer, the call itself is made at all shards.
+const LOCATE_TIME: Duration = Duration::from_millis(300);
 /// Room for an answer beyond the wait that the caller asked for.
 const READ_SLACK: Duration = Duration::from_millis(800);
 /// Longest wait that a read may ask for.
@@ -39,33 +43,20 @@
 /// Most bytes of texts in one page; the rest of the megabyte is for ids and JSON escapes.
 const PAGE_BYTES: u32 = 600_000;
 
-/// How a call to a shard ended without an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ShardFault {
-    /// Nobody serves the shard now, or its server could not be reached: nothing was done.
-    NotServed,
-    /// It may have been done.
-    Unknown,
-    /// There is no such job.
-    NoJob,
-    /// The job has no such item.
-    NoItem,
-    /// The shard has no room.
-    Full,
-}
-
 /// The way to the shards.
 #[derive(Debug, Clone)]
 pub struct ShardClient {
     view: Arc<NodeView>,
     links: LinkPool,
     doubt: Arc<ReachDoubt>,
+    /// Where jobs are held of which this box has heard lately.
+    places: Arc<Mutex<JobPlaces>>,
 }
 
 impl ShardClient {
     /// A client over these links.
     pub fn new(view: Arc<NodeView>, links: LinkPool) -> Self {
-        Self { view, links, doubt: Arc::default() }
+        Self { view, links, doubt: Arc::default(), places: Arc::default() }
     }
 
     /// Doubts that failed calls have raised.
@@ -221,11 +212,71 @@
         copies.unwrap_or_default().into_iter().map(|copy| copy.address).collect()
     }
 
-    /// The shard of the jobs that are handed in at `host`. The jobs of one trainer share a host,
-    /// and so a shard: text that one job has left over is there when the next one wants it.
-    /// `None` while the boxes have not agreed on the number of shards.
-    fn shard(&self, host: &str) -> Option<ShardIndex> {
-        Some(shard_of(&host.to_ascii_lowercase(), self.view.shards()?))
+    /// Asks the shard that holds a job; what `body` makes for a shard does nothing where the job is not held.
+    async fn ask_job(
+        &self,
+        job: &str,
+        time: Duration,
+        body: impl Fn(ShardIndex) -> shard_request::Body,
+    ) -> Result<shard_answer::Body, ShardFault> {
+        if let Some(shard) = self.locate(job).await {
+            match self.ask(shard, job, time, &body(shard)).await {
+                Err(ShardFault::NoJob) => self.places().forget(job),
+                ended => return ended,
+            }
+        }
+        self.search(job, time, body).await
+    }
+
+    /// The shard that holds a job, if it is known or its server says so.
+    async fn locate(&self, job: &str) -> Option<ShardIndex> {
+        if let Some(shard) = self.places().shard(job) {
+            return Some(shard);
+        }
+        let shards = self.view.shards()?;
+        let asked = (0..shards).map(ShardIndex::new).map(|shard| async move {
+            let address = self.addresses(shard).into_iter().next()?;
+            let body = ServedAsk { shard: shard.get(), job: job.to_owned() };
+            let asked =
+                self.links.ask_shard(&address, LOCATE_TIME, shard_request::Body::Served(body));
+            asked.await.ok().map(|_holds| shard)
+        });
+        let asked: FuturesUnordered<_> = asked.collect();
+        let shard = std::pin::pin!(asked.filter_map(std::future::ready)).next().await;
+        self.view.metrics.ended("job_search", if shard.is_some() { "found" } else { "not found" });
+        let shard = shard?;
+        log::debug!(target: "entry", job = job, shard = shard.get(); "job found");
+        self.places().put(job, shard);
+        Some(shard)
+    }
+
+    fn places(&self) -> MutexGuard<'_, JobPlaces> {
+        self.places.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks all shards in full, when none has said that it holds the job.
+    async fn search(
+        &self,
+        id: &str,
+        time: Duration,
+        body: impl Fn(ShardIndex) -> shard_request::Body,
+    ) -> Result<shard_answer::Body, ShardFault> {
+        let shards = self.view.shards().unwrap_or_default();
+        let asked = (0..shards).map(|number| {
+            let shard = ShardIndex::new(number);
+            let body = body(shard);
+            async move { self.ask(shard, id, time, &body).await }
+        });
+        let mut asked: FuturesUnordered<_> = asked.collect();
+        let mut search = JobSearch::default();
+        while let Some(ended) = asked.next().await {
+            match ended {
+                Ok(answer) => return Ok(answer),
+                Err(fault) if search.failed(fault) => break,
+                Err(_) => {}
+            }
+        }
+        Err(search.end())
     }
 }
 
@@ -275,11 +326,16 @@
         }
     };
     let items = job.items.len();
-    let Some(shard) = client.shard(host) else {
+    // None while the boxes have not agreed on the number of shards.
+    let Some(shards) = client.view.shards() else {
         return answer::not_run("shard not served", Some(id));
     };
+    let shard = shard_of_job(host, &job.model, shards);
     let call = shard_request::Body::Submit(JobSubmit { shard: shard.get(), job: Some(job) });
     let end = client.ask(shard, id, SUBMIT_TIME, &call).await;
+    if end.is_ok() {
+        client.places().put(id, shard);
+    }
     let outcome = match &end {
         Ok(_) => "accepted",
         Err(ShardFault::NotServed) => "not served",
@@ -304,39 +360,36 @@
     answer::refuse(StatusCode::BAD_GATEWAY, "outcome unknown", remedy, id)
 }
 
-/// Serves a call that concerns a job handed in at `host`.
+/// Serves a call that concerns a job.
 pub async fn serve_call(
     client: &ShardClient,
-    host: &str,
     call: JobCall,
     wait: Option<Duration>,
 ) -> Response<FrontBody> {
-    let Some(shard) = client.shard(host) else {
-        return answer::not_run("shard not served", None);
-    };
     match call {
-        JobCall::Read { job, from } => read(client, shard, &job, from, wait).await,
-        JobCall::Body { job, item } => item_body(client, shard, &job, &item).await,
-        JobCall::End { job } => end(client, shard, &job).await,
+        JobCall::Read { job, from } => read(client, &job, from, wait).await,
+        JobCall::Body { job, item } => item_body(client, &job, &item).await,
+        JobCall::End { job } => end(client, &job).await,
     }
 }
 
 async fn read(
     client: &ShardClient,
-    shard: ShardIndex,
     job: &str,
     from: u32,
     wait: Option<Duration>,
 ) -> Response<FrontBody> {
     let wait = wait.unwrap_or_default().min(MOST_WAIT);
-    let body = shard_request::Body::Read(JobRead {
-        shard: shard.get(),
-        job: job.to_owned(),
-        from,
-        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-        most_bytes: PAGE_BYTES,
-    });
-    match client.ask(shard, job, wait + READ_SLACK, &body).await {
+    let body = |shard: ShardIndex| {
+        shard_request::Body::Read(JobRead {
+            shard: shard.get(),
+            job: job.to_owned(),
+            from,
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            most_bytes: PAGE_BYTES,
+        })
+    };
+    match client.ask_job(job, wait + READ_SLACK, body).await {
         Ok(shard_answer::Body::Page(page)) => {
             let results = page.results.len();
             let texts = page.results.iter().map(|result| unpack_text(&result.packed_text));
@@ -359,15 +412,12 @@
     }
 }
 
-async fn item_body(
-    client: &ShardClient,
-    shard: ShardIndex,
-    job: &str,
-    item: &str,
-) -> Response<FrontBody> {
-    let (id, item) = (job.to_owned(), item.to_owned());
-    let body = shard_request::Body::BodyOf(JobBody { shard: shard.get(), job: id, item });
-    match client.ask(shard, job, CALL_TIME, &body).await {
+async fn item_body(client: &ShardClient, job: &str, item: &str) -> Response<FrontBody> {
+    let body = |shard: ShardIndex| {
+        let (job, item) = (job.to_owned(), item.to_owned());
+        shard_request::Body::BodyOf(JobBody { shard: shard.get(), job, item })
+    };
+    match client.ask_job(job, CALL_TIME, body).await {
         Ok(shard_answer::Body::Bytes(bytes)) => {
             answer::whole(StatusCode::OK, "application/octet-stream", Bytes::from(bytes.body))
         }
@@ -376,9 +426,11 @@
     }
 }
 
-async fn end(client: &ShardClient, shard: ShardIndex, job: &str) -> Response<FrontBody> {
-    let body = shard_request::Body::End(JobEnd { shard: shard.get(), job: job.to_owned() });
-    match client.ask(shard, job, CALL_TIME, &body).await {
+async fn end(client: &ShardClient, job: &str) -> Response<FrontBody> {
+    let body = |shard: ShardIndex| {
+        shard_request::Body::End(JobEnd { shard: shard.get(), job: job.to_owned() })
+    };
+    match client.ask_job(job, CALL_TIME, body).await {
         Ok(_) => {
             log::info!(target: "entry", job = job, outcome = "ended"; "job end asked");
             answer::whole(StatusCode::OK, "application/json", Bytes::from_static(b"{}"))
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,8 +9,10 @@
 mod jobs_api;
 mod plain;
 mod role;
+mod search;
 mod server;
 mod stream;
 
 pub use isolation::ReachDoubt;
 pub use role::{EntryListeners, run_entry};
+pub use search::{JobPlaces, JobSearch, ShardFault};
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -153,7 +153,7 @@
         && table.takes_jobs(host)
     {
         let wait = headers::read_wait(&head.headers);
-        return Ok(jobs_api::serve_call(&state.shards, host, call, wait).await);
+        return Ok(jobs_api::serve_call(&state.shards, call, wait).await);
     }
     let Some(route) = table.find(host, path).cloned() else {
         log::info!(
--- a/crates/joblog/src/duty.rs
+++ b/crates/joblog/src/duty.rs
@@ -18,8 +18,14 @@
 /// Patience of a box that has just given the shard up and would rather not serve it again.
 pub const LEAVING_PATIENCE: Duration = Duration::from_secs(3);
 
-/// The shard of a key: of a host, whose jobs it keeps; of a service, whose engines its server
-/// orders.
+/// The shard of a trainer's jobs. All jobs of one trainer share it, so that text which one of them has left
+/// over is there for the next. Trainers may share a host, and then differ by the model that they train: with
+/// the host alone, six of them had one server of five.
+pub fn shard_of_job(host: &str, model: &str, shards: u32) -> ShardIndex {
+    shard_of(&format!("{} {model}", host.to_ascii_lowercase()), shards)
+}
+
+/// The shard of a key, such as a service, whose engines its server orders.
 pub fn shard_of(key: &str, shards: u32) -> ShardIndex {
     let hash = xxh3_64(key.as_bytes());
     ShardIndex::new(u32::try_from(hash % u64::from(shards.max(1))).unwrap_or(0))
@@ -92,6 +98,38 @@
     if take { ShardDuty::Take } else { ShardDuty::Wait }
 }
 
+/// The boxes that could begin a shard which has no plan yet, the best first, ranked alike on every box.
+///
+/// The first boxes of all shards are different ones, in different failure domains for as long as there are
+/// any without: where chance alone ranked them, one box of 45 began two of five shards, and one failure
+/// domain of six two more.
+pub fn first_ranked(shard: ShardIndex, boxes: &[CopyHolder]) -> Vec<&CopyHolder> {
+    let mut firsts: Vec<&CopyHolder> = Vec::new();
+    let mut ranked = Vec::new();
+    for number in 0..=shard.get() {
+        ranked = ranked_boxes(&ShardIndex::new(number).to_string(), boxes);
+        // All domains have had their turn alike when there is none with fewer firsts.
+        let firsts_in =
+            |copy: &CopyHolder| firsts.iter().filter(|first| first.domain == copy.domain).count();
+        let free = |copy: &&CopyHolder| firsts.iter().all(|first| first.box_id != copy.box_id);
+        let candidates = ranked.iter().enumerate().filter(|(_, copy)| free(copy));
+        let Some((at, _)) = candidates.min_by_key(|(at, copy)| (firsts_in(copy), *at)) else {
+            // More shards than boxes: chance alone.
+            continue;
+        };
+        let first = ranked.remove(at);
+        ranked.insert(0, first);
+        firsts.push(first);
+    }
+    ranked
+}
+
+fn ranked_boxes<'a>(key: &str, boxes: &'a [CopyHolder]) -> Vec<&'a CopyHolder> {
+    let ids = boxes.iter().map(|copy| &copy.box_id);
+    let ranked = coord::rendezvous::ranked(key, ids, boxes.len()).into_iter();
+    ranked.filter_map(|box_id| boxes.iter().find(|copy| copy.box_id == *box_id)).collect()
+}
+
 /// The boxes for the other copies of a shard: in failure domains other than `domain` and than
 /// each other where there are enough, ranked alike on every box. `None` when there are too few.
 pub fn choose_partners(
@@ -100,13 +138,7 @@
     alive: &[CopyHolder],
     count: usize,
 ) -> Option<Vec<CopyHolder>> {
-    let key = shard.to_string();
-    let ranked =
-        coord::rendezvous::ranked(&key, alive.iter().map(|copy| &copy.box_id), alive.len());
-    let mut left: Vec<&CopyHolder> = ranked
-        .into_iter()
-        .filter_map(|box_id| alive.iter().find(|copy| copy.box_id == *box_id))
-        .collect();
+    let mut left = ranked_boxes(&shard.to_string(), alive);
     let mut chosen: Vec<CopyHolder> = Vec::new();
     while chosen.len() < count {
         let used = |copy: &CopyHolder| {
--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -26,7 +26,7 @@
 pub use copy::{CopyError, CopyFolder, LogCopyFile};
 pub use duty::{
     DutyIntent, DutyView, LEAVING_PATIENCE, RESTART_PATIENCE, ShardDuty, TAKE_AFTER,
-    choose_partners, choose_sound_partners, shard_duty, shard_of,
+    choose_partners, choose_sound_partners, first_ranked, shard_duty, shard_of, shard_of_job,
 };
 pub use former::{EpochFormer, FormFault, FormStep, PlanWrite, ReadPlan};
 pub use layout::ShardLayout;
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -6,10 +6,10 @@
 use ids::ShardIndex;
 use joblog::{
     CopyHolder, DutyIntent, DutyView, EpochFormer, EpochId, FormFault, FormStep, PlanWrite,
-    ReadPlan, ShardDuty, ShardPlan, shard_duty,
+    ReadPlan, ShardDuty, ShardPlan, first_ranked, shard_duty,
 };
 use node::StoreCall;
-use node::duties::{PlanSighting, shard_object};
+use node::duties::{DutyBoard, PlanSighting, shard_object};
 use platform::{Kind, StoreError};
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -94,9 +94,6 @@
     } else {
         now.since(*no_plan_since.get_or_insert(now))
     };
-    let boxes: Vec<_> = duties.boxes().map(|copy| copy.box_id.clone()).collect();
-    let ranked = coord::rendezvous::ranked(&shard.to_string(), &boxes, boxes.len());
-    let first_rank = ranked.iter().position(|box_id| **box_id == ctx.me.box_id);
     let plan = sighting.map(|sighting| &sighting.plan);
     let server = plan.and_then(ShardPlan::server);
     let view = DutyView {
@@ -106,7 +103,7 @@
         lost_before: plan.map_or(0, |plan| lost_before(ctx, shard, plan)),
         server_silent: sighting.map(|told| server_silence(ctx, shard, told)).unwrap_or_default(),
         server_restarts: server.is_some_and(|server| ctx.peers.restarts(&server.box_id)),
-        first_rank: first_rank.unwrap_or(boxes.len()),
+        first_rank: if plan.is_none() { first_rank(ctx, shard, &duties) } else { 0 },
         no_plan_for,
         intent: if keeper.take_asked() {
             DutyIntent::Asked
@@ -119,6 +116,13 @@
     shard_duty(&view) == ShardDuty::Take
 }
 
+/// Place of this box among those that could begin the shard.
+fn first_rank(ctx: &ShardContext, shard: ShardIndex, duties: &DutyBoard) -> usize {
+    let boxes: Vec<CopyHolder> = duties.boxes().cloned().collect();
+    let ranked = first_ranked(shard, &boxes);
+    ranked.iter().position(|copy| copy.box_id == ctx.me.box_id).unwrap_or(boxes.len())
+}
+
 /// Whether a box that goes before this one in the plan makes new copies, to serve the shard.
 fn box_before_forms(ctx: &ShardContext, shard: ShardIndex, plan: &ShardPlan) -> bool {
     let rank = plan.rank(&ctx.me.box_id).unwrap_or_default();
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -117,6 +117,11 @@
     refused(RefusedKind::BadRequest, reason::NO_JOB, "no such job is held: check its id")
 }
 
+/// Whether a shard holds a job, by what is in memory.
+fn holds(keeper: &ShardKeeper, job: &str) -> bool {
+    job.parse().is_ok_and(|id| keeper.book().knows(&id))
+}
+
 fn unsure() -> Refused {
     let message = "the log has ended meanwhile, it may be kept: ask again under the same id";
     refused(RefusedKind::Unknown, "", message)
@@ -163,7 +168,10 @@
             }
             shard_request::Body::HandOver(hand_over) => self.hand_over(&hand_over),
             shard_request::Body::Served(asked) => {
-                self.served(asked.shard)?;
+                let keeper = self.served(asked.shard)?;
+                if !asked.job.is_empty() && !holds(keeper, &asked.job) {
+                    return Err(not_known());
+                }
                 Ok(shard_answer::Body::Synced(LogSynced::default()))
             }
             shard_request::Body::Feed(read) => {
