Let entry boxes that are told leave a silent store alone

Cause: while the store is silent, each of 250 entry boxes asks it about once a second whether it is back, beside the keeping box that tells its failure domain and asks as well. Change: an entry box that another box still answers, though with old news, pauses 1.5 s between its own calls (ProbePace): with a call's 0.7 s it knows of a store that serves it alone within 2.2 s. Boxes with disks ask as before, since trainers wait for what they do at the store's return. News are taken during a pause, too.

--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -94,6 +94,8 @@
     let mut duties = KindFollower::new(view, Kind::Duties, GATHER_DUTIES, DutySink(v()));
     // It tells which boxes to ask, and whom to hand jobs to; who is asked in vain says so.
     duties.begin_old();
+    // Requests are served by what is known, and there are hundreds of these boxes.
+    config.hear_later();
     let fed = vec![config.feed(), targets.feed(), duties.feed()];
     tokio::spawn(config.run(end.clone()));
     tokio::spawn(targets.run(end.clone()));
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -94,6 +94,7 @@
             let asked_at = Instant::now();
             let wait = if self.view.feed.trust().is_fed() { FEED_WAIT } else { Duration::ZERO };
             if let Some(page) = self.ask(&teller, wait).await {
+                self.view.feed.trust().note_answer();
                 if self.take(&teller, asked_at, page).await {
                     self.silent.remove(&teller.box_id);
                     continue;
--- a/crates/node/src/feed/trust.rs
+++ b/crates/node/src/feed/trust.rs
@@ -12,6 +12,8 @@
 /// A box asks the store for itself when the last proof it heard of is older than this. Changes must
 /// be known two seconds after they are made, and the store's answer takes some time of that.
 pub(super) const HEAR_TRUST: Duration = Duration::from_millis(1_700);
+/// A box counts as answered by another one for so long: an unanswered question takes at most 0.7 s of it.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
 
 /// What was heard of another box's reach to the store.
 #[derive(Debug, Clone)]
@@ -36,6 +38,8 @@
     fed: watch::Sender<bool>,
     /// Whether it is known that nobody tells this box.
     nobody: watch::Sender<bool>,
+    /// When another box last answered, with fresh news or old ones.
+    answered_at: watch::Sender<Option<Instant>>,
 }
 
 impl Default for FeedTrust {
@@ -44,6 +48,7 @@
             heard: watch::Sender::new(None),
             fed: watch::Sender::new(false),
             nobody: watch::Sender::new(false),
+            answered_at: watch::Sender::new(None),
         }
     }
 }
@@ -57,6 +62,16 @@
         is_new
     }
 
+    /// Notes that another box has answered, with fresh news or old ones.
+    pub fn note_answer(&self) {
+        self.answered_at.send_replace(Some(Instant::now()));
+    }
+
+    /// Whether another box answers this one: it will tell of the store's return.
+    pub fn answers(&self) -> bool {
+        self.answered_at.borrow().is_some_and(|at| at.elapsed() < ANSWER_TIME)
+    }
+
     /// Notes that no box tells this one.
     pub fn tell_nobody(&self) {
         self.nobody.send_replace(true);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -11,10 +11,11 @@
 
 use platform::{Changed, Kind, Listing, StoreError, WatchTime};
 use tokio::sync::{mpsc, watch};
-use tokio::time;
+use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
 use crate::feed::{FedKind, FedNews, PROOF_TIME, binds_callers};
+use crate::probe::ProbePace;
 use crate::{NodeView, StoreCall};
 
 /// Room for a watch's answer: the store takes some tens of times as long as usual when it is slow.
@@ -29,15 +30,6 @@
 const PROBE_TIME: WatchTime = WatchTime { wait: Duration::from_millis(20), slack: WATCH_SLACK };
 /// After the store's return, or its first news, how long a follower waits to be fed.
 const FEED_RETURN: Duration = Duration::from_millis(700);
-/// Pause after the second failed call in a row; doubles up to [`MOST_PAUSE`]. The first is made
-/// again at once: a watch may be cut without a word while the store is well.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after a failed call. Trainers name their versions at the moment of the store's return, and
-/// wait for the engines from then on: with this pause, with answers about leases taken as a sign of the
-/// store, and with no wait for a feed that never was, a day with the store away for 8 s is worth 0.755 in
-/// place of 0.738 (mean of six seeds), at some 30 calls more.
-const MOST_PAUSE: Duration = Duration::from_millis(300);
-
 /// How long a follower that may be fed waits for the first news before it asks the store itself. A box
 /// that starts among hundreds makes one or two calls so, in place of six.
 const FIRST_FEED: Duration = Duration::from_secs(1);
@@ -84,6 +76,8 @@
     gather: Duration,
     sink: S,
     first: FirstLook,
+    /// Whether another box's word of the store's return is soon enough.
+    may_hear_later: bool,
     /// Up to which revision the kind is known; zero for not at all.
     revision: watch::Sender<u64>,
     /// News from another box, if the kind is fed.
@@ -95,7 +89,8 @@
     pub fn new(view: &Arc<NodeView>, kind: Kind, gather: Duration, sink: S) -> Self {
         let view = Arc::clone(view);
         let first = FirstLook::Lists;
-        Self { view, kind, gather, sink, first, revision: watch::Sender::new(0), news: None }
+        let revision = watch::Sender::new(0);
+        Self { view, kind, gather, sink, first, may_hear_later: false, revision, news: None }
     }
 
     /// Lets another box's news feed this follower; its own watches rest meanwhile.
@@ -114,6 +109,11 @@
         self.first = FirstLook::ListsOld;
     }
 
+    /// Lets the box hear of the store's return from another one: nobody waits for what it does then.
+    pub const fn hear_later(&mut self) {
+        self.may_hear_later = true;
+    }
+
     /// Follows the kind until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
         tokio::select! {
@@ -124,7 +124,8 @@
 
     async fn follow(&mut self) {
         let mut fed = self.view.feed.trust().states();
-        let mut pause = Duration::ZERO;
+        let mut pace = ProbePace::default();
+        let mut ask_at = Instant::now();
         let mut wait = self.usual_time();
         let mut known = None;
         let mut news = self.news.take();
@@ -150,13 +151,13 @@
                     wait = PROBE_TIME;
                     continue;
                 }
-                answered = follow_once(&self.view, self.kind, known, wait), if !resting => answered,
+                answered = ask_from(ask_at, &self.view, self.kind, known, wait), if !resting => answered,
             };
             match answered {
                 Ok(told) => {
                     self.view.store_answered(self.kind, true);
                     self.view.feed.proven(self.kind, self.view.now());
-                    pause = Duration::ZERO;
+                    pace.answered();
                     wait = self.usual_time();
                     let next = self.take(told);
                     let is_new = known.is_none_or(|last| last != next);
@@ -173,9 +174,11 @@
                     self.view.store_answered(self.kind, false);
                     wait = PROBE_TIME;
                     log::debug!(target: "node", kind:% = self.kind, error:% = error; "store call failed");
-                    time::sleep(pause).await;
-                    pause = (pause * 2).clamp(FIRST_PAUSE, MOST_PAUSE);
-                    if self.kind != Kind::Configuration {
+                    if self.kind == Kind::Configuration {
+                        let told = self.may_hear_later && self.view.feed.trust().answers();
+                        ask_at = Instant::now() + pace.failed(told);
+                    } else {
+                        time::sleep(pace.failed(false)).await;
                         wait_until_up(&self.view).await;
                         if was_fed {
                             // Fed or not, it goes on from what is known.
@@ -261,6 +264,18 @@
     let _closed = states.wait_for(|state| state.up).await;
 }
 
+/// As [`follow_once`], not before `at`.
+async fn ask_from(
+    at: Instant,
+    view: &NodeView,
+    kind: Kind,
+    known: Option<u64>,
+    time: WatchTime,
+) -> Result<FedNews, StoreError> {
+    time::sleep_until(at).await;
+    follow_once(view, kind, known, time).await
+}
+
 /// Lists the kind, or waits for changes after `known`.
 async fn follow_once(
     view: &NodeView,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod logs;
 mod metrics;
 mod plain;
+mod probe;
 mod settings;
 pub mod sinks;
 mod stop;
@@ -17,6 +18,7 @@
 
 pub use metrics::{NodeMetrics, StoreCall, serve_metrics, tell_store_calls};
 pub use plain::{PlainCall, PlainEnd, call_plain};
+pub use probe::ProbePace;
 pub use settings::{
     NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
 };
