Bound the connections to targets by the box's descriptors, and leave no name behind

Cause: a server of jobs holds a connection for each item that runs; at 301 boxes before 3,000 targets the busiest box had 8,023 of its 8,200 descriptors open, and nothing in it knew of that. A process without descriptors can neither hear other boxes nor write its log. Change: connections to targets are counted and bounded by the descriptors of the settings (--max-fds) less those for files and other boxes; resting ones give way first, items wait from nine tenths of the bound on, and the rest is for what ends items. Ruled out: the system's own limit of descriptors (getrlimit): the platform's stands in its settings.

--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -9,7 +9,7 @@
 use node::feed::follow_feed;
 use node::follow::KindFollower;
 use node::sinks::{ConfigSink, TargetSink};
-use node::{NodeSettings, NodeView, serve_metrics, tell_store_calls};
+use node::{NodeSettings, NodeView, serve_metrics, tell_counts};
 use platform::{Kind, ObjectStore};
 use tokio::net::TcpListener;
 use tokio::time::{self, Instant};
@@ -67,7 +67,7 @@
     if let Some(address) = metrics {
         tokio::spawn(serve_metrics(Arc::clone(&view), address));
     }
-    tokio::spawn(tell_store_calls(Arc::clone(&view)));
+    tokio::spawn(tell_counts(Arc::clone(&view)));
     let links = LinkPool::new(link_settings, end.clone());
     start_followers(&view, &links, &end);
     let shards = ShardClient::new(Arc::clone(&view), links);
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -53,6 +53,10 @@
                 tried.push(slot.instance);
                 continue;
             }
+            Ok(Err(SendError::NoRoom)) => {
+                end_at(view, &slot, None);
+                break;
+            }
             Ok(Err(SendError::Broken(_))) | Err(_) => {
                 end_at(view, &slot, Some(TargetFailure::Broken));
                 return unknown(view, &id);
--- a/crates/jobs/src/trace.rs
+++ b/crates/jobs/src/trace.rs
@@ -6,7 +6,6 @@
 //! not start, by the reason.
 
 use std::collections::{HashMap, HashSet};
-use std::fmt;
 use std::time::Duration;
 
 use ids::{InstanceId, Moment};
@@ -25,29 +24,20 @@
     Resting,
     /// Those that hold them have no place.
     Full,
+    /// This box holds as many connections as it may.
+    NoConnections,
 }
 
 impl StartHold {
     /// All reasons, the order in which they are told.
-    pub const ALL: [Self; 5] =
-        [Self::NoRoute, Self::OldWeights, Self::Loading, Self::Resting, Self::Full];
-
-    /// The word for logs.
-    pub const fn word(self) -> &'static str {
-        match self {
-            Self::NoRoute => "no route",
-            Self::OldWeights => "old weights",
-            Self::Loading => "loading",
-            Self::Resting => "resting",
-            Self::Full => "full",
-        }
-    }
-}
-
-impl fmt::Display for StartHold {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.word())
-    }
+    pub const ALL: [Self; 6] = [
+        Self::NoRoute,
+        Self::OldWeights,
+        Self::Loading,
+        Self::Resting,
+        Self::Full,
+        Self::NoConnections,
+    ];
 }
 
 /// What an item spent its time on, while this box served its shard.
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -111,28 +111,28 @@
 
     /// Whether this box is the one that tells its domain.
     fn is_first(&self) -> bool {
-        let duties = self.view.duties();
-        let domain = &self.view.settings.domain;
-        let here = duties.boxes().filter(|copy| copy.domain == *domain).map(|copy| &copy.box_id);
-        let here: Vec<&BoxId> = here.collect();
-        let ranked = coord::rendezvous::ranked(domain.as_str(), here.iter().copied(), here.len());
-        ranked.first().is_some_and(|first| **first == self.view.settings.box_id)
+        self.ranked().first().is_some_and(|first| first.box_id == self.view.settings.box_id)
     }
 
     /// The box to ask: the same for all boxes of the domain, as long as it tells.
     fn teller(&self) -> Option<CopyHolder> {
-        let duties = self.view.duties();
-        let here = duties.boxes().filter(|copy| copy.domain == self.view.settings.domain);
-        let here: Vec<&CopyHolder> = here.collect();
-        let ids = here.iter().map(|copy| &copy.box_id);
-        let ranked = coord::rendezvous::ranked(self.view.settings.domain.as_str(), ids, here.len());
         let me = &self.view.settings.box_id;
         // A box that keeps data is told by those before it only; the first one asks the store.
-        let mut before = ranked.into_iter().take_while(|box_id| *box_id != me);
-        let able = before.find(|box_id| {
-            self.silent.get(*box_id).is_none_or(|at| at.elapsed() >= SILENT_PAUSE)
-        })?;
-        here.iter().find(|copy| copy.box_id == *able).map(|copy| (*copy).clone())
+        let mut before = self.ranked().into_iter().take_while(|copy| copy.box_id != *me);
+        before.find(|copy| {
+            self.silent.get(&copy.box_id).is_none_or(|at| at.elapsed() >= SILENT_PAUSE)
+        })
+    }
+
+    /// The boxes of this domain that keep data, in the order in which they are asked.
+    fn ranked(&self) -> Vec<CopyHolder> {
+        let duties = self.view.duties();
+        let domain = &self.view.settings.domain;
+        let here: Vec<&CopyHolder> = duties.boxes().filter(|copy| copy.domain == *domain).collect();
+        let ids = here.iter().map(|copy| &copy.box_id);
+        let ranked = coord::rendezvous::ranked(domain.as_str(), ids, here.len()).into_iter();
+        let found = ranked.filter_map(|box_id| here.iter().find(|copy| copy.box_id == *box_id));
+        found.map(|copy| (*copy).clone()).collect()
     }
 
     async fn ask(&self, teller: &CopyHolder, wait: Duration) -> Option<FeedPage> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,7 +16,7 @@
 mod stop;
 mod view;
 
-pub use metrics::{NodeMetrics, StoreCall, serve_metrics, tell_store_calls};
+pub use metrics::{NodeMetrics, StoreCall, serve_metrics, tell_counts};
 pub use plain::{PlainCall, PlainEnd, call_plain};
 pub use probe::ProbePace;
 pub use settings::{
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -90,6 +90,7 @@
     items_waiting: Gauge,
     job_bytes: Gauge,
     config_version: Gauge,
+    target_connections: Gauge,
 }
 
 impl fmt::Debug for NodeMetrics {
@@ -108,6 +109,12 @@
         let (jobs_held, items_waiting, job_bytes) =
             (Gauge::default(), Gauge::default(), Gauge::default());
         let config_version = Gauge::default();
+        let target_connections = Gauge::default();
+        registry.register(
+            "target_connections",
+            "Open connections to targets, resting ones included",
+            target_connections.clone(),
+        );
         registry.register(
             "config_version",
             "Version of the configuration in force",
@@ -139,6 +146,7 @@
             items_waiting,
             job_bytes,
             config_version,
+            target_connections,
         }
     }
 }
@@ -187,6 +195,11 @@
         self.config_version.set(i64::try_from(version.get()).unwrap_or(i64::MAX));
     }
 
+    /// Notes how many connections to targets are open.
+    pub fn connections(&self, open: usize) {
+        self.target_connections.set(i64::try_from(open).unwrap_or(i64::MAX));
+    }
+
     fn text(&self) -> String {
         let mut text = String::new();
         // Writing to a string cannot fail.
@@ -195,14 +208,23 @@
     }
 }
 
-/// How often the calls to the store are told: a line a box at most, so that its volume is bounded
-/// however many calls there are.
-const TELL_CALLS_EVERY: Duration = Duration::from_secs(10);
+/// How often calls to the store and connections are told: two lines a box at most, so that their volume is
+/// bounded however many there are.
+const TELL_EVERY: Duration = Duration::from_secs(10);
 
-/// Tells in the log which calls this box makes to the store, while it makes any.
-pub async fn tell_store_calls(view: Arc<crate::NodeView>) {
+/// Connections are told from this part of what may be open: one part in so many.
+const TELL_CONNECTIONS_PARTS: usize = 2;
+
+/// Tells in the log which calls this box makes to the store, while it makes any, and how many connections to
+/// targets it holds where that is many.
+pub async fn tell_counts(view: Arc<crate::NodeView>) {
     loop {
-        time::sleep(TELL_CALLS_EVERY).await;
+        time::sleep(TELL_EVERY).await;
+        let limit = view.pool.limit();
+        let (open, most) = (limit.open(), limit.most());
+        if open >= most / TELL_CONNECTIONS_PARTS {
+            log::warn!(target: "targets", open = open, most = most; "many connections");
+        }
         if let Some((calls, told)) = view.metrics.take_store_calls() {
             log::info!(target: "node", dependency = "store", calls = calls, told = told.as_str(); "store calls");
         }
@@ -220,7 +242,10 @@
     };
     let page = move || {
         let view = Arc::clone(&view);
-        async move { view.metrics.text() }
+        async move {
+            view.metrics.connections(view.pool.limit().open());
+            view.metrics.text()
+        }
     };
     let served = axum::serve(listener, Router::new().route("/metrics", get(page))).await;
     if let Err(error) = served {
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -68,6 +68,8 @@
 enum TryOutcome {
     Answered,
     NotSent,
+    /// This box holds as many connections as it may.
+    NoRoom,
     Silent,
     Broken,
     /// The answer belongs to another request.
@@ -83,6 +85,7 @@
         match self {
             Self::Answered => "answered",
             Self::NotSent => "not sent",
+            Self::NoRoom => "no connection left",
             Self::Silent => "silent",
             Self::Broken => "broken",
             Self::OtherAnswer => "answer to another request",
@@ -167,6 +170,7 @@
             (TryOutcome::Silent, TryEnd::Broken)
         }
         Ok(Err(SendError::NotSent(_))) => (TryOutcome::NotSent, TryEnd::NotRun),
+        Ok(Err(SendError::NoRoom)) => (TryOutcome::NoRoom, TryEnd::NotRun),
         Ok(Err(SendError::Broken(_))) => (TryOutcome::Broken, TryEnd::Broken),
         Ok(Ok(answer)) => judge(view, call, slot, answer),
     };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -48,6 +48,9 @@
     /// After a request to stop, how long the process may live, in seconds.
     #[arg(long, env = "GANNETWAY_GRACE_S", default_value_t = 8.0)]
     pub grace_s: f64,
+    /// Descriptors that the process may open; connections to targets keep well below.
+    #[arg(long, env = "GANNETWAY_MAX_FDS", default_value_t = 4_096)]
+    pub max_fds: usize,
     /// Log level: error, warn, info, debug or trace.
     #[arg(long, env = "GANNETWAY_LOG", default_value = "info")]
     pub log: log::LevelFilter,
@@ -104,6 +107,8 @@
     pub key: DeploymentKey,
     /// Shards of jobs; 0 for as many as the boxes agree on.
     pub shards: u32,
+    /// Descriptors that the process may open.
+    pub max_fds: usize,
     /// Time to stop in.
     pub grace: Duration,
     /// Log level.
@@ -162,6 +167,10 @@
         if !(0.0..=MOST_GRACE_S).contains(&self.grace_s) {
             faults.push(format!("--grace-s is {}: give 0 to {MOST_GRACE_S}", self.grace_s));
         }
+        if self.max_fds == 0 {
+            faults
+                .push("--max-fds is 0: give the descriptors that the process may open".to_owned());
+        }
         if self.peer_port == 0 {
             faults.push("--peer-port is 0: give the port that other boxes use".to_owned());
         }
@@ -184,6 +193,7 @@
             store: self.store,
             key,
             shards: self.shards,
+            max_fds: self.max_fds,
             grace: Duration::from_secs_f64(self.grace_s),
             log: self.log,
         })
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -10,7 +10,7 @@
 use routing::{RouteTable, TargetBoard};
 use tokio::sync::watch;
 use tokio::time::Instant;
-use upstream::TargetPool;
+use upstream::{ConnectionLimit, TargetPool};
 
 use crate::duties::DutyBoard;
 use crate::feed::FeedBoard;
@@ -61,10 +61,11 @@
     /// A view that believes nothing yet.
     pub fn new(settings: NodeSettings, store: ObjectStore) -> Self {
         let board = TargetBoard::new(settings.domain.clone());
+        let limit = ConnectionLimit::for_descriptors(settings.max_fds);
         Self {
             settings,
             store,
-            pool: TargetPool::default(),
+            pool: TargetPool::new(limit),
             metrics: NodeMetrics::default(),
             feed: FeedBoard::default(),
             table: RwLock::default(),
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -132,6 +132,9 @@
     if spec.whole {
         return Ok(NextStep::Reward);
     }
+    if !ctx.view.pool.limit().has_room() {
+        return Err(StartHold::NoConnections);
+    }
     let service = item_service(ctx, spec).ok_or(StartHold::NoRoute)?;
     let model: Option<ModelName> = spec.job.model.parse().ok();
     let floor = ModelVersion::new(spec.job.min_version);
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -104,6 +104,7 @@
                 return RunReason::SilentBeforeHead;
             }
             Ok(Err(SendError::NotSent(_))) => return RunReason::NotSent,
+            Ok(Err(SendError::NoRoom)) => return RunReason::NoRoom,
             Ok(Err(SendError::Broken(_))) => return RunReason::BrokenBeforeHead,
             Ok(Ok(answer)) => answer,
         };
--- a/crates/shards/src/run_reason.rs
+++ b/crates/shards/src/run_reason.rs
@@ -12,6 +12,8 @@
     /// The item's request cannot be written.
     Unwritable,
     NotSent,
+    /// This box holds as many connections as it may.
+    NoRoom,
     SilentBeforeHead,
     BrokenBeforeHead,
     /// The answer belongs to another request.
@@ -40,9 +42,11 @@
         match self {
             Self::Whole => RunOutcome::Whole,
             Self::Unwritable | Self::Impossible => RunOutcome::Impossible,
-            Self::NotSent | Self::OtherTarget | Self::FullOrLoading | Self::WeightsTooOld => {
-                RunOutcome::NotRun
-            }
+            Self::NotSent
+            | Self::NoRoom
+            | Self::OtherTarget
+            | Self::FullOrLoading
+            | Self::WeightsTooOld => RunOutcome::NotRun,
             Self::TargetError => RunOutcome::Failed,
             Self::SlowEngine => RunOutcome::Moved,
             Self::SilentBeforeHead
@@ -64,6 +68,8 @@
         match self {
             Self::OtherTarget => Some(TargetFailure::Gone),
             Self::FullOrLoading | Self::WeightsTooOld => Some(TargetFailure::Full),
+            // Nothing was asked of it.
+            Self::NoRoom => None,
             _ => match self.outcome() {
                 RunOutcome::Cut | RunOutcome::NotRun => Some(TargetFailure::Broken),
                 _ => None,
@@ -77,6 +83,7 @@
             Self::Whole => "whole",
             Self::Unwritable => "the item's request cannot be written",
             Self::NotSent => "not sent",
+            Self::NoRoom => "no connection left",
             Self::SilentBeforeHead => "silent before the head",
             Self::BrokenBeforeHead => "broken before the head",
             Self::OtherAnswer => "answer to another request",
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,7 +6,9 @@
 //! can never be taken for the answer to another.
 
 mod answer;
+mod limit;
 mod pool;
 
 pub use answer::{TargetAnswer, WholeAnswer, keep_time};
+pub use limit::{ConnectionLimit, ConnectionPlace};
 pub use pool::{SendError, TargetPool};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -15,7 +15,7 @@
 use tokio::time::{self, Instant};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::TargetAnswer;
+use crate::{ConnectionLimit, ConnectionPlace, TargetAnswer};
 
 /// Longest wait for a connection; targets answer in about a millisecond, and a lost opening
 /// packet is repeated only after a second.
@@ -31,6 +31,11 @@
     /// Nothing was sent.
     #[error("the target at {0} cannot be reached, nothing was sent: choose another")]
     NotSent(SocketAddr),
+    /// This box holds as many connections as it may; nothing was sent.
+    #[error(
+        "no connection may be opened, nothing was sent: wait until others have ended, or raise `--max-fds`"
+    )]
+    NoRoom,
     /// It was sent, and may have run.
     #[error("the target broke off ({0}): the request may have run")]
     Broken(String),
@@ -38,6 +43,8 @@
 
 pub(crate) struct Connection {
     pub sender: SendRequest<Full<Bytes>>,
+    #[expect(dead_code, reason = "held for its drop, which frees the place")]
+    pub place: ConnectionPlace,
     /// Closes the connection when it is dropped.
     #[expect(dead_code, reason = "held for its drop, which closes the connection")]
     pub open: DropGuard,
@@ -50,6 +57,7 @@
 #[derive(Clone, Default)]
 pub struct TargetPool {
     idle: Idle,
+    limit: Arc<ConnectionLimit>,
 }
 
 impl std::fmt::Debug for TargetPool {
@@ -59,6 +67,24 @@
 }
 
 impl TargetPool {
+    /// A pool that keeps to a limit.
+    pub fn new(limit: ConnectionLimit) -> Self {
+        Self { idle: Idle::default(), limit: Arc::new(limit) }
+    }
+
+    /// How many connections are open, and how many may be.
+    pub fn limit(&self) -> &ConnectionLimit {
+        &self.limit
+    }
+
+    /// A place for a connection; resting ones give theirs up where there is none.
+    fn place(&self) -> Option<ConnectionPlace> {
+        self.limit.take().or_else(|| {
+            self.forget_resting();
+            self.limit.take()
+        })
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -89,7 +115,8 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<TargetAnswer, SendError> {
-        let connected = time::timeout(CONNECT_TIMEOUT, connect(address)).await;
+        let Some(place) = self.place() else { return Err(SendError::NoRoom) };
+        let connected = time::timeout(CONNECT_TIMEOUT, connect(address, place)).await;
         let Ok(Some(mut connection)) = connected else {
             return Err(SendError::NotSent(address));
         };
@@ -156,7 +183,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<Connection> {
+async fn connect(address: SocketAddr, place: ConnectionPlace) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -169,5 +196,5 @@
             () = closed.cancelled() => {}
         }
     });
-    Some(Connection { sender, open, idle_until: Instant::now() })
+    Some(Connection { sender, place, open, idle_until: Instant::now() })
 }
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -16,6 +16,42 @@
 }
 
 const ABLATIONS: &[Ablation] = &[
+    Ablation {
+        name: "trainer-shards",
+        without: "trainers behind one host share one server",
+        edit: SourceEdit {
+            file: "crates/joblog/src/duty.rs",
+            from: r#"format!("{} {model}", host.to_ascii_lowercase())"#,
+            to: r#"format!("{} {}", host.to_ascii_lowercase(), &model[..0])"#,
+        },
+    },
+    Ablation {
+        name: "told-loads",
+        without: "servers find loads that they did not order out by refusals",
+        edit: SourceEdit {
+            file: "crates/shards/src/loads.rs",
+            from: "if servers(ctx).contains(other)",
+            to: "if servers(ctx).contains(other) && other.as_str().is_empty()",
+        },
+    },
+    Ablation {
+        name: "brief-rest",
+        without: "connections are not used again where a target tells one second",
+        edit: SourceEdit {
+            file: "crates/upstream/src/answer.rs",
+            from: "const KEEP_MARGIN: Duration = Duration::from_millis(300);",
+            to: "const KEEP_MARGIN: Duration = Duration::from_secs(1);",
+        },
+    },
+    Ablation {
+        name: "told-pause",
+        without: "boxes that are told ask a silent store as often as the one that tells",
+        edit: SourceEdit {
+            file: "crates/node/src/probe.rs",
+            from: "            _ if told => TOLD_PAUSE,",
+            to: "            _ if told && before > 99 => TOLD_PAUSE,",
+        },
+    },
     Ablation {
         name: "second-call",
         without: "a reward call is made at one target at a time",
@@ -147,8 +183,8 @@
         without: "every box asks the store itself",
         edit: SourceEdit {
             file: "crates/node/src/feed/client.rs",
-            from: "        let duties = self.view.duties();\n        let here",
-            to: "        let duties = self.view.duties();\n        if duties.boxes().count() < usize::MAX {\n            return None;\n        }\n        let here",
+            from: "self.silent.get(&copy.box_id).is_none_or(|at| at.elapsed() >= SILENT_PAUSE)",
+            to: "copy.address.is_empty() && !self.silent.contains_key(&copy.box_id)",
         },
     },
     Ablation {
