Ask the one server of a deployment at once

Cause: an entry box that had not heard of a job asked where it is also where there is one shard: a round trip for each first call, and up to 0.3 s of each while the server is lost. Change: with one shard the call goes to its server as before shards were searched, and its word that it holds no such job is taken.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -221,7 +221,9 @@
     ) -> Result<shard_answer::Body, ShardFault> {
         if let Some(shard) = self.locate(job).await {
             match self.ask(shard, job, time, &body(shard)).await {
-                Err(ShardFault::NoJob) => self.places().forget(job),
+                Err(ShardFault::NoJob) if self.view.shards() != Some(1) => {
+                    self.places().forget(job);
+                }
                 ended => return ended,
             }
         }
@@ -230,10 +232,14 @@
 
     /// The shard that holds a job, if it is known or its server says so.
     async fn locate(&self, job: &str) -> Option<ShardIndex> {
+        let shards = self.view.shards()?;
+        if shards == 1 {
+            // To ask where it is would hold up each first call while the one server is lost.
+            return Some(ShardIndex::default());
+        }
         if let Some(shard) = self.places().shard(job) {
             return Some(shard);
         }
-        let shards = self.view.shards()?;
         let asked = (0..shards).map(ShardIndex::new).map(|shard| async move {
             let address = self.addresses(shard).into_iter().next()?;
             let body = ServedAsk { shard: shard.get(), job: job.to_owned() };
