--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -219,6 +219,10 @@
         time: Duration,
         body: impl Fn(ShardIndex) -> shard_request::Body,
     ) -> Result<shard_answer::Body, ShardFault> {
+        if self.view.is_isolated() {
+            // Nobody is reached: the caller is turned away at once.
+            return Err(ShardFault::NotServed);
+        }
         if let Some(shard) = self.locate(job).await {
             match self.ask(shard, job, time, &body(shard)).await {
                 Err(ShardFault::NoJob) if self.view.shards() != Some(1) => {
--- a/crates/node/src/duties.rs
+++ b/crates/node/src/duties.rs
@@ -58,6 +58,11 @@
         self.plans.get(&shard)
     }
 
+    /// The boxes that serve a shard, by the plans in force; one that serves several is named once for each.
+    pub fn servers(&self) -> impl Iterator<Item = &CopyHolder> {
+        self.plans.values().filter_map(|sighting| sighting.plan.server())
+    }
+
     /// The layout that the boxes have agreed on.
     pub const fn layout(&self) -> Option<ShardLayout> {
         self.layout
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -132,7 +132,7 @@
     if spec.whole {
         return Ok(NextStep::Reward);
     }
-    if !ctx.view.pool.limit().has_room() {
+    if !ctx.view.pool.has_room() {
         return Err(StartHold::NoConnections);
     }
     let service = item_service(ctx, spec).ok_or(StartHold::NoRoute)?;
--- a/crates/shards/src/loads.rs
+++ b/crates/shards/src/loads.rs
@@ -8,7 +8,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use ids::{BoxId, InstanceId, ModelName, ModelVersion, Moment, ShardIndex};
+use ids::{BoxId, InstanceId, ModelName, ModelVersion, Moment};
+use joblog::CopyHolder;
 use routing::TargetBoard;
 use tokio::sync::Notify;
 use tokio::time;
@@ -79,7 +80,8 @@
 
 /// The loads that a box is told: those that run no items need none.
 pub fn told_loads(ctx: &ShardContext, other: &BoxId) -> Vec<EngineLoad> {
-    if servers(ctx).contains(other) { ctx.loads.told(ctx.view.now()) } else { Vec::new() }
+    let serves = ctx.view.duties().servers().any(|server| server.box_id == *other);
+    if serves { ctx.loads.told(ctx.view.now()) } else { Vec::new() }
 }
 
 /// Takes what another box tells of its loads.
@@ -98,21 +100,13 @@
     loop {
         ctx.loads.changed.notified().await;
         time::sleep(GATHER).await;
-        let servers = servers(&ctx);
-        let duties = ctx.view.duties();
-        for other in duties.boxes().filter(|copy| servers.contains(&copy.box_id)) {
-            if other.box_id != ctx.me.box_id {
-                tokio::spawn(send_beat(Arc::clone(&ctx), Arc::clone(&keepers), other.clone()));
-            }
+        let others: HashMap<BoxId, CopyHolder> = {
+            let duties = ctx.view.duties();
+            let others = duties.servers().filter(|server| server.box_id != ctx.me.box_id);
+            others.map(|server| (server.box_id.clone(), server.clone())).collect()
+        };
+        for other in others.into_values() {
+            tokio::spawn(send_beat(Arc::clone(&ctx), Arc::clone(&keepers), other));
         }
     }
 }
-
-/// The boxes that serve a shard, by the plans in force.
-fn servers(ctx: &ShardContext) -> Vec<BoxId> {
-    let shards = ctx.view.shards().unwrap_or_default();
-    let duties = ctx.view.duties();
-    let plans = (0..shards).filter_map(|shard| duties.plan(ShardIndex::new(shard)));
-    let servers = plans.filter_map(|sighting| sighting.plan.server());
-    servers.map(|copy| copy.box_id.clone()).collect()
-}
--- a/crates/upstream/src/limit.rs
+++ b/crates/upstream/src/limit.rs
@@ -9,10 +9,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Descriptors that are not for targets: files of the logs and the process's own, and a connection in each
-/// direction to the boxes of the largest deployment that is planned for, 410.
+/// direction to the boxes of the largest deployment that is planned for, 410. At most half of all: a box with
+/// few descriptors stands among few boxes.
 const OTHER_DESCRIPTORS: usize = 1_100;
-/// Fewest connections to targets, however few descriptors there are.
-const LEAST_CONNECTIONS: usize = 64;
 /// One place in this many is not for items.
 const SPARE_PARTS: usize = 10;
 
@@ -32,7 +31,7 @@
 impl ConnectionLimit {
     /// The limit of a process that may open so many descriptors.
     pub fn for_descriptors(descriptors: usize) -> Self {
-        let most = descriptors.saturating_sub(OTHER_DESCRIPTORS).max(LEAST_CONNECTIONS);
+        let most = descriptors - OTHER_DESCRIPTORS.min(descriptors / 2);
         Self { most, open: Arc::default() }
     }
 
@@ -46,7 +45,7 @@
         self.most
     }
 
-    /// Whether another item may be started.
+    /// Whether another item may be started, with as many connections open as there are.
     pub fn has_room(&self) -> bool {
         self.open() < self.most - self.most / SPARE_PARTS
     }
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -77,6 +77,14 @@
         &self.limit
     }
 
+    /// Whether another item may be started; resting connections give way where there is no room beside them.
+    pub fn has_room(&self) -> bool {
+        if !self.limit.has_room() {
+            self.forget_resting();
+        }
+        self.limit.has_room()
+    }
+
     /// A place for a connection; resting ones give theirs up where there is none.
     fn place(&self) -> Option<ConnectionPlace> {
         self.limit.take().or_else(|| {
--- a/crates/upstream/tests/limit.rs
+++ b/crates/upstream/tests/limit.rs
@@ -4,6 +4,8 @@
 //! connection of its own, and has 8,200 descriptors; of these it needs files, the connections of 300 boxes
 //! and room for reward calls, which end items.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
@@ -15,7 +17,14 @@
 fn descriptors_are_left_for_everything_else() {
     let limit = ConnectionLimit::for_descriptors(8_200);
     assert!(limit.most() >= 7_000 && limit.most() + 200 + 2 * 410 <= 8_200, "{}", limit.most());
-    assert!(ConnectionLimit::for_descriptors(256).most() > 0, "some work goes on with any number");
+}
+
+/// A small deployment's boxes may have few descriptors; most of them are for targets all the same.
+#[test]
+fn a_box_with_few_descriptors_keeps_half_of_them_for_targets() {
+    for descriptors in [64, 256, 1_024, 2_000] {
+        assert_eq!(ConnectionLimit::for_descriptors(descriptors).most(), descriptors / 2);
+    }
 }
 
 #[test]
@@ -35,8 +44,8 @@
     assert!(limit.has_room(), "ended items give their places back");
 }
 
-#[tokio::test]
-async fn resting_connections_give_way_and_then_nothing_is_sent() {
+/// A target that answers each request on a connection of its own, and keeps all of them.
+async fn patient_target() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
     tokio::spawn(async move {
@@ -52,9 +61,35 @@
             });
         }
     });
-    let pool = TargetPool::new(ConnectionLimit::for_descriptors(0));
+    address
+}
+
+fn request() -> Request<Full<Bytes>> {
+    Request::get("/").body(Full::new(Bytes::new())).expect("a request")
+}
+
+/// Items wait while there is no room; were resting connections to hold it, nothing would ever end them.
+#[tokio::test]
+async fn resting_connections_hold_up_no_item() {
+    let pool = TargetPool::new(ConnectionLimit::for_descriptors(20));
+    let mut answers = Vec::new();
+    for _ in 0..pool.limit().most() {
+        let address = patient_target().await;
+        answers.push(pool.send(address, request()).await.expect("an answer"));
+    }
+    assert!(!pool.has_room(), "they run");
+    for answer in answers {
+        answer.whole(16).await.expect("whole");
+    }
+    assert_eq!(pool.limit().open(), pool.limit().most(), "they rest");
+    assert!(pool.has_room());
+}
+
+#[tokio::test]
+async fn resting_connections_give_way_and_then_nothing_is_sent() {
+    let address = patient_target().await;
+    let pool = TargetPool::new(ConnectionLimit::for_descriptors(128));
     let most = pool.limit().most();
-    let request = || Request::get("/").body(Full::new(Bytes::new())).expect("a request");
     let answer = pool.send(address, request()).await.expect("an answer");
     answer.whole(16).await.expect("whole");
     assert_eq!(pool.limit().open(), 1, "it rests");
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -30,8 +30,8 @@
         without: "servers find loads that they did not order out by refusals",
         edit: SourceEdit {
             file: "crates/shards/src/loads.rs",
-            from: "if servers(ctx).contains(other)",
-            to: "if servers(ctx).contains(other) && other.as_str().is_empty()",
+            from: "if serves { ctx.loads.told",
+            to: "if serves && other.as_str().is_empty() { ctx.loads.told",
         },
     },
     Ablation {
