--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -2,9 +2,10 @@
 //!
 //! A follower lists its kind and then watches it from the listing's revision on. A watch that is
 //! cut, or whose history is forgotten, begins again; nothing is ever taken from a read that may
-//! be stale, but where a kind's first listing decides nothing by itself. While the store is away only the configuration's follower asks it; the others wait
-//! for its word, since every call has its price. A follower that another box feeds asks the store
-//! only while it is not fed.
+//! be stale, but where a kind's first listing decides nothing by itself. While the store is away only
+//! the configuration's follower asks it, as often as [`ProbePace`] says; the others wait for its word,
+//! since every call has its price. A follower that another box feeds asks the store only while it is
+//! not fed.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -385,6 +385,22 @@
         package: "node",
         test: "told_leave_a_silent_store_alone",
     },
+    Mutation {
+        name: "platform: items wait for connections that rest",
+        file: "crates/upstream/src/pool.rs",
+        from: "        if !self.limit.has_room() {\n            self.forget_resting();\n        }\n",
+        to: "",
+        package: "upstream",
+        test: "resting_connections_hold_up_no_item",
+    },
+    Mutation {
+        name: "platform: a read gets 404 while its job's shard has no server",
+        file: "crates/front/src/search.rs",
+        from: "ShardFault::NotServed => 2,",
+        to: "ShardFault::NotServed => 0,",
+        package: "platform-standin",
+        test: "found_in_whichever_shard",
+    },
 ];
 
 /// Runs every mutation; an error names those that no test noticed.
