Tell which tries are for the same work, and whether a target that broke off has ended

Change: a digest of what is asked for stands in the lines of tries and runs; after a break the address is looked at once, beside the caller's next try, and the outcome logged and counted (broken_target). No decision follows from either.

--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -7,8 +7,8 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::{Either, Full};
-use ids::InstanceId;
-use node::NodeView;
+use ids::{InstanceId, WorkDigest};
+use node::{NodeView, look_for_end, request_work};
 use platform::headers;
 use rand::Rng;
 use routing::{ChoiceNeed, Route, TargetFailure, TargetSlot};
@@ -35,6 +35,7 @@
     let id = headers::request_id(&head.headers).unwrap_or_default().to_owned();
     let mut sent_headers = head.headers.clone();
     headers::strip_connection(&mut sent_headers);
+    let work = request_work(&head.method, &head.headers, &head.uri, &body);
     let mut tried: Vec<InstanceId> = Vec::new();
     for _ in 0..TRIES {
         let Some(slot) = choose(view, route, &tried) else { break };
@@ -57,7 +58,12 @@
                 end_at(view, &slot, None);
                 break;
             }
-            Ok(Err(SendError::Broken(_))) | Err(_) => {
+            Ok(Err(SendError::Broken(_))) => {
+                look_for_end(view, slot.address, &slot.instance, work);
+                end_at(view, &slot, Some(TargetFailure::Broken));
+                return unknown(view, &id);
+            }
+            Err(_elapsed) => {
                 end_at(view, &slot, Some(TargetFailure::Broken));
                 return unknown(view, &id);
             }
@@ -74,7 +80,7 @@
             continue;
         }
         view.metrics.ended("stream", "begun");
-        return pass_stream(view, slot, answer);
+        return pass_stream(view, slot, answer, work);
     }
     view.metrics.ended("stream", "not run");
     log::info!(target: "entry", request = id.as_str(), route:% = route.name, outcome = "not run"; "request ended");
@@ -111,6 +117,7 @@
     view: &Arc<NodeView>,
     slot: TargetSlot,
     answer: TargetAnswer,
+    work: WorkDigest,
 ) -> Response<FrontBody> {
     let (pieces, body) = Channel::new(PIECES);
     let mut response = Response::new(Either::Right(body));
@@ -120,6 +127,9 @@
     let view = Arc::clone(view);
     tokio::spawn(async move {
         let failure = copy_pieces(answer, pieces).await;
+        if failure.is_some() {
+            look_for_end(&view, slot.address, &slot.instance, work);
+        }
         end_at(&view, &slot, failure);
     });
     response
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -10,6 +10,7 @@
 mod place;
 mod text;
 mod window;
+mod work;
 
 pub use digest::{AnswerDigest, DigestWriter};
 pub use moment::{Moment, whole_millis};
@@ -23,3 +24,4 @@
     ServiceName, TargetId, TrainerId,
 };
 pub use window::VersionWindow;
+pub use work::WorkDigest;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! path only reads it. [`call_plain`] sends one plain request, with its retries.
 
 pub mod duties;
+mod ends;
 pub mod feed;
 pub mod follow;
 pub mod logs;
@@ -15,7 +16,9 @@
 pub mod sinks;
 mod stop;
 mod view;
+mod work;
 
+pub use ends::look_for_end;
 pub use metrics::{NodeMetrics, StoreCall, serve_metrics, tell_counts};
 pub use plain::{PlainCall, PlainEnd, call_plain};
 pub use probe::ProbePace;
@@ -24,3 +27,4 @@
 };
 pub use stop::wait_for_stop;
 pub use view::{NodeView, clock_now};
+pub use work::{item_work, request_work};
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -1,11 +1,12 @@
 //! One plain request, sent to targets until it is answered or nothing may be tried any more.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
-use ids::{InstanceId, whole_millis};
+use ids::{InstanceId, WorkDigest, whole_millis};
 use platform::headers::{self, AnswerFacts};
 use rand::Rng;
 use routing::{ChoiceNeed, Route, RouteKind, TargetFailure, TargetSlot};
@@ -13,6 +14,8 @@
 use upstream::{SendError, WholeAnswer};
 
 use crate::NodeView;
+use crate::ends::look_for_end;
+use crate::work::request_work;
 
 /// Longest answer that is held whole, in bytes.
 const MOST_ANSWER: usize = 8 << 20;
@@ -46,6 +49,12 @@
     pub deadline: Instant,
 }
 
+impl PlainCall<'_> {
+    fn work(&self) -> WorkDigest {
+        request_work(&self.method, &self.headers, &self.uri, &self.body)
+    }
+}
+
 /// How a plain request ended.
 #[derive(Debug)]
 pub enum PlainEnd {
@@ -97,7 +106,7 @@
 }
 
 /// Sends a plain request. Only what may be repeated is sent again after it may have run.
-pub async fn call_plain(view: &NodeView, call: PlainCall<'_>) -> PlainEnd {
+pub async fn call_plain(view: &Arc<NodeView>, call: PlainCall<'_>) -> PlainEnd {
     let repeatable = call.route.kind == RouteKind::Safe;
     let mut tried: Vec<InstanceId> = Vec::new();
     let (mut runs, mut not_run) = (0, 0);
@@ -145,7 +154,12 @@
     fresh.or_else(|| board.choose(now, service, &ChoiceNeed::default(), &mut rng))
 }
 
-async fn try_once(view: &NodeView, call: &PlainCall<'_>, slot: &TargetSlot, last: bool) -> TryEnd {
+async fn try_once(
+    view: &Arc<NodeView>,
+    call: &PlainCall<'_>,
+    slot: &TargetSlot,
+    last: bool,
+) -> TryEnd {
     let left = call.deadline.saturating_duration_since(Instant::now());
     let limit = if last {
         left
@@ -179,9 +193,12 @@
         TryEnd::Answered(answer) => answer.status.as_u16(),
         _ => 0,
     };
+    if outcome == TryOutcome::Broken {
+        look_for_end(view, slot.address, &slot.instance, call.work());
+    }
     if outcome != TryOutcome::Answered || status >= StatusCode::INTERNAL_SERVER_ERROR.as_u16() {
         log::info!(
-            target: "targets", request = call.request_id, target:% = slot.instance,
+            target: "targets", request = call.request_id, work:% = call.work(), target:% = slot.instance,
             outcome = outcome.word(), status = status, took_ms = whole_millis(started.elapsed()), left_ms = whole_millis(left);
             "try ended"
         );
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
-use ids::{ModelName, ModelVersion, whole_millis};
+use ids::{ModelName, ModelVersion, WorkDigest, whole_millis};
 use jobs::{RunEnd, RunEvent, RunSpec};
+use node::{item_work, look_for_end};
 use platform::events::EventReader;
 use platform::headers;
 use routing::{ChoiceNeed, TargetSlot};
@@ -226,8 +227,19 @@
         }
     }
 
+    fn work(&self) -> WorkDigest {
+        let (path, id, body) = self
+            .spec
+            .request()
+            .map_or(("", "", &[][..]), |item| (&item.path, &item.id, &item.body));
+        item_work(&self.spec.job.host, path, id, body)
+    }
+
     fn note(&self, reason: RunReason, started: Instant) {
         let view = &self.ctx.view;
+        if matches!(reason, RunReason::Broken | RunReason::BrokenBeforeHead) {
+            look_for_end(view, self.slot.address, &self.slot.instance, self.work());
+        }
         view.metrics.ended("run", reason.word());
         let instance = &self.slot.instance;
         if reason == RunReason::Whole {
@@ -239,7 +251,7 @@
         let level = if reason == RunReason::Whole { log::Level::Debug } else { log::Level::Info };
         let item = self.spec.request().map_or("", |item| item.id.as_str());
         log::log!(
-            target: "jobs", level, job:% = self.spec.item.job, item = item,
+            target: "jobs", level, job:% = self.spec.item.job, item = item, work:% = self.work(),
             target:% = instance, from_event = self.spec.events, events = self.events.len(),
             weight_version = self.version.unwrap_or(0), min_version = self.spec.job.min_version,
             took_ms = whole_millis(started.elapsed()),
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use answer::{TargetAnswer, WholeAnswer, keep_time};
 pub use limit::{ConnectionLimit, ConnectionPlace};
-pub use pool::{SendError, TargetPool};
+pub use pool::{PortState, SendError, TargetPool};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections kept for reuse, by address.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -41,6 +42,17 @@
     Broken(String),
 }
 
+/// What an address does with a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PortState {
+    /// Something takes connections there.
+    Listens,
+    /// Nothing does: connections are refused.
+    Refuses,
+    /// No answer: the way may be cut, or its queue be full.
+    Silent,
+}
+
 pub(crate) struct Connection {
     pub sender: SendRequest<Full<Bytes>>,
     #[expect(dead_code, reason = "held for its drop, which frees the place")]
@@ -137,6 +149,15 @@
         }
     }
 
+    /// Opens a connection for a moment, to see whether anything listens.
+    pub async fn look(&self, address: SocketAddr) -> PortState {
+        match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(_stream)) => PortState::Listens,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => PortState::Refuses,
+            Ok(Err(_)) | Err(_) => PortState::Silent,
+        }
+    }
+
     fn answer(
         &self,
         address: SocketAddr,
--- /dev/null
+++ b/crates/upstream/tests/look.rs
@@ -0,0 +1,16 @@
+//! What is told of an address from outside.
+
+use std::net::SocketAddr;
+
+use tokio::net::TcpListener;
+use upstream::{PortState, TargetPool};
+
+#[tokio::test]
+async fn an_address_where_nothing_listens_refuses() {
+    let pool = TargetPool::default();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address: SocketAddr = listener.local_addr().expect("bound");
+    assert_eq!(pool.look(address).await, PortState::Listens);
+    drop(listener);
+    assert_eq!(pool.look(address).await, PortState::Refuses);
+}
