Remember the work under which targets end, tell the other boxes, and turn it away once it is condemned

Cause: what fails was put down to the target alone, and nothing was remembered of a request once its call was over. The answer to a bad target, the next target, spreads a bad request; its caller comes again at a box that knows nothing. Change: a decision crate, suspects, without I/O or clock. Work is known again by what is asked for. A broken run counts once its target is found to have ended (a look at its address, or its entry gone), one life once, none of targets that leave. Three such ends condemn, unless other work that is as suspect explains them; an answer frees at once; two suspects do not run beside one another where that can be helped. What is known lies in the store beside the duties, which all boxes follow: two ends, or one of a caller that was given up, cost one call; plain crashes cost none. Condemned work is refused at once (503, not run); an item waits and holds up no other of its job. It is tried again at targets with other software, and three times after minutes, by one box each time. A place at a target is given back when its caller leaves in the middle, too (it was not). Ruled out: counting closed connections (a full target resets forty at once); a verdict written by whoever counts three (ends are seen at different boxes); letting the whole job wait for its condemned item; refusing for ever.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -26,6 +26,10 @@
 /// Time after which a refused caller may come back.
 pub const COME_BACK: Duration = Duration::from_millis(200);
 
+/// Time after which a caller may ask again whose request ends the targets that run it: it may pass once they run
+/// other software, which no box knows beforehand, and asking costs no target anything.
+const CONDEMNED_COME_BACK: Duration = Duration::from_mins(1);
+
 /// An answer with a whole body.
 pub fn whole(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<FrontBody> {
     let mut response = Response::new(Either::Left(Full::new(body)));
@@ -52,8 +56,23 @@
 /// A refusal which says that the request has not run, with a time to come back.
 pub fn not_run(reason: &str, request_id: Option<&str>) -> Response<FrontBody> {
     let remedy = "it has not run: come back after the time named";
+    refuse_until(reason, remedy, COME_BACK, request_id)
+}
+
+/// The refusal of a request that ends the targets that run it.
+pub fn condemned(request_id: &str) -> Response<FrontBody> {
+    let remedy = "it has not run: targets ended under it before; change it, or come back after the time named";
+    refuse_until("targets end under this request", remedy, CONDEMNED_COME_BACK, Some(request_id))
+}
+
+fn refuse_until(
+    reason: &str,
+    remedy: &str,
+    come_back: Duration,
+    request_id: Option<&str>,
+) -> Response<FrontBody> {
     let mut response = refuse(StatusCode::SERVICE_UNAVAILABLE, reason, remedy, request_id);
-    let seconds = format!("{:.1}", COME_BACK.as_secs_f64());
+    let seconds = format!("{:.1}", come_back.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
--- a/crates/front/src/plain.rs
+++ b/crates/front/src/plain.rs
@@ -95,6 +95,7 @@
     let (outcome, response) = match end {
         Ok(PlainEnd::Answered(whole)) => ("answered", answer::pass_on(whole)),
         Ok(PlainEnd::NotRun(reason)) => ("not run", answer::not_run(reason, Some(&id))),
+        Ok(PlainEnd::Condemned) => ("condemned", answer::condemned(&id)),
         Ok(PlainEnd::Unknown(reason)) => (
             "unknown",
             answer::refuse(
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -9,7 +9,7 @@
 use node::feed::follow_feed;
 use node::follow::KindFollower;
 use node::sinks::{ConfigSink, TargetSink};
-use node::{NodeSettings, NodeView, serve_metrics, tell_counts};
+use node::{NodeSettings, NodeView, keep_suspects, serve_metrics, tell_counts};
 use platform::{Kind, ObjectStore};
 use tokio::net::TcpListener;
 use tokio::time::{self, Instant};
@@ -70,6 +70,7 @@
     tokio::spawn(tell_counts(Arc::clone(&view)));
     let links = LinkPool::new(link_settings, end.clone());
     start_followers(&view, &links, &end);
+    tokio::spawn(keep_suspects(Arc::clone(&view), false, end.clone()));
     let shards = ShardClient::new(Arc::clone(&view), links);
     tokio::spawn(watch_isolation(Arc::clone(&view), shards.clone(), end.clone()));
     let state = FrontState::new(view, shards, CancellationToken::new());
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -8,7 +8,7 @@
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::{Either, Full};
 use ids::{InstanceId, WorkDigest};
-use node::{NodeView, look_for_end, request_work};
+use node::{NodeView, RunningSlot, WorkGate, note_break, request_work};
 use platform::headers;
 use rand::Rng;
 use routing::{ChoiceNeed, Route, TargetFailure, TargetSlot};
@@ -38,45 +38,52 @@
     let work = request_work(&head.method, &head.headers, &head.uri, &body);
     let mut tried: Vec<InstanceId> = Vec::new();
     for _ in 0..TRIES {
-        let Some(slot) = choose(view, route, &tried) else { break };
+        let slot = match choose(view, route, work, &tried) {
+            StreamChoice::Target(slot) => RunningSlot::new(view, work, slot),
+            StreamChoice::None => break,
+            StreamChoice::Condemned => return condemned(view, route, &id, work),
+        };
+        let place = slot.slot();
         let mut request = Request::new(Full::new(body.clone()));
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = head.uri.clone();
         *request.headers_mut() = sent_headers.clone();
         let left = deadline.saturating_duration_since(Instant::now());
         headers::set_time_left(request.headers_mut(), left);
-        headers::set_instance(request.headers_mut(), &slot.instance);
-        let sent = time::timeout_at(deadline, view.pool.send(slot.address, request)).await;
+        headers::set_instance(request.headers_mut(), &place.instance);
+        let sent = time::timeout_at(deadline, view.pool.send(place.address, request)).await;
         let answer = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::NotSent(_))) => {
-                end_at(view, &slot, Some(TargetFailure::Broken));
-                tried.push(slot.instance);
+                note_failure(view, place, TargetFailure::Broken);
+                tried.push(place.instance.clone());
                 continue;
             }
-            Ok(Err(SendError::NoRoom)) => {
-                end_at(view, &slot, None);
-                break;
-            }
+            Ok(Err(SendError::NoRoom)) => break,
             Ok(Err(SendError::Broken(_))) => {
-                look_for_end(view, slot.address, &slot.instance, work);
-                end_at(view, &slot, Some(TargetFailure::Broken));
-                return unknown(view, &id);
+                note_failure(view, place, TargetFailure::Broken);
+                note_break(view, place, work);
+                return unknown(view, &id, work);
             }
             Err(_elapsed) => {
-                end_at(view, &slot, Some(TargetFailure::Broken));
-                return unknown(view, &id);
+                note_failure(view, place, TargetFailure::Broken);
+                return unknown(view, &id, work);
             }
         };
         let facts = headers::answer_facts(answer.headers());
         if facts.request_id.as_deref().is_some_and(|other| other != id) {
-            end_at(view, &slot, Some(TargetFailure::Broken));
-            return unknown(view, &id);
+            note_failure(view, place, TargetFailure::Broken);
+            return unknown(view, &id, work);
+        }
+        if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+            note_failure(view, place, TargetFailure::Gone);
+            view.suspects().gone(view.now(), &place.instance);
+            tried.push(place.instance.clone());
+            continue;
         }
-        if facts.not_run || answer.status() == StatusCode::MISDIRECTED_REQUEST {
-            let gone = answer.status() == StatusCode::MISDIRECTED_REQUEST;
-            end_at(view, &slot, Some(if gone { TargetFailure::Gone } else { TargetFailure::Full }));
-            tried.push(slot.instance);
+        if facts.not_run {
+            note_failure(view, place, TargetFailure::Full);
+            tried.push(place.instance.clone());
             continue;
         }
         view.metrics.ended("stream", "begun");
@@ -87,9 +94,22 @@
     answer::not_run("no target free", Some(&id))
 }
 
-fn unknown(view: &NodeView, id: &str) -> Response<FrontBody> {
+fn condemned(view: &NodeView, route: &Route, id: &str, work: WorkDigest) -> Response<FrontBody> {
+    view.metrics.ended("stream", "condemned");
+    view.metrics.ended("work", "condemned");
+    log::info!(
+        target: "entry", request = id, route:% = route.name, work:% = work,
+        ends = view.suspects().ends(work), outcome = "condemned";
+        "request ended"
+    );
+    answer::condemned(id)
+}
+
+fn unknown(view: &NodeView, id: &str, work: WorkDigest) -> Response<FrontBody> {
+    view.suspects().given_up(work);
+    view.suspects_changed();
     view.metrics.ended("stream", "unknown");
-    log::info!(target: "entry", request = id, outcome = "unknown"; "request ended");
+    log::info!(target: "entry", request = id, work:% = work, outcome = "unknown"; "request ended");
     answer::refuse(
         StatusCode::BAD_GATEWAY,
         "target broke off",
@@ -98,24 +118,32 @@
     )
 }
 
-fn choose(view: &NodeView, route: &Route, tried: &[InstanceId]) -> Option<TargetSlot> {
+/// Where a stream goes.
+enum StreamChoice {
+    Target(TargetSlot),
+    /// No target takes it now.
+    None,
+    /// It must not run.
+    Condemned,
+}
+
+fn choose(view: &NodeView, route: &Route, work: WorkDigest, tried: &[InstanceId]) -> StreamChoice {
     let mut rng = rand::rng();
-    let service = route.service(rng.random())?;
-    let need = ChoiceNeed { avoid: tried, ..ChoiceNeed::default() };
-    view.board().choose(view.now(), service, &need, &mut rng)
+    let Some(service) = route.service(rng.random()) else { return StreamChoice::None };
+    let WorkGate::Open(barred) = view.gate(work, service) else { return StreamChoice::Condemned };
+    let avoid = [tried, &barred].concat();
+    let need = ChoiceNeed { avoid: &avoid, ..ChoiceNeed::default() };
+    let slot = view.board().choose(view.now(), service, &need, &mut rng);
+    slot.map_or(StreamChoice::None, StreamChoice::Target)
 }
 
-fn end_at(view: &NodeView, slot: &TargetSlot, failure: Option<TargetFailure>) {
-    let mut board = view.board();
-    board.ended(&slot.instance);
-    if let Some(failure) = failure {
-        board.failed(view.now(), &slot.instance, failure);
-    }
+fn note_failure(view: &NodeView, slot: &TargetSlot, failure: TargetFailure) {
+    view.board().failed(view.now(), &slot.instance, failure);
 }
 
 fn pass_stream(
     view: &Arc<NodeView>,
-    slot: TargetSlot,
+    slot: RunningSlot,
     answer: TargetAnswer,
     work: WorkDigest,
 ) -> Response<FrontBody> {
@@ -126,34 +154,46 @@
     answer::clean(response.headers_mut());
     let view = Arc::clone(view);
     tokio::spawn(async move {
-        let failure = copy_pieces(answer, pieces).await;
-        if failure.is_some() {
-            look_for_end(&view, slot.address, &slot.instance, work);
+        match copy_pieces(answer, pieces).await {
+            StreamEnd::Whole => view.suspects().succeeded(work),
+            StreamEnd::CallerLeft => {}
+            StreamEnd::Broken => {
+                note_failure(&view, slot.slot(), TargetFailure::Broken);
+                note_break(&view, slot.slot(), work);
+                view.suspects().given_up(work);
+                view.suspects_changed();
+            }
         }
-        end_at(&view, &slot, failure);
     });
     response
 }
 
+/// How the body of a stream ended.
+enum StreamEnd {
+    Whole,
+    CallerLeft,
+    Broken,
+}
+
 /// Copies a body; ends early when the caller is gone, which closes the target's connection.
 async fn copy_pieces(
     mut answer: TargetAnswer,
     mut pieces: Sender<Bytes, StreamBroken>,
-) -> Option<TargetFailure> {
+) -> StreamEnd {
     loop {
         match answer.next().await {
             Ok(Some(piece)) => {
                 if pieces.send_data(piece).await.is_err() {
-                    return None;
+                    return StreamEnd::CallerLeft;
                 }
             }
             Ok(None) => {
                 answer.reuse();
-                return None;
+                return StreamEnd::Whole;
             }
             Err(_broken) => {
                 pieces.abort(StreamBroken);
-                return Some(TargetFailure::Broken);
+                return StreamEnd::Broken;
             }
         }
     }
--- a/crates/gannetctl/src/step_account.rs
+++ b/crates/gannetctl/src/step_account.rs
@@ -7,13 +7,14 @@
 use crate::log_lines::LogLine;
 
 /// The fields of a step's line that tell how long it was held up, and the words for them.
-const HOLDS: [(&str, &str); 6] = [
+const HOLDS: [(&str, &str); 7] = [
     ("old_ms", "engine of an older version"),
     ("loading_ms", "engines that load"),
     ("resting_ms", "engines at rest"),
     ("full_ms", "full engines"),
     ("no_route_ms", "a route"),
     ("connections_ms", "connections of its server"),
+    ("condemned_ms", "an item that ends engines"),
 ];
 
 /// What a step's last wanted item spent its time on, in seconds.
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -5,6 +5,7 @@
 //! spelling serves in settings, logs, paths and messages.
 
 mod digest;
+mod life;
 mod moment;
 mod number;
 mod place;
@@ -13,15 +14,16 @@
 mod work;
 
 pub use digest::{AnswerDigest, DigestWriter};
+pub use life::TargetLife;
 pub use moment::{Moment, whole_millis};
 pub use number::{
-    FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion, ShardIndex,
-    SlotIndex, StepNumber, TokenCount,
+    BirthTime, FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion,
+    ShardIndex, SlotIndex, StepNumber, TokenCount,
 };
 pub use place::RecordPlace;
 pub use text::{
     BoxId, DomainId, IdError, InstanceId, ItemId, JobId, ModelName, PoolName, RequestId, RouteName,
-    ServiceName, TargetId, TrainerId,
+    ServiceName, SoftwareVersion, TargetId, TrainerId,
 };
 pub use window::VersionWindow;
 pub use work::WorkDigest;
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -117,3 +117,7 @@
         Self(self.0.saturating_sub(bound as u64))
     }
 }
+number_id! {
+    /// When a life of a target began, in Unix milliseconds of its own clock; zero where it is not told.
+    BirthTime(u64), "time of birth"
+}
--- a/crates/ids/src/text.rs
+++ b/crates/ids/src/text.rs
@@ -125,3 +125,7 @@
     /// One route of the configuration.
     RouteName, "route name"
 }
+text_id! {
+    /// A version of the software that a target runs.
+    SoftwareVersion, "software version"
+}
--- a/crates/ids/tests/work.rs
+++ b/crates/ids/tests/work.rs
@@ -15,5 +15,6 @@
     let digest = WorkDigest::of(&[b"a"]);
     assert_eq!(digest.to_string().len(), 32);
     assert_eq!(digest.to_string().parse(), Ok(digest));
-    assert!("no digest".parse::<WorkDigest>().is_err());
+    let refused = "no digest".parse::<WorkDigest>().expect_err("it is none");
+    assert!(refused.to_string().contains("no digest"), "{refused}");
 }
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -20,6 +20,8 @@
 /// Pause before an item that failed is started again, so that a target in trouble, or the list
 /// that still names it, has time to change.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// Pause before it is looked again whether work that ends its targets is still turned away.
+pub(crate) const CONDEMNED_PAUSE: Duration = Duration::from_secs(1);
 /// Beyond the route's longest wait before an item is given up: a clock that runs fast must not
 /// give up early.
 const GIVE_UP_SLACK: Duration = Duration::from_secs(1);
@@ -328,6 +330,10 @@
                 entry.reward_failures += 1;
                 entry.reward_attempts = attempts;
             }
+            RewardEnd::Condemned => {
+                self.again(now, item, CONDEMNED_PAUSE);
+                return None;
+            }
             RewardEnd::Missed => {}
         }
         self.again(now, item, RETRY_PAUSE);
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -118,6 +118,8 @@
     },
     /// It got no answer, or no target took it.
     Missed,
+    /// It ends the targets that run it, and was not made.
+    Condemned,
 }
 
 /// Why an item is given up.
--- a/crates/jobs/src/trace.rs
+++ b/crates/jobs/src/trace.rs
@@ -26,17 +26,20 @@
     Full,
     /// This box holds as many connections as it may.
     NoConnections,
+    /// The item ends the targets that run it. It holds up no other.
+    Condemned,
 }
 
 impl StartHold {
     /// All reasons, the order in which they are told.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::NoRoute,
         Self::OldWeights,
         Self::Loading,
         Self::Resting,
         Self::Full,
         Self::NoConnections,
+        Self::Condemned,
     ];
 }
 
--- a/crates/jobs/src/turns.rs
+++ b/crates/jobs/src/turns.rs
@@ -10,6 +10,7 @@
 
 use ids::{InstanceId, JobId, Moment};
 
+use crate::book::CONDEMNED_PAUSE;
 use crate::item::ItemPhase;
 use crate::order::LatestStart;
 use crate::{ItemRef, JobBook, RunSpec, StartHold};
@@ -66,6 +67,12 @@
             };
             let target = match start(spec) {
                 Ok(target) => target,
+                Err(StartHold::Condemned) => {
+                    state.trace.hold(now, Some(StartHold::Condemned));
+                    state.items[index as usize].not_before = now + CONDEMNED_PAUSE;
+                    turns.extend(self.turn(now, turn.job, turn.at + 1, turn.held));
+                    continue;
+                }
                 Err(hold) => {
                     state.trace.hold(now, Some(hold));
                     turns.extend(self.turn(now, turn.job, turn.at + 1, true));
--- a/crates/node/src/duties.rs
+++ b/crates/node/src/duties.rs
@@ -1,4 +1,5 @@
-//! Which boxes keep data, and who serves which shard, as the store tells it.
+//! Which boxes keep data, and who serves which shard, as the store tells it. Beside these it tells of work
+//! under suspicion.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 
 use crate::NodeView;
 use crate::follow::KindSink;
+use crate::suspects;
 
 const BOX_PREFIX: &str = "box-";
 const SHARD_PREFIX: &str = "shard-";
@@ -145,10 +147,13 @@
         let now = self.0.now();
         let mut duties = self.0.duties();
         for stored in &listing.objects {
-            duties.put(now, stored);
+            if !suspects::take_object(&self.0, stored) {
+                duties.put(now, stored);
+            }
         }
         duties.read = true;
         drop(duties);
+        suspects::take_listing(&self.0, listing);
         self.0.wake();
     }
 
@@ -156,9 +161,14 @@
         match change {
             Changed::Put(stored) => {
                 let now = self.0.now();
-                self.0.duties().put(now, stored);
+                if !suspects::take_object(&self.0, stored) {
+                    self.0.duties().put(now, stored);
+                }
+            }
+            Changed::Removed(name) => {
+                suspects::take_removal(&self.0, name);
+                self.0.duties().remove(name);
             }
-            Changed::Removed(name) => self.0.duties().remove(name),
         }
         self.0.wake();
     }
--- a/crates/node/src/ends.rs
+++ b/crates/node/src/ends.rs
@@ -1,32 +1,45 @@
-//! Whether a target that broke a request off has ended, or only closed the connection.
+//! Targets that broke work off: whether they have ended, or only closed the connection.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ids::{InstanceId, WorkDigest};
+use ids::{TargetLife, WorkDigest};
+use routing::TargetSlot;
+use suspects::WorkEnd;
 use upstream::PortState;
 
 use crate::NodeView;
 
-/// Looks whether anything listens where a target broke `work` off, and tells it in the log. The caller's next try
-/// does not wait for it.
-pub fn look_for_end(
-    view: &Arc<NodeView>,
-    address: SocketAddr,
-    target: &InstanceId,
-    work: WorkDigest,
-) {
-    let (view, target) = (Arc::clone(view), target.clone());
-    tokio::spawn(async move {
-        let state = view.pool.look(address).await;
-        let ended = state == PortState::Refuses;
-        let outcome = match state {
-            PortState::Refuses => "ended",
-            PortState::Listens => "listens",
-            PortState::Silent => "silent",
-        };
-        view.metrics.ended("broken_target", outcome);
-        let level = if ended { log::Level::Info } else { log::Level::Debug };
-        log::log!(target: "targets", level, work:% = work, target:% = target, outcome = outcome; "target looked at");
-    });
+/// Notes that a target broke `work` off. Where nobody has looked yet whether it has ended, that is done beside the
+/// caller's next try, which does not wait for it.
+pub fn note_break(view: &Arc<NodeView>, slot: &TargetSlot, work: WorkDigest) {
+    // A target that leaves or has lapsed ends for a reason of its own.
+    if !view.board().stays(&slot.instance) {
+        return;
+    }
+    let life = TargetLife { instance: slot.instance.clone(), born: slot.born };
+    let end = WorkEnd { life: life.clone(), software: slot.software.clone() };
+    if view.suspects().broke(view.now(), work, &slot.service, end) {
+        tokio::spawn(look(Arc::clone(view), slot.clone(), life, work));
+    }
+}
+
+/// Looks whether anything listens where a target was.
+async fn look(view: Arc<NodeView>, slot: TargetSlot, life: TargetLife, work: WorkDigest) {
+    let state = view.pool.look(slot.address).await;
+    let outcome = match state {
+        PortState::Refuses => "ended",
+        PortState::Listens => "listens",
+        PortState::Silent => "silent",
+    };
+    view.metrics.ended("broken_target", outcome);
+    if state == PortState::Refuses {
+        view.suspects().refuses(view.now(), &life);
+        view.suspects_changed();
+    }
+    let ends = view.suspects().ends(work);
+    log::info!(
+        target: "targets", work:% = work, target:% = life, service:% = slot.service, ends = ends,
+        outcome = outcome;
+        "target looked at"
+    );
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,17 +14,21 @@
 mod probe;
 mod settings;
 pub mod sinks;
+mod slot;
 mod stop;
+mod suspects;
 mod view;
 mod work;
 
-pub use ends::look_for_end;
+pub use ends::note_break;
 pub use metrics::{NodeMetrics, StoreCall, serve_metrics, tell_counts};
 pub use plain::{PlainCall, PlainEnd, call_plain};
 pub use probe::ProbePace;
 pub use settings::{
     NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
 };
+pub use slot::RunningSlot;
 pub use stop::wait_for_stop;
+pub use suspects::{WorkGate, keep_suspects, suspect_object};
 pub use view::{NodeView, clock_now};
 pub use work::{item_work, request_work};
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -13,9 +13,7 @@
 use tokio::time::{self, Instant};
 use upstream::{SendError, WholeAnswer};
 
-use crate::NodeView;
-use crate::ends::look_for_end;
-use crate::work::request_work;
+use crate::{NodeView, RunningSlot, WorkGate, note_break, request_work};
 
 /// Longest answer that is held whole, in bytes.
 const MOST_ANSWER: usize = 8 << 20;
@@ -62,6 +60,8 @@
     Answered(WholeAnswer),
     /// No target has run it, and none will.
     NotRun(&'static str),
+    /// It ends the targets that run it: none has run it this time, and none will.
+    Condemned,
     /// It may have run.
     Unknown(&'static str),
 }
@@ -108,20 +108,27 @@
 /// Sends a plain request. Only what may be repeated is sent again after it may have run.
 pub async fn call_plain(view: &Arc<NodeView>, call: PlainCall<'_>) -> PlainEnd {
     let repeatable = call.route.kind == RouteKind::Safe;
+    let work = call.work();
     let mut tried: Vec<InstanceId> = Vec::new();
     let (mut runs, mut not_run) = (0, 0);
     let mut last_answer = None;
     while runs < call.route.attempts && not_run < NOT_RUN_TRIES && Instant::now() < call.deadline {
-        let Some(slot) = choose(view, &call, &tried) else {
-            not_run += 1;
-            tried.clear();
-            time::sleep(FULL_PAUSE).await;
-            continue;
+        let slot = match choose(view, &call, work, &tried) {
+            TargetChoice::Target(slot) => RunningSlot::new(view, work, slot),
+            TargetChoice::None => {
+                not_run += 1;
+                tried.clear();
+                time::sleep(FULL_PAUSE).await;
+                continue;
+            }
+            // Looked at before each try: the tries before this one may have been enough.
+            TargetChoice::Condemned if runs == 0 => return condemned(view, &call, work),
+            TargetChoice::Condemned => break,
         };
         let last = runs + 1 >= call.route.attempts || !repeatable;
-        let end = try_once(view, &call, &slot, last).await;
-        view.board().ended(&slot.instance);
-        tried.push(slot.instance);
+        let end = try_once(view, &call, work, slot.slot(), last).await;
+        tried.push(slot.slot().instance.clone());
+        drop(slot);
         match end {
             TryEnd::Answered(answer) if answer.status.is_success() || !repeatable => {
                 return PlainEnd::Answered(answer);
@@ -132,31 +139,69 @@
             }
             TryEnd::NotRun => not_run += 1,
             TryEnd::Broken if repeatable => runs += 1,
-            TryEnd::Broken => return PlainEnd::Unknown("target broke off"),
+            TryEnd::Broken => return give_up(view, work, "target broke off"),
         }
     }
     match last_answer {
         Some(answer) => PlainEnd::Answered(answer),
         None if runs == 0 && Instant::now() < call.deadline => PlainEnd::NotRun("no target free"),
         None if runs == 0 => PlainEnd::NotRun("out of time"),
-        None => PlainEnd::Unknown("targets broke off"),
+        None => give_up(view, work, "targets broke off"),
     }
 }
 
-fn choose(view: &NodeView, call: &PlainCall<'_>, tried: &[InstanceId]) -> Option<TargetSlot> {
+/// The caller hears that the request may have run, and may come again at any box.
+fn give_up(view: &NodeView, work: WorkDigest, reason: &'static str) -> PlainEnd {
+    view.suspects().given_up(work);
+    view.suspects_changed();
+    PlainEnd::Unknown(reason)
+}
+
+fn condemned(view: &NodeView, call: &PlainCall<'_>, work: WorkDigest) -> PlainEnd {
+    view.metrics.ended("work", "condemned");
+    log::info!(
+        target: "targets", request = call.request_id, work:% = work, route:% = call.route.name,
+        ends = view.suspects().ends(work), outcome = "condemned";
+        "work turned away"
+    );
+    PlainEnd::Condemned
+}
+
+/// Where a request goes next.
+enum TargetChoice {
+    Target(TargetSlot),
+    /// No target takes it now.
+    None,
+    /// It must not run.
+    Condemned,
+}
+
+fn choose(
+    view: &NodeView,
+    call: &PlainCall<'_>,
+    work: WorkDigest,
+    tried: &[InstanceId],
+) -> TargetChoice {
     let mut rng = rand::rng();
-    let service = call.route.service(rng.random())?;
-    let need = ChoiceNeed { avoid: tried, ..ChoiceNeed::default() };
+    let Some(service) = call.route.service(rng.random()) else { return TargetChoice::None };
+    let WorkGate::Open(barred) = view.gate(work, service) else { return TargetChoice::Condemned };
+    let crowded = view.suspects().crowded(work);
     let now = view.now();
     let mut board = view.board();
-    let fresh = board.choose(now, service, &need, &mut rng);
-    // Rather the same target again than none.
-    fresh.or_else(|| board.choose(now, service, &ChoiceNeed::default(), &mut rng))
+    let mut among = |avoid: &[InstanceId]| {
+        let need = ChoiceNeed { avoid, ..ChoiceNeed::default() };
+        board.choose(now, service, &need, &mut rng)
+    };
+    // Rather beside other work under suspicion than nowhere new, and rather the same target again than none.
+    let apart = among(&[tried, &barred, &crowded].concat());
+    let fresh = apart.or_else(|| among(&[tried, &barred].concat()));
+    fresh.or_else(|| among(&barred)).map_or(TargetChoice::None, TargetChoice::Target)
 }
 
 async fn try_once(
     view: &Arc<NodeView>,
     call: &PlainCall<'_>,
+    work: WorkDigest,
     slot: &TargetSlot,
     last: bool,
 ) -> TryEnd {
@@ -193,12 +238,16 @@
         TryEnd::Answered(answer) => answer.status.as_u16(),
         _ => 0,
     };
-    if outcome == TryOutcome::Broken {
-        look_for_end(view, slot.address, &slot.instance, call.work());
+    match outcome {
+        TryOutcome::Broken => note_break(view, slot, work),
+        TryOutcome::OtherTarget => view.suspects().gone(view.now(), &slot.instance),
+        // Whatever the answer is, the target has lived to give it.
+        TryOutcome::Answered => view.suspects().succeeded(work),
+        _ => {}
     }
     if outcome != TryOutcome::Answered || status >= StatusCode::INTERNAL_SERVER_ERROR.as_u16() {
         log::info!(
-            target: "targets", request = call.request_id, work:% = call.work(), target:% = slot.instance,
+            target: "targets", request = call.request_id, work:% = work, target:% = slot.instance,
             outcome = outcome.word(), status = status, took_ms = whole_millis(started.elapsed()), left_ms = whole_millis(left);
             "try ended"
         );
--- a/crates/node/src/sinks.rs
+++ b/crates/node/src/sinks.rs
@@ -160,6 +160,7 @@
     for instance in instances {
         log::info!(target: "targets", target:% = instance; "gone");
         view.board().remove(instance);
+        view.suspects().gone(view.now(), instance);
     }
 }
 
--- /dev/null
+++ b/crates/node/src/slot.rs
@@ -0,0 +1,42 @@
+//! A place at a target, taken for one piece of work.
+
+use std::sync::Arc;
+
+use ids::WorkDigest;
+use routing::TargetSlot;
+
+use crate::NodeView;
+
+/// A place at a target for one piece of work; it is given back when it is dropped, also when its caller leaves in the
+/// middle of it.
+#[derive(Debug)]
+pub struct RunningSlot {
+    view: Arc<NodeView>,
+    work: WorkDigest,
+    slot: TargetSlot,
+}
+
+impl RunningSlot {
+    /// Takes over a slot that the board has counted.
+    pub fn new(view: &Arc<NodeView>, work: WorkDigest, slot: TargetSlot) -> Self {
+        view.suspects().began(work, &slot.instance);
+        Self { view: Arc::clone(view), work, slot }
+    }
+
+    /// The work.
+    pub const fn work(&self) -> WorkDigest {
+        self.work
+    }
+
+    /// Where the work runs.
+    pub const fn slot(&self) -> &TargetSlot {
+        &self.slot
+    }
+}
+
+impl Drop for RunningSlot {
+    fn drop(&mut self) {
+        self.view.board().ended(&self.slot.instance);
+        self.view.suspects().left(self.work, &self.slot.instance);
+    }
+}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -8,7 +8,8 @@
 use ids::{ModelName, ModelVersion, Moment, ServiceName};
 use platform::{Kind, ObjectStore};
 use routing::{RouteTable, TargetBoard};
-use tokio::sync::watch;
+use suspects::SuspectBook;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use upstream::{ConnectionLimit, TargetPool};
 
@@ -30,6 +31,8 @@
     /// What this box tells others of the store, or hears of it.
     pub feed: FeedBoard,
     table: RwLock<Arc<RouteTable>>,
+    suspects: Mutex<SuspectBook>,
+    suspect_news: Notify,
     board: Mutex<TargetBoard>,
     duties: Mutex<DutyBoard>,
     named: Mutex<HashMap<ModelName, ModelVersion>>,
@@ -69,6 +72,8 @@
             metrics: NodeMetrics::default(),
             feed: FeedBoard::default(),
             table: RwLock::default(),
+            suspects: Mutex::default(),
+            suspect_news: Notify::new(),
             board: Mutex::new(board),
             duties: Mutex::default(),
             named: Mutex::default(),
@@ -117,6 +122,21 @@
         self.duties.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Work under which targets have ended; held only for a moment.
+    pub fn suspects(&self) -> MutexGuard<'_, SuspectBook> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes whoever tells other boxes of such work.
+    pub fn suspects_changed(&self) {
+        self.suspect_news.notify_one();
+    }
+
+    /// Returns once there may be something to tell.
+    pub async fn suspects_news(&self) {
+        self.suspect_news.notified().await;
+    }
+
     /// Into how many shards jobs are divided: by the settings, or as the boxes have agreed.
     pub fn shards(&self) -> Option<u32> {
         if self.settings.shards > 0 {
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -9,7 +9,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{DomainId, InstanceId, ModelName, ModelVersion, Moment, ServiceName};
+use ids::{
+    BirthTime, DomainId, InstanceId, ModelName, ModelVersion, Moment, ServiceName, SoftwareVersion,
+};
 use rand::Rng;
 
 /// How long a target rests after its first failure; doubles with each further one.
@@ -50,8 +52,12 @@
 /// What the platform lists of one target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetRecord {
-    /// This life of the target.
+    /// The target's id.
     pub instance: InstanceId,
+    /// When this life of it began.
+    pub born: BirthTime,
+    /// The software that it runs, where it tells.
+    pub software: Option<SoftwareVersion>,
     /// Its service.
     pub service: ServiceName,
     /// Where it takes requests.
@@ -115,8 +121,12 @@
 /// A target chosen for one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetSlot {
-    /// This life of the target.
+    /// The target's id.
     pub instance: InstanceId,
+    /// When this life of it began.
+    pub born: BirthTime,
+    /// The software that it runs, where it tells.
+    pub software: Option<SoftwareVersion>,
     /// Where it takes requests.
     pub address: SocketAddr,
     /// Its service.
@@ -237,6 +247,11 @@
         self.views.get(instance).map(|view| &view.record)
     }
 
+    /// Whether a target is listed and neither leaves nor is known to be gone.
+    pub fn stays(&self, instance: &InstanceId) -> bool {
+        self.views.get(instance).is_some_and(|view| !view.gone && !view.record.leaving)
+    }
+
     /// Requests of this box that run at a target.
     pub fn mine(&self, instance: &InstanceId) -> u32 {
         self.views.get(instance).map_or(0, |view| view.mine)
@@ -276,6 +291,8 @@
         view.mine += 1;
         Some(TargetSlot {
             instance: chosen,
+            born: view.record.born,
+            software: view.record.software.clone(),
             address: view.record.address,
             service: view.record.service.clone(),
         })
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{Generation, InstanceId, ModelName, ModelVersion, Moment, ServiceName};
+use ids::{BirthTime, Generation, InstanceId, ModelName, ModelVersion, Moment, ServiceName};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use routing::{
@@ -44,6 +44,8 @@
 fn target(name: &str, domain: &str, version: u64) -> TargetRecord {
     TargetRecord {
         instance: instance(name),
+        born: BirthTime::default(),
+        software: None,
         service: service("a"),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         domain: domain.parse().expect("an id"),
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{ModelName, ModelVersion, ServiceName};
+use ids::{ModelName, ModelVersion, ServiceName, WorkDigest};
 use jobs::{RewardEnd, RunEnd, RunOutcome, RunSpec, StartHold};
+use node::{RunningSlot, WorkGate, item_work};
 use rand::Rng;
-use routing::{ChoiceNeed, TargetShortage, TargetSlot};
+use routing::{ChoiceNeed, TargetShortage};
 use tokio::time;
 use wire::peer::{LogRecord, log_record};
 
@@ -27,7 +28,7 @@
 /// What is done with an item next.
 enum NextStep {
     /// It runs at a target.
-    Run(TargetSlot),
+    Run(RunningSlot),
     /// Its text is whole: only the reward call is missing.
     Reward,
 }
@@ -86,7 +87,7 @@
     keeper.book().start_ready(now, |spec| {
         let step = next_step(ctx, &spec)?;
         let target = match &step {
-            NextStep::Run(slot) => Some(slot.instance.clone()),
+            NextStep::Run(slot) => Some(slot.slot().instance.clone()),
             NextStep::Reward => None,
         };
         starts.push((spec, step));
@@ -103,7 +104,7 @@
                         run = run_item(&ctx, &keeper, &spec, &slot) => run,
                         () = token.cancelled() => cancelled(),
                     };
-                    ctx.view.board().ended(&slot.instance);
+                    drop(slot);
                     keeper.log(spec.rest(&run).into_iter().collect());
                     let whole = keeper.book().run_ended(ctx.view.now(), &spec, &run);
                     if matches!(run.outcome, RunOutcome::Failed | RunOutcome::Impossible) {
@@ -136,18 +137,31 @@
         return Err(StartHold::NoConnections);
     }
     let service = item_service(ctx, spec).ok_or(StartHold::NoRoute)?;
+    let work = spec_work(spec);
+    let WorkGate::Open(barred) = ctx.view.gate(work, &service) else {
+        return Err(StartHold::Condemned);
+    };
+    let crowded = ctx.view.suspects().crowded(work);
     let model: Option<ModelName> = spec.job.model.parse().ok();
     let floor = ModelVersion::new(spec.job.min_version);
     let need = ChoiceNeed {
         model: model.as_ref().map(|model| (model, floor)),
         free_slot: true,
         fast: true,
-        avoid: &[],
+        avoid: &barred,
     };
     let now = ctx.view.now();
     let mut board = ctx.view.board();
-    let slot = board.choose(now, &service, &need, &mut rand::rng());
-    slot.map(NextStep::Run).ok_or_else(|| match board.shortage(now, &service, &need) {
+    // Apart from other work under suspicion where that is possible.
+    let apart = [barred.as_slice(), crowded.as_slice()].concat();
+    let apart = ChoiceNeed { avoid: &apart, ..need };
+    let slot = board.choose(now, &service, &apart, &mut rand::rng());
+    let slot = slot.or_else(|| board.choose(now, &service, &need, &mut rand::rng()));
+    if let Some(slot) = slot {
+        drop(board);
+        return Ok(NextStep::Run(RunningSlot::new(&ctx.view, work, slot)));
+    }
+    Err(match board.shortage(now, &service, &need) {
         TargetShortage::OldVersion => StartHold::OldWeights,
         TargetShortage::Loading => StartHold::Loading,
         TargetShortage::Resting => StartHold::Resting,
@@ -155,6 +169,13 @@
     })
 }
 
+fn spec_work(spec: &RunSpec) -> WorkDigest {
+    let request = spec.request();
+    let (path, id, body) = request
+        .map_or(("", "", &[][..]), |item| (item.path.as_str(), item.id.as_str(), &item.body));
+    item_work(&spec.job.host, path, id, body)
+}
+
 /// The service that the configuration in force names for an item.
 fn item_service(ctx: &ShardContext, spec: &RunSpec) -> Option<ServiceName> {
     let table = ctx.view.table();
--- a/crates/shards/src/reward.rs
+++ b/crates/shards/src/reward.rs
@@ -118,6 +118,7 @@
         PlainEnd::Answered(answer) if answer.status.as_u16() == 500 => {
             RewardEnd::Failed { attempts }
         }
+        PlainEnd::Condemned => RewardEnd::Condemned,
         PlainEnd::Answered(_) | PlainEnd::NotRun(_) | PlainEnd::Unknown(_) => RewardEnd::Missed,
     }
 }
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -12,7 +12,7 @@
 use node::feed::follow_feed;
 use node::follow::{KindFollower, KindSink};
 use node::sinks::{ConfigSink, TargetSink, VersionSink};
-use node::{NodeView, StorageSettings, StoreCall, serve_metrics, tell_counts};
+use node::{NodeView, StorageSettings, StoreCall, keep_suspects, serve_metrics, tell_counts};
 use platform::{Changed, Kind, Listing, ObjectStore, StoreError};
 use tokio::net::TcpListener;
 use tokio::time::{self, Instant};
@@ -69,6 +69,7 @@
     tokio::spawn(begin_shards(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(conduct(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(retire_when_asked(Arc::clone(&ctx), Arc::clone(&keepers)));
+    tokio::spawn(keep_suspects(Arc::clone(&view), true, end.clone()));
     tokio::spawn(tell_counts(Arc::clone(&view)));
     if let Some(address) = node.metrics {
         tokio::spawn(serve_metrics(view, address));
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use ids::{ModelName, ModelVersion, WorkDigest, whole_millis};
 use jobs::{RunEnd, RunEvent, RunSpec};
-use node::{item_work, look_for_end};
+use node::{RunningSlot, note_break};
 use platform::events::EventReader;
 use platform::headers;
 use routing::{ChoiceNeed, TargetSlot};
@@ -40,6 +40,7 @@
     keeper: &'a ShardKeeper,
     spec: &'a RunSpec,
     slot: &'a TargetSlot,
+    work: WorkDigest,
     model: Option<ModelName>,
     version: Option<u64>,
     events: Vec<RunEvent>,
@@ -54,13 +55,14 @@
     ctx: &ShardContext,
     keeper: &ShardKeeper,
     spec: &RunSpec,
-    slot: &TargetSlot,
+    slot: &RunningSlot,
 ) -> RunEnd {
     let mut state = RunState {
         ctx,
         keeper,
         spec,
-        slot,
+        slot: slot.slot(),
+        work: slot.work(),
         model: spec.job.model.parse().ok(),
         version: None,
         events: Vec::new(),
@@ -227,19 +229,21 @@
         }
     }
 
-    fn work(&self) -> WorkDigest {
-        let (path, id, body) = self
-            .spec
-            .request()
-            .map_or(("", "", &[][..]), |item| (&item.path, &item.id, &item.body));
-        item_work(&self.spec.job.host, path, id, body)
-    }
-
     fn note(&self, reason: RunReason, started: Instant) {
         let view = &self.ctx.view;
-        if matches!(reason, RunReason::Broken | RunReason::BrokenBeforeHead) {
-            look_for_end(view, self.slot.address, &self.slot.instance, self.work());
+        match reason {
+            RunReason::Broken | RunReason::BrokenBeforeHead => {
+                note_break(view, self.slot, self.work);
+            }
+            RunReason::OtherTarget => view.suspects().gone(view.now(), &self.slot.instance),
+            // The engine has lived to say so.
+            RunReason::Whole | RunReason::Impossible | RunReason::TargetError => {
+                view.suspects().succeeded(self.work);
+            }
+            _ => {}
         }
+        // A second end is told by now, or the run after this one tells of it.
+        view.suspects_changed();
         view.metrics.ended("run", reason.word());
         let instance = &self.slot.instance;
         if reason == RunReason::Whole {
@@ -251,7 +255,7 @@
         let level = if reason == RunReason::Whole { log::Level::Debug } else { log::Level::Info };
         let item = self.spec.request().map_or("", |item| item.id.as_str());
         log::log!(
-            target: "jobs", level, job:% = self.spec.item.job, item = item, work:% = self.work(),
+            target: "jobs", level, job:% = self.spec.item.job, item = item, work:% = self.work,
             target:% = instance, from_event = self.spec.events, events = self.events.len(),
             weight_version = self.version.unwrap_or(0), min_version = self.spec.job.min_version,
             took_ms = whole_millis(started.elapsed()),
--- a/crates/shards/tests/loads.rs
+++ b/crates/shards/tests/loads.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{InstanceId, ModelName, ModelVersion, Moment, ServiceName};
+use ids::{BirthTime, InstanceId, ModelName, ModelVersion, Moment, ServiceName};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use routing::{ChoiceNeed, HeldModel, TargetBoard, TargetFailure, TargetRecord};
@@ -41,6 +41,8 @@
     for number in 0..ENGINES {
         board.put(TargetRecord {
             instance: engine(number),
+            born: BirthTime::default(),
+            software: None,
             service: service(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             domain: domain.clone(),
