explain: lead from a request to its work, and to the targets that ended under it

Cause: a request that is turned away has an id of its own; what its work did before stands under other ids and at other boxes. Change: lines about the same work are told with a request's own; a digest of work can be explained by itself.

--- a/crates/gannetctl/src/explain.rs
+++ b/crates/gannetctl/src/explain.rs
@@ -1,7 +1,8 @@
 //! From an id to its cause: the lines of many boxes' logs that concern it, in order of time.
 //!
 //! A line concerns an id if one of its fields is that id. An item leads on to its job, and a job to
-//! its shard, whose changes of server are told for the time in which the job's lines lie.
+//! its shard, whose changes of server are told for the time in which the job's lines lie. A request that failed
+//! at a target leads on to its work, of which it is told under which other ids it ended targets before.
 
 use std::collections::BTreeSet;
 use std::io;
@@ -18,6 +19,9 @@
 /// Events that tell who serves a shard.
 const SHARD_EVENTS: [&str; 5] =
     ["serving", "not serving", "plan in force", "not taken", "copy did not take the append"];
+/// Events that tell what is believed of a piece of work, at any time.
+const WORK_EVENTS: [&str; 4] =
+    ["target looked at", "work under suspicion", "work turned away", "work free again"];
 /// Seconds before and after a job's own lines in which its shard's changes are told.
 const AROUND_S: f64 = 5.0;
 
@@ -46,6 +50,7 @@
 fn collect(args: &ExplainArgs) -> Result<Explanation, (PathBuf, io::Error)> {
     let own = BTreeSet::from([args.id.clone()]);
     let mut jobs = BTreeSet::new();
+    let mut works = BTreeSet::new();
     let mut shards = BTreeSet::new();
     let mut lines = Vec::new();
     let mut read = Vec::new();
@@ -54,12 +59,13 @@
             if line.names(&own) {
                 let text = |name: &str| line.fields.get(name).and_then(Value::as_str);
                 jobs.extend(text("job").map(str::to_owned));
+                works.extend(text("work").map(str::to_owned));
                 lines.push(line);
             }
         });
         read.push(span.map_err(|error| (file.clone(), error))?);
     }
-    // The job of an item, and the shard of a job, as their own lines tell them.
+    // The job of an item, the shard of a job and the work of a request, as their own lines tell them.
     let others: BTreeSet<String> = jobs.difference(&own).cloned().collect();
     let mut about_shard = Vec::new();
     for file in &args.files {
@@ -68,7 +74,8 @@
                 shards.extend(line.fields.get("shard").and_then(Value::as_u64));
             }
             let of_job = line.names(&others) && !line.fields.contains_key("item");
-            if of_job && !line.names(&own) {
+            let of_work = WORK_EVENTS.contains(&line.event.as_str()) && line.names(&works);
+            if (of_job || of_work) && !line.names(&own) {
                 lines.push(line);
             } else if SHARD_EVENTS.contains(&line.event.as_str()) {
                 about_shard.push(line);
--- a/crates/gannetctl/src/log_lines.rs
+++ b/crates/gannetctl/src/log_lines.rs
@@ -11,7 +11,7 @@
 use crate::exit::CliError;
 
 /// Fields that name what a line is about.
-const ID_FIELDS: [&str; 3] = ["request", "job", "item"];
+const ID_FIELDS: [&str; 4] = ["request", "job", "item", "work"];
 /// Fields that are told in columns of their own, or are the same on every line.
 const COLUMNS: [&str; 5] = ["t", "box", "event", "level", "part"];
 
