Begin anew with a target that has started again under its old id

Cause: a replica may start again under the id that it had (birth in its entry). The board went on with what it believed of the earlier life: its versions, its failures, that it was gone (a target called gone stayed so for ever), its requests. Change: an entry with another birth is another target; what broke off at the life before has ended. Ruled out here, left to the issue on second lives: orders, runs and leases by life, births that go backwards. Test: a_new_life_under_an_old_id_begins_anew, red without it (the target stays gone).

--- a/crates/node/src/sinks.rs
+++ b/crates/node/src/sinks.rs
@@ -90,7 +90,14 @@
     fn put(&self, stored: &Stored, told: bool) {
         match platform::targets::read_target(stored) {
             Ok(record) => {
-                let known = self.view.board().record(&record.instance).map(|known| known.leaving);
+                let (known, born) = {
+                    let board = self.view.board();
+                    let known = board.record(&record.instance);
+                    (known.map(|known| known.leaving), known.map(|known| known.born))
+                };
+                if born.is_some_and(|born| born != record.born) {
+                    self.view.suspects().gone(self.view.now(), &record.instance);
+                }
                 if known != Some(record.leaving) && !told {
                     log::info!(
                         target: "targets", target:% = record.instance, service:% = record.service,
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -202,11 +202,15 @@
     /// Takes a target as the platform lists it now.
     pub fn put(&mut self, record: TargetRecord) {
         let instance = record.instance.clone();
-        if let Some(view) = self.views.get_mut(&instance) {
+        if let Some(view) = self.views.get_mut(&instance)
+            && view.record.born == record.born
+        {
             let newer = merge_models(&view.record.models, &record.models);
             view.record = TargetRecord { models: newer, ..record };
             return;
         }
+        // A new life under an old id holds nothing, and is blamed for nothing, of the one before.
+        self.remove(&instance);
         self.services.entry(record.service.clone()).or_default().push(instance.clone());
         let view = TargetView {
             record,
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -236,3 +236,23 @@
     board.remove(&instance("new"));
     assert_eq!(told(&board), TargetShortage::OldVersion);
 }
+
+#[test]
+fn a_new_life_under_an_old_id_begins_anew() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut board = board(&[target("i-1", "home", 5)]);
+    let now = Moment::START;
+    let need = ChoiceNeed::default();
+    board.choose(now, &service("a"), &need, &mut rng).expect("a target");
+    board.failed(now, &instance("i-1"), TargetFailure::Gone);
+    assert!(!board.stays(&instance("i-1")));
+    let born = BirthTime::new(7);
+    board.put(TargetRecord { born, ..target("i-1", "home", 1) });
+    assert!(board.stays(&instance("i-1")));
+    assert_eq!(board.mine(&instance("i-1")), 0);
+    let record = board.record(&instance("i-1")).expect("listed");
+    assert_eq!(record.models[0].version, ModelVersion::new(1), "it knows nothing of before");
+    let slot = board.choose(now, &service("a"), &need, &mut rng).expect("a target");
+    assert_eq!(slot.born, born);
+    assert_eq!(board.of_service(&service("a")).count(), 1);
+}
