End a waiting watch when the store is lost by a call about another kind

Cause: word of lethal work lies beside the duties, whose watch waits up to 8 s. On a connection that has fallen silent it ends after 8.7 s, while the settings' watch notices within a second; until then a domain knows nothing of work that ends targets. Change: followers give a waiting watch up when another kind's call has lost the store, and go on from their revision once it is back. Cost: one watch a kind and loss, on boxes that ask the store.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -152,6 +152,12 @@
                     wait = PROBE_TIME;
                     continue;
                 }
+                // The connection of a watch that waits may have fallen silent as well, which would show only at its
+                // end, up to nine seconds later.
+                () = lost_by_others(&self.view, self.kind), if !resting => {
+                    self.wait_for_return(&mut fed, was_fed).await;
+                    continue;
+                }
                 answered = ask_from(ask_at, &self.view, self.kind, known, wait), if !resting => answered,
             };
             match answered {
@@ -180,17 +186,22 @@
                         ask_at = Instant::now() + pace.failed(told);
                     } else {
                         time::sleep(pace.failed(false)).await;
-                        wait_until_up(&self.view).await;
-                        if was_fed {
-                            // Fed or not, it goes on from what is known.
-                            let _fed = time::timeout(FEED_RETURN, fed.wait_for(|fed| *fed)).await;
-                        }
+                        self.wait_for_return(&mut fed, was_fed).await;
                     }
                 }
             }
         }
     }
 
+    /// Returns once the store is back, and once another box tells of it where one did before.
+    async fn wait_for_return(&self, fed: &mut watch::Receiver<bool>, was_fed: bool) {
+        wait_until_up(&self.view).await;
+        if was_fed {
+            // Fed or not, it goes on from what is known.
+            let _fed = time::timeout(FEED_RETURN, fed.wait_for(|fed| *fed)).await;
+        }
+    }
+
     /// The first news of another box; `None` when nobody tells this one.
     async fn first_news(&mut self, news: &mut Option<mpsc::Receiver<FedNews>>) -> Option<u64> {
         let told = tokio::select! {
@@ -259,6 +270,17 @@
     }
 }
 
+/// Returns when the store is lost by a call about another kind; never for the configuration, whose follower looks
+/// whether it is back.
+async fn lost_by_others(view: &NodeView, kind: Kind) {
+    if kind == Kind::Configuration {
+        return std::future::pending().await;
+    }
+    let mut states = view.store_states();
+    // The sender lives in the view, so this ends only when the store is down.
+    let _closed = states.wait_for(|state| !state.up).await;
+}
+
 async fn wait_until_up(view: &NodeView) {
     let mut states = view.store_states();
     // The sender lives in the view, so this ends only when the store is up.
