--- a/crates/node/src/ends.rs
+++ b/crates/node/src/ends.rs
@@ -16,7 +16,7 @@
     if !view.board().stays(&slot.instance) {
         return;
     }
-    let life = TargetLife { instance: slot.instance.clone(), born: slot.born };
+    let life = slot.life();
     let end = WorkEnd { life: life.clone(), software: slot.software.clone() };
     if view.suspects().broke(view.now(), work, &slot.service, end) {
         tokio::spawn(look(Arc::clone(view), slot.clone(), life, work));
--- a/crates/node/src/sinks.rs
+++ b/crates/node/src/sinks.rs
@@ -105,6 +105,11 @@
                         "listed"
                     );
                 }
+                if record.leaving {
+                    // The word may come after its end.
+                    self.view.suspects().acquit(&record.life());
+                    self.view.suspects_changed();
+                }
                 lock(&self.missing).remove(&record.instance);
                 self.view.board().put(record);
             }
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -146,7 +146,8 @@
         };
         if lives && view.store_state().up && view.entry_grace().is_zero() {
             log::info!(target: "targets", target:% = life; "target had not ended");
-            view.suspects().lives(&life);
+            view.suspects().acquit(&life);
+            view.suspects_changed();
         }
     }
 }
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -11,6 +11,7 @@
 
 use ids::{
     BirthTime, DomainId, InstanceId, ModelName, ModelVersion, Moment, ServiceName, SoftwareVersion,
+    TargetLife,
 };
 use rand::Rng;
 
@@ -72,6 +73,20 @@
     pub models: Vec<HeldModel>,
 }
 
+impl TargetRecord {
+    /// This life of it.
+    pub fn life(&self) -> TargetLife {
+        TargetLife { instance: self.instance.clone(), born: self.born }
+    }
+}
+
+impl TargetSlot {
+    /// The life that was chosen.
+    pub fn life(&self) -> TargetLife {
+        TargetLife { instance: self.instance.clone(), born: self.born }
+    }
+}
+
 /// Load as told by an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetLoad {
--- a/crates/suspects/src/book.rs
+++ b/crates/suspects/src/book.rs
@@ -240,10 +240,11 @@
         due.map(|(life, _)| life).collect()
     }
 
-    /// Takes the word that a life which refused connections lives: the way to it was cut.
-    pub fn lives(&mut self, life: &TargetLife) {
+    /// Takes the word that no work has ended a life: it lives behind a cut, or has left as planned.
+    pub fn acquit(&mut self, life: &TargetLife) {
         for suspect in self.suspects.values_mut() {
             let before = suspect.count();
+            suspect.breaks.retain(|(end, _)| end.life != *life);
             suspect.seen.retain(|end| end.life != *life);
             suspect.heard.retain(|end| end.life != *life);
             if suspect.count() < before
--- a/crates/suspects/tests/book.rs
+++ b/crates/suspects/tests/book.rs
@@ -240,11 +240,11 @@
     let lapsed = book.lapsed(at(8));
     assert_eq!(lapsed.len(), CONDEMNING_ENDS);
     assert!(book.lapsed(at(9)).is_empty(), "each is named once");
-    book.lives(&lapsed[0]);
+    book.acquit(&lapsed[0]);
     assert!(!is_condemned(&book, at(8), "a"));
     assert_eq!(tell_all(&mut book, at(8)).len(), 1, "the others hear of it");
-    book.lives(&lapsed[1]);
-    book.lives(&lapsed[2]);
+    book.acquit(&lapsed[1]);
+    book.acquit(&lapsed[2]);
     assert!(matches!(book.due_writes()[..], [SuspectWrite::Clear { .. }]));
 }
 
