--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,6 +11,7 @@
 mod plain;
 mod policy;
 mod steps;
+mod suspects;
 mod table;
 
 use std::process::ExitCode;
@@ -40,6 +41,8 @@
     },
     /// Processor time and memory of real daemons for each sample of a step.
     Steps,
+    /// Memory, bytes and time of what is remembered of work that ends targets.
+    Suspects,
     /// Whole steps under each way to choose targets, by seed.
     Policy,
     /// Plain requests through a daemon beside the same requests sent directly.
@@ -60,6 +63,10 @@
             decisions::measure();
             Ok(())
         }
+        What::Suspects => {
+            suspects::measure();
+            Ok(())
+        }
         What::Documents => {
             documents::measure();
             Ok(())
--- a/crates/suspects/src/book.rs
+++ b/crates/suspects/src/book.rs
@@ -110,6 +110,12 @@
         self.heard.iter().chain(unheard).take(MOST_ENDS).cloned().collect()
     }
 
+    /// Lives that ended under it, or may have.
+    fn lives(&self) -> impl Iterator<Item = &TargetLife> {
+        let ends = self.seen.iter().chain(&self.heard);
+        ends.chain(self.breaks.iter().map(|(end, _)| end)).map(|end| &end.life)
+    }
+
     fn has_ended(&self, life: &TargetLife) -> bool {
         self.seen.iter().chain(&self.heard).any(|end| end.life == *life)
     }
@@ -293,12 +299,13 @@
         }
     }
 
-    /// Targets at which other suspects run now; none for work that is not under suspicion.
+    /// Targets at which other suspects run now that broke off at the same life: the next end tells them apart only if
+    /// they run apart. None for work that is not under suspicion.
     pub fn crowded(&self, work: WorkDigest) -> Vec<InstanceId> {
-        if !self.suspects.contains_key(&work) {
-            return Vec::new();
-        }
-        let others = self.suspects.iter().filter(|(other, _)| **other != work);
+        let Some(suspect) = self.suspects.get(&work) else { return Vec::new() };
+        let others = self.suspects.iter().filter(|(other, known)| {
+            **other != work && suspect.lives().any(|life| known.lives().any(|other| other == life))
+        });
         others.flat_map(|(_, suspect)| suspect.places.iter().cloned()).collect()
     }
 
--- a/crates/suspects/tests/book.rs
+++ b/crates/suspects/tests/book.rs
@@ -193,6 +193,8 @@
     assert_eq!(book.crowded(work("innocent")), [instance(7)]);
     assert!(book.crowded(work("lethal")).is_empty());
     assert!(book.crowded(work("of no suspicion")).is_empty());
+    end_under(&mut book, at(1), 99, &["of another crash"]);
+    assert!(book.crowded(work("of another crash")).is_empty());
     book.left(work("lethal"), &instance(7));
     assert!(book.crowded(work("innocent")).is_empty());
     let mut answered = SuspectBook::default();
