Show in one look that an item which is turned away holds up no other

Cause: the mutation that lets a condemned item hold up its job was not noticed: the item pauses after the first look, and the others start at the second. Change: a test of the book alone, within one look; the mutation names it.

--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -378,6 +378,27 @@
     assert_eq!(asked, ["a", "b", "b"]);
 }
 
+#[test]
+fn an_item_that_is_turned_away_waits_and_holds_up_no_other() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("j", 2)));
+    let first = std::cell::Cell::new(None);
+    let ask = |book: &mut JobBook, now| {
+        let mut asked = Vec::new();
+        book.start_ready(now, |spec| {
+            asked.push(spec.item.index);
+            let lethal = first.get().unwrap_or(spec.item.index);
+            first.set(Some(lethal));
+            if spec.item.index == lethal { Err(StartHold::Condemned) } else { Ok(None) }
+        });
+        asked
+    };
+    let all = ask(&mut book, at(1));
+    assert!(all.len() > 1, "the others of its job are started at once");
+    assert!(ask(&mut book, at(500)).is_empty(), "it pauses");
+    assert_eq!(ask(&mut book, at(1_500)), [all[0]], "and is looked at again");
+}
+
 #[test]
 fn a_reward_call_does_not_wait_behind_items_that_find_no_engine() {
     let mut book = book();
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -454,8 +454,8 @@
         file: "crates/jobs/src/turns.rs",
         from: "                    turns.extend(self.turn(now, turn.job, turn.at + 1, turn.held));",
         to: "                    turns.extend(self.turn(now, turn.job, turn.at + 1, true));",
-        package: "platform-standin",
-        test: "holds_up_no_other",
+        package: "jobs",
+        test: "turned_away_waits_and_holds_up_no_other",
     },
     Mutation {
         name: "suspects: a box that starts waits before it believes what is told",
