Count what is believed by a clock that goes on while the box is suspended

Cause: a box may be suspended for seconds, which the steady clock does not count. Leases, terms, proofs of copies and of the store, rests and verdicts were counted by it, so that a box which wakes believed in its lease for as long after its end. Change: the box's belief (NodeView::now) goes by the machine's clock that counts suspensions, read once; tests inject the runtime's clock and a suspension beside it. Everything that is compared with these moments is read right before the act, as before. Ruled out: adding the difference of two clocks, which are a scheduler's turn apart when read one after the other. Left to the issue on suspended boxes: what is counted by the runtime's own clock (callers' deadlines, trust in a teller, waits), a search for others, the soak.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! versions, and whether the store answers. Followers keep it current; everything on the request
 //! path only reads it. [`call_plain`] sends one plain request, with its retries.
 
+mod clock;
 pub mod duties;
 mod ends;
 pub mod feed;
@@ -20,6 +21,7 @@
 mod view;
 mod work;
 
+pub use clock::ClockSource;
 pub use ends::note_break;
 pub use metrics::{NodeMetrics, StoreCall, serve_metrics, tell_counts};
 pub use plain::{PlainCall, PlainEnd, call_plain};
@@ -30,5 +32,5 @@
 pub use slot::RunningSlot;
 pub use stop::wait_for_stop;
 pub use suspects::{WorkGate, keep_suspects, suspect_object};
-pub use view::{NodeView, clock_now};
+pub use view::NodeView;
 pub use work::{item_work, request_work};
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,8 @@
 use ids::{BoxId, DomainId};
 use wire::DeploymentKey;
 
+use crate::ClockSource;
+
 /// Settings of both roles, as given.
 #[derive(Debug, Clone, Args)]
 pub struct RawNodeSettings {
@@ -109,6 +111,8 @@
     pub shards: u32,
     /// Descriptors that the process may open.
     pub max_fds: usize,
+    /// The clock of what the box believes; the machine's but in tests.
+    pub clock: ClockSource,
     /// Time to stop in.
     pub grace: Duration,
     /// Log level.
@@ -194,6 +198,7 @@
             key,
             shards: self.shards,
             max_fds: self.max_fds,
+            clock: ClockSource::Machine,
             grace: Duration::from_secs_f64(self.grace_s),
             log: self.log,
         })
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -10,9 +10,9 @@
 use routing::{RouteTable, TargetBoard};
 use suspects::SuspectBook;
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
 use upstream::{ConnectionLimit, TargetPool};
 
+use crate::clock::BeliefClock;
 use crate::duties::DutyBoard;
 use crate::feed::FeedBoard;
 use crate::{NodeMetrics, NodeSettings};
@@ -39,7 +39,7 @@
     store_up: watch::Sender<StoreState>,
     isolated: AtomicBool,
     changed: watch::Sender<u64>,
-    started: Instant,
+    clock: BeliefClock,
 }
 
 /// Whether the store answers, and since when.
@@ -51,11 +51,6 @@
     pub since: Moment,
 }
 
-/// A moment on the runtime's clock, counted from the start of the process.
-pub fn clock_now(started: Instant) -> Moment {
-    Moment::after_start(started.elapsed())
-}
-
 /// How long after the store's return an entry that lapsed meanwhile may be on its way back: the
 /// two seconds that the platform names, and the way of the news.
 const ENTRY_RETURN: Duration = Duration::from_millis(2_300);
@@ -65,6 +60,7 @@
     pub fn new(settings: NodeSettings, store: ObjectStore) -> Self {
         let board = TargetBoard::new(settings.domain.clone());
         let limit = ConnectionLimit::for_descriptors(settings.max_fds);
+        let clock = BeliefClock::start(settings.clock.clone());
         Self {
             settings,
             store,
@@ -80,13 +76,13 @@
             store_up: watch::Sender::new(StoreState { up: true, since: Moment::START }),
             isolated: AtomicBool::new(false),
             changed: watch::Sender::new(0),
-            started: Instant::now(),
+            clock,
         }
     }
 
-    /// Now, on the runtime's clock.
+    /// Now, by the clock of all that is believed.
     pub fn now(&self) -> Moment {
-        clock_now(self.started)
+        self.clock.now()
     }
 
     /// The configuration in force.
