Run work alone before the end that would condemn it, and choose targets for all callers' requests in one place

Change: work with two ends runs only where no other suspect of its box does, or is told to come back; other work keeps away from it where it can. One choice serves plain requests and streams (streams had none of it). Ruled out: keeping such work from all company (a busy box has no idle target); keeping fresh items from engines after any crash (it would crowd the others); holding items so, which would wait for long runs.

--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -8,10 +8,11 @@
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::{Either, Full};
 use ids::{InstanceId, WorkDigest};
-use node::{NodeView, RunningSlot, WorkGate, note_break, request_work};
+use node::{
+    NodeView, RunningSlot, TargetChoice, WorkNeed, choose_target, note_break, request_work,
+};
 use platform::headers;
-use rand::Rng;
-use routing::{ChoiceNeed, Route, TargetFailure, TargetSlot};
+use routing::{Route, TargetFailure, TargetSlot};
 use tokio::time::{self, Instant};
 use upstream::{SendError, TargetAnswer};
 
@@ -38,10 +39,11 @@
     let work = request_work(&head.method, &head.headers, &head.uri, &body);
     let mut tried: Vec<InstanceId> = Vec::new();
     for _ in 0..TRIES {
-        let slot = match choose(view, route, work, &tried) {
-            StreamChoice::Target(slot) => RunningSlot::new(view, work, slot),
-            StreamChoice::None => break,
-            StreamChoice::Condemned => return condemned(view, route, &id, work),
+        let need = WorkNeed { work, tried: &tried, again: false, may_wait: false };
+        let slot = match choose_target(view, route, &need) {
+            TargetChoice::Target(slot) => slot,
+            TargetChoice::None => break,
+            TargetChoice::Condemned => return condemned(view, route, &id, work),
         };
         let place = slot.slot();
         let mut request = Request::new(Full::new(body.clone()));
@@ -118,27 +120,6 @@
     )
 }
 
-/// Where a stream goes.
-enum StreamChoice {
-    Target(TargetSlot),
-    /// No target takes it now.
-    None,
-    /// It must not run.
-    Condemned,
-}
-
-fn choose(view: &NodeView, route: &Route, work: WorkDigest, tried: &[InstanceId]) -> StreamChoice {
-    let mut rng = rand::rng();
-    let Some(service) = route.service(rng.random()) else { return StreamChoice::None };
-    let WorkGate::Open(barred) = view.gate(work, service, false) else {
-        return StreamChoice::Condemned;
-    };
-    let avoid = [tried, &barred].concat();
-    let need = ChoiceNeed { avoid: &avoid, ..ChoiceNeed::default() };
-    let slot = view.board().choose(view.now(), service, &need, &mut rng);
-    slot.map_or(StreamChoice::None, StreamChoice::Target)
-}
-
 fn note_failure(view: &NodeView, slot: &TargetSlot, failure: TargetFailure) {
     view.board().failed(view.now(), &slot.instance, failure);
 }
--- /dev/null
+++ b/crates/node/src/choice.rs
@@ -0,0 +1,63 @@
+//! Which target gets a caller's request, with regard to what is known of its work.
+
+use std::sync::Arc;
+
+use ids::{InstanceId, WorkDigest};
+use rand::Rng;
+use routing::{ChoiceNeed, Route};
+
+use crate::{NodeView, RunningSlot, WorkGate};
+
+/// What a request needs of the choice.
+#[derive(Debug)]
+pub struct WorkNeed<'a> {
+    /// Its work.
+    pub work: WorkDigest,
+    /// Targets that were tried.
+    pub tried: &'a [InstanceId],
+    /// Whether one of these is better than none.
+    pub again: bool,
+    /// Whether nobody waits for this one call.
+    pub may_wait: bool,
+}
+
+/// Where a request goes next.
+#[derive(Debug)]
+pub enum TargetChoice {
+    /// To this target, where its place is taken.
+    Target(RunningSlot),
+    /// No target takes it now.
+    None,
+    /// Nowhere: it ends the targets that run it.
+    Condemned,
+}
+
+/// Chooses a target of the route's service.
+pub fn choose_target(view: &Arc<NodeView>, route: &Route, need: &WorkNeed<'_>) -> TargetChoice {
+    let mut rng = rand::rng();
+    let Some(service) = route.service(rng.random()) else { return TargetChoice::None };
+    let WorkGate::Open(barred) = view.gate(need.work, service, need.may_wait) else {
+        return TargetChoice::Condemned;
+    };
+    let company = view.suspects().company(need.work);
+    let now = view.now();
+    let mut board = view.board();
+    let mut among = |avoid: &[InstanceId]| {
+        let need = ChoiceNeed { avoid, ..ChoiceNeed::default() };
+        board.choose(now, service, &need, &mut rng)
+    };
+    // Rather beside other work under suspicion than nowhere new, and rather the same target again than none.
+    let apart = [&barred, company.places.as_slice()].concat();
+    let mut slot = among(&[need.tried, &apart].concat());
+    if !company.alone {
+        slot = slot.or_else(|| among(&[need.tried, &barred].concat()));
+    }
+    if need.again {
+        let last = if company.alone { &apart } else { &barred };
+        slot = slot.or_else(|| among(last));
+    }
+    drop(board);
+    slot.map_or(TargetChoice::None, |slot| {
+        TargetChoice::Target(RunningSlot::new(view, need.work, slot))
+    })
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! versions, and whether the store answers. Followers keep it current; everything on the request
 //! path only reads it. [`call_plain`] sends one plain request, with its retries.
 
+mod choice;
 mod clock;
 pub mod duties;
 mod ends;
@@ -21,6 +22,7 @@
 mod view;
 mod work;
 
+pub use choice::{TargetChoice, WorkNeed, choose_target};
 pub use clock::ClockSource;
 pub use ends::note_break;
 pub use metrics::{NodeMetrics, StoreCall, serve_metrics, tell_counts};
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -8,12 +8,11 @@
 use http_body_util::Full;
 use ids::{InstanceId, WorkDigest, whole_millis};
 use platform::headers::{self, AnswerFacts};
-use rand::Rng;
-use routing::{ChoiceNeed, Route, RouteKind, TargetFailure, TargetSlot};
+use routing::{Route, RouteKind, TargetFailure, TargetSlot};
 use tokio::time::{self, Instant};
 use upstream::{SendError, WholeAnswer};
 
-use crate::{NodeView, RunningSlot, WorkGate, note_break, request_work};
+use crate::{NodeView, TargetChoice, WorkNeed, choose_target, note_break, request_work};
 
 /// Longest answer that is held whole, in bytes.
 const MOST_ANSWER: usize = 8 << 20;
@@ -115,8 +114,9 @@
     let (mut runs, mut not_run) = (0, 0);
     let mut last_answer = None;
     while runs < call.route.attempts && not_run < NOT_RUN_TRIES && Instant::now() < call.deadline {
-        let slot = match choose(view, &call, work, &tried) {
-            TargetChoice::Target(slot) => RunningSlot::new(view, work, slot),
+        let need = WorkNeed { work, tried: &tried, again: true, may_wait: call.may_wait };
+        let slot = match choose_target(view, call.route, &need) {
+            TargetChoice::Target(slot) => slot,
             TargetChoice::None => {
                 not_run += 1;
                 tried.clear();
@@ -169,39 +169,6 @@
     PlainEnd::Condemned
 }
 
-/// Where a request goes next.
-enum TargetChoice {
-    Target(TargetSlot),
-    /// No target takes it now.
-    None,
-    /// It must not run.
-    Condemned,
-}
-
-fn choose(
-    view: &NodeView,
-    call: &PlainCall<'_>,
-    work: WorkDigest,
-    tried: &[InstanceId],
-) -> TargetChoice {
-    let mut rng = rand::rng();
-    let Some(service) = call.route.service(rng.random()) else { return TargetChoice::None };
-    let WorkGate::Open(barred) = view.gate(work, service, call.may_wait) else {
-        return TargetChoice::Condemned;
-    };
-    let crowded = view.suspects().crowded(work);
-    let now = view.now();
-    let mut board = view.board();
-    let mut among = |avoid: &[InstanceId]| {
-        let need = ChoiceNeed { avoid, ..ChoiceNeed::default() };
-        board.choose(now, service, &need, &mut rng)
-    };
-    // Rather beside other work under suspicion than nowhere new, and rather the same target again than none.
-    let apart = among(&[tried, &barred, &crowded].concat());
-    let fresh = apart.or_else(|| among(&[tried, &barred].concat()));
-    fresh.or_else(|| among(&barred)).map_or(TargetChoice::None, TargetChoice::Target)
-}
-
 async fn try_once(
     view: &Arc<NodeView>,
     call: &PlainCall<'_>,
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -141,7 +141,7 @@
     let WorkGate::Open(barred) = ctx.view.gate(work, &service, true) else {
         return Err(StartHold::Condemned);
     };
-    let crowded = ctx.view.suspects().crowded(work);
+    let company = ctx.view.suspects().company(work);
     let model: Option<ModelName> = spec.job.model.parse().ok();
     let floor = ModelVersion::new(spec.job.min_version);
     let need = ChoiceNeed {
@@ -153,7 +153,7 @@
     let now = ctx.view.now();
     let mut board = ctx.view.board();
     // Apart from other work under suspicion where that is possible.
-    let apart = [barred.as_slice(), crowded.as_slice()].concat();
+    let apart = [barred.as_slice(), company.places.as_slice()].concat();
     let apart = ChoiceNeed { avoid: &apart, ..need };
     let slot = board.choose(now, &service, &apart, &mut rand::rng());
     let slot = slot.or_else(|| board.choose(now, &service, &need, &mut rand::rng()));
--- a/crates/suspects/src/book.rs
+++ b/crates/suspects/src/book.rs
@@ -8,6 +8,9 @@
 use crate::verdict::{SETTLE_TIME, condemned};
 use crate::{CONDEMNING_ENDS, MOST_ENDS, SuspectRecord, WorkEnd};
 
+/// Ends from which on work runs only where no other suspect does: where several lethal requests come at once, all that
+/// run beside them would reach a verdict with them.
+const ALONE_ENDS: usize = CONDEMNING_ENDS - 1;
 /// Pieces of work that are remembered, some 400 bytes each. With more, those with the fewest and oldest ends go.
 const MOST_SUSPECTS: usize = 512;
 /// How long a break may wait for the word that the target has ended: an entry lapses after some 4 s.
@@ -46,6 +49,15 @@
     },
 }
 
+/// Where work had better not run, since other work under suspicion runs there.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WorkCompany {
+    /// These targets.
+    pub places: Vec<InstanceId>,
+    /// It must not run there: with one more end it would be condemned, and who runs beside it as well.
+    pub alone: bool,
+}
+
 /// Whether condemned work may run once more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trial {
@@ -299,14 +311,22 @@
         }
     }
 
-    /// Targets at which other suspects run now that broke off at the same life: the next end tells them apart only if
-    /// they run apart. None for work that is not under suspicion.
-    pub fn crowded(&self, work: WorkDigest) -> Vec<InstanceId> {
-        let Some(suspect) = self.suspects.get(&work) else { return Vec::new() };
+    /// Where other suspects run now, from this box: beside them the next end tells nothing, and may end one that is innocent.
+    pub fn company(&self, work: WorkDigest) -> WorkCompany {
+        let suspect = self.suspects.get(&work);
         let others = self.suspects.iter().filter(|(other, known)| {
-            **other != work && suspect.lives().any(|life| known.lives().any(|other| other == life))
+            let shuns = match suspect {
+                // What broke off elsewhere need not be told from this work.
+                Some(suspect) => {
+                    suspect.lives().any(|life| known.lives().any(|other| other == life))
+                }
+                // A single crash puts all that ran there under suspicion: that keeps nobody away.
+                None => known.count() >= ALONE_ENDS,
+            };
+            **other != work && shuns
         });
-        others.flat_map(|(_, suspect)| suspect.places.iter().cloned()).collect()
+        let places = others.flat_map(|(_, known)| known.places.iter().cloned()).collect();
+        WorkCompany { places, alone: suspect.is_some_and(|known| known.count() >= ALONE_ENDS) }
     }
 
     /// Whether condemned work may run once, to see whether the reason has gone. Where a trial is due it is asked for; the
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -11,7 +11,8 @@
 //! - work that is answered well anywhere is free at once;
 //! - an end counts for the work that has the most of them: what another piece of work explains as well condemns
 //!   nobody ([`verdict`]);
-//! - work under suspicion runs apart from other such work where it can, so that the next end tells them apart;
+//! - work under suspicion runs apart from other such work where it can, and only there before the end that would condemn
+//!   it, so that each end tells them apart;
 //! - a verdict is about a service and a version of its software, and is forgotten after a while.
 //!
 //! Nothing here does I/O or reads a clock.
@@ -20,6 +21,6 @@
 mod record;
 mod verdict;
 
-pub use book::{SuspectBook, SuspectWrite};
+pub use book::{SuspectBook, SuspectWrite, WorkCompany};
 pub use record::{MOST_ENDS, SuspectRecord, WorkEnd};
 pub use verdict::{CONDEMNING_ENDS, SURE_ENDS};
--- a/crates/suspects/tests/book.rs
+++ b/crates/suspects/tests/book.rs
@@ -5,7 +5,8 @@
 
 use ids::{BirthTime, InstanceId, Moment, ServiceName, SoftwareVersion, TargetLife, WorkDigest};
 use suspects::{
-    CONDEMNING_ENDS, MOST_ENDS, SURE_ENDS, SuspectBook, SuspectRecord, SuspectWrite, WorkEnd,
+    CONDEMNING_ENDS, MOST_ENDS, SURE_ENDS, SuspectBook, SuspectRecord, SuspectWrite, WorkCompany,
+    WorkEnd,
 };
 
 /// Longer than other boxes' news take.
@@ -190,13 +191,19 @@
     assert!(!is_condemned(&book, at(1), "lethal") && !is_condemned(&book, at(1), "innocent"));
     // They run apart from each other.
     book.began(work("lethal"), &instance(7));
-    assert_eq!(book.crowded(work("innocent")), [instance(7)]);
-    assert!(book.crowded(work("lethal")).is_empty());
-    assert!(book.crowded(work("of no suspicion")).is_empty());
+    let beside = WorkCompany { places: vec![instance(7)], alone: true };
+    assert_eq!(book.company(work("innocent")), beside);
+    assert!(book.company(work("lethal")).places.is_empty());
+    let fresh = WorkCompany { alone: false, ..beside };
+    assert_eq!(book.company(work("of no suspicion")), fresh, "it may, but had better not");
+    let mut once = SuspectBook::default();
+    end_under(&mut once, at(1), 1, &["a"]);
+    once.began(work("a"), &instance(7));
+    assert_eq!(once.company(work("of no suspicion")), WorkCompany::default(), "one crash");
     end_under(&mut book, at(1), 99, &["of another crash"]);
-    assert!(book.crowded(work("of another crash")).is_empty());
+    assert_eq!(book.company(work("of another crash")), WorkCompany::default());
     book.left(work("lethal"), &instance(7));
-    assert!(book.crowded(work("innocent")).is_empty());
+    assert!(book.company(work("innocent")).places.is_empty());
     let mut answered = SuspectBook::default();
     for number in 0..CONDEMNING_ENDS {
         end_under(&mut answered, at(1), number, &["lethal", "innocent"]);
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -433,6 +433,14 @@
         package: "suspects",
         test: "always_end_targets_together",
     },
+    Mutation {
+        name: "suspects: work that one more end would condemn runs beside other such work",
+        file: "crates/suspects/src/book.rs",
+        from: "alone: suspect.is_some_and(|known| known.count() >= ALONE_ENDS) }",
+        to: "alone: suspect.is_some_and(|known| known.count() >= 99 * ALONE_ENDS) }",
+        package: "platform-standin",
+        test: "told_from_those_beside_them",
+    },
     Mutation {
         name: "suspects: an answer frees nobody",
         file: "crates/node/src/plain.rs",
