Bound the breaks that wait for word of their targets

Cause: each break of a piece of work was remembered for six seconds, also many at the same life; a caller that comes often to a target that closes connections made the list as long as its rate. Change: one break a life, sixteen at most.

--- a/crates/suspects/src/book.rs
+++ b/crates/suspects/src/book.rs
@@ -13,6 +13,8 @@
 const ALONE_ENDS: usize = CONDEMNING_ENDS - 1;
 /// Pieces of work that are remembered, some 400 bytes each. With more, those with the fewest and oldest ends go.
 const MOST_SUSPECTS: usize = 512;
+/// Breaks of one piece of work that wait for the word whether their targets have ended.
+const MOST_BREAKS: usize = 16;
 /// How long a break may wait for the word that the target has ended: an entry lapses after some 4 s.
 const BREAK_TIME: Duration = Duration::from_secs(6);
 /// After this long an entry in the list that still names a life says that it has not ended: it would have lapsed.
@@ -209,13 +211,14 @@
         end: WorkEnd,
     ) -> bool {
         let life = end.life.clone();
-        let looked = self.suspects.values().any(|suspect| {
-            suspect.breaks.iter().any(|(other, _)| other.life == life) || suspect.has_ended(&life)
-        });
+        let is_known = |suspect: &Suspect| suspect.lives().any(|other| *other == life);
+        let looked = self.suspects.values().any(is_known);
         self.make_room(&work);
         let suspect =
             self.suspects.entry(work).or_insert_with(|| Suspect::new(now, service.clone()));
-        suspect.breaks.push((end, now));
+        if !is_known(suspect) && suspect.breaks.len() < MOST_BREAKS {
+            suspect.breaks.push((end, now));
+        }
         if self.refused.contains_key(&life) {
             self.ended(now, &life);
         }
@@ -244,8 +247,7 @@
                 continue;
             };
             let (end, _) = suspect.breaks.swap_remove(at);
-            suspect.breaks.retain(|(other, _)| other.life != *life);
-            if !suspect.has_ended(life) && suspect.seen.len() < MOST_ENDS {
+            if suspect.seen.len() < MOST_ENDS {
                 suspect.seen.push(end);
                 suspect.note_end(now);
             }
@@ -311,7 +313,7 @@
         }
     }
 
-    /// Where other suspects run now, from this box: beside them the next end tells nothing, and may end one that is innocent.
+    /// Where other suspects run now, from this box: beside them the next end tells nothing, and may hit innocent work.
     pub fn company(&self, work: WorkDigest) -> WorkCompany {
         let suspect = self.suspects.get(&work);
         let others = self.suspects.iter().filter(|(other, known)| {
