--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -64,9 +64,8 @@
         }
         WorkGate::Open(barred.into_iter().map(|record| record.instance.clone()).collect())
     }
-}
 
-impl NodeView {
+    /// Whether condemned work may run once more.
     fn trial(&self, work: WorkDigest) -> WorkGate {
         let may_try = self.suspects().may_try(self.now(), work);
         self.suspects_changed();
@@ -91,7 +90,11 @@
             );
         }
         (None, _) => log::warn!(target: "targets", name = stored.name.as_str(); "suspect refused"),
-        (_, Err(error)) => log::warn!(target: "targets", error:% = error; "suspect refused"),
+        (Some(work), Err(error)) => {
+            // Another writer's: nothing is believed under this name that stood there before.
+            view.suspects().untold(work);
+            log::warn!(target: "targets", work:% = work, error:% = error; "suspect refused");
+        }
     }
     true
 }
