--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -141,20 +141,28 @@
             }
             TryEnd::NotRun => not_run += 1,
             TryEnd::Broken if repeatable => runs += 1,
-            TryEnd::Broken => return give_up(view, work, "target broke off"),
+            TryEnd::Broken => return give_up(view, &call, work, "target broke off"),
         }
     }
     match last_answer {
         Some(answer) => PlainEnd::Answered(answer),
         None if runs == 0 && Instant::now() < call.deadline => PlainEnd::NotRun("no target free"),
         None if runs == 0 => PlainEnd::NotRun("out of time"),
-        None => give_up(view, work, "targets broke off"),
+        None => give_up(view, &call, work, "targets broke off"),
     }
 }
 
-/// The caller hears that the request may have run, and may come again at any box.
-fn give_up(view: &NodeView, work: WorkDigest, reason: &'static str) -> PlainEnd {
-    view.suspects().given_up(work);
+/// The caller hears that the request may have run, and may come again at any box; a call that nobody waits for
+/// comes again here, and need not be told of after a single end.
+fn give_up(
+    view: &NodeView,
+    call: &PlainCall<'_>,
+    work: WorkDigest,
+    reason: &'static str,
+) -> PlainEnd {
+    if !call.may_wait {
+        view.suspects().given_up(work);
+    }
     view.suspects_changed();
     PlainEnd::Unknown(reason)
 }
