--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -505,6 +505,22 @@
         package: "routing",
         test: "a_new_life_under_an_old_id",
     },
+    Mutation {
+        name: "platform: a caller that leaves keeps its place at the target",
+        file: "crates/node/src/slot.rs",
+        from: "        self.view.board().ended(&self.slot.instance);\n",
+        to: "",
+        package: "platform-standin",
+        test: "a_caller_that_leaves_gives",
+    },
+    Mutation {
+        name: "platform: what is believed is counted without suspensions",
+        file: "crates/node/src/clock.rs",
+        from: "                started.elapsed() + suspended\n",
+        to: "                started.elapsed() + suspended * 0\n",
+        package: "platform-standin",
+        test: "wakes_from_a_suspension",
+    },
 ];
 
 /// Runs every mutation; an error names those that no test noticed.
