--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::channel::Channel;
 use http_body_util::{Either, Full};
@@ -59,6 +59,14 @@
     refuse_until(reason, remedy, COME_BACK, request_id)
 }
 
+/// The refusal of a request without a key that a customer has.
+pub fn key_not_known(request_id: Option<&str>) -> Response<FrontBody> {
+    let remedy = "it has not run: send a key that the operator has given to a customer";
+    let mut response = refuse(StatusCode::UNAUTHORIZED, "key not known", remedy, request_id);
+    response.headers_mut().insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    response
+}
+
 /// The refusal of a request that ends the targets that run it.
 pub fn condemned(request_id: &str) -> Response<FrontBody> {
     let remedy = "it has not run: targets ended under it before; change it, or come back after the time named";
--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -8,14 +8,13 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
-use ids::ShardIndex;
+use ids::{CustomerName, ShardIndex};
 use joblog::{CopyHolder, EpochId, shard_of_job};
 use jobs::{reason, unpack_text};
 use links::{CallError, LinkPool};
 use node::NodeView;
-use platform::calls::{self, JobCall};
+use platform::calls::{self, JobCall, JobSender};
 use rand::seq::SliceRandom;
-use routing::Route;
 use tokio::time;
 use wire::peer::{
     JobBody, JobEnd, JobRead, JobSubmit, RefusedKind, ServedAsk, ShardAnswer, item, shard_answer,
@@ -313,21 +312,21 @@
             (RefusedKind::BadRequest, reason::NO_JOB) => ShardFault::NoJob,
             (RefusedKind::BadRequest, reason::NO_ITEM) => ShardFault::NoItem,
             (RefusedKind::NotRun, reason::FULL) => ShardFault::Full,
+            (RefusedKind::Conflict, reason::TAKEN) => ShardFault::Taken,
             (RefusedKind::Unknown, _) => ShardFault::Unknown,
             _ => ShardFault::NotServed,
         },
     }
 }
 
-/// Takes a job that is handed in on `route`.
+/// Takes a job that is handed in.
 pub async fn submit(
     client: &ShardClient,
-    route: &Route,
-    host: &str,
+    sender: JobSender<'_>,
     id: &str,
     body: &Bytes,
 ) -> Response<FrontBody> {
-    let job = match calls::read_job(id, host, route, body) {
+    let job = match calls::read_job(id, sender, body) {
         Ok(job) => job,
         Err(error) => {
             log::warn!(target: "entry", request = id, error:% = error; "job refused");
@@ -340,7 +339,7 @@
     let Some(shards) = client.view.shards() else {
         return answer::not_run("shard not served", Some(id));
     };
-    let shard = shard_of_job(host, &job.model, shards);
+    let shard = shard_of_job(sender.host, &job.model, shards);
     let call = shard_request::Body::Submit(JobSubmit { shard: shard.get(), job: Some(job) });
     let end = client.ask(shard, id, SUBMIT_TIME, &call).await;
     if end.is_ok() {
@@ -350,17 +349,23 @@
         Ok(_) => "accepted",
         Err(ShardFault::NotServed) => "not served",
         Err(ShardFault::Full) => "full",
+        Err(ShardFault::Taken) => "id taken",
         Err(_) => "unknown",
     };
     client.view.metrics.ended("job", outcome);
     log::info!(
-        target: "entry", job = id, shard = shard.get(), items = items, outcome = outcome;
+        target: "entry", job = id, shard = shard.get(), items = items,
+        customer = sender.customer.map_or("", CustomerName::as_str), outcome = outcome;
         "job handed in"
     );
     match end {
         Ok(_) => answer::whole(StatusCode::ACCEPTED, "application/json", Bytes::from_static(b"{}")),
         Err(ShardFault::NotServed) => answer::not_run("shard not served", Some(id)),
         Err(ShardFault::Full) => answer::not_run("shard full", Some(id)),
+        Err(ShardFault::Taken) => {
+            let remedy = "it was not taken: send it under an id of its own";
+            answer::refuse(StatusCode::CONFLICT, "id taken", remedy, Some(id))
+        }
         Err(_) => unknown(Some(id)),
     }
 }
@@ -370,21 +375,24 @@
     answer::refuse(StatusCode::BAD_GATEWAY, "outcome unknown", remedy, id)
 }
 
-/// Serves a call that concerns a job.
+/// Serves a call that concerns a job, as `customer` asks it.
 pub async fn serve_call(
     client: &ShardClient,
     call: JobCall,
+    customer: Option<&CustomerName>,
     wait: Option<Duration>,
 ) -> Response<FrontBody> {
+    let customer = customer.map_or("", CustomerName::as_str);
     match call {
-        JobCall::Read { job, from } => read(client, &job, from, wait).await,
-        JobCall::Body { job, item } => item_body(client, &job, &item).await,
-        JobCall::End { job } => end(client, &job).await,
+        JobCall::Read { job, from } => read(client, customer, &job, from, wait).await,
+        JobCall::Body { job, item } => item_body(client, customer, &job, &item).await,
+        JobCall::End { job } => end(client, customer, &job).await,
     }
 }
 
 async fn read(
     client: &ShardClient,
+    customer: &str,
     job: &str,
     from: u32,
     wait: Option<Duration>,
@@ -397,6 +405,7 @@
             from,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             most_bytes: PAGE_BYTES,
+            customer: customer.to_owned(),
         })
     };
     match client.ask_job(job, wait + READ_SLACK, body).await {
@@ -422,10 +431,15 @@
     }
 }
 
-async fn item_body(client: &ShardClient, job: &str, item: &str) -> Response<FrontBody> {
+async fn item_body(
+    client: &ShardClient,
+    customer: &str,
+    job: &str,
+    item: &str,
+) -> Response<FrontBody> {
     let body = |shard: ShardIndex| {
-        let (job, item) = (job.to_owned(), item.to_owned());
-        shard_request::Body::BodyOf(JobBody { shard: shard.get(), job, item })
+        let (job, item, customer) = (job.to_owned(), item.to_owned(), customer.to_owned());
+        shard_request::Body::BodyOf(JobBody { shard: shard.get(), job, item, customer })
     };
     match client.ask_job(job, CALL_TIME, body).await {
         Ok(shard_answer::Body::Bytes(bytes)) => {
@@ -436,9 +450,10 @@
     }
 }
 
-async fn end(client: &ShardClient, job: &str) -> Response<FrontBody> {
+async fn end(client: &ShardClient, customer: &str, job: &str) -> Response<FrontBody> {
     let body = |shard: ShardIndex| {
-        shard_request::Body::End(JobEnd { shard: shard.get(), job: job.to_owned() })
+        let (job, customer) = (job.to_owned(), customer.to_owned());
+        shard_request::Body::End(JobEnd { shard: shard.get(), job, customer })
     };
     match client.ask_job(job, CALL_TIME, body).await {
         Ok(_) => {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,6 +4,7 @@
 //! shard, all from followers, and answers every request at once when it gives it up: with a
 //! promise that it has not run only where that is certain.
 
+mod admission;
 mod answer;
 mod isolation;
 mod jobs_api;
--- a/crates/front/src/plain.rs
+++ b/crates/front/src/plain.rs
@@ -14,6 +14,7 @@
 use routing::Route;
 use tokio::time::{self, Instant};
 
+use crate::admission::AdmittedRequest;
 use crate::answer::{self, FrontBody};
 
 /// Time that a caller is assumed to wait if it does not say.
@@ -73,15 +74,17 @@
 /// Serves a plain request on its route.
 pub async fn serve_plain(
     view: &Arc<NodeView>,
-    route: &Route,
+    admitted: &AdmittedRequest,
     head: Parts,
     body: Bytes,
     received: Instant,
 ) -> Response<FrontBody> {
+    let route = &admitted.route;
     let deadline = deadline(&head, route, received);
     let id = headers::request_id(&head.headers).unwrap_or_default().to_owned();
     let mut sent_headers = head.headers;
     headers::strip_connection(&mut sent_headers);
+    admitted.name_customer(&mut sent_headers);
     let call = PlainCall {
         route,
         request_id: &id,
@@ -91,6 +94,7 @@
         body,
         deadline,
         may_wait: false,
+        customer: admitted.caller.customer().cloned(),
     };
     let end = time::timeout_at(deadline, call_plain(view, call)).await;
     let (outcome, response) = match end {
--- a/crates/front/src/search.rs
+++ b/crates/front/src/search.rs
@@ -60,6 +60,8 @@
     NoItem,
     /// The shard has no room.
     Full,
+    /// Another customer's job has the id.
+    Taken,
 }
 
 /// What is known after some shards have failed to answer.
@@ -88,7 +90,7 @@
 const fn doubt(fault: ShardFault) -> u8 {
     match fault {
         ShardFault::NoJob => 0,
-        ShardFault::Full => 1,
+        ShardFault::Full | ShardFault::Taken => 1,
         ShardFault::NotServed => 2,
         ShardFault::Unknown => 3,
         // Said by the shard that holds the job, whatever the others say.
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -12,12 +12,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use node::NodeView;
+use platform::calls::JobSender;
 use platform::{calls, headers};
 use routing::RouteKind;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
+use crate::admission::{admit, host_of, identify, path_of};
 use crate::answer::{self, FrontBody, Served};
 use crate::jobs_api::{self, ShardClient};
 use crate::plain::{body_fault, read_body, serve_plain};
@@ -147,34 +149,37 @@
     if table.version.get() == 0 {
         return Ok(answer::not_run("no configuration yet", id.as_deref()));
     }
-    let host = head.headers.get("host").and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    if let Some(call) = calls::read_call(&head.method, path)
-        && table.takes_jobs(host)
+    if let Some(call) = calls::read_call(&head.method, path_of(&head))
+        && table.takes_jobs(host_of(&head))
     {
+        // Jobs are a customer's own: without a key there is nothing to ask for.
+        let caller = match identify(&state.view, &table, &head, false) {
+            Ok(caller) => caller,
+            Err(refusal) => return Ok(*refusal),
+        };
         let wait = headers::read_wait(&head.headers);
-        return Ok(jobs_api::serve_call(&state.shards, call, wait).await);
+        return Ok(jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await);
+    }
+    if let Err(refusal) = admit(&state.view, &head) {
+        return Ok(*refusal);
     }
-    let Some(route) = table.find(host, path).cloned() else {
-        log::info!(
-            target: "entry", request = id.as_deref().unwrap_or(""), host = host,
-            config = table.version.get(), outcome = "no route";
-            "request ended"
-        );
-        let remedy = "check the host and the path";
-        return Ok(answer::refuse(StatusCode::NOT_FOUND, "no route", remedy, id.as_deref()));
-    };
     let body = match read_body(body, table.limits.body_bytes).await {
         Ok(body) => body,
         Err(fault) => return Ok(body_fault(fault, id.as_deref())),
     };
-    Ok(match route.kind {
+    // Long bodies take their time: the key may have been taken away meanwhile.
+    let admitted = match admit(&state.view, &head) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return Ok(*refusal),
+    };
+    Ok(match admitted.route.kind {
         RouteKind::Jobs if head.method == Method::POST => {
-            let id = id.unwrap_or_default();
-            jobs_api::submit(&state.shards, &route, host, &id, &body).await
+            let customer = admitted.caller.customer();
+            let sender = JobSender { host: host_of(&head), route: &admitted.route, customer };
+            jobs_api::submit(&state.shards, sender, &id.unwrap_or_default(), &body).await
         }
-        RouteKind::Streaming => serve_stream(&state.view, &route, head, body, received).await,
-        _ => serve_plain(&state.view, &route, head, body, received).await,
+        RouteKind::Streaming => serve_stream(&state.view, &admitted, head, body, received).await,
+        _ => serve_plain(&state.view, &admitted, head, body, received).await,
     })
 }
 
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -16,6 +16,7 @@
 use tokio::time::{self, Instant};
 use upstream::{SendError, TargetAnswer};
 
+use crate::admission::AdmittedRequest;
 use crate::answer::{self, FrontBody, StreamBroken};
 use crate::plain::deadline;
 
@@ -27,15 +28,17 @@
 /// Serves a stream on its route.
 pub async fn serve_stream(
     view: &Arc<NodeView>,
-    route: &Route,
+    admitted: &AdmittedRequest,
     head: Parts,
     body: Bytes,
     received: Instant,
 ) -> Response<FrontBody> {
+    let route = &admitted.route;
     let deadline = deadline(&head, route, received);
     let id = headers::request_id(&head.headers).unwrap_or_default().to_owned();
     let mut sent_headers = head.headers.clone();
     headers::strip_connection(&mut sent_headers);
+    admitted.name_customer(&mut sent_headers);
     let work = request_work(&head.method, &head.headers, &head.uri, &body);
     let mut tried: Vec<InstanceId> = Vec::new();
     for _ in 0..TRIES {
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -22,8 +22,8 @@
 };
 pub use place::RecordPlace;
 pub use text::{
-    BoxId, DomainId, IdError, InstanceId, ItemId, JobId, ModelName, PoolName, RequestId, RouteName,
-    ServiceName, SoftwareVersion, TargetId, TrainerId,
+    BoxId, CustomerName, DomainId, IdError, InstanceId, ItemId, JobId, ModelName, PoolName,
+    RequestId, RouteName, ServiceName, SoftwareVersion, TargetId, TrainerId,
 };
 pub use window::VersionWindow;
 pub use work::WorkDigest;
--- a/crates/ids/src/text.rs
+++ b/crates/ids/src/text.rs
@@ -129,3 +129,7 @@
     /// A version of the software that a target runs.
     SoftwareVersion, "software version"
 }
+text_id! {
+    /// One customer: whoever holds keys to the service.
+    CustomerName, "customer name"
+}
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -124,6 +124,10 @@
         let request = earlier.job.items.get(holder.index as usize)?;
         let mut state = ItemState::new();
         let held = earlier.items.get(holder.index as usize)?;
+        // What one customer's work has brought is no other's, whatever ids they use.
+        if earlier.job.customer != job.customer {
+            return None;
+        }
         let results = earlier.listed.iter().filter(|listed| listed.on_disk().is_none());
         let listed =
             results.map(|listed| &listed.result).find(|result| result.item == item && result.done);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -38,4 +38,6 @@
     pub const NO_ITEM: &str = "no_item";
     /// The shard is full.
     pub const FULL: &str = "full";
+    /// Another customer's job has the id.
+    pub const TAKEN: &str = "id_taken";
 }
--- a/crates/jobs/src/reads.rs
+++ b/crates/jobs/src/reads.rs
@@ -58,6 +58,19 @@
         self.jobs.contains_key(id)
     }
 
+    /// Whether a job is held under this id that is another customer's. A job of the time before there were
+    /// customers is everybody's, and so are all of them while the configuration knows none: `customer` is empty
+    /// then.
+    pub fn is_others(&self, id: &JobId, customer: &str) -> bool {
+        let owner = self.jobs.get(id).map_or("", |state| state.job.customer.as_str());
+        !owner.is_empty() && !customer.is_empty() && owner != customer
+    }
+
+    /// Whether a job is held of which `customer` may know.
+    pub fn may_ask(&self, id: &JobId, customer: &str) -> bool {
+        self.knows(id) && !self.is_others(id, customer)
+    }
+
     /// Bytes of jobs and results.
     pub const fn bytes(&self) -> usize {
         self.bytes
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -485,3 +485,45 @@
     book.relocate(&[(id("first"), 1, moved)]);
     assert_eq!(book.page(&id("first"), 1, 1).expect("held").on_disk, [(0, moved)]);
 }
+
+fn job_of(id: &str, customer: &str) -> wire::peer::Job {
+    wire::peer::Job { customer: customer.to_owned(), ..job(id, 1) }
+}
+
+#[test]
+fn only_its_customer_may_ask_for_a_job() {
+    let mut book = book();
+    book.apply(at(0), accepted(job_of("owned", "cuka")));
+    book.apply(at(0), accepted(job_of("old", "")));
+    let (owned, old) = (id("owned"), id("old"));
+    assert!(book.may_ask(&owned, "cuka"));
+    assert!(!book.may_ask(&owned, "seje") && book.is_others(&owned, "seje"));
+    // Taken before there were customers, or asked for while the configuration knows none.
+    assert!(book.may_ask(&old, "seje") && book.may_ask(&owned, ""));
+    let unknown = id("unknown");
+    assert!(!book.may_ask(&unknown, "cuka") && !book.is_others(&unknown, "cuka"));
+}
+
+#[test]
+fn text_of_one_customers_item_is_not_carried_into_anothers_job() {
+    for (customer, carried) in [("cuka", true), ("seje", false)] {
+        let mut book = book();
+        book.apply(at(0), accepted(job_of("first", "cuka")));
+        let item = job("first", 1).items[0].id.clone();
+        let progress = ItemProgress {
+            job: "first".to_owned(),
+            events: 2,
+            packed_text: pack_text(b"e1\ne2"),
+            versions: vec![3],
+            ..ItemProgress::default()
+        };
+        book.apply(at(10), LogRecord { body: Some(Body::Progress(progress)) });
+        let mut second = job_of("second", customer);
+        second.items[0].id = item;
+        book.apply(at(20), accepted(second));
+        let specs = start_all(&mut book, at(30));
+        let first = specs.iter().find(|spec| spec.item.job.as_str() == "second");
+        let events = first.map(|spec| spec.events);
+        assert_eq!(events, Some(if carried { 2 } else { 0 }), "{customer}");
+    }
+}
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -119,6 +119,11 @@
         self.proven_at.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a kind is known as it was a moment ago: by an answer of the store, or by another box's word of one.
+    pub fn knows(&self, kind: Kind, now: Moment) -> bool {
+        self.age(kind, now).is_some_and(|age| age < trust::HEAR_TRUST) || self.trust.is_proven()
+    }
+
     /// Whether another box tells this one, so that its own watches rest.
     pub const fn trust(&self) -> &FeedTrust {
         &self.trust
--- a/crates/node/src/feed/trust.rs
+++ b/crates/node/src/feed/trust.rs
@@ -89,6 +89,11 @@
         *self.fed.borrow()
     }
 
+    /// Whether the last proof that was heard is young enough to do without the store.
+    pub fn is_proven(&self) -> bool {
+        self.heard.borrow().as_ref().is_some_and(HeardProof::is_fresh)
+    }
+
     /// Tells when that changes.
     pub fn states(&self) -> watch::Receiver<bool> {
         self.fed.subscribe()
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
-use ids::{InstanceId, WorkDigest, whole_millis};
+use ids::{CustomerName, InstanceId, WorkDigest, whole_millis};
 use platform::headers::{self, AnswerFacts};
 use routing::{Route, RouteKind, TargetFailure, TargetSlot};
 use tokio::time::{self, Instant};
@@ -46,6 +46,8 @@
     pub deadline: Instant,
     /// Whether nobody waits for this one call: it is made again until it is answered.
     pub may_wait: bool,
+    /// Whose request it is, for the account of use; the headers name it to the target.
+    pub customer: Option<CustomerName>,
 }
 
 impl PlainCall<'_> {
--- a/crates/node/src/sinks.rs
+++ b/crates/node/src/sinks.rs
@@ -26,8 +26,12 @@
         match platform::config::read_config(stored) {
             Ok(table) => {
                 let version = table.version;
+                let customers = table.customers().cloned().unwrap_or_default();
                 if self.0.offer_table(table) {
-                    log::info!(target: "config", version = version.get(), revision = stored.revision; "in force");
+                    for fault in customers.faults() {
+                        log::warn!(target: "config", version = version.get(), error:% = fault; "customers are odd");
+                    }
+                    log::info!(target: "config", version = version.get(), revision = stored.revision, customers = customers.len(); "in force");
                 }
             }
             Err(error) => {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -90,6 +90,11 @@
         Arc::clone(&self.table.read().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Whether the configuration in force is surely the newest, give or take the time in which changes are heard.
+    pub fn knows_settings(&self) -> bool {
+        self.feed.knows(Kind::Configuration, self.now())
+    }
+
     /// Whether any configuration is in force.
     pub fn is_configured(&self) -> bool {
         self.table().version.get() > 0
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,14 +1,19 @@
 //! Routes of a configuration, and which target gets a request.
 //!
-//! [`RouteTable`] is one version of the operator's configuration. [`TargetBoard`] is what this
+//! [`RouteTable`] is one version of the operator's configuration; its [`CustomerTable`] tells whose keys
+//! callers show. [`TargetBoard`] is what this
 //! box knows of the targets: what the platform lists, corrected by what this box has sent and by
 //! the loads that answers tell. Nothing here does I/O; chance and time are passed in.
 
 mod board;
+mod customers;
 mod table;
 
 pub use board::{
     ChoiceNeed, HeldModel, TargetBoard, TargetFailure, TargetLoad, TargetRecord, TargetShortage,
     TargetSlot,
 };
+pub use customers::{
+    CallerIdentity, Customer, CustomerFault, CustomerSpec, CustomerTable, KeyDigest, KeyFault,
+};
 pub use table::{CallerLimits, Route, RouteKind, RouteTable, ServiceSpec, WeightedService};
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -6,6 +6,8 @@
 
 use ids::{Generation, ModelName, RouteName, ServiceName};
 
+use crate::{CallerIdentity, CustomerTable, KeyDigest};
+
 /// What may be done with the requests of a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -51,6 +53,8 @@
     pub max_wait: Option<Duration>,
     /// Whether a sample must come from a single version.
     pub single_version: bool,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -108,6 +112,8 @@
     pub version: Generation,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// None where the configuration knows no customers.
+    customers: Option<CustomerTable>,
     services: HashMap<ServiceName, ServiceSpec>,
     /// Longest prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
@@ -129,7 +135,29 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
-        Self { version, limits, services, hosts }
+        Self { version, limits, customers: None, services, hosts }
+    }
+
+    /// Lets only these customers' callers in, but on public routes.
+    #[must_use]
+    pub fn with_customers(mut self, customers: CustomerTable) -> Self {
+        self.customers = Some(customers);
+        self
+    }
+
+    /// The customers; `None` where the configuration knows none.
+    pub const fn customers(&self) -> Option<&CustomerTable> {
+        self.customers.as_ref()
+    }
+
+    /// Who a caller is that shows `key`, on a public route or another.
+    pub fn identify(&self, key: Option<KeyDigest>, public: bool) -> CallerIdentity {
+        let Some(customers) = &self.customers else { return CallerIdentity::NoCustomers };
+        match key.and_then(|key| customers.holder(key)) {
+            Some(customer) => CallerIdentity::Known(Arc::clone(customer)),
+            None if public => CallerIdentity::Anonymous,
+            None => CallerIdentity::Refused,
+        }
     }
 
     /// The route of a request: of the host's routes, the one with the longest prefix of `path`.
--- /dev/null
+++ b/crates/routing/tests/customers.rs
@@ -0,0 +1,81 @@
+//! Whose a key is: what a table of customers says, and what it makes of an odd one.
+
+use ids::CustomerName;
+use routing::{CustomerFault, CustomerSpec, CustomerTable, KeyDigest, KeyFault};
+
+fn name(text: &str) -> CustomerName {
+    text.parse().expect("a name")
+}
+
+fn spec(customer: &str, priority: Option<u8>, keys: &[&str]) -> CustomerSpec {
+    let keys = keys.iter().map(|key| KeyDigest::of(key)).collect();
+    CustomerSpec { name: name(customer), priority, keys }
+}
+
+fn holder(table: &CustomerTable, key: &str) -> Option<String> {
+    let key = KeyDigest::of(key).ok()?;
+    table.holder(key).map(|customer| customer.name.to_string())
+}
+
+#[test]
+fn each_key_leads_to_its_customer() {
+    let table =
+        CustomerTable::new(vec![spec("a", Some(1), &["k-1", "k-2"]), spec("b", None, &["k-3"])]);
+    assert_eq!(holder(&table, "k-2").as_deref(), Some("a"));
+    assert_eq!(holder(&table, "k-3").as_deref(), Some("b"));
+    assert_eq!(holder(&table, "k-4"), None);
+    assert!(table.faults().is_empty());
+    assert_eq!(table.len(), 2);
+}
+
+#[test]
+fn a_key_that_two_customers_name_is_nobodys() {
+    let specs = vec![
+        spec("a", None, &["shared", "k-1"]),
+        spec("b", None, &["shared", "k-2"]),
+        spec("c", None, &["shared"]),
+    ];
+    let table = CustomerTable::new(specs);
+    assert_eq!(holder(&table, "shared"), None);
+    assert_eq!(holder(&table, "k-1").as_deref(), Some("a"));
+    assert_eq!(holder(&table, "k-2").as_deref(), Some("b"));
+    assert!(matches!(table.faults(), [CustomerFault::SharedKey { .. }]), "{:?}", table.faults());
+}
+
+#[test]
+fn a_key_that_stands_twice_with_one_customer_is_its_own() {
+    let table = CustomerTable::new(vec![spec("a", None, &["k-1", "k-1"])]);
+    assert_eq!(holder(&table, "k-1").as_deref(), Some("a"));
+    assert!(table.faults().is_empty());
+}
+
+#[test]
+fn a_customer_that_is_named_twice_has_the_keys_of_both_and_the_higher_rank() {
+    let table =
+        CustomerTable::new(vec![spec("a", Some(3), &["k-1"]), spec("a", Some(1), &["k-2"])]);
+    for key in ["k-1", "k-2"] {
+        let found = table.holder(KeyDigest::of(key).expect("a key")).expect("a customer");
+        assert_eq!((found.name.as_str(), found.priority), ("a", Some(1)));
+    }
+    assert_eq!(table.faults(), [CustomerFault::NamedTwice(name("a"))]);
+    assert_eq!(table.len(), 1);
+}
+
+#[test]
+fn a_key_that_no_header_carries_is_left_out_and_the_others_hold() {
+    let long = "x".repeat(2_000);
+    let table =
+        CustomerTable::new(vec![spec("a", None, &["", "with blank", "k-1", &long, "\u{e9}"])]);
+    assert_eq!(holder(&table, "k-1").as_deref(), Some("a"));
+    let unusable = |fault| CustomerFault::UnusableKey { customer: name("a"), fault };
+    let faults = [KeyFault::Empty, KeyFault::OddBytes, KeyFault::TooLong, KeyFault::OddBytes];
+    assert_eq!(table.faults(), faults.map(unusable));
+}
+
+#[test]
+fn keys_show_nowhere_but_by_the_first_bytes_of_their_digest() {
+    let key = KeyDigest::of("open-sesame").expect("a key");
+    assert_eq!(key.to_string().len(), 8);
+    let table = CustomerTable::new(vec![spec("a", None, &["open-sesame"])]);
+    assert!(!format!("{key:?} {table:?}").contains("sesame"));
+}
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -11,8 +11,8 @@
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 use wire::peer::{
-    Beat, EngineLoad, Item, Job, JobAccepted, JobBytes, JobEnded, JobPage, JobRead, ListedResult,
-    LogAppend, LogCopy, LogRecord, LogSynced, Refused, RefusedKind, Request, ShardAnswer,
+    Beat, EngineLoad, Item, Job, JobAccepted, JobBody, JobBytes, JobEnd, JobEnded, JobPage, JobRead,
+    ListedResult, LogAppend, LogCopy, LogRecord, LogSynced, Refused, RefusedKind, Request, ShardAnswer,
     ShardHandOver, item, log_record, request, shard_answer, shard_request,
 };
 
@@ -122,6 +122,16 @@
     job.parse().is_ok_and(|id| keeper.book().knows(&id))
 }
 
+/// The answer to a job that is held under `id`, perhaps as another customer's.
+fn accepted(keeper: &ShardKeeper, id: &JobId, customer: &str, known: bool) -> Answered {
+    if !keeper.book().is_others(id, customer) {
+        return Ok(shard_answer::Body::Accepted(JobAccepted { known }));
+    }
+    log::warn!(target: "jobs", job:% = id, customer = customer, outcome = "id taken"; "job refused");
+    let message = "the id is in use: send the job under an id of its own";
+    Err(refused(RefusedKind::Conflict, reason::TAKEN, message))
+}
+
 fn unsure() -> Refused {
     let message = "the log has ended meanwhile, it may be kept: ask again under the same id";
     refused(RefusedKind::Unknown, "", message)
@@ -154,10 +164,8 @@
                 None => Err(wrong("the job is missing: send it")),
             },
             shard_request::Body::Read(read) => self.read(read).await,
-            shard_request::Body::BodyOf(asked) => {
-                self.item_body(asked.shard, &asked.job, &asked.item).await
-            }
-            shard_request::Body::End(end) => self.end(end.shard, &end.job).await,
+            shard_request::Body::BodyOf(asked) => self.item_body(&asked).await,
+            shard_request::Body::End(end) => self.end(&end).await,
             shard_request::Body::Append(append) => self.append(append).await,
             shard_request::Body::Copy(copy) => self.copy(copy).await,
             shard_request::Body::Beat(beat) => {
@@ -194,7 +202,7 @@
         let keeper = self.served(shard)?;
         let id: JobId = job.id.parse().map_err(|_fault| wrong("the job's id is not an id"))?;
         if keeper.book().knows(&id) {
-            return Ok(shard_answer::Body::Accepted(JobAccepted { known: true }));
+            return accepted(keeper, &id, &job.customer, true);
         }
         let bytes: usize = job.items.iter().map(|item| item.body.len()).sum();
         // One limit for all shards: any box may come to serve each of them.
@@ -203,7 +211,8 @@
             let message = "the shard holds as much as it may: send the job later";
             return Err(refused(RefusedKind::NotRun, reason::FULL, message));
         }
-        let (items, min_version) = (job.items.len(), job.min_version);
+        let (items, min_version, customer) =
+            (job.items.len(), job.min_version, job.customer.clone());
         let record = LogRecord { body: Some(log_record::Body::Accepted(job)) };
         let logged = log_in_time(keeper, vec![record]).await;
         log::info!(
@@ -212,7 +221,7 @@
             "job taken"
         );
         logged?;
-        Ok(shard_answer::Body::Accepted(JobAccepted { known: false }))
+        accepted(keeper, &id, &customer, false)
     }
 
     async fn read(&self, read: JobRead) -> Answered {
@@ -223,6 +232,9 @@
         let most = usize::try_from(read.most_bytes).unwrap_or(usize::MAX);
         let mut changes = keeper.changes();
         loop {
+            if !keeper.book().may_ask(&id, &read.customer) {
+                return Err(self.surely_unknown(keeper).await);
+            }
             let page = keeper.book().page(&id, read.from, most);
             let Some(BookPage { page, on_disk }) = page else {
                 return Err(self.surely_unknown(keeper).await);
@@ -273,12 +285,13 @@
         }
     }
 
-    async fn item_body(&self, shard: u32, job: &str, item: &str) -> Answered {
-        let keeper = self.served(shard)?;
-        let id: JobId = job.parse().map_err(|_fault| not_known())?;
+    async fn item_body(&self, asked: &JobBody) -> Answered {
+        let keeper = self.served(asked.shard)?;
+        let id: JobId = asked.job.parse().map_err(|_fault| not_known())?;
         let (known, body) = {
             let book = keeper.book();
-            (book.knows(&id), book.body(&id, item))
+            let known = book.may_ask(&id, &asked.customer);
+            (known, book.body(&id, &asked.item).filter(|_| known))
         };
         match body {
             Some(body) => Ok(shard_answer::Body::Bytes(JobBytes { body })),
@@ -290,10 +303,10 @@
         }
     }
 
-    async fn end(&self, shard: u32, job: &str) -> Answered {
-        let keeper = self.served(shard)?;
-        let id: JobId = job.parse().map_err(|_fault| not_known())?;
-        if !keeper.book().knows(&id) {
+    async fn end(&self, end: &JobEnd) -> Answered {
+        let keeper = self.served(end.shard)?;
+        let id: JobId = end.job.parse().map_err(|_fault| not_known())?;
+        if !keeper.book().may_ask(&id, &end.customer) {
             return Err(self.surely_unknown(keeper).await);
         }
         let account = keeper.book().account(self.ctx.view.now(), &id);
@@ -305,7 +318,7 @@
         // Without a record this waits for an end that is under way.
         let logged = log_in_time(keeper, records.into_iter().collect()).await;
         log::info!(
-            target: "jobs", job:% = id, shard = shard,
+            target: "jobs", job:% = id, shard = end.shard,
             outcome = if logged.is_ok() { "ended" } else { "unknown" };
             "job ended"
         );
--- a/crates/shards/src/reward.rs
+++ b/crates/shards/src/reward.rs
@@ -108,6 +108,8 @@
         body: Bytes::from(reward.body.clone()),
         deadline,
         may_wait: true,
+        // It belongs to the system, which needs neither key nor customer for it.
+        customer: None,
     };
     match call_plain(&ctx.view, call).await {
         PlainEnd::Answered(answer) if answer.status.is_success() => {
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
-use ids::{ModelName, ModelVersion, WorkDigest, whole_millis};
+use ids::{CustomerName, ModelName, ModelVersion, WorkDigest, whole_millis};
 use jobs::{RunEnd, RunEvent, RunSpec};
 use node::{RunningSlot, note_break};
 use platform::events::EventReader;
@@ -85,6 +85,7 @@
         }
         sent.insert(http::header::HOST, HeaderValue::from_str(&self.spec.job.host).ok()?);
         sent.insert(headers::REQUEST_ID, HeaderValue::from_str(&item.id).ok()?);
+        self.name_customer(&mut sent);
         headers::set_instance(&mut sent, &self.slot.instance);
         if self.spec.events > 0 {
             headers::set_last_event(&mut sent, self.spec.events);
@@ -96,6 +97,14 @@
         Some(request)
     }
 
+    /// Names the job's customer to the engine, whatever the item's own headers say.
+    fn name_customer(&self, sent: &mut HeaderMap) {
+        let customer: Option<CustomerName> = self.spec.job.customer.parse().ok();
+        if customer.is_some() || self.ctx.view.table().customers().is_some() {
+            headers::set_customer(sent, customer.as_ref());
+        }
+    }
+
     async fn run(&mut self) -> RunReason {
         let Some(request) = self.request() else {
             return RunReason::Unwritable;
