--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -28,6 +28,8 @@
 const NOTICE_TIME: Duration = Duration::from_millis(2_500);
 /// Left of the time to stop in when what is still in flight is cut.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Time for the counts of the last requests to be told: the wait of a feed's question, and its way.
+const LAST_COUNTS: Duration = Duration::from_millis(600);
 /// How often a stopping box looks whether all requests have ended.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -104,6 +106,14 @@
     tokio::spawn(follow_feed(v(), links.clone(), fed, end.clone()));
 }
 
+/// Waits until another box has heard what was counted of the last requests, for a feed's wait at most.
+async fn tell_counts_of_last(state: &FrontState, last: Instant) {
+    let until = last.min(Instant::now() + LAST_COUNTS);
+    while Instant::now() < until && !state.view.usage.is_told() {
+        time::sleep(STOP_LOOK).await;
+    }
+}
+
 /// Turns new callers away and lets requests in flight end.
 async fn stop_calmly(state: &FrontState, grace: Duration) {
     let asked = Instant::now();
@@ -117,5 +127,6 @@
         }
         time::sleep(STOP_LOOK).await;
     }
+    tell_counts_of_last(state, last).await;
     log::info!(target: "entry", in_flight = state.in_flight(); "stopped");
 }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -92,6 +92,9 @@
             continue;
         }
         view.metrics.ended("stream", "begun");
+        if let Some(customer) = admitted.caller.customer() {
+            view.usage.count(view.now(), customer);
+        }
         return pass_stream(view, slot, answer, work);
     }
     view.metrics.ended("stream", "not run");
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{BoxId, whole_millis};
+use ids::{BoxId, Incarnation, whole_millis};
 use joblog::CopyHolder;
 use links::LinkPool;
 use platform::{Changed, Changes, Kind, Listing, Stored};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
+use usage::{TableVersion, UnixTime};
 use wire::peer::{FeedCursor, FeedKind, FeedPage, FeedRead, shard_answer, shard_request};
 
 use super::{FEED_WAIT, HeardProof, kind_of, number_of};
@@ -21,6 +22,11 @@
 /// A box that did not tell is left alone for this long. Short, since after an outage of the store
 /// all boxes of the domain would ask it in place of the one that tells.
 const SILENT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two words of counts to another domain: bytes between domains are dear, and reports wait for
+/// seconds.
+const ELSEWHERE_PAUSE: Duration = Duration::from_secs(1);
+/// A box of another domain that did not answer is left alone for this long.
+const ELSEWHERE_SILENT: Duration = Duration::from_secs(5);
 /// Pause while no box of the domain can tell.
 const LOOK_EVERY: Duration = Duration::from_millis(300);
 
@@ -52,8 +58,13 @@
     kinds: Vec<FedKind>,
     stop: CancellationToken,
 ) {
-    let mut listener =
-        FeedListener { view: Arc::clone(&view), links, kinds, silent: HashMap::new() };
+    let mut listener = FeedListener {
+        view: Arc::clone(&view),
+        links,
+        kinds,
+        silent: HashMap::new(),
+        counts_told_at: None,
+    };
     tokio::select! {
         () = listener.run() => {}
         () = view.feed.trust().expire(|proof| tell_lost(&view, proof)) => {}
@@ -76,6 +87,8 @@
     kinds: Vec<FedKind>,
     /// When boxes last failed to tell.
     silent: HashMap<BoxId, Instant>,
+    /// When counts were last told to a box of another domain.
+    counts_told_at: Option<Instant>,
 }
 
 impl FeedListener {
@@ -87,6 +100,7 @@
                 if self.is_first() || started.elapsed() >= NO_BOX_TIME {
                     self.view.feed.trust().tell_nobody();
                 }
+                self.tell_counts_elsewhere().await;
                 // Changed or not, it is looked again.
                 let _elapsed = time::timeout(LOOK_EVERY, changes.changed()).await;
                 continue;
@@ -139,14 +153,19 @@
         let cursors = self.kinds.iter().filter_map(|fed| {
             Some(FeedCursor { kind: number_of(fed.kind)?, revision: *fed.revision.borrow() })
         });
+        let (usage, version) = self.view.usage.untold(&teller.box_id);
         let read = FeedRead {
             cursors: cursors.collect(),
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            usage,
         };
         let time = wait + ANSWER_SLACK;
         let body = shard_request::Body::Feed(read);
         match self.links.ask_shard(&teller.address, time, body).await {
-            Ok(shard_answer::Body::Feed(page)) => Some(page),
+            Ok(shard_answer::Body::Feed(page)) => {
+                self.heard_counts(teller, version, &page);
+                Some(page)
+            }
             Ok(_other) => None,
             Err(error) => {
                 log::debug!(target: "node", peer:% = teller.box_id, error:% = error; "not told");
@@ -155,6 +174,57 @@
         }
     }
 
+    /// Notes that another box has heard this one's counts, and takes true time from it.
+    fn heard_counts(&self, peer: &CopyHolder, version: TableVersion, page: &FeedPage) {
+        let usage = &self.view.usage;
+        usage.note_told(&peer.box_id, Incarnation::new(page.life), version);
+        if page.true_ms > 0 {
+            usage.follow_time(self.view.now(), UnixTime::new(page.true_ms));
+        }
+    }
+
+    /// Tells what this box has counted to a box of another domain, while none of its own tells it of the store.
+    async fn tell_counts_elsewhere(&mut self) {
+        if self.counts_told_at.is_some_and(|at| at.elapsed() < ELSEWHERE_PAUSE) {
+            return;
+        }
+        let Some(peer) = self.peer_elsewhere() else { return };
+        let (usage, version) = self.view.usage.untold(&peer.box_id);
+        if usage.is_empty() {
+            return;
+        }
+        self.counts_told_at = Some(Instant::now());
+        let read = FeedRead { cursors: Vec::new(), wait_ms: 0, usage };
+        let body = shard_request::Body::Feed(read);
+        let told = self.links.ask_shard(&peer.address, ANSWER_SLACK, body).await;
+        if let Ok(shard_answer::Body::Feed(page)) = told {
+            self.heard_counts(&peer, version, &page);
+        } else {
+            log::debug!(target: "usage", peer:% = peer.box_id; "counts not told");
+            self.silent.insert(peer.box_id, Instant::now());
+        }
+    }
+
+    /// A box that keeps data in another domain; none for a box that keeps data itself, which tells all others.
+    fn peer_elsewhere(&self) -> Option<CopyHolder> {
+        let settings = &self.view.settings;
+        let duties = self.view.duties();
+        if duties.boxes().any(|copy| copy.box_id == settings.box_id) {
+            return None;
+        }
+        let others: Vec<&CopyHolder> = duties
+            .boxes()
+            .filter(|copy| copy.domain != settings.domain)
+            .filter(|copy| {
+                self.silent.get(&copy.box_id).is_none_or(|at| at.elapsed() >= ELSEWHERE_SILENT)
+            })
+            .collect();
+        let ids = others.iter().map(|copy| &copy.box_id);
+        let first =
+            coord::rendezvous::ranked(settings.box_id.as_str(), ids, 1).into_iter().next()?;
+        others.iter().find(|copy| copy.box_id == *first).map(|copy| (*copy).clone())
+    }
+
     /// Takes what was told. `true` when it is fresh enough to do without the store.
     async fn take(&mut self, teller: &CopyHolder, asked_at: Instant, page: FeedPage) -> bool {
         let held = Duration::from_millis(u64::from(page.held_ms));
--- a/crates/node/src/feed/serve.rs
+++ b/crates/node/src/feed/serve.rs
@@ -14,6 +14,7 @@
 /// same: news that is not the latest is still newer than none.
 pub async fn serve_feed(view: &NodeView, read: &FeedRead) -> FeedPage {
     let asked_at = Instant::now();
+    view.usage.merge(&read.usage);
     let wait = Duration::from_millis(u64::from(read.wait_ms)).min(FEED_WAIT);
     let until = asked_at + wait;
     let mut changes = view.feed.changed.subscribe();
@@ -21,7 +22,11 @@
         let age = proof_age(view, read);
         let kinds = news(view, read);
         if !kinds.is_empty() || age >= TELL_TRUST || Instant::now() >= until {
-            return FeedPage { kinds, age_ms: millis(age), held_ms: millis(asked_at.elapsed()) };
+            let agreed = view.usage.is_time_agreed();
+            let true_ms = if agreed { view.usage.time_at(view.now()).millis() } else { 0 };
+            let held_ms = millis(asked_at.elapsed());
+            let life = view.usage.life().get();
+            return FeedPage { kinds, age_ms: millis(age), held_ms, true_ms, life };
         }
         let stale_at = Instant::now() + TELL_TRUST.saturating_sub(age);
         // Whichever comes first, all is looked at once more.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod slot;
 mod stop;
 mod suspects;
+mod usage;
 mod view;
 mod work;
 
@@ -34,5 +35,6 @@
 pub use slot::RunningSlot;
 pub use stop::wait_for_stop;
 pub use suspects::{WorkGate, keep_suspects, suspect_object};
+pub use usage::{UsageBoard, wall_time};
 pub use view::NodeView;
 pub use work::{item_work, request_work};
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -92,6 +92,7 @@
     config_version: Gauge,
     target_connections: Gauge,
     entries_refused: Gauge,
+    window_reported: Gauge,
 }
 
 impl fmt::Debug for NodeMetrics {
@@ -112,6 +113,12 @@
         let config_version = Gauge::default();
         let target_connections = Gauge::default();
         let entries_refused = Gauge::default();
+        let window_reported = Gauge::default();
+        registry.register(
+            "usage_window_reported",
+            "Number of the last window of use whose report this box sent and was taken",
+            window_reported.clone(),
+        );
         registry.register(
             "entries_refused",
             "Entries in the list of targets that name none to use",
@@ -155,6 +162,7 @@
             config_version,
             target_connections,
             entries_refused,
+            window_reported,
         }
     }
 }
@@ -203,6 +211,11 @@
         self.config_version.set(i64::try_from(version.get()).unwrap_or(i64::MAX));
     }
 
+    /// Tells the last window of use that was reported from here.
+    pub fn window_reported(&self, window: u64) {
+        self.window_reported.set(i64::try_from(window).unwrap_or(i64::MAX));
+    }
+
     /// Notes how many entries name no target to use.
     pub fn entries_refused(&self, count: usize) {
         self.entries_refused.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -93,6 +93,12 @@
 }
 
 impl TryOutcome {
+    /// Whether a target began to run the request, as far as can be told: one that breaks off, or whose answer is
+    /// spoilt, mostly has.
+    const fn has_begun(self) -> bool {
+        matches!(self, Self::Answered | Self::Broken | Self::OtherAnswer | Self::Unsigned)
+    }
+
     const fn word(self) -> &'static str {
         match self {
             Self::Answered => "answered",
@@ -199,7 +205,7 @@
     *request.headers_mut() = call.headers.clone();
     headers::set_time_left(request.headers_mut(), left);
     headers::set_instance(request.headers_mut(), &slot.instance);
-    let started = Instant::now();
+    let (started, began) = (Instant::now(), view.now());
     let sent = async {
         let answer = view.pool.send(slot.address, request).await?;
         answer.whole(MOST_ANSWER).await
@@ -214,6 +220,10 @@
         Ok(Err(SendError::Broken(_))) => (TryOutcome::Broken, TryEnd::Broken),
         Ok(Ok(answer)) => judge(view, call, slot, answer),
     };
+    if let Some(customer) = call.customer.as_ref().filter(|_| outcome.has_begun()) {
+        // What it waited at the target is not known; mostly it is a few milliseconds.
+        view.usage.count(began, customer);
+    }
     note_try(view, slot, &end, outcome, started.elapsed());
     let status = match &end {
         TryEnd::Answered(answer) => answer.status.as_u16(),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,6 +6,7 @@
 
 use clap::Args;
 use ids::{BoxId, DomainId};
+use usage::WindowLength;
 use wire::DeploymentKey;
 
 use crate::ClockSource;
@@ -53,6 +54,10 @@
     /// Descriptors that the process may open; connections to targets keep well below.
     #[arg(long, env = "GANNETWAY_MAX_FDS", default_value_t = 4_096)]
     pub max_fds: usize,
+    /// Length of the windows in which customers' use is counted and reported, in seconds; empty or 0 where nobody
+    /// wants reports.
+    #[arg(long, env = "GANNETWAY_USAGE_WINDOW_S", default_value = "")]
+    pub usage_window_s: String,
     /// Log level: error, warn, info, debug or trace.
     #[arg(long, env = "GANNETWAY_LOG", default_value = "info")]
     pub log: log::LevelFilter,
@@ -82,6 +87,12 @@
     /// One engine in this many may load weights at a time.
     #[arg(long, env = "GANNETWAY_LOAD_PARTS", default_value_t = 5)]
     pub load_parts: usize,
+    /// Where the platform takes reports of use and orders of replicas, as IP:PORT; empty where it takes none.
+    #[arg(long, env = "GANNETWAY_ACCOUNTS", default_value = "")]
+    pub accounts: String,
+    /// How long after its window's end a report of use is due, in seconds.
+    #[arg(long, env = "GANNETWAY_USAGE_LATE_S", default_value = "")]
+    pub usage_late_s: String,
 }
 
 /// Checked settings of both roles.
@@ -115,6 +126,8 @@
     pub clock: ClockSource,
     /// Time to stop in.
     pub grace: Duration,
+    /// Length of the windows of use; `None` where nobody wants reports.
+    pub usage_window: Option<WindowLength>,
     /// Log level.
     pub log: log::LevelFilter,
 }
@@ -136,6 +149,10 @@
     pub job_bytes: usize,
     /// One engine in this many may load at a time.
     pub load_parts: usize,
+    /// Where the platform takes reports of use and orders of replicas.
+    pub accounts: Option<SocketAddr>,
+    /// How long after its window's end a report of use is due.
+    pub usage_late: Duration,
 }
 
 /// All faults of the settings, each with its remedy.
@@ -143,11 +160,23 @@
 #[error("the settings cannot be used:\n  {}", .0.join("\n  "))]
 pub struct SettingsError(pub Vec<String>);
 
+/// How long after its window's end a report is due where the settings do not say.
+const USUAL_LATE: Duration = Duration::from_secs(10);
 /// Longest time to stop in, in seconds.
 const MOST_GRACE_S: f64 = 600.0;
 /// Most shares of jobs: each costs a plan in the store.
 const MOST_SHARDS: u32 = 256;
 
+/// Seconds that a template may leave empty: nothing is zero, `None` what is no time.
+fn read_seconds(text: &str) -> Option<Duration> {
+    let text = text.trim();
+    if text.is_empty() {
+        return Some(Duration::ZERO);
+    }
+    let seconds: f64 = text.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 impl RawNodeSettings {
     /// Checks every value; reports all faults together.
     pub fn check(&self) -> Result<NodeSettings, SettingsError> {
@@ -178,6 +207,13 @@
         if self.peer_port == 0 {
             faults.push("--peer-port is 0: give the port that other boxes use".to_owned());
         }
+        let window = read_seconds(&self.usage_window_s);
+        if window.is_none() {
+            faults.push(format!(
+                "--usage-window-s is `{}`: give seconds, or nothing where no reports are wanted",
+                self.usage_window_s
+            ));
+        }
         let (Ok(box_id), Ok(domain), Ok(key)) = (box_id, domain, key) else {
             return Err(SettingsError(faults));
         };
@@ -198,6 +234,7 @@
             key,
             shards: self.shards,
             max_fds: self.max_fds,
+            usage_window: window.and_then(WindowLength::new),
             clock: ClockSource::Machine,
             grace: Duration::from_secs_f64(self.grace_s),
             log: self.log,
@@ -223,6 +260,17 @@
         if self.load_parts == 0 {
             faults.push("--load-parts is 0: give 1 or more".to_owned());
         }
+        let accounts: Option<SocketAddr> = self.accounts.trim().parse().ok();
+        if accounts.is_none() && !self.accounts.trim().is_empty() {
+            faults.push(format!("--accounts is `{}`: give IP:PORT, or nothing", self.accounts));
+        }
+        let late = read_seconds(&self.usage_late_s);
+        if late.is_none() {
+            faults.push(format!(
+                "--usage-late-s is `{}`: give seconds, or nothing",
+                self.usage_late_s
+            ));
+        }
         if !faults.is_empty() {
             return Err(SettingsError(faults));
         }
@@ -234,6 +282,8 @@
             order_gap: Duration::from_millis(self.order_gap_ms),
             job_bytes: (self.memory_mb << 20) / JOB_MEMORY_PARTS,
             load_parts: self.load_parts,
+            accounts,
+            usage_late: late.filter(|late| !late.is_zero()).unwrap_or(USUAL_LATE),
         })
     }
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -15,6 +15,7 @@
 use crate::clock::BeliefClock;
 use crate::duties::DutyBoard;
 use crate::feed::FeedBoard;
+use crate::usage::UsageBoard;
 use crate::{NodeMetrics, NodeSettings};
 
 /// The belief of one box, shared by all its tasks.
@@ -30,6 +31,8 @@
     pub metrics: NodeMetrics,
     /// What this box tells others of the store, or hears of it.
     pub feed: FeedBoard,
+    /// Counts of customers' use, and true time.
+    pub usage: UsageBoard,
     table: RwLock<Arc<RouteTable>>,
     suspects: Mutex<SuspectBook>,
     suspect_news: Notify,
@@ -60,6 +63,7 @@
     pub fn new(settings: NodeSettings, store: ObjectStore) -> Self {
         let board = TargetBoard::new(settings.domain.clone());
         let limit = ConnectionLimit::for_descriptors(settings.max_fds);
+        let usage = UsageBoard::new(settings.box_id.clone(), settings.usage_window);
         let clock = BeliefClock::start(settings.clock.clone());
         Self {
             settings,
@@ -67,6 +71,7 @@
             pool: TargetPool::new(limit),
             metrics: NodeMetrics::default(),
             feed: FeedBoard::default(),
+            usage,
             table: RwLock::default(),
             suspects: Mutex::default(),
             suspect_news: Notify::new(),
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -14,6 +14,7 @@
 use crate::copies::OpenCopies;
 use crate::loads::LoadBoard;
 use crate::peers::PeerTable;
+use crate::reports::UsageTold;
 use crate::reward::SecondCalls;
 use crate::work::WorkBoard;
 
@@ -38,6 +39,8 @@
     pub loads: LoadBoard,
     /// How many reward calls may be made at two targets at once.
     pub second_calls: SecondCalls,
+    /// What the box that reports use has been told.
+    pub usage_told: UsageTold,
     /// Set once the box is asked to stop.
     pub stopping: CancellationToken,
     retiring: Mutex<HashSet<BoxId>>,
@@ -71,6 +74,7 @@
             work: WorkBoard::default(),
             loads: LoadBoard::default(),
             second_calls: SecondCalls::default(),
+            usage_told: UsageTold::default(),
             stopping: CancellationToken::new(),
             retiring: Mutex::default(),
             leases: Mutex::default(),
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -11,9 +11,9 @@
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 use wire::peer::{
-    Beat, EngineLoad, Item, Job, JobAccepted, JobBody, JobBytes, JobEnd, JobEnded, JobPage, JobRead,
-    ListedResult, LogAppend, LogCopy, LogRecord, LogSynced, Refused, RefusedKind, Request, ShardAnswer,
-    ShardHandOver, item, log_record, request, shard_answer, shard_request,
+    Beat, EngineLoad, Item, Job, JobAccepted, JobBody, JobBytes, JobEnd, JobEnded, JobPage,
+    JobRead, ListedResult, LogAppend, LogCopy, LogRecord, LogSynced, Refused, RefusedKind, Request,
+    ShardAnswer, ShardHandOver, item, log_record, request, shard_answer, shard_request,
 };
 
 use crate::account::log_account;
@@ -21,7 +21,7 @@
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
 use crate::loads::hear_loads;
-use crate::peers::own_beat;
+use crate::peers::{hear_beat, own_beat};
 
 /// Longest wait for the log when a call changes something.
 const LOG_TIME: Duration = Duration::from_millis(2_500);
@@ -169,8 +169,7 @@
             shard_request::Body::Append(append) => self.append(append).await,
             shard_request::Body::Copy(copy) => self.copy(copy).await,
             shard_request::Body::Beat(beat) => {
-                self.ctx.peers.heard(self.ctx.view.now(), &beat);
-                self.ctx.work.heard(self.ctx.view.now(), &beat);
+                hear_beat(&self.ctx, &beat);
                 self.hear_loads(&beat.loads);
                 Ok(shard_answer::Body::Beat(own_beat(&self.ctx, self.keepers.all())))
             }
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -6,6 +6,7 @@
 //! load weights, under a lease.
 
 mod account;
+mod claim;
 mod conductor;
 mod context;
 mod copies;
@@ -19,6 +20,7 @@
 mod log_writer;
 mod order;
 mod peers;
+mod reports;
 mod reward;
 mod role;
 mod run;
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -8,7 +8,9 @@
 use ids::{BoxId, FencingToken, Moment, ShardIndex};
 use joblog::CopyHolder;
 use links::CallError;
+use node::wall_time;
 use tokio::time;
+use usage::UnixTime;
 use wire::peer::{ServedShard, ShardBeat, shard_answer, shard_request};
 
 use crate::context::ShardContext;
@@ -25,6 +27,8 @@
 /// After a failed call a box is given a copy only if there is no other: it takes this long until
 /// its silence shows, and a cut takes its whole failure domain with it.
 const FAILED_TIME: Duration = Duration::from_millis(1_500);
+/// A box heard within this time has told what it counted up to a second ago.
+const HEARD_TIME: Duration = Duration::from_secs(1);
 /// A box silent for this long is asked less often.
 const SILENT_TIME: Duration = Duration::from_secs(10);
 /// A connection that fails sooner than this was refused: the box runs, its process does not.
@@ -101,6 +105,14 @@
         }
     }
 
+    /// Whether every one of these boxes was heard just now.
+    pub fn all_heard<'a>(&self, now: Moment, boxes: impl IntoIterator<Item = &'a BoxId>) -> bool {
+        let states = self.lock();
+        boxes.into_iter().all(|box_id| {
+            states.peers.get(box_id).is_some_and(|state| now.since(state.heard_at) < HEARD_TIME)
+        })
+    }
+
     /// What the holder of a lease last said of its writes.
     pub fn lease_note(&self, name: &str) -> Option<LeaseNote> {
         self.lock().notes.get(name).cloned()
@@ -194,6 +206,8 @@
         leaving: ctx.is_leaving(),
         domain: ctx.me.domain.to_string(),
         leases: ctx.held_leases(),
+        wall_ms: wall_time().millis(),
+        usage: Vec::new(),
         work: ctx.work.own(),
         loads: Vec::new(),
         forming: keepers
@@ -204,6 +218,19 @@
     }
 }
 
+/// Takes what another box says of itself.
+pub fn hear_beat(ctx: &ShardContext, beat: &ShardBeat) {
+    let now = ctx.view.now();
+    ctx.peers.heard(now, beat);
+    ctx.work.heard(now, beat);
+    ctx.view.usage.merge(&beat.usage);
+    if let Ok(box_id) = beat.box_id.parse()
+        && beat.wall_ms > 0
+    {
+        ctx.view.usage.hear_time(now, &box_id, UnixTime::new(beat.wall_ms));
+    }
+}
+
 /// Sends beats to all other boxes until the box ends.
 pub async fn send_beats(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>) {
     let mut turn: u64 = 0;
@@ -211,6 +238,8 @@
         turn += 1;
         let now = ctx.view.now();
         ctx.work.sample(keepers.all());
+        ctx.view.usage.hear_time(now, &ctx.me.box_id, wall_time());
+        ctx.view.usage.forget(now);
         let others: Vec<_> = ctx
             .view
             .duties()
@@ -234,10 +263,16 @@
     let asked_at = time::Instant::now();
     let mut beat = own_beat(&ctx, keepers.all());
     beat.loads = told_loads(&ctx, &other.box_id);
+    let told = ctx.usage_told.untold(&ctx, &other.box_id);
+    if let Some((cells, _)) = &told {
+        beat.usage.clone_from(cells);
+    }
     match ctx.ask(&other.address, BEAT_TIME, shard_request::Body::Beat(beat)).await {
         Ok(shard_answer::Body::Beat(beat)) => {
-            ctx.peers.heard(ctx.view.now(), &beat);
-            ctx.work.heard(ctx.view.now(), &beat);
+            hear_beat(&ctx, &beat);
+            if let Some((_, told)) = told {
+                ctx.usage_told.note(told);
+            }
         }
         Ok(_) => {}
         Err(CallError::NotSent { .. }) if asked_at.elapsed() < REFUSED_TIME => {
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -227,18 +227,18 @@
         name: "keep-lease",
         without: "a holder gives its lease up when the shard moves",
         edit: SourceEdit {
-            file: "crates/shards/src/conductor.rs",
-            from: "            } else if serves || claim.may_be_mine() {",
-            to: "            } else if serves {",
+            file: "crates/shards/src/claim.rs",
+            from: "    let concerned = serves || held.may_be_mine();",
+            to: "    let concerned = serves;",
         },
     },
     Ablation {
         name: "stand-in",
         without: "nobody stands in for a holder whom the store refuses",
         edit: SourceEdit {
-            file: "crates/shards/src/conductor.rs",
-            from: "serves_shard(&ctx, &keepers, claim) || stands_in(&ctx, claim)",
-            to: "serves_shard(&ctx, &keepers, claim) || (false && stands_in(&ctx, claim))",
+            file: "crates/shards/src/claim.rs",
+            from: "serves_shard(ctx, keepers, held) || stands_in(ctx, held)",
+            to: "serves_shard(ctx, keepers, held) || (false && stands_in(ctx, held))",
         },
     },
     Ablation {
@@ -254,7 +254,7 @@
         name: "return",
         without: "followers learn late of the store's return",
         edit: SourceEdit {
-            file: "crates/shards/src/conductor.rs",
+            file: "crates/shards/src/claim.rs",
             from: "        ctx.view.store_answered(Kind::Leases, true);",
             to: "",
         },
