--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -6,6 +6,8 @@
 
 use ids::{Generation, ModelName, RouteName, ServiceName};
 
+use replicas::ReplicaLimits;
+
 use crate::{CallerIdentity, CustomerTable, KeyDigest};
 
 /// What may be done with the requests of a route.
@@ -85,6 +87,8 @@
     pub max_connections: Option<u32>,
     /// Models its targets hold; empty for a plain service.
     pub models: Vec<ModelName>,
+    /// How many replicas may be ordered for each failure domain; `None` where none may.
+    pub replicas: Option<ReplicaLimits>,
 }
 
 /// What callers may send.
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -6,6 +6,7 @@
 //! load weights, under a lease.
 
 mod account;
+mod accounts;
 mod claim;
 mod conductor;
 mod context;
@@ -20,6 +21,7 @@
 mod log_writer;
 mod order;
 mod peers;
+mod replicas;
 mod reports;
 mod reward;
 mod role;
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 use wire::peer::{ShardHandOver, shard_request};
 
+use crate::accounts::keep_accounts;
 use crate::conductor::conduct;
 use crate::context::ShardContext;
 use crate::copies::OpenCopies;
@@ -29,7 +30,6 @@
 use crate::keepers::KeeperSet;
 use crate::loads::tell_loads;
 use crate::peers::send_beats;
-use crate::reports::report_usage;
 
 /// Changes of targets gather for this long between two watches; each watch has its price. With the
 /// watch that follows, the proof that targets are current stays young enough for those who are told.
@@ -69,7 +69,7 @@
     tokio::spawn(tell_loads(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(begin_shards(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(conduct(Arc::clone(&ctx), Arc::clone(&keepers)));
-    tokio::spawn(report_usage(Arc::clone(&ctx), Arc::clone(&keepers)));
+    tokio::spawn(keep_accounts(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(retire_when_asked(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(keep_suspects(Arc::clone(&view), true, end.clone()));
     tokio::spawn(tell_counts(Arc::clone(&view)));
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -305,6 +305,22 @@
         package: "usage",
         test: "a_repeat_and_an_older_word",
     },
+    Mutation {
+        name: "replicas: a store that is away lists a shortage",
+        file: "crates/replicas/src/lib.rs",
+        from: "            self.short.clear();",
+        to: "",
+        package: "replicas",
+        test: "what_a_store_lists",
+    },
+    Mutation {
+        name: "replicas: a crash orders a replica at once",
+        file: "crates/replicas/src/lib.rs",
+        from: "now.since(since) >= SHORT_TIME && !pausing",
+        to: "now >= since && !pausing",
+        package: "replicas",
+        test: "a_crash_and_a_return",
+    },
     Mutation {
         name: "usage: a box that reports hears from no domain without a teller",
         file: "crates/node/src/feed/client.rs",
