--- a/crates/gannetctl/src/cli.rs
+++ b/crates/gannetctl/src/cli.rs
@@ -70,6 +70,8 @@
     Explain(ExplainArgs),
     /// Tells what the trainers waited for, step by step, from the keeping boxes' logs.
     Steps(StepsArgs),
+    /// Tells the reports of customers' use, window by window, from the keeping boxes' logs.
+    Usage(UsageArgs),
 }
 
 /// Arguments of `explain`.
@@ -96,6 +98,14 @@
     pub picture: Option<PathBuf>,
 }
 
+/// Arguments of `usage`.
+#[derive(Debug, Args)]
+pub struct UsageArgs {
+    /// Logs of boxes, as they were written to standard output.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Arguments of `apply`.
 #[derive(Debug, Args)]
 pub struct ApplyArgs {
--- a/crates/gannetctl/src/main.rs
+++ b/crates/gannetctl/src/main.rs
@@ -10,6 +10,7 @@
 mod step_account;
 mod step_picture;
 mod steps;
+mod usage_windows;
 
 use std::process::ExitCode;
 
@@ -39,12 +40,14 @@
     match &cli.command {
         Command::Explain(args) => return explain::explain(args, output),
         Command::Steps(args) => return steps::steps(args, output),
+        Command::Usage(args) => return usage_windows::usage(args, output),
         _ => {}
     }
     let entry = cli.entry_client()?;
     match cli.command {
         Command::Explain(args) => explain::explain(&args, output),
         Command::Steps(args) => steps::steps(&args, output),
+        Command::Usage(args) => usage_windows::usage(&args, output),
         Command::Apply(apply) => commands::apply(&entry, apply, output).await,
         Command::Step(step) => commands::step(entry, step, output).await,
         Command::Call(call) => commands::call(&cli.entry, call, output).await,
--- /dev/null
+++ b/crates/gannetctl/tests/usage.rs
@@ -0,0 +1,40 @@
+//! Reports of customers' use, as told from boxes' logs.
+
+mod common;
+
+use common::{LogFiles, fault, text};
+
+const KEEPERS: [&str; 2] = [
+    r#"
+{"box":"keep-1","event":"report of use","part":"usage","t":107.0,"level":"info","window":20,"customers":2,"requests":9,"all_heard":true,"outcome":"fixed"}
+{"box":"keep-1","event":"report of use sent","part":"usage","t":107.1,"level":"info","window":20,"token":4,"outcome":"taken"}
+{"box":"keep-1","event":"report of use","part":"usage","t":115.0,"level":"info","window":21,"customers":1,"requests":3,"all_heard":false,"outcome":"fixed"}
+{"box":"keep-1","event":"report of use sent","part":"usage","t":116.0,"level":"info","window":21,"token":4,"outcome":"the platform's accounts do not answer: send the same again, or let another box do it"}
+"#,
+    r#"
+{"box":"keep-2","event":"report of use sent","part":"usage","t":121.0,"level":"info","window":21,"token":5,"outcome":"taken"}
+{"box":"keep-2","event":"report of use","part":"usage","t":127.0,"level":"info","window":23,"customers":0,"requests":0,"all_heard":true,"outcome":"fixed"}
+"#,
+];
+
+#[test]
+fn each_window_tells_when_it_was_fixed_and_taken_and_by_whom() {
+    let logs = LogFiles::write("usage-table", &KEEPERS);
+    let told = text(&logs.run(&["usage"]));
+    let expected = "\
+WINDOW  FIXED AT  REQUESTS  CUSTOMERS  ALL HEARD  SENT  TAKEN AT  HOLDER  LAST TRY
+20      107.00    9         2          true       1     107.10    keep-1  taken
+21      115.00    3         1          false      2     121.00    keep-2  taken
+22      -         0         0          false      0     -                 no line
+23      127.00    0         0          true       0     -                 fixed
+";
+    assert_eq!(told, expected);
+}
+
+#[test]
+fn logs_without_a_report_are_told_as_such() {
+    let logs = LogFiles::write("usage-none", &["{\"t\":1.0,\"event\":\"started\"}"]);
+    let output = logs.run(&["usage"]);
+    assert!(!output.status.success());
+    assert!(fault(&output).contains("name the logs of the keeping boxes"), "{}", fault(&output));
+}
