--- a/crates/suspects/tests/book.rs
+++ b/crates/suspects/tests/book.rs
@@ -336,3 +336,21 @@
     assert!(serde_json::to_vec(&told[0].1).expect("it is written").len() < 1_024);
     assert!(book.due_writes().is_empty(), "more ends say nothing new");
 }
+
+/// A service that breaks everything off, though its targets live: what is remembered of each piece of work stays small.
+#[test]
+fn breaks_that_wait_for_word_of_their_targets_are_bounded() {
+    const MOST_BREAKS: usize = 16;
+    let mut book = SuspectBook::default();
+    for number in 0..=MOST_BREAKS {
+        book.broke(at(1), work("a"), &service(), end_of(number));
+    }
+    book.refuses(at(2), &life(MOST_BREAKS));
+    assert_eq!(book.ends(work("a")), 0, "one more than are remembered");
+    book.refuses(at(2), &life(0));
+    assert_eq!(book.ends(work("a")), 1);
+    // The place of a break whose target has ended is free for the next.
+    book.broke(at(3), work("a"), &service(), end_of(MOST_BREAKS + 1));
+    book.refuses(at(3), &life(MOST_BREAKS + 1));
+    assert_eq!(book.ends(work("a")), 2);
+}
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -305,6 +305,14 @@
         package: "usage",
         test: "a_repeat_and_an_older_word",
     },
+    Mutation {
+        name: "suspects: breaks that wait for word are not bounded",
+        file: "crates/suspects/src/book.rs",
+        from: "!is_known(suspect) && suspect.breaks.len() < MOST_BREAKS",
+        to: "!is_known(suspect) && suspect.breaks.len() < usize::MAX",
+        package: "suspects",
+        test: "breaks_that_wait_for_word",
+    },
     Mutation {
         name: "replicas: a store that is away lists a shortage",
         file: "crates/replicas/src/lib.rs",
