--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,6 +1,6 @@
 //! The entry role: callers' requests to targets, trainers' calls to the shards of jobs.
 //!
-//! An entry box keeps nothing. It knows the configuration, the targets and who serves which
+//! An entry box lets in whom the configuration in force knows, and keeps nothing. It knows the configuration, the targets and who serves which
 //! shard, all from followers, and answers every request at once when it gives it up: with a
 //! promise that it has not run only where that is certain.
 
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -3,7 +3,8 @@
 //! A box with a disk may serve some shards and hold copies of others' logs. For each shard a
 //! [`ShardKeeper`] follows the plan in the store and serves the shard while the plan names this
 //! box. The box that serves the shard of a service's name also orders that service's engines to
-//! load weights, under a lease.
+//! load weights, and the one that serves the shard of the accounts speaks to these: reports of use, orders of
+//! replicas. Each such duty is one box's at a time, under a lease (`claim.rs`).
 
 mod account;
 mod accounts;
--- a/crates/shards/src/reports.rs
+++ b/crates/shards/src/reports.rs
@@ -25,6 +25,7 @@
 const REPORT_OBJECT: &str = "usage-report";
 /// Pause after a call that did not come to its end.
 const AGAIN_PAUSE: Duration = Duration::from_millis(300);
+
 /// How far a receiver has been told, by its name and token: under another token it may have lost what it knew.
 #[derive(Debug, Clone)]
 pub struct ToldMark {
--- a/crates/usage/src/plan.rs
+++ b/crates/usage/src/plan.rs
@@ -129,18 +129,19 @@
             Known::Report { report, taken: false, .. } => {
                 return Some(ReportAction::Send(report.clone()));
             }
-            Known::Absent => (self.first, ObjectVersion::default()),
-            Known::Report { version, report, .. } => (self.after(report.window, now), *version),
+            Known::Absent => (self.first.max(self.oldest_held(now)), ObjectVersion::default()),
+            Known::Report { version, report, .. } => {
+                (report.window.next().max(self.oldest_held(now)), *version)
+            }
         };
         let wait = if all_heard { self.times.settle } else { self.times.patience };
         let due = self.times.length.end_of(window).millis() + whole_millis(wait);
         (now.millis() >= due).then_some(ReportAction::Fix { window, expect })
     }
 
-    /// The window to report after `last`: the next one, but none whose counts are forgotten.
-    fn after(&self, last: UsageWindow, now: UnixTime) -> UsageWindow {
-        let held = self.times.length.window_of(now).back(self.times.most_behind);
-        last.next().max(held)
+    /// The oldest window whose counts are not forgotten.
+    const fn oldest_held(&self, now: UnixTime) -> UsageWindow {
+        self.times.length.window_of(now).back(self.times.most_behind)
     }
 
     /// Takes what was read.
--- a/crates/usage/tests/plan.rs
+++ b/crates/usage/tests/plan.rs
@@ -84,6 +84,14 @@
     assert_eq!(plan.poll(after_first(600_000), true), Some(fix(held, 3)));
 }
 
+#[test]
+fn a_deployment_that_reports_for_the_first_time_long_after_its_start_begins_with_what_is_held() {
+    let mut plan = plan();
+    plan.read_done(StoreOutcome::Absent);
+    let held = FIRST + 1 + 120 - 24;
+    assert_eq!(plan.poll(after_first(600_000), true), Some(fix(held, 0)));
+}
+
 #[test]
 fn a_write_that_may_have_been_done_is_read_back() {
     for outcome in [StoreOutcome::Unsure, StoreOutcome::Absent] {
