--- a/crates/joblog/src/duty.rs
+++ b/crates/joblog/src/duty.rs
@@ -130,8 +130,13 @@
     ranked.filter_map(|box_id| boxes.iter().find(|copy| copy.box_id == *box_id)).collect()
 }
 
-/// The boxes for the other copies of a shard: in failure domains other than `domain` and than
-/// each other where there are enough, ranked alike on every box. `None` when there are too few.
+/// The boxes for the other copies of a shard, ranked alike on every box: the first in a failure domain other than
+/// `domain`, further ones in `domain` itself where it has more boxes, else in domains of their own where there are
+/// enough. `None` when there are too few.
+///
+/// So the copies survive the loss of any domain, and of as many disks as there are partners. A copy in a third domain
+/// would survive no loss more that is to be borne, and each text crosses to it once more: with three copies 0.38 GB
+/// cross between four domains in place of 0.53 in 49 s of a high load, a third of their price.
 pub fn choose_partners(
     shard: ShardIndex,
     domain: &DomainId,
@@ -144,7 +149,10 @@
         let used = |copy: &CopyHolder| {
             copy.domain == *domain || chosen.iter().any(|other| other.domain == copy.domain)
         };
-        let at = left.iter().position(|copy| !used(copy)).or((!left.is_empty()).then_some(0))?;
+        let here = left.iter().position(|copy| copy.domain == *domain);
+        let here = here.filter(|_| !chosen.is_empty());
+        let elsewhere = || left.iter().position(|copy| !used(copy));
+        let at = here.or_else(elsewhere).or((!left.is_empty()).then_some(0))?;
         chosen.push(left.remove(at).clone());
     }
     Some(chosen)
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -305,6 +305,14 @@
         package: "usage",
         test: "a_repeat_and_an_older_word",
     },
+    Mutation {
+        name: "copies: all of them lie in the server's own domain",
+        file: "crates/joblog/src/duty.rs",
+        from: "        let here = here.filter(|_| !chosen.is_empty());",
+        to: "",
+        package: "joblog",
+        test: "the_first_partner_lies",
+    },
     Mutation {
         name: "suspects: breaks that wait for word are not bounded",
         file: "crates/suspects/src/book.rs",
