--- a/crates/suspects/tests/book.rs
+++ b/crates/suspects/tests/book.rs
@@ -354,3 +354,28 @@
     book.refuses(at(3), &life(MOST_BREAKS + 1));
     assert_eq!(book.ends(work("a")), 2);
 }
+
+/// As seen in a run of real processes: two lethal requests at once on three targets, and work that by chance ran beside
+/// each of them in turn. It has as many ends as either, and each of them is also an end of one of the two, which have
+/// ended targets without it.
+#[test]
+fn work_that_ran_beside_two_lethal_ones_in_turn_is_condemned_for_neithers_ends() {
+    let mut book = SuspectBook::default();
+    let ends: [&[&str]; 9] = [
+        &["lethal-1"],
+        &["lethal-1"],
+        &["lethal-2", "innocent-1", "innocent-2"],
+        &["lethal-1", "innocent-1"],
+        &["lethal-1", "innocent-1"],
+        &["lethal-2"],
+        &["lethal-2"],
+        &["lethal-2", "innocent-1"],
+        &["lethal-2", "innocent-1", "innocent-2"],
+    ];
+    for (number, works) in ends.into_iter().enumerate() {
+        end_under(&mut book, at(1), number, works);
+    }
+    assert!(is_condemned(&book, at(1), "lethal-1") && is_condemned(&book, at(1), "lethal-2"));
+    assert!(!is_condemned(&book, at(1), "innocent-2"));
+    assert!(!is_condemned(&book, at(1), "innocent-1"), "all that it is held for is explained");
+}
