--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -160,7 +160,9 @@
         let index = state.job.items.iter().position(|item| item.id == result.item);
         if let Some(index) = index {
             state.items[index].phase = ItemPhase::Listed;
-            state.items[index].text = Vec::new();
+            // All of it goes with the listing, or a later job that asks for the item would take what is left, events
+            // without their text, for a text: an item that was given up whole came back as an empty sample.
+            state.items[index].forget_text();
             state.waiting.retain(|waiting| *waiting as usize != index);
             let group = &state.job.items[index].group;
             let index = u32::try_from(index).unwrap_or(u32::MAX);
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -215,9 +215,9 @@
     }
 
     pub(crate) fn forget_text(&mut self) {
-        self.text.clear();
+        self.text = Vec::new();
         self.events = 0;
-        self.versions.clear();
+        self.versions = Vec::new();
         self.whole = false;
         self.score = None;
     }
--- a/crates/jobs/tests/book.rs
+++ b/crates/jobs/tests/book.rs
@@ -527,3 +527,63 @@
         assert_eq!(events, Some(if carried { 2 } else { 0 }), "{customer}");
     }
 }
+
+/// A trainer that has fallen far behind asks again for what an old job of its has left: the texts of jobs that ended long
+/// ago lie on disk alone, and what is left of them in memory is no text.
+#[test]
+fn text_that_lies_on_disk_only_is_made_anew_and_never_carried_empty() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("old", 1)));
+    let specs = start_all(&mut book, at(1));
+    let listed = finish(&mut book, &specs[0], events(1, 3, 3));
+    book.apply_at(at(12), listed, Some(RecordPlace { offset: 101, len: 9 }));
+    let end = book.end(&id("old")).expect("it runs");
+    book.apply(at(13), end);
+    for number in 0..12 {
+        let name = format!("later-{number}");
+        let mut later = job(&name, 1);
+        for item in &mut later.items {
+            item.id = format!("{name}-{}", item.id);
+        }
+        book.apply(at(20 + number), accepted(later));
+        let end = book.end(&id(&name)).expect("it runs");
+        book.apply(at(20 + number), end);
+    }
+    assert!(!book.page(&id("old"), 0, usize::MAX).expect("held").on_disk.is_empty());
+    book.apply(at(50), accepted(job("again", 1)));
+    let specs = start_all(&mut book, at(51));
+    let again = specs.iter().find(|spec| spec.item.index == 0).expect("it runs");
+    assert_eq!((again.events, again.whole), (0, false), "nothing is known of its text");
+    let record = finish(&mut book, again, events(1, 3, 3));
+    book.apply(at(60), record);
+    assert_eq!(text_of(&book, "again"), ["e1\ne2\ne3"]);
+}
+
+/// Targets of reward calls that fail for a while: an item whose text is whole is given up, its group is not whole, and
+/// the trainer's next job asks for it again.
+#[test]
+fn an_item_that_was_given_up_is_made_anew_in_the_next_job() {
+    let mut book = book();
+    book.apply(at(0), accepted(job("first", 1)));
+    let spec = start_all(&mut book, at(1)).remove(0);
+    assert!(book.run_ended(at(2), &spec, &run(RunOutcome::Whole, events(1, 3, 3))));
+    for failure in 0..3 {
+        let now = at(100 * (failure + 1));
+        book.scored(now, &spec.item, RewardEnd::Failed { attempts: 3 });
+        if failure < 2 {
+            assert_eq!(start_all(&mut book, at(100 * (failure + 1) + 50)).len(), 1);
+        }
+    }
+    let (record, why) = book.give_up(at(400)).remove(0);
+    assert_eq!(why, LossReason::RewardFailures);
+    book.apply(at(401), record);
+    let end = book.end(&id("first")).expect("it runs");
+    book.apply(at(402), end);
+    book.apply(at(500), accepted(job("next", 1)));
+    let specs = start_all(&mut book, at(501));
+    let again = specs.iter().find(|again| again.item.index == spec.item.index).expect("it runs");
+    assert_eq!((again.events, again.whole), (0, false), "its text went with its listing");
+    let record = finish(&mut book, again, events(1, 3, 3));
+    book.apply(at(600), record);
+    assert_eq!(text_of(&book, "next"), ["e1\ne2\ne3"]);
+}
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -305,6 +305,22 @@
         package: "usage",
         test: "a_repeat_and_an_older_word",
     },
+    Mutation {
+        name: "suspects: only work with as many ends explains an end",
+        file: "crates/suspects/src/book.rs",
+        from: "count >= other.count() || (count >= CONDEMNING_ENDS && alone() >= OWN_ENDS)",
+        to: "count >= other.count() || (false && alone() >= OWN_ENDS)",
+        package: "suspects",
+        test: "work_that_ran_beside_two",
+    },
+    Mutation {
+        name: "jobs: what is left of a listed item is taken for its text",
+        file: "crates/jobs/src/book.rs",
+        from: "            state.items[index].forget_text();",
+        to: "            state.items[index].text = Vec::new();",
+        package: "jobs",
+        test: "an_item_that_was_given_up_is_made_anew",
+    },
     Mutation {
         name: "copies: all of them lie in the server's own domain",
         file: "crates/joblog/src/duty.rs",
@@ -556,8 +572,8 @@
     Mutation {
         name: "suspects: what other work explains condemns all the same",
         file: "crates/suspects/src/book.rs",
-        from: "others.any(|(_, other)| other.count() >= count && other.has_ended(&end.life))",
-        to: "others.any(|(_, other)| other.count() > 99 && other.has_ended(&end.life))",
+        from: "condemned(&ends, |end| explaining.iter().any(|other| other.has_ended(&end.life)))",
+        to: "condemned(&ends, |end| explaining.iter().any(|other| other.count() > 99 && other.has_ended(&end.life)))",
         package: "suspects",
         test: "one_lethal_work_condemns_nobody_else",
     },
