--- a/crates/suspects/src/book.rs
+++ b/crates/suspects/src/book.rs
@@ -5,7 +5,7 @@
 
 use ids::{InstanceId, Moment, ServiceName, SoftwareVersion, TargetLife, WorkDigest};
 
-use crate::verdict::{SETTLE_TIME, condemned};
+use crate::verdict::{OWN_ENDS, SETTLE_TIME, condemned};
 use crate::{CONDEMNING_ENDS, MOST_ENDS, SuspectRecord, WorkEnd};
 
 /// Ends from which on work runs only where no other suspect does: where several lethal requests come at once, all that
@@ -134,6 +134,18 @@
         self.seen.iter().chain(&self.heard).any(|end| end.life == *life)
     }
 
+    /// Whether it, rather than `other` work with these ends, may be what ended the targets at which both ran: it has as
+    /// many ends, or enough without the other to be condemned for them. The second tells work that ran beside two
+    /// lethal requests in turn, and so has as many ends as either, from both of them.
+    fn explains(&self, other: &Self, ends: &[WorkEnd]) -> bool {
+        let alone = || {
+            let own = self.ends();
+            own.iter().filter(|end| ends.iter().all(|others| others.life != end.life)).count()
+        };
+        let count = self.count();
+        count >= other.count() || (count >= CONDEMNING_ENDS && alone() >= OWN_ENDS)
+    }
+
     fn count(&self) -> usize {
         let unheard = self.seen.iter().filter(|end| !self.heard.contains(end));
         self.heard.len() + unheard.count()
@@ -380,11 +392,11 @@
             return Vec::new();
         };
         let ends = suspect.ends();
-        let count = suspect.count();
-        condemned(&ends, |end| {
-            let mut others = self.suspects.iter().filter(|(other, _)| **other != work);
-            others.any(|(_, other)| other.count() >= count && other.has_ended(&end.life))
-        })
+        let others = self.suspects.iter().filter(|(other, _)| **other != work);
+        let explaining = others.map(|(_, other)| other);
+        let explaining = explaining.filter(|other| other.explains(suspect, &ends));
+        let explaining: Vec<&Suspect> = explaining.collect();
+        condemned(&ends, |end| explaining.iter().any(|other| other.has_ended(&end.life)))
     }
 
     /// Writes to the store that are due.
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -9,8 +9,8 @@
 //! well; targets also end for reasons of their own. So
 //! - only the end of a target counts, not a closed connection, and one life of a target counts once;
 //! - work that is answered well anywhere is free at once;
-//! - an end counts for the work that has the most of them: what another piece of work explains as well condemns
-//!   nobody ([`verdict`]);
+//! - an end counts for the work that has the most of them, or enough without the others: what another piece of work
+//!   explains as well condemns nobody ([`verdict`]);
 //! - work under suspicion runs apart from other such work where it can, and only there before the end that would condemn
 //!   it, so that each end tells them apart;
 //! - a verdict is about a service and a version of its software, and is forgotten after a while.
--- a/crates/suspects/src/verdict.rs
+++ b/crates/suspects/src/verdict.rs
@@ -13,13 +13,13 @@
 /// targets together would explain each other for ever.
 pub const SURE_ENDS: usize = 6;
 /// So many ends must have no other explanation. One may be the target's own crash, beside two under other work.
-const OWN_ENDS: usize = 2;
+pub(crate) const OWN_ENDS: usize = 2;
 /// A verdict waits for this long after the end that makes it possible, since other boxes may be about to tell of work that explains it
 /// better. Their news take some 0.2 s.
 pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(500);
 
-/// The versions of the software whose targets the work must not reach. `explains` says whether other work that is at
-/// least as suspect ran at a life that ended.
+/// The versions of the software whose targets the work must not reach. `explains` says whether other work that may have
+/// ended a life ran there.
 pub(crate) fn condemned(
     ends: &[WorkEnd],
     explains: impl Fn(&WorkEnd) -> bool,
