--- a/crates/usage/tests/table.rs
+++ b/crates/usage/tests/table.rs
@@ -44,7 +44,7 @@
     at_entry.count(&source(1, 1), UsageWindow::new(7), &customer(1));
     let late = at_entry.since(TableVersion::default());
     let mut reporter = UsageTable::default();
-    for told in [&late, &early, &late] {
+    for told in [&early, &late, &late, &early] {
         merge_all(&mut reporter, told.clone());
     }
     assert_eq!(total(&reporter, 7, 1), 2);
