Cold targets get no more than they bear, emptied domains get nothing; a choice looks at few of many targets

Nothing in the system knew of domains that are to be emptied. And each choice looked at all targets of a service under the box's lock: 6,180 engines on the whole fleet.

Change: the rate of a cold target is divided among the servers of shards, two of each, so that the bound holds whoever hears of whom (routing::cold); a target that broke off, or whose domain is in use again, counts as cold for as long as its service says. Evacuations are one more kind that every box follows and is told of; engines there get no orders either. Targets are indexed by the version that they hold; of more than 64 that fit some are looked at by chance.

Two ways weighed for the rate: shares handed out by the box that tells its domain (leases on a quota), and fixed parts of the shards' servers. The second was built: items are nearly all that engines get, and it needs no message. Its price: entry boxes send nothing to a cold target of such a service; where all of a service's targets are cold, callers' own requests are refused meanwhile.

--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -8,7 +8,7 @@
 use node::duties::DutySink;
 use node::feed::follow_feed;
 use node::follow::KindFollower;
-use node::sinks::{ConfigSink, TargetSink};
+use node::sinks::{ConfigSink, EvacuationSink, TargetSink};
 use node::{NodeSettings, NodeView, keep_suspects, serve_metrics, tell_counts};
 use platform::{Kind, ObjectStore};
 use tokio::net::TcpListener;
@@ -99,7 +99,13 @@
     duties.begin_old();
     // Requests are served by what is known, and there are hundreds of these boxes.
     config.hear_later();
-    let fed = vec![config.feed(), targets.feed(), duties.feed()];
+    let mut fed = vec![config.feed(), targets.feed(), duties.feed()];
+    if view.settings.evacuations {
+        let sink = EvacuationSink(v());
+        let mut evacuations = KindFollower::new(view, Kind::Evacuations, none, sink);
+        fed.push(evacuations.feed());
+        tokio::spawn(evacuations.run(end.clone()));
+    }
     tokio::spawn(config.run(end.clone()));
     tokio::spawn(targets.run(end.clone()));
     tokio::spawn(duties.run(end.clone()));
--- a/crates/jobs/src/trace.rs
+++ b/crates/jobs/src/trace.rs
@@ -24,6 +24,10 @@
     Resting,
     /// Those that hold them have no place.
     Full,
+    /// Those that hold them are cold, and have got what they bear for now.
+    Cold,
+    /// Those that hold them are in failure domains that are to be emptied.
+    Evacuated,
     /// This box holds as many connections as it may.
     NoConnections,
     /// The item ends the targets that run it. It holds up no other.
@@ -32,12 +36,14 @@
 
 impl StartHold {
     /// All reasons, the order in which they are told.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 9] = [
         Self::NoRoute,
         Self::OldWeights,
         Self::Loading,
         Self::Resting,
         Self::Full,
+        Self::Cold,
+        Self::Evacuated,
         Self::NoConnections,
         Self::Condemned,
     ];
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -47,12 +47,13 @@
 }
 
 /// The kinds that are told, by their number between boxes.
-const KINDS: [(u32, Kind); 5] = [
+const KINDS: [(u32, Kind); 6] = [
     (1, Kind::Configuration),
     (2, Kind::Targets),
     (3, Kind::ModelVersions),
     (4, Kind::Duties),
     (5, Kind::Retirements),
+    (6, Kind::Evacuations),
 ];
 
 fn kind_of(number: u32) -> Option<Kind> {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -24,6 +24,9 @@
 /// Longest watch of the named versions. An answer may be lost without a word, so a watch must end by
 /// itself before trainers have waited for long.
 const WATCH_TIME: WatchTime = WatchTime { wait: Duration::from_secs(4), slack: WATCH_SLACK };
+/// The same of domains that are to be emptied: an answer lost, a second watch and the way to the boxes that are told
+/// fit into the time in which nothing may go there any more.
+const EVACUATION_TIME: WatchTime = WatchTime { wait: Duration::from_secs(2), slack: WATCH_SLACK };
 /// The same for kinds that change seldom and bind no caller.
 const LONG_TIME: WatchTime = WatchTime { wait: Duration::from_secs(8), slack: WATCH_SLACK };
 /// The watch that finds out whether the store is back: one that waits for changes would tell it
@@ -257,6 +260,7 @@
         match self.kind {
             kind if binds_callers(kind) => PROOF_TIME,
             Kind::ModelVersions => WATCH_TIME,
+            Kind::Evacuations => EVACUATION_TIME,
             _ => LONG_TIME,
         }
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,6 +6,7 @@
 
 use clap::Args;
 use ids::{BoxId, DomainId};
+use routing::ColdBound;
 use usage::WindowLength;
 use wire::DeploymentKey;
 
@@ -58,6 +59,16 @@
     /// wants reports.
     #[arg(long, env = "GANNETWAY_USAGE_WINDOW_S", default_value = "")]
     pub usage_window_s: String,
+    /// Time in which nothing may go any more to a failure domain that is to be emptied, in milliseconds; empty where
+    /// the platform empties none.
+    #[arg(long, env = "GANNETWAY_EVACUATE_MS", default_value = "")]
+    pub evacuate_ms: String,
+    /// Factor by which requests to a cold target may exceed what its service says it bears; empty for 1.
+    #[arg(long, env = "GANNETWAY_COLD_EXCESS", default_value = "")]
+    pub cold_excess: String,
+    /// Requests in a second that a cold target may get beyond that; empty for none.
+    #[arg(long, env = "GANNETWAY_COLD_SLACK", default_value = "")]
+    pub cold_slack: String,
     /// Log level: error, warn, info, debug or trace.
     #[arg(long, env = "GANNETWAY_LOG", default_value = "info")]
     pub log: log::LevelFilter,
@@ -128,6 +139,10 @@
     pub grace: Duration,
     /// Length of the windows of use; `None` where nobody wants reports.
     pub usage_window: Option<WindowLength>,
+    /// Whether the platform asks for failure domains to be emptied.
+    pub evacuations: bool,
+    /// How far requests to a cold target may go above what it bears.
+    pub cold_bound: ColdBound,
     /// Log level.
     pub log: log::LevelFilter,
 }
@@ -177,7 +192,41 @@
     Duration::try_from_secs_f64(seconds).ok()
 }
 
+/// A number of 0 or more that a template may leave empty: then it is `usual`; `None` what is no such number.
+fn read_number(text: &str, usual: f64) -> Option<f64> {
+    let text = text.trim();
+    if text.is_empty() {
+        return Some(usual);
+    }
+    text.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
+}
+
 impl RawNodeSettings {
+    /// What the platform says of places, and the faults of it.
+    fn check_places(&self, faults: &mut Vec<String>) -> (bool, ColdBound) {
+        let evacuate = read_number(&self.evacuate_ms, 0.0);
+        if evacuate.is_none() {
+            faults.push(format!(
+                "--evacuate-ms is `{}`: give milliseconds, or nothing where no domain is emptied",
+                self.evacuate_ms
+            ));
+        }
+        let usual = ColdBound::default();
+        let excess = read_number(&self.cold_excess, usual.excess);
+        if excess.is_none() {
+            faults.push(format!("--cold-excess is `{}`: give a factor", self.cold_excess));
+        }
+        let slack = read_number(&self.cold_slack, usual.slack);
+        if slack.is_none() {
+            faults.push(format!("--cold-slack is `{}`: give a number", self.cold_slack));
+        }
+        let bound = ColdBound {
+            excess: excess.unwrap_or(usual.excess),
+            slack: slack.unwrap_or(usual.slack),
+        };
+        (evacuate.is_some_and(|time| time > 0.0), bound)
+    }
+
     /// Checks every value; reports all faults together.
     pub fn check(&self) -> Result<NodeSettings, SettingsError> {
         let mut faults = Vec::new();
@@ -214,6 +263,7 @@
                 self.usage_window_s
             ));
         }
+        let (evacuations, cold_bound) = self.check_places(&mut faults);
         let (Ok(box_id), Ok(domain), Ok(key)) = (box_id, domain, key) else {
             return Err(SettingsError(faults));
         };
@@ -235,6 +285,8 @@
             shards: self.shards,
             max_fds: self.max_fds,
             usage_window: window.and_then(WindowLength::new),
+            evacuations,
+            cold_bound,
             clock: ClockSource::Machine,
             grace: Duration::from_secs_f64(self.grace_s),
             log: self.log,
--- a/crates/node/src/sinks.rs
+++ b/crates/node/src/sinks.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use ids::{InstanceId, Moment};
+use ids::{DomainId, InstanceId, Moment};
 use platform::{Changed, FormatError, Listing, Stored};
 use tokio::time;
 
@@ -73,6 +73,50 @@
     }
 }
 
+/// Keeps which failure domains are to be emptied.
+#[derive(Debug)]
+pub struct EvacuationSink(pub Arc<NodeView>);
+
+impl EvacuationSink {
+    fn set(&self, domain: &DomainId, evacuated: bool, revision: u64) {
+        let now = self.0.now();
+        if !self.0.board().evacuate(now, domain, evacuated) {
+            return;
+        }
+        let outcome = if evacuated { "emptied" } else { "in use" };
+        self.0.metrics.ended("evacuation", outcome);
+        log::info!(target: "targets", domain:% = domain, revision = revision, outcome = outcome; "domain");
+        self.0.wake();
+    }
+}
+
+impl KindSink for EvacuationSink {
+    fn listed(&mut self, listing: &Listing) {
+        let named = listing.objects.iter().filter_map(|stored| stored.name.parse().ok());
+        let named: HashSet<DomainId> = named.collect();
+        let known = self.0.board().evacuated().clone();
+        for domain in known.difference(&named) {
+            self.set(domain, false, listing.revision);
+        }
+        for domain in &named {
+            self.set(domain, true, listing.revision);
+        }
+    }
+
+    fn changed(&mut self, change: &Changed) {
+        let (name, evacuated, revision) = match change {
+            Changed::Put(stored) => (&stored.name, true, stored.revision),
+            Changed::Removed(name) => (name, false, 0),
+        };
+        match name.parse() {
+            Ok(domain) => self.set(&domain, evacuated, revision),
+            Err(error) => {
+                log::warn!(target: "targets", name = name.as_str(), error:% = error; "evacuation refused");
+            }
+        }
+    }
+}
+
 /// Targets whose entry is missing shortly after the store's return, each with the moment until
 /// which it may come back.
 type MissingTargets = Arc<Mutex<HashMap<InstanceId, Moment>>>;
@@ -118,7 +162,7 @@
                 }
                 lock(&self.missing).remove(&record.instance);
                 self.accept(&stored.name);
-                self.view.board().put(record);
+                self.view.board().put(self.view.now(), record);
             }
             Err(error) => self.refuse(stored, &error),
         }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -7,7 +7,7 @@
 
 use ids::{ModelName, ModelVersion, Moment, ServiceName};
 use platform::{Kind, ObjectStore};
-use routing::{RouteTable, TargetBoard};
+use routing::{ColdLimit, RouteTable, TargetBoard};
 use suspects::SuspectBook;
 use tokio::sync::{Notify, watch};
 use upstream::{ConnectionLimit, TargetPool};
@@ -112,8 +112,14 @@
             return false;
         }
         self.metrics.config_in_force(table.version);
+        let cold = table.services().filter_map(|service| {
+            let limit = ColdLimit::new(service.cold.as_ref()?, self.settings.cold_bound);
+            Some((service.name.clone(), limit))
+        });
+        let cold = cold.collect();
         *current = Arc::new(table);
         drop(current);
+        self.board().limit_cold(cold);
         self.wake();
         true
     }
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -5,7 +5,7 @@
 //! while. A target that fails rests, longer after each further failure, and a target that is
 //! slow gets less, since a request there holds its slot longer.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +15,9 @@
 };
 use rand::Rng;
 
+use crate::cold::{ColdLimit, ColdSender, SendWindow};
+use crate::index::TargetIndex;
+
 /// How long a target rests after its first failure; doubles with each further one.
 const FIRST_REST: Duration = Duration::from_millis(200);
 /// Longest rest, so that a target that is well again is found within seconds.
@@ -35,10 +38,8 @@
 /// Requests that a target of another failure domain must have fewer, as a share of its slots,
 /// to be chosen over one of the own domain: bytes between domains cost more than a short wait.
 const DOMAIN_PREFERENCE: f64 = 0.34;
-/// Weight of a target's load beside its pace where a fast one is wanted: a full batch makes each of its
-/// requests about a tenth slower, while engines of one service differ by a third. Choosing every engine
-/// of a run so, in place of the least loaded share of slots near by, takes 0.10 s off a step of 7.0 s, and
-/// 0.17 s off one of 7.3 s while engines are slowed (means over the steps of six seeds).
+/// Weight of a target's load beside its pace where a fast one is wanted: a full batch slows each of its requests
+/// by less than engines of one service differ.
 const FAST_SHARE: f64 = 0.1;
 
 /// A model version that a target holds.
@@ -69,6 +70,8 @@
     pub slots: u32,
     /// It has said that it will end: no new work.
     pub leaving: bool,
+    /// How long it is still cold, as it said last.
+    pub cold_left: Duration,
     /// Models it holds, if it is an engine.
     pub models: Vec<HeldModel>,
 }
@@ -116,6 +119,8 @@
     pub free_slot: bool,
     /// Rather a fast target than an idle or a near one.
     pub fast: bool,
+    /// In whose part of a cold target's rate it goes; without one it goes to warm targets alone.
+    pub sender: Option<ColdSender>,
     /// Targets already tried.
     pub avoid: &'a [InstanceId],
 }
@@ -131,6 +136,10 @@
     Resting,
     /// Those that do have no free slot.
     Full,
+    /// Those that do are cold, and have got what they bear for now.
+    Cold,
+    /// Those that do are in failure domains that are to be emptied.
+    Evacuated,
 }
 
 /// A target chosen for one request.
@@ -165,6 +174,18 @@
     busy_until: Moment,
     /// Said to be another life by an answer; the list lags.
     gone: bool,
+    /// Cold until then.
+    cold_until: Moment,
+    /// Kept only where cold targets have a limit.
+    sent: SendWindow,
+}
+
+/// What holds for all targets of a service at one moment.
+#[derive(Debug, Clone, Copy)]
+struct ServiceRules<'a> {
+    now: Moment,
+    cold: Option<&'a ColdLimit>,
+    evacuated: &'a HashSet<DomainId>,
 }
 
 impl TargetView {
@@ -182,14 +203,31 @@
         Some(held.version)
     }
 
-    fn fits(&self, now: Moment, need: &ChoiceNeed<'_>) -> bool {
-        if now < self.busy_until || !self.is_able(need) {
+    fn fits(&self, rules: &ServiceRules<'_>, need: &ChoiceNeed<'_>) -> bool {
+        let now = rules.now;
+        if now < self.busy_until || !self.is_able(need) || self.is_barred(rules, need) {
             return false;
         }
         // Work that may wait does not go where it was turned away a moment ago.
         !need.free_slot || (now >= self.rest_until && self.load(now) < self.slots())
     }
 
+    /// Whether it gets nothing now, however free it is.
+    fn is_barred(&self, rules: &ServiceRules<'_>, need: &ChoiceNeed<'_>) -> bool {
+        rules.evacuated.contains(&self.record.domain) || self.is_chilled(rules, need)
+    }
+
+    /// Whether it is cold, and has got this sender's part of what it bears.
+    fn is_chilled(&self, rules: &ServiceRules<'_>, need: &ChoiceNeed<'_>) -> bool {
+        let Some(limit) = rules.cold.filter(|_| rules.now < self.cold_until) else { return false };
+        let part = need.sender.map_or(0, |sender| limit.part(&self.record.instance, sender));
+        self.sent.count(rules.now) >= part
+    }
+
+    fn chill(&mut self, until: Moment) {
+        self.cold_until = self.cold_until.max(until);
+    }
+
     /// Whether it could serve the need at another time.
     fn is_able(&self, need: &ChoiceNeed<'_>) -> bool {
         if self.gone || self.record.leaving || need.avoid.contains(&self.record.instance) {
@@ -205,29 +243,83 @@
 pub struct TargetBoard {
     domain: DomainId,
     views: HashMap<InstanceId, TargetView>,
-    services: HashMap<ServiceName, Vec<InstanceId>>,
+    index: TargetIndex,
+    /// Limits of cold targets, for the services that have any.
+    cold: HashMap<ServiceName, ColdLimit>,
+    /// Failure domains that are to be emptied.
+    evacuated: HashSet<DomainId>,
+    /// Changes whenever a target comes, leaves or goes, or a failure domain is emptied.
+    generation: u64,
 }
 
 impl TargetBoard {
     /// A board without targets, for a box of `domain`.
     pub fn new(domain: DomainId) -> Self {
-        Self { domain, views: HashMap::new(), services: HashMap::new() }
+        Self {
+            domain,
+            views: HashMap::new(),
+            index: TargetIndex::default(),
+            cold: HashMap::new(),
+            evacuated: HashSet::new(),
+            generation: 0,
+        }
+    }
+
+    /// Puts limits of cold targets in force, in place of those before.
+    pub fn limit_cold(&mut self, limits: HashMap<ServiceName, ColdLimit>) {
+        self.cold = limits;
+    }
+
+    /// Empties a failure domain, or takes it into use again; `false` when that was known. Its targets may have
+    /// turned cold meanwhile, which the list may tell later.
+    pub fn evacuate(&mut self, now: Moment, domain: &DomainId, evacuated: bool) -> bool {
+        let is_news = if evacuated {
+            self.evacuated.insert(domain.clone())
+        } else {
+            self.evacuated.remove(domain)
+        };
+        if !is_news || evacuated {
+            self.generation += u64::from(is_news);
+            return is_news;
+        }
+        self.generation += 1;
+        for view in self.views.values_mut().filter(|view| view.record.domain == *domain) {
+            if let Some(limit) = self.cold.get(&view.record.service) {
+                view.chill(now + limit.time);
+            }
+        }
+        true
+    }
+
+    /// Failure domains that are to be emptied.
+    pub const fn evacuated(&self) -> &HashSet<DomainId> {
+        &self.evacuated
+    }
+
+    /// Changes whenever a target comes, leaves or goes, or a failure domain is emptied.
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    fn rules(&self, now: Moment, service: &ServiceName) -> ServiceRules<'_> {
+        ServiceRules { now, cold: self.cold.get(service), evacuated: &self.evacuated }
     }
 
     /// Takes a target as the platform lists it now.
-    pub fn put(&mut self, record: TargetRecord) {
+    pub fn put(&mut self, now: Moment, record: TargetRecord) {
         let instance = record.instance.clone();
-        if let Some(view) = self.views.get_mut(&instance)
-            && view.record.born == record.born
-        {
-            let newer = merge_models(&view.record.models, &record.models);
-            view.record = TargetRecord { models: newer, ..record };
+        let known = self.views.get(&instance).filter(|view| view.record.born == record.born);
+        if let Some(models) = known.map(|view| merge_models(&view.record.models, &record.models)) {
+            self.update(now, TargetRecord { models, ..record });
             return;
         }
         // A new life under an old id holds nothing, and is blamed for nothing, of the one before.
         self.remove(&instance);
-        self.services.entry(record.service.clone()).or_default().push(instance.clone());
+        self.index.insert(&record.service, &instance, &record.models);
+        self.generation += 1;
         let view = TargetView {
+            cold_until: now + record.cold_left,
+            sent: SendWindow::default(),
             record,
             mine: 0,
             others: 0,
@@ -242,12 +334,24 @@
         self.views.insert(instance, view);
     }
 
+    /// Takes news of a life that is known.
+    fn update(&mut self, now: Moment, record: TargetRecord) {
+        let Some(view) = self.views.get_mut(&record.instance) else { return };
+        let known = &view.record;
+        if known.models != record.models || known.service != record.service {
+            self.index.remove(&known.service, &record.instance, &known.models);
+            self.index.insert(&record.service, &record.instance, &record.models);
+        }
+        self.generation += u64::from(view.record.leaving != record.leaving);
+        view.chill(now + record.cold_left);
+        view.record = record;
+    }
+
     /// Takes a target off; requests that run there go on.
     pub fn remove(&mut self, instance: &InstanceId) {
         let Some(view) = self.views.remove(instance) else { return };
-        if let Some(of_service) = self.services.get_mut(&view.record.service) {
-            of_service.retain(|other| other != instance);
-        }
+        self.index.remove(&view.record.service, instance, &view.record.models);
+        self.generation += 1;
     }
 
     /// All targets.
@@ -257,8 +361,8 @@
 
     /// The targets of a service.
     pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &TargetRecord> {
-        let instances = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        instances.iter().filter_map(|instance| self.views.get(instance)).map(|view| &view.record)
+        let instances = self.index.of_service(service);
+        instances.filter_map(|instance| self.views.get(instance)).map(|view| &view.record)
     }
 
     /// One target.
@@ -279,7 +383,7 @@
     /// Chooses a target and counts the request there; [`Self::ended`] must follow.
     ///
     /// The least of (requests + 1) x pace a slot wins; ties are broken by chance. Resting
-    /// targets are taken only when no other is left.
+    /// targets are taken only when no other is left. Of a large service some targets are looked at.
     pub fn choose(
         &mut self,
         now: Moment,
@@ -287,12 +391,12 @@
         need: &ChoiceNeed<'_>,
         rng: &mut impl Rng,
     ) -> Option<TargetSlot> {
-        let instances = self.services.get(service)?;
-        let fastest = self.fastest(instances);
+        let views = self.looked(service, need, rng);
+        let fastest = fastest(&views);
+        let rules = self.rules(now, service);
         let mut best: Option<(bool, f64, &TargetView)> = None;
-        for instance in instances {
-            let Some(view) = self.views.get(instance) else { continue };
-            if !view.fits(now, need) {
+        for view in views {
+            if !view.fits(&rules, need) {
                 continue;
             }
             let resting = now < view.rest_until;
@@ -308,6 +412,9 @@
         let chosen = best.map(|(_, _, view)| view.record.instance.clone())?;
         let view = self.views.get_mut(&chosen)?;
         view.mine += 1;
+        if self.cold.contains_key(service) {
+            view.sent.note(now);
+        }
         Some(TargetSlot {
             instance: chosen,
             born: view.record.born,
@@ -323,25 +430,42 @@
         now: Moment,
         service: &ServiceName,
         need: &ChoiceNeed<'_>,
+        rng: &mut impl Rng,
     ) -> TargetShortage {
-        let instances = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        let views = instances.iter().filter_map(|instance| self.views.get(instance));
-        let able: Vec<&TargetView> = views.filter(|view| view.is_able(need)).collect();
-        let awake: Vec<&&TargetView> = able.iter().filter(|view| now >= view.busy_until).collect();
+        let rules = self.rules(now, service);
+        let mut able = self.looked(service, need, rng);
+        able.retain(|view| view.is_able(need));
+        if able.is_empty() {
+            return TargetShortage::OldVersion;
+        }
+        able.retain(|view| !rules.evacuated.contains(&view.record.domain));
         if able.is_empty() {
-            TargetShortage::OldVersion
-        } else if awake.is_empty() {
-            TargetShortage::Loading
-        } else if awake.iter().all(|view| now < view.rest_until) {
-            TargetShortage::Resting
+            return TargetShortage::Evacuated;
+        }
+        able.retain(|view| now >= view.busy_until);
+        if able.is_empty() {
+            return TargetShortage::Loading;
+        }
+        able.retain(|view| now >= view.rest_until);
+        if able.is_empty() {
+            return TargetShortage::Resting;
+        }
+        if able.iter().all(|view| view.is_chilled(&rules, need)) {
+            TargetShortage::Cold
         } else {
             TargetShortage::Full
         }
     }
 
-    fn fastest(&self, instances: &[InstanceId]) -> f64 {
-        let paces = instances.iter().filter_map(|instance| self.views.get(instance));
-        paces.map(|view| view.pace).filter(|pace| *pace > 0.0).fold(f64::INFINITY, f64::min)
+    /// What is known of the targets that a choice looks at.
+    fn looked(
+        &self,
+        service: &ServiceName,
+        need: &ChoiceNeed<'_>,
+        rng: &mut impl Rng,
+    ) -> Vec<&TargetView> {
+        let instances = self.index.looked(service, need, rng).into_iter();
+        instances.filter_map(|instance| self.views.get(instance)).collect()
     }
 
     fn cost(&self, now: Moment, view: &TargetView, fastest: f64, fast: bool) -> f64 {
@@ -356,22 +480,23 @@
     }
 
     /// Whether a request that runs at `instance` had better go on elsewhere: another target that
-    /// fits has a free slot and is faster by `factor`, counting `pace` as the present one's.
+    /// fits has a free slot, and takes less than `pace` for a unit of work.
     pub fn has_faster(
         &self,
         now: Moment,
         instance: &InstanceId,
         pace: Duration,
-        factor: f64,
         need: &ChoiceNeed<'_>,
+        rng: &mut impl Rng,
     ) -> bool {
         let Some(here) = self.views.get(instance) else { return false };
-        let Some(others) = self.services.get(&here.record.service) else { return false };
+        let service = &here.record.service;
+        let rules = self.rules(now, service);
         let millis = pace.as_secs_f64() * 1_000.0;
-        others.iter().filter(|other| *other != instance).any(|other| {
-            let Some(view) = self.views.get(other) else { return false };
-            let known = view.pace > 0.0 && view.pace * factor < millis;
-            known && now >= view.rest_until && view.fits(now, need)
+        let others = self.looked(service, need, rng).into_iter();
+        others.filter(|view| view.record.instance != *instance).any(|view| {
+            let known = view.pace > 0.0 && view.pace < millis;
+            known && now >= view.rest_until && view.fits(&rules, need)
         })
     }
 
@@ -420,6 +545,10 @@
                 view.refusals = view.refusals.saturating_add(1);
             }
             TargetFailure::Broken => {
+                // It may be another life that comes back, and cold, before the list tells.
+                if let Some(limit) = self.cold.get(&view.record.service) {
+                    view.chill(now + limit.time);
+                }
                 let rest = FIRST_REST.saturating_mul(1 << view.failures.min(MOST_DOUBLINGS));
                 view.rest_until = now + rest.min(MOST_REST);
                 view.failures = view.failures.saturating_add(1);
@@ -444,10 +573,23 @@
     pub fn told_version(&mut self, instance: &InstanceId, model: &ModelName, told: ModelVersion) {
         let Some(view) = self.views.get_mut(instance) else { return };
         let held = [HeldModel { model: model.clone(), version: told }];
-        view.record.models = merge_models(&view.record.models, &held);
+        let newer = merge_models(&view.record.models, &held);
+        if newer == view.record.models {
+            return;
+        }
+        let service = &view.record.service;
+        self.index.remove(service, instance, &view.record.models);
+        self.index.insert(service, instance, &newer);
+        view.record.models = newer;
     }
 }
 
+/// The least pace that is known of any; infinite where none is.
+fn fastest(views: &[&TargetView]) -> f64 {
+    let paces = views.iter().map(|view| view.pace).filter(|pace| *pace > 0.0);
+    paces.fold(f64::INFINITY, f64::min)
+}
+
 /// The newer of each model's two versions: the list lags behind what answers tell.
 fn merge_models(known: &[HeldModel], listed: &[HeldModel]) -> Vec<HeldModel> {
     let mut merged = known.to_vec();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,14 +6,18 @@
 //! the loads that answers tell. Nothing here does I/O; chance and time are passed in.
 
 mod board;
+mod cold;
 mod customers;
+mod index;
 mod table;
 
 pub use board::{
     ChoiceNeed, HeldModel, TargetBoard, TargetFailure, TargetLoad, TargetRecord, TargetShortage,
     TargetSlot,
 };
+pub use cold::{ColdBound, ColdLimit, ColdSender, ColdSpec};
 pub use customers::{
     CallerIdentity, Customer, CustomerFault, CustomerSpec, CustomerTable, KeyDigest, KeyFault,
 };
+pub use index::MOST_LOOKED;
 pub use table::{CallerLimits, Route, RouteKind, RouteTable, ServiceSpec, WeightedService};
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -8,7 +8,7 @@
 
 use replicas::ReplicaLimits;
 
-use crate::{CallerIdentity, CustomerTable, KeyDigest};
+use crate::{CallerIdentity, ColdSpec, CustomerTable, KeyDigest};
 
 /// What may be done with the requests of a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,7 +79,7 @@
 }
 
 /// One service of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSpec {
     /// Its name.
     pub name: ServiceName,
@@ -89,6 +89,8 @@
     pub models: Vec<ModelName>,
     /// How many replicas may be ordered for each failure domain; `None` where none may.
     pub replicas: Option<ReplicaLimits>,
+    /// What its targets bear while they are cold; `None` where they bear all that warm ones do.
+    pub cold: Option<ColdSpec>,
 }
 
 /// What callers may send.
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -52,6 +52,7 @@
         domain: domain.parse().expect("an id"),
         slots: 4,
         leaving: false,
+        cold_left: Duration::ZERO,
         models: vec![HeldModel { model: model(), version: ModelVersion::new(version) }],
     }
 }
@@ -59,7 +60,7 @@
 fn board(targets: &[TargetRecord]) -> TargetBoard {
     let mut board = TargetBoard::new("home".parse().expect("an id"));
     for target in targets {
-        board.put(target.clone());
+        board.put(NOW, target.clone());
     }
     board
 }
@@ -121,7 +122,7 @@
     assert_eq!(choose(&mut board, NOW, &need(4)), None);
     board.told_version(&instance("old"), &name, ModelVersion::new(4));
     // The platform's list lags behind what an answer told.
-    board.put(target("old", "home", 3));
+    board.put(NOW, target("old", "home", 3));
     assert_eq!(choose(&mut board, NOW, &need(4)).as_deref(), Some("old"));
 }
 
@@ -183,7 +184,15 @@
     let mut board = board(&[target("slow", "home", 1), target("fast", "home", 1)]);
     let pace = Duration::from_millis(160);
     let need = ChoiceNeed { free_slot: true, ..ChoiceNeed::default() };
-    let moves = |board: &TargetBoard| board.has_faster(NOW, &instance("slow"), pace, 1.8, &need);
+    let moves = |board: &TargetBoard| {
+        board.has_faster(
+            NOW,
+            &instance("slow"),
+            pace.div_f64(1.8),
+            &need,
+            &mut ChaCha8Rng::seed_from_u64(1),
+        )
+    };
     assert!(!moves(&board), "its pace is not known");
     board.told_pace(&instance("fast"), Duration::from_millis(40));
     assert!(moves(&board));
@@ -224,7 +233,9 @@
         ..ChoiceNeed::default()
     };
     let mut board = board(&[target("old", "home", 2), target("new", "home", 3)]);
-    let told = |board: &TargetBoard| board.shortage(now, &service("a"), &need);
+    let told = |board: &TargetBoard| {
+        board.shortage(now, &service("a"), &need, &mut ChaCha8Rng::seed_from_u64(1))
+    };
     for _ in 0..4 {
         assert_eq!(choose(&mut board, now, &need), Some("new".to_owned()));
     }
@@ -248,7 +259,7 @@
     board.failed(now, &instance("i-1"), TargetFailure::Gone);
     assert!(!board.stays(&instance("i-1")));
     let born = BirthTime::new(7);
-    board.put(TargetRecord { born, ..target("i-1", "home", 1) });
+    board.put(NOW, TargetRecord { born, ..target("i-1", "home", 1) });
     assert!(board.stays(&instance("i-1")));
     assert_eq!(board.mine(&instance("i-1")), 0);
     let record = board.record(&instance("i-1")).expect("listed");
--- a/crates/shards/src/account.rs
+++ b/crates/shards/src/account.rs
@@ -34,6 +34,7 @@
         scored_ms = whole_millis(last.scored),
         old_ms = held(StartHold::OldWeights), loading_ms = held(StartHold::Loading),
         resting_ms = held(StartHold::Resting), full_ms = held(StartHold::Full),
+        cold_ms = held(StartHold::Cold), evacuated_ms = held(StartHold::Evacuated),
         no_route_ms = held(StartHold::NoRoute), connections_ms = held(StartHold::NoConnections),
         condemned_ms = held(StartHold::Condemned);
         "step told"
--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -62,13 +62,15 @@
     if orders.claim.token(ctx.view.now()).is_none() {
         return;
     }
-    let engines: Vec<TargetRecord> = ctx
-        .view
-        .board()
-        .of_service(&orders.service)
-        .filter(|record| !record.leaving)
-        .cloned()
-        .collect();
+    let engines: Vec<TargetRecord> = {
+        let board = ctx.view.board();
+        let evacuated = board.evacuated();
+        // An engine of a domain that is to be emptied loads when it is in use again.
+        let engines = board
+            .of_service(&orders.service)
+            .filter(|record| !record.leaving && !evacuated.contains(&record.domain));
+        engines.cloned().collect()
+    };
     let most = loads_at_once(engines.len(), ctx.settings.load_parts);
     let room = most.saturating_sub(lock(&orders.ordered).len());
     if room == 0 {
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{ModelName, ModelVersion, ServiceName, WorkDigest};
+use ids::{ModelName, ModelVersion, ServiceName, ShardIndex, WorkDigest};
 use jobs::{RewardEnd, RunEnd, RunOutcome, RunSpec, StartHold};
 use node::{RunningSlot, WorkGate, item_work};
 use rand::Rng;
-use routing::{ChoiceNeed, TargetShortage};
+use routing::{ChoiceNeed, ColdSender, TargetShortage};
 use tokio::time;
 use wire::peer::{LogRecord, log_record};
 
@@ -85,7 +85,7 @@
     let now = ctx.view.now();
     let mut starts = Vec::new();
     keeper.book().start_ready(now, |spec| {
-        let step = next_step(ctx, &spec)?;
+        let step = next_step(ctx, keeper.shard(), &spec)?;
         let target = match &step {
             NextStep::Run(slot) => Some(slot.slot().instance.clone()),
             NextStep::Reward => None,
@@ -129,7 +129,7 @@
 }
 
 /// A target for the item, or the reward call; or why the item has to wait.
-fn next_step(ctx: &ShardContext, spec: &RunSpec) -> Result<NextStep, StartHold> {
+fn next_step(ctx: &ShardContext, shard: ShardIndex, spec: &RunSpec) -> Result<NextStep, StartHold> {
     if spec.whole {
         return Ok(NextStep::Reward);
     }
@@ -148,24 +148,28 @@
         model: model.as_ref().map(|model| (model, floor)),
         free_slot: true,
         fast: true,
+        sender: Some(ColdSender { shard, shards: ctx.view.shards().unwrap_or(1) }),
         avoid: &barred,
     };
     let now = ctx.view.now();
+    let mut rng = rand::rng();
     let mut board = ctx.view.board();
     // Apart from other work under suspicion where that is possible.
     let apart = [barred.as_slice(), company.places.as_slice()].concat();
     let apart = ChoiceNeed { avoid: &apart, ..need };
-    let slot = board.choose(now, &service, &apart, &mut rand::rng());
-    let slot = slot.or_else(|| board.choose(now, &service, &need, &mut rand::rng()));
+    let slot = board.choose(now, &service, &apart, &mut rng);
+    let slot = slot.or_else(|| board.choose(now, &service, &need, &mut rng));
     if let Some(slot) = slot {
         drop(board);
         return Ok(NextStep::Run(RunningSlot::new(&ctx.view, work, slot)));
     }
-    Err(match board.shortage(now, &service, &need) {
+    Err(match board.shortage(now, &service, &need, &mut rng) {
         TargetShortage::OldVersion => StartHold::OldWeights,
         TargetShortage::Loading => StartHold::Loading,
         TargetShortage::Resting => StartHold::Resting,
         TargetShortage::Full => StartHold::Full,
+        TargetShortage::Cold => StartHold::Cold,
+        TargetShortage::Evacuated => StartHold::Evacuated,
     })
 }
 
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -11,7 +11,7 @@
 use node::duties::{DutySink, box_object};
 use node::feed::follow_feed;
 use node::follow::{KindFollower, KindSink};
-use node::sinks::{ConfigSink, TargetSink, VersionSink};
+use node::sinks::{ConfigSink, EvacuationSink, TargetSink, VersionSink};
 use node::{NodeView, StorageSettings, StoreCall, keep_suspects, serve_metrics, tell_counts};
 use platform::{Changed, Kind, Listing, ObjectStore, StoreError};
 use tokio::net::TcpListener;
@@ -101,8 +101,14 @@
     let mut duties = KindFollower::new(view, Kind::Duties, none, DutySink(v()));
     let retirements = RetireSink(Arc::clone(ctx));
     let mut retirements = KindFollower::new(view, Kind::Retirements, none, retirements);
-    let fed =
+    let mut fed =
         vec![config.feed(), targets.feed(), versions.feed(), duties.feed(), retirements.feed()];
+    if view.settings.evacuations {
+        let sink = EvacuationSink(v());
+        let mut evacuations = KindFollower::new(view, Kind::Evacuations, none, sink);
+        fed.push(evacuations.feed());
+        tokio::spawn(evacuations.run(end.clone()));
+    }
     tokio::spawn(config.run(end.clone()));
     tokio::spawn(targets.run(end.clone()));
     tokio::spawn(versions.run(end.clone()));
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -225,7 +225,9 @@
         board.told_pace(&self.slot.instance, pace);
         let events = self.spec.events + u32::try_from(self.events.len()).unwrap_or(u32::MAX);
         let factor = if events >= LONG_EVENTS { LONG_MOVE_FACTOR } else { MOVE_FACTOR };
-        board.has_faster(view.now(), &self.slot.instance, pace, factor, &self.need())
+        let need = self.need();
+        let faster = pace.div_f64(factor);
+        board.has_faster(view.now(), &self.slot.instance, faster, &need, &mut rand::rng())
     }
 
     fn need(&self) -> ChoiceNeed<'_> {
@@ -234,6 +236,8 @@
             model: self.model.as_ref().map(|model| (model, floor)),
             free_slot: true,
             fast: false,
+            // No run moves to a cold engine.
+            sender: None,
             avoid: &[],
         }
     }
--- a/crates/shards/tests/loads.rs
+++ b/crates/shards/tests/loads.rs
@@ -39,17 +39,21 @@
     let domain: ids::DomainId = "domain-1".parse().expect("a domain");
     let mut board = TargetBoard::new(domain.clone());
     for number in 0..ENGINES {
-        board.put(TargetRecord {
-            instance: engine(number),
-            born: BirthTime::default(),
-            software: None,
-            service: service(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            domain: domain.clone(),
-            slots: 6,
-            leaving: false,
-            models: vec![HeldModel { model: model(), version: ModelVersion::new(1) }],
-        });
+        board.put(
+            Moment::START,
+            TargetRecord {
+                instance: engine(number),
+                born: BirthTime::default(),
+                software: None,
+                service: service(),
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                domain: domain.clone(),
+                slots: 6,
+                leaving: false,
+                cold_left: Duration::ZERO,
+                models: vec![HeldModel { model: model(), version: ModelVersion::new(1) }],
+            },
+        );
     }
     board
 }
