Engines follow a model as its work needs, and are ranked for each model by name

Cause: each version was loaded on all engines of a model, a sixth of the fleet: an order, some refusals and a change of its entry for each, heard by every box; the holder cloned all records and counted all engines for each due one, twenty times a second; and engines followed by their place in one order, so that the loss of a domain moved nearly all of the last models' engines.

Change: a model is followed by its share of the engines, or by as many as four times its open items would fill and twelve more, where that is less; needs rise at once and fall slowly (shards::followers). Engines are ranked for each model by hash, so those that come or go move few others. Due engines are found by one pass over the followers alone.

--- a/crates/shards/src/conductor.rs
+++ b/crates/shards/src/conductor.rs
@@ -3,18 +3,19 @@
 //! Engines obey whoever speaks to them, so only one box may speak to those of a service: the holder of that duty
 //! ([`DutyClaim`]).
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use ids::{InstanceId, ModelName, ModelVersion, ServiceName};
 use platform::orders::SwapMode;
-use routing::{RouteKind, TargetRecord};
-use swaps::{FollowedEngine, divide_engines, due_loads, followed_model};
+use routing::RouteKind;
+use swaps::{FollowedEngine, due_loads};
 use tokio::time;
 
 use crate::claim::{DutyClaim, DutySubject, lock, tend_claim};
 use crate::context::ShardContext;
+use crate::followers::EngineFollowers;
 use crate::keepers::KeeperSet;
 use crate::order::{OrderEnd, OrderSpec, order_engine};
 
@@ -30,12 +31,13 @@
     claim: Arc<DutyClaim>,
     /// Engines that an order is under way to.
     ordered: Mutex<HashSet<InstanceId>>,
+    followers: Mutex<EngineFollowers>,
 }
 
 impl ServiceOrders {
     fn new(ctx: &ShardContext, service: ServiceName) -> Self {
         let claim = Arc::new(DutyClaim::new(ctx, DutySubject::Engines(service.clone())));
-        Self { service, claim, ordered: Mutex::default() }
+        Self { service, claim, ordered: Mutex::default(), followers: Mutex::default() }
     }
 }
 
@@ -62,21 +64,19 @@
     if orders.claim.token(ctx.view.now()).is_none() {
         return;
     }
-    let engines: Vec<TargetRecord> = {
-        let board = ctx.view.board();
-        let evacuated = board.evacuated();
-        // An engine of a domain that is to be emptied loads when it is in use again.
-        let engines = board
-            .of_service(&orders.service)
-            .filter(|record| !record.leaving && !evacuated.contains(&record.domain));
-        engines.cloned().collect()
-    };
-    let most = loads_at_once(engines.len(), ctx.settings.load_parts);
+    let named = named_models(ctx, &orders.service);
+    let models: Vec<ModelName> = named.iter().map(|(model, _)| model.clone()).collect();
+    let work = ctx.work.of(ctx.view.now(), &models);
+    let mut followers = lock(&orders.followers);
+    followers.look(&ctx.view.board(), &orders.service, &models, &work);
+    let most = loads_at_once(followers.engines(), ctx.settings.load_parts);
     let room = most.saturating_sub(lock(&orders.ordered).len());
     if room == 0 {
         return;
     }
-    for spec in due_orders(ctx, orders, &engines).into_iter().take(room) {
+    let due = due_orders(ctx, orders, &named, followers.followers(), room);
+    drop(followers);
+    for spec in due {
         start_order(ctx, orders, spec);
     }
 }
@@ -99,37 +99,37 @@
 }
 
 /// Orders to engines that hold an older version than the named one of the model that they follow,
-/// the best first.
+/// the `most` best.
 fn due_orders(
     ctx: &ShardContext,
     orders: &ServiceOrders,
-    engines: &[TargetRecord],
+    named: &[(ModelName, ModelVersion)],
+    followers: &[(InstanceId, usize)],
+    most: usize,
 ) -> Vec<OrderSpec> {
-    let ordered = lock(&orders.ordered).clone();
-    let models = named_models(ctx, &orders.service);
-    let followed = followed_models(ctx, &models, engines);
-    let mut specs = Vec::new();
-    let mut states = Vec::new();
-    for engine in engines {
-        let Some(position) = followed.get(&engine.instance).copied() else { continue };
-        let (model, named) = &models[position];
-        let Some(loaded) = engine.models.iter().find(|loaded| loaded.model == *model) else {
-            continue;
-        };
+    let mode = swap_mode(ctx, &orders.service);
+    let board = ctx.view.board();
+    let ordered = lock(&orders.ordered);
+    let mut engines = Vec::with_capacity(followers.len());
+    let mut states = Vec::with_capacity(followers.len());
+    for (instance, position) in followers {
+        let (model, named) = &named[*position];
+        let Some(record) = board.record(instance) else { continue };
+        let Some(held) = record.models.iter().find(|held| held.model == *model) else { continue };
         states.push(FollowedEngine {
-            model: position,
-            behind: named.get().saturating_sub(loaded.version.get()),
-            ordered: ordered.contains(&engine.instance),
-            running: ctx.view.board().mine(&engine.instance),
-        });
-        specs.push(OrderSpec {
-            target: engine.clone(),
-            model: model.clone(),
-            version: *named,
-            mode: swap_mode(ctx, &orders.service),
+            model: *position,
+            behind: named.get().saturating_sub(held.version.get()),
+            ordered: ordered.contains(instance),
+            running: board.mine(instance),
         });
+        engines.push(record);
     }
-    due_loads(&states).into_iter().map(|at| specs[at].clone()).collect()
+    let due = due_loads(&states).into_iter().take(most);
+    let order = |at: usize| {
+        let (model, version) = &named[states[at].model];
+        OrderSpec { target: engines[at].clone(), model: model.clone(), version: *version, mode }
+    };
+    due.map(order).collect()
 }
 
 /// The models of a service for which a version is named, and these versions.
@@ -144,23 +144,6 @@
     named.collect()
 }
 
-/// The position of the model that each engine follows.
-fn followed_models(
-    ctx: &ShardContext,
-    models: &[(ModelName, ModelVersion)],
-    engines: &[TargetRecord],
-) -> HashMap<InstanceId, usize> {
-    let names: Vec<ModelName> = models.iter().map(|(model, _)| model.clone()).collect();
-    let work = ctx.work.of(ctx.view.now(), &names);
-    let counts = divide_engines(engines.len(), &work);
-    let mut instances: Vec<&InstanceId> = engines.iter().map(|engine| &engine.instance).collect();
-    instances.sort();
-    let followed = instances.into_iter().enumerate();
-    followed
-        .filter_map(|(at, instance)| Some((instance.clone(), followed_model(&counts, at)?)))
-        .collect()
-}
-
 /// Runs go on under the new version, unless a sample must come from a single one.
 fn swap_mode(ctx: &ShardContext, service: &ServiceName) -> SwapMode {
     let table = ctx.view.table();
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -14,6 +14,7 @@
 mod copies;
 mod copying;
 mod dispatch;
+mod followers;
 mod forming;
 mod handler;
 mod keeper;
--- a/crates/swaps/src/lib.rs
+++ b/crates/swaps/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use conductor::{ORDER_LIFE, SwapAction, SwapConductor, SwapOrder, SwapProgress};
 pub use loads::{FollowedEngine, due_loads};
-pub use shares::{divide_engines, followed_model};
+pub use shares::{EngineRanking, divide_engines, needed_engines};
