Tell an object as it was encoded once, entry boxes of the targets they send to, and many at once in one line

Cause: every box of 985 held and heard all 10,000 targets, though an entry box sends to the plain ones; who tells parsed and wrote each object anew for each box that asked, and looked through all objects for what had changed; a domain's 1,636 targets that leave together were more than the 512 removals remembered, so everybody heard everything anew; and each box wrote a line for each target of a service that starts.

Change: KindCache holds encoded objects by revision and as many removals as there are objects. Entry boxes hold nothing to tell, and ask for the targets of services that callers reach; when a configuration names one more service, its targets are told anew. News of more than 16 targets are one line.

--- a/crates/node/src/duties.rs
+++ b/crates/node/src/duties.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use ids::{BoxId, Moment, ShardIndex};
-use joblog::{CopyHolder, ShardLayout, ShardPlan};
+use joblog::{CopyHolder, ShardLayout, ShardPlan, boxes_at_work};
 use platform::{Changed, Listing, Stored};
 
 use crate::NodeView;
@@ -55,6 +55,11 @@
         self.boxes.values()
     }
 
+    /// Those of them that are at work: the others stand by and are not heard.
+    pub fn at_work(&self) -> Vec<&CopyHolder> {
+        boxes_at_work(self.boxes(), |copy| self.has_duty(&copy.box_id))
+    }
+
     /// A shard's plan.
     pub fn plan(&self, shard: ShardIndex) -> Option<&PlanSighting> {
         self.plans.get(&shard)
--- a/crates/node/src/feed/cache.rs
+++ b/crates/node/src/feed/cache.rs
@@ -1,14 +1,18 @@
 //! What a box knows of one kind of object, and what has changed since a revision.
 //!
 //! Revisions are the store's own and rise with every change of any object, so a box may go on at
-//! another box, or at the store itself, with the revision that it has reached.
+//! another box, or at the store itself, with the revision that it has reached. Hundreds of boxes ask for the same
+//! changes, so an object is encoded once, when it comes, and changes are found by their revision.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use platform::{Changed, Changes, Listing, Stored};
+use bytes::Bytes;
+use platform::targets::target_service;
+use platform::{Changed, Changes, Kind, Listing, Stored};
+use wire::peer::FeedObject;
 
-/// Removals that are remembered. Whoever is further behind hears all objects anew.
-const MOST_REMOVALS: usize = 512;
+/// Removals that are remembered at least.
+const LEAST_REMOVALS: usize = 512;
 
 /// Changes of one kind since a revision.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,52 +20,121 @@
     /// All objects are told: whatever is not among them is gone.
     pub whole: bool,
     /// New and changed objects.
-    pub objects: Vec<Stored>,
+    pub objects: Vec<FeedObject>,
     /// Names of objects that are gone; one that came again is among the objects.
     pub removed: Vec<String>,
     /// The revision that is reached with them.
     pub revision: u64,
 }
 
+#[derive(Debug)]
+struct CachedObject {
+    told: FeedObject,
+    /// The service of a target.
+    service: Option<Box<str>>,
+}
+
+/// Which targets somebody hears of.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceFilter<'a>(Option<&'a [String]>);
+
+impl<'a> ServiceFilter<'a> {
+    /// All targets.
+    pub const ALL: Self = Self(None);
+
+    /// Those of these services.
+    pub const fn of(services: &'a [String]) -> Self {
+        Self(Some(services))
+    }
+
+    /// Whatever names no service is told to everybody.
+    fn passes(&self, object: &CachedObject) -> bool {
+        let (Some(wanted), Some(service)) = (self.0, &object.service) else { return true };
+        wanted.iter().any(|wanted| **wanted == **service)
+    }
+}
+
 /// One kind of object, as far as the store has told it.
 #[derive(Debug, Default)]
 pub struct KindCache {
-    objects: BTreeMap<String, Stored>,
-    removed: VecDeque<(u64, String)>,
-    /// Removals before this revision are forgotten.
+    is_targets: bool,
+    objects: HashMap<String, CachedObject>,
+    /// Names of the objects by the revision of their last change.
+    by_revision: BTreeMap<u64, String>,
+    removed: BTreeSet<(u64, String)>,
+    /// When each of the removed was removed.
+    removed_at: HashMap<String, u64>,
+    /// Removals up to this revision are forgotten.
     floor: u64,
     /// Known up to this revision; zero before the first listing.
     revision: u64,
 }
 
 impl KindCache {
+    /// A cache that has heard nothing.
+    pub fn new(kind: Kind) -> Self {
+        Self { is_targets: kind == Kind::Targets, ..Self::default() }
+    }
+
     /// Takes all objects.
     pub fn listed(&mut self, listing: &Listing) {
-        let objects = listing.objects.iter();
-        self.objects = objects.map(|stored| (stored.name.clone(), stored.clone())).collect();
-        self.removed.clear();
-        self.floor = listing.revision;
-        self.revision = listing.revision;
+        let (is_targets, revision) = (self.is_targets, listing.revision);
+        *self = Self { is_targets, floor: revision, revision, ..Self::default() };
+        for stored in &listing.objects {
+            self.put(stored);
+        }
     }
 
     /// Takes changes that follow what is known.
     pub fn changed(&mut self, changes: &Changes) {
         for change in &changes.changes {
             match change {
-                Changed::Put(stored) => {
-                    self.removed.retain(|(_, name)| *name != stored.name);
-                    self.objects.insert(stored.name.clone(), stored.clone());
-                }
-                Changed::Removed(name) => {
-                    self.objects.remove(name);
-                    self.removed.push_back((changes.revision, name.clone()));
-                }
+                Changed::Put(stored) => self.put(stored),
+                Changed::Removed(name) => self.remove(name, changes.revision),
             }
         }
         self.revision = self.revision.max(changes.revision);
-        while self.removed.len() > MOST_REMOVALS
-            && let Some((revision, _)) = self.removed.pop_front()
+        self.forget_removals();
+    }
+
+    fn put(&mut self, stored: &Stored) {
+        if let Some(at) = self.removed_at.remove(&stored.name) {
+            self.removed.remove(&(at, stored.name.clone()));
+        }
+        let service = target_service(stored).filter(|_| self.is_targets).map(Box::from);
+        let object = CachedObject { told: write_object(stored), service };
+        let before = self.objects.insert(stored.name.clone(), object);
+        self.forget_revision(before);
+        // An object that cannot be read has no revision.
+        if stored.revision > 0 {
+            self.by_revision.insert(stored.revision, stored.name.clone());
+        }
+    }
+
+    fn remove(&mut self, name: &str, revision: u64) {
+        let before = self.objects.remove(name);
+        self.forget_revision(before);
+        if let Some(at) = self.removed_at.insert(name.to_owned(), revision) {
+            self.removed.remove(&(at, name.to_owned()));
+        }
+        self.removed.insert((revision, name.to_owned()));
+    }
+
+    fn forget_revision(&mut self, before: Option<CachedObject>) {
+        let Some(CachedObject { told: before, .. }) = before else { return };
+        if self.by_revision.get(&before.revision) == Some(&before.name) {
+            self.by_revision.remove(&before.revision);
+        }
+    }
+
+    /// Forgets the oldest removals when there are more of them than objects: whoever is that far behind hears all
+    /// objects anew, which is less to tell.
+    fn forget_removals(&mut self) {
+        let most = self.objects.len().max(LEAST_REMOVALS);
+        while self.removed.len() > most
+            && let Some((revision, name)) = self.removed.pop_first()
         {
+            self.removed_at.remove(&name);
             self.floor = revision;
         }
     }
@@ -73,16 +146,41 @@
 
     /// What has changed since `revision`; `None` when nothing has, or nothing is known that new.
     pub fn since(&self, revision: u64) -> Option<KindNews> {
+        self.since_of(revision, ServiceFilter::ALL)
+    }
+
+    /// As [`Self::since`], of some targets alone.
+    pub fn since_of(&self, revision: u64, filter: ServiceFilter<'_>) -> Option<KindNews> {
         if self.revision <= revision {
             return None;
         }
-        let whole = revision < self.floor;
-        let objects = self.objects.values();
-        let objects: Vec<Stored> =
-            objects.filter(|stored| whole || stored.revision > revision).cloned().collect();
-        let removed = self.removed.iter().filter(|(at, _)| !whole && *at > revision);
+        if revision < self.floor {
+            let objects = self.objects.values().filter(|object| filter.passes(object));
+            let objects = objects.map(|object| object.told.clone()).collect();
+            return Some(KindNews {
+                whole: true,
+                objects,
+                removed: Vec::new(),
+                revision: self.revision,
+            });
+        }
+        let changed = self.by_revision.range(revision + 1..);
+        let objects = changed.filter_map(|(_, name)| self.objects.get(name));
+        let objects = objects.filter(|object| filter.passes(object));
+        let objects: Vec<FeedObject> = objects.map(|object| object.told.clone()).collect();
+        let removed = self.removed.range((revision + 1, String::new())..);
         let removed: Vec<String> = removed.map(|(_, name)| name.clone()).collect();
-        let news = whole || !objects.is_empty() || !removed.is_empty();
-        news.then_some(KindNews { whole, objects, removed, revision: self.revision })
+        let news = !objects.is_empty() || !removed.is_empty();
+        news.then_some(KindNews { whole: false, objects, removed, revision: self.revision })
+    }
+}
+
+/// An object as it is told.
+pub fn write_object(stored: &Stored) -> FeedObject {
+    FeedObject {
+        name: stored.name.clone(),
+        revision: stored.revision,
+        // A value that was read as JSON can be written as JSON.
+        value: Bytes::from(serde_json::to_vec(&stored.value).unwrap_or_default()),
     }
 }
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -1,10 +1,10 @@
 //! Hears from another box what has changed in the store.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{BoxId, Incarnation, whole_millis};
+use ids::{BoxId, Incarnation, ServiceName, whole_millis};
 use joblog::CopyHolder;
 use links::LinkPool;
 use platform::{Changed, Changes, Kind, Listing, Stored};
@@ -12,7 +12,9 @@
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 use usage::{TableVersion, UnixTime};
-use wire::peer::{FeedCursor, FeedKind, FeedPage, FeedRead, shard_answer, shard_request};
+use wire::peer::{
+    FeedCursor, FeedKind, FeedPage, FeedRead, ServiceChoice, shard_answer, shard_request,
+};
 
 use super::{FEED_WAIT, HeardProof, kind_of, number_of};
 use crate::NodeView;
@@ -34,6 +36,18 @@
 /// deployment may start at once.
 const NO_BOX_TIME: Duration = Duration::from_millis(500);
 
+/// Whether targets are wanted that were not among those told.
+fn wants_more(
+    told: Option<&BTreeSet<ServiceName>>,
+    wanted: Option<&BTreeSet<ServiceName>>,
+) -> bool {
+    match (told, wanted) {
+        (None, _) => false,
+        (Some(_), None) => true,
+        (Some(told), Some(wanted)) => !wanted.is_subset(told),
+    }
+}
+
 /// News of one kind, for the task that keeps it.
 #[derive(Debug)]
 pub(crate) enum FedNews {
@@ -64,6 +78,7 @@
         kinds,
         silent: HashMap::new(),
         counts_told_at: None,
+        told_services: view.wanted_services().map(|_| BTreeSet::new()),
     };
     tokio::select! {
         () = listener.run() => {}
@@ -89,6 +104,8 @@
     silent: HashMap<BoxId, Instant>,
     /// When counts were last told to a box of another domain.
     counts_told_at: Option<Instant>,
+    /// The services whose targets this box has been told of; `None` for all.
+    told_services: Option<BTreeSet<ServiceName>>,
 }
 
 impl FeedListener {
@@ -149,21 +166,31 @@
         found.map(|copy| (*copy).clone()).collect()
     }
 
-    async fn ask(&self, teller: &CopyHolder, wait: Duration) -> Option<FeedPage> {
+    async fn ask(&mut self, teller: &CopyHolder, wait: Duration) -> Option<FeedPage> {
+        let wanted = self.view.wanted_services();
+        let anew = wants_more(self.told_services.as_ref(), wanted.as_ref());
         let cursors = self.kinds.iter().filter_map(|fed| {
-            Some(FeedCursor { kind: number_of(fed.kind)?, revision: *fed.revision.borrow() })
+            // Targets that were left out so far stand in no news.
+            let revision = *fed.revision.borrow();
+            let revision = if anew && fed.kind == Kind::Targets { 0 } else { revision };
+            Some(FeedCursor { kind: number_of(fed.kind)?, revision })
+        });
+        let services = wanted.as_ref().map(|wanted| ServiceChoice {
+            names: wanted.iter().map(ToString::to_string).collect(),
         });
         let (usage, version) = self.view.usage.untold(&teller.box_id);
         let read = FeedRead {
             cursors: cursors.collect(),
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             usage,
+            services,
         };
         let time = wait + ANSWER_SLACK;
         let body = shard_request::Body::Feed(read);
         match self.links.ask_shard(&teller.address, time, body).await {
             Ok(shard_answer::Body::Feed(page)) => {
                 self.heard_counts(teller, version, &page);
+                self.told_services = wanted;
                 Some(page)
             }
             Ok(_other) => None,
@@ -194,7 +221,7 @@
             return;
         }
         self.counts_told_at = Some(Instant::now());
-        let read = FeedRead { cursors: Vec::new(), wait_ms: 0, usage };
+        let read = FeedRead { usage, ..FeedRead::default() };
         let body = shard_request::Body::Feed(read);
         let told = self.links.ask_shard(&peer.address, ANSWER_SLACK, body).await;
         if let Ok(shard_answer::Body::Feed(page)) = told {
@@ -252,7 +279,9 @@
         let fed =
             kind_of(told.kind).and_then(|kind| self.kinds.iter().find(|fed| fed.kind == kind));
         let Some(fed) = fed else { return };
-        if told.revision <= *fed.revision.borrow() {
+        let known = *fed.revision.borrow();
+        // All objects of the same revision are news where some were left out before.
+        if told.revision < known || (told.revision == known && !told.whole) {
             return;
         }
         let mut objects = Vec::with_capacity(told.objects.len());
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -16,13 +16,14 @@
 mod serve;
 mod trust;
 
-pub use cache::{KindCache, KindNews};
+pub use cache::{KindCache, KindNews, ServiceFilter, write_object};
 pub(crate) use client::FedNews;
 pub use client::{FedKind, follow_feed};
 pub use serve::serve_feed;
 pub use trust::{FeedTrust, HeardProof};
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -74,6 +75,10 @@
     /// Whether another box tells this one.
     trust: FeedTrust,
     changed: watch::Sender<u64>,
+    /// Nobody is told by this box.
+    tells_nobody: AtomicBool,
+    /// Changes when targets are wanted that were not before, and must be listed anew.
+    wanted: watch::Sender<u64>,
 }
 
 impl Default for FeedBoard {
@@ -83,6 +88,8 @@
             proven_at: Mutex::default(),
             trust: FeedTrust::default(),
             changed: watch::Sender::new(0),
+            tells_nobody: AtomicBool::new(false),
+            wanted: watch::Sender::new(0),
         }
     }
 }
@@ -92,20 +99,52 @@
         self.caches.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Holds nothing from here on, and hears only of targets that this box sends to: it only listens, and its memory
+    /// is small.
+    pub fn tell_nobody(&self) {
+        self.tells_nobody.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this box only listens.
+    pub fn is_listener(&self) -> bool {
+        self.tells_nobody.load(Ordering::Relaxed)
+    }
+
+    /// Has targets listed anew: some are wanted that were not before.
+    pub(crate) fn want_more(&self) {
+        self.wanted.send_modify(|count| *count += 1);
+    }
+
+    /// Tells when targets are wanted that were not before.
+    pub(crate) fn wants(&self) -> watch::Receiver<u64> {
+        self.wanted.subscribe()
+    }
+
     /// Takes all objects of a kind, as the store has told them.
     pub fn listed(&self, kind: Kind, listing: &Listing) {
-        self.caches().entry(kind).or_default().listed(listing);
+        if self.is_listener() {
+            return;
+        }
+        self.caches().entry(kind).or_insert_with(|| KindCache::new(kind)).listed(listing);
         self.changed.send_modify(|count| *count += 1);
     }
 
     /// Takes changes of a kind.
     pub fn changed(&self, kind: Kind, changes: &Changes) {
-        self.caches().entry(kind).or_default().changed(changes);
+        if self.is_listener() {
+            return;
+        }
+        self.caches().entry(kind).or_insert_with(|| KindCache::new(kind)).changed(changes);
         if !changes.changes.is_empty() {
             self.changed.send_modify(|count| *count += 1);
         }
     }
 
+    /// Whether all objects of a kind have been told, by the store or another box.
+    pub fn has_listed(&self, kind: Kind) -> bool {
+        self.caches().get(&kind).is_some_and(|cache| cache.revision() > 0)
+    }
+
     /// Notes that the store has answered this box about `kind`.
     pub fn proven(&self, kind: Kind, now: Moment) {
         self.proofs().insert(kind, now);
--- a/crates/node/src/feed/serve.rs
+++ b/crates/node/src/feed/serve.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use platform::Stored;
 use tokio::time::{self, Instant};
-use wire::peer::{FeedKind, FeedObject, FeedPage, FeedRead};
+use wire::peer::{FeedKind, FeedPage, FeedRead};
 
-use super::{FEED_WAIT, KindNews, TELL_TRUST, binds_callers, kind_of};
+use super::{FEED_WAIT, KindNews, ServiceFilter, TELL_TRUST, binds_callers, kind_of};
 use crate::NodeView;
 
 /// Answers a question for changes as soon as there are some, or after the wait that was asked
@@ -54,9 +53,11 @@
 
 fn news(view: &NodeView, read: &FeedRead) -> Vec<FeedKind> {
     let caches = view.feed.caches();
+    let services = read.services.as_ref();
+    let filter = services.map_or(ServiceFilter::ALL, |some| ServiceFilter::of(&some.names));
     let kinds = read.cursors.iter().filter_map(|cursor| {
         let cache = caches.get(&kind_of(cursor.kind)?)?;
-        Some(write_news(cursor.kind, cache.since(cursor.revision)?))
+        Some(write_news(cursor.kind, cache.since_of(cursor.revision, filter)?))
     });
     kinds.collect()
 }
@@ -66,16 +67,7 @@
         kind,
         whole: news.whole,
         revision: news.revision,
-        objects: news.objects.iter().map(write_object).collect(),
+        objects: news.objects,
         removed: news.removed,
     }
 }
-
-fn write_object(stored: &Stored) -> FeedObject {
-    FeedObject {
-        name: stored.name.clone(),
-        revision: stored.revision,
-        // A value that was read as JSON can be written as JSON.
-        value: serde_json::to_vec(&stored.value).unwrap_or_default(),
-    }
-}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -65,6 +65,13 @@
     /// One change.
     fn changed(&mut self, change: &Changed);
 
+    /// Changes that came together, in their order.
+    fn changed_all(&mut self, changes: &[Changed]) {
+        for change in changes {
+            self.changed(change);
+        }
+    }
+
     /// Whether the next changes may gather for a while.
     fn may_gather(&self) -> bool {
         true
@@ -136,6 +143,8 @@
         let listens = news.is_some();
         // The first box of its domain is fed by nobody, and would wait in vain.
         let mut was_fed = false;
+        let mut wants = self.view.feed.wants();
+        let lists_anew = self.kind == Kind::Targets && self.view.feed.is_listener();
         match self.first {
             FirstLook::Lists => {}
             FirstLook::ListsOld => known = self.list_old().await,
@@ -155,6 +164,11 @@
                     wait = PROBE_TIME;
                     continue;
                 }
+                _ = wants.changed(), if lists_anew && !resting => {
+                    // What was left out while another box told stands in no change.
+                    known = None;
+                    continue;
+                }
                 // The connection of a watch that waits may have fallen silent as well, which would show only at its
                 // end, up to nine seconds later.
                 () = lost_by_others(&self.view, self.kind), if !resting => {
@@ -244,9 +258,7 @@
                 listing.revision
             }
             FedNews::Changed(changes) => {
-                for change in &changes.changes {
-                    self.sink.changed(change);
-                }
+                self.sink.changed_all(&changes.changes);
                 self.view.feed.changed(self.kind, &changes);
                 changes.revision
             }
--- a/crates/node/src/sinks.rs
+++ b/crates/node/src/sinks.rs
@@ -11,6 +11,9 @@
 use crate::NodeView;
 use crate::follow::KindSink;
 
+/// Lines about the targets of one piece of news; where there are more of them, one line counts them. Each of hundreds
+/// of boxes hears of thousands of targets that start or end together.
+const MOST_LINES: usize = 16;
 /// How often it is looked whether missing targets are gone.
 const MISSING_LOOK: Duration = Duration::from_millis(100);
 
@@ -245,8 +248,14 @@
 }
 
 fn remove_targets(view: &NodeView, instances: &[InstanceId]) {
+    let told = instances.len() > MOST_LINES;
+    if told {
+        log::info!(target: "targets", targets = instances.len(); "gone");
+    }
     for instance in instances {
-        log::info!(target: "targets", target:% = instance; "gone");
+        if !told {
+            log::info!(target: "targets", target:% = instance; "gone");
+        }
         view.board().remove(instance);
         view.suspects().gone(view.now(), instance);
     }
@@ -282,13 +291,25 @@
     }
 
     fn changed(&mut self, change: &Changed) {
-        match change {
-            Changed::Put(stored) => self.put(stored, false),
-            Changed::Removed(name) => {
-                self.accept(name);
-                self.missing(name.parse().into_iter().collect());
+        self.changed_all(std::slice::from_ref(change));
+    }
+
+    fn changed_all(&mut self, changes: &[Changed]) {
+        let told = changes.len() > MOST_LINES;
+        let mut gone: Vec<InstanceId> = Vec::new();
+        for change in changes {
+            match change {
+                Changed::Put(stored) => self.put(stored, told),
+                Changed::Removed(name) => {
+                    self.accept(name);
+                    gone.extend(name.parse());
+                }
             }
         }
+        if told {
+            log::info!(target: "targets", changes = changes.len(), gone = gone.len(); "listed");
+        }
+        self.missing(gone);
         // Whatever rests at targets that are gone or idle goes as well.
         self.view.pool.sweep();
         self.view.wake();
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,6 +1,6 @@
 //! What a box believes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -95,6 +95,11 @@
         Arc::clone(&self.table.read().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// The services whose targets this box sends to; `None` for all.
+    pub fn wanted_services(&self) -> Option<BTreeSet<ServiceName>> {
+        self.feed.is_listener().then(|| self.table().called_services())
+    }
+
     /// Whether the configuration in force is surely the newest, give or take the time in which changes are heard.
     pub fn knows_settings(&self) -> bool {
         self.feed.knows(Kind::Configuration, self.now())
@@ -117,9 +122,13 @@
             Some((service.name.clone(), limit))
         });
         let cold = cold.collect();
+        let wants_more = !table.called_services().is_subset(&current.called_services());
         *current = Arc::new(table);
         drop(current);
         self.board().limit_cold(cold);
+        if wants_more {
+            self.feed.want_more();
+        }
         self.wake();
         true
     }
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -1,13 +1,19 @@
 //! What a box tells others of one kind of object.
 
-use node::feed::KindCache;
-use platform::{Changed, Changes, Listing, Stored};
+use node::feed::{KindCache, ServiceFilter, write_object};
+use platform::{Changed, Changes, Kind, Listing, Stored};
 use serde_json::json;
+use wire::peer::FeedObject;
 
 fn stored(name: &str, revision: u64) -> Stored {
     Stored { name: name.to_owned(), revision, value: json!({"at": revision}) }
 }
 
+fn told(name: &str, revision: u64) -> FeedObject {
+    let value = format!("{{\"at\":{revision}}}").into();
+    FeedObject { name: name.to_owned(), revision, value }
+}
+
 fn put(name: &str, revision: u64) -> Changes {
     Changes { changes: vec![Changed::Put(stored(name, revision))], revision }
 }
@@ -38,7 +44,7 @@
     cache.changed(&removed("a", 14));
     let news = cache.since(10).expect("news");
     assert!(!news.whole);
-    assert_eq!(news.objects, [stored("b", 12)]);
+    assert_eq!(news.objects, [told("b", 12)]);
     assert_eq!(news.removed, ["a"]);
     assert_eq!(cache.since(12).expect("news").objects, []);
     assert_eq!(cache.since(14), None);
@@ -52,7 +58,7 @@
     cache.changed(&removed("a", 11));
     cache.changed(&put("a", 12));
     let news = cache.since(10).expect("news");
-    assert_eq!(news.objects, [stored("a", 12)]);
+    assert_eq!(news.objects, [told("a", 12)]);
     assert!(news.removed.is_empty());
 }
 
@@ -78,5 +84,69 @@
     cache.listed(&Listing { objects: vec![stored("b", 5)], revision: 30 });
     let news = cache.since(10).expect("news");
     assert!(news.whole, "whether `a` was removed is known from the listing alone");
-    assert_eq!(news.objects, [stored("b", 5)]);
+    assert_eq!(news.objects, [told("b", 5)]);
+}
+
+/// A failure domain may hold more targets than any fixed number: when they leave together, nobody hears all that is
+/// left anew for it.
+#[test]
+fn removals_are_remembered_for_as_long_as_they_are_less_to_tell() {
+    for targets in [1_000_u64, 2_000] {
+        let mut cache = KindCache::default();
+        let objects = (0..targets).map(|at| stored(&format!("i-{at}"), at + 1)).collect();
+        cache.listed(&Listing { objects, revision: targets });
+        let leave = targets / 2;
+        for at in 0..leave {
+            cache.changed(&removed(&format!("i-{at}"), targets + 1 + at));
+        }
+        let news = cache.since(targets).expect("news");
+        assert!(!news.whole, "{targets} targets");
+        assert_eq!(news.removed.len() as u64, leave);
+        assert!(news.objects.is_empty());
+    }
+}
+
+/// An object is told as it was encoded when it came: asking again copies no bytes.
+#[test]
+fn an_object_is_encoded_once_for_all_who_ask() {
+    let cache = listed();
+    let first = cache.since(0).expect("news");
+    let second = cache.since(0).expect("news");
+    let find = |objects: &[FeedObject]| {
+        objects.iter().find(|object| object.name == "a").map(|object| object.value.as_ptr())
+    };
+    assert!(find(&first.objects).is_some());
+    assert_eq!(find(&first.objects), find(&second.objects));
+    assert_eq!(write_object(&stored("a", 3)), told("a", 3));
+}
+
+fn target(name: &str, revision: u64, service: &str) -> Stored {
+    Stored { value: json!({"service": service}), ..stored(name, revision) }
+}
+
+/// Thousands of engines stand beside the plain targets, and hundreds of entry boxes send nothing to any of them.
+#[test]
+fn an_entry_box_hears_as_much_however_many_engines_there_are() {
+    let desk = ["desk".to_owned()];
+    let told = |engines: u64| {
+        let mut cache = KindCache::new(Kind::Targets);
+        let engine = |at: u64| target(&format!("engine-{at}"), at + 1, "lm");
+        let mut objects: Vec<Stored> = (0..engines).map(engine).collect();
+        objects.push(target("desk-1", engines + 1, "desk"));
+        // One that another writer spoiled is for everybody to judge.
+        objects.push(stored("odd", engines + 2));
+        cache.listed(&Listing { objects, revision: engines + 2 });
+        let known = cache.revision();
+        let whole = cache.since_of(0, ServiceFilter::of(&desk)).expect("news").objects.len();
+        for at in 0..engines {
+            let stored = target(&format!("engine-{at}"), known + 1 + at, "lm");
+            let revision = stored.revision;
+            cache.changed(&Changes { changes: vec![Changed::Put(stored)], revision });
+        }
+        assert_eq!(cache.since_of(known, ServiceFilter::of(&desk)), None, "no news for it");
+        assert_eq!(cache.since(known).expect("news").objects.len() as u64, engines);
+        whole
+    };
+    assert_eq!(told(500), 2);
+    assert_eq!(told(1_000), 2);
 }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,6 +1,6 @@
 //! One version of the operator's configuration: hosts, paths, services, limits.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -185,6 +185,12 @@
         self.hosts.values().flatten()
     }
 
+    /// The services that callers' own requests go to; those of jobs are called by the boxes that keep them.
+    pub fn called_services(&self) -> BTreeSet<ServiceName> {
+        let called = self.routes().filter(|route| route.kind != RouteKind::Jobs);
+        called.flat_map(|route| &route.backends).map(|backend| backend.service.clone()).collect()
+    }
+
     /// Whether `host` has any route that takes jobs.
     pub fn takes_jobs(&self, host: &str) -> bool {
         let routes = self.hosts.get(&host.to_ascii_lowercase());
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -84,7 +84,11 @@
     let files = protox::compile([proto.join("peer.proto")], [&proto])?;
     fs::create_dir_all(out)?;
     prost_build::Config::new()
-        .bytes([".gannetway.peer.PlainCall.body", ".gannetway.peer.PlainPart.body"])
+        .bytes([
+            ".gannetway.peer.PlainCall.body",
+            ".gannetway.peer.PlainPart.body",
+            ".gannetway.peer.FeedObject.value",
+        ])
         .out_dir(out)
         .compile_fds(files)?;
     Ok(())
