Let few boxes of a domain beat, and one side of each pair call

Cause: each box with a disk called each other one, four times a second: 89,400 calls a second for 150 boxes, five in six between domains.

Change: four boxes of each domain are at work, beside those that plans name; the others stand by and are called while too few of those at work are heard (joblog::standby). Whoever has just been called has told and heard all, and calls only with news. Boxes that stand by do not look for leases.

Two ways weighed: a fixed count of boxes in the role (the deploy file's `count`), and boxes that stand by. So the second.

--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -22,6 +22,7 @@
 mod layout;
 mod plan;
 mod record;
+mod standby;
 
 pub use copy::{CopyError, CopyFolder, LogCopyFile};
 pub use duty::{
@@ -32,3 +33,4 @@
 pub use layout::ShardLayout;
 pub use plan::{CopyHolder, EpochError, EpochId, ShardPlan};
 pub use record::{decode_records, encode_record};
+pub use standby::boxes_at_work;
--- /dev/null
+++ b/crates/joblog/src/standby.rs
@@ -0,0 +1,34 @@
+//! Which boxes with disks are at work, and which stand by.
+//!
+//! Boxes at work beat with each other, so that any of them may be given a copy at once, and their number must not
+//! grow with the deployment: beats go with its square. A failure domain has a few of them, beside those that plans
+//! name; the others stand by, beat with nobody, and are called when too few of those at work are heard.
+
+use std::collections::BTreeMap;
+
+use ids::DomainId;
+
+use crate::CopyHolder;
+
+/// Boxes at work in each failure domain: its part in the loss of some disks and of a whole domain, twice.
+const AT_WORK: usize = 4;
+
+/// The boxes at work, found alike on every box; `has_duty` tells whether a plan names a box.
+pub fn boxes_at_work<'a>(
+    boxes: impl IntoIterator<Item = &'a CopyHolder>,
+    has_duty: impl Fn(&CopyHolder) -> bool,
+) -> Vec<&'a CopyHolder> {
+    let mut domains: BTreeMap<&DomainId, Vec<&CopyHolder>> = BTreeMap::new();
+    for copy in boxes {
+        domains.entry(&copy.domain).or_default().push(copy);
+    }
+    let mut at_work = Vec::new();
+    for (domain, boxes) in domains {
+        let ids = boxes.iter().map(|copy| &copy.box_id);
+        // The first of them also tells its domain of the store.
+        let first = coord::rendezvous::ranked(domain.as_str(), ids, AT_WORK);
+        let chosen = |copy: &&CopyHolder| first.contains(&&copy.box_id) || has_duty(copy);
+        at_work.extend(boxes.iter().copied().filter(chosen));
+    }
+    at_work
+}
--- a/crates/shards/src/claim.rs
+++ b/crates/shards/src/claim.rs
@@ -121,7 +121,8 @@
         return false;
     }
     let serves = serves_shard(ctx, keepers, held) || stands_in(ctx, held);
-    let concerned = serves || held.may_be_mine();
+    // A box that stands by holds none, and there may be hundreds that would all look.
+    let concerned = serves || (held.may_be_mine() && ctx.is_at_work());
     if concerned {
         poll_claim(ctx, held);
     }
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -92,6 +92,11 @@
         self.stopping.is_cancelled() || self.retiring().contains(&self.me.box_id)
     }
 
+    /// Whether this box is one of those that beat with each other.
+    pub fn is_at_work(&self) -> bool {
+        self.view.duties().at_work().iter().any(|copy| copy.box_id == self.me.box_id)
+    }
+
     /// Leases that this box holds, as beats tell them.
     pub fn held_leases(&self) -> Vec<HeldLease> {
         self.leases.lock().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
@@ -132,7 +137,11 @@
         let fit: Vec<CopyHolder> = boxes.cloned().collect();
         let failing = self.peers.failing(now);
         let count = self.settings.copies.saturating_sub(1);
-        choose_sound_partners(shard, &self.me.domain, &fit, &failing, count)
+        let chosen = choose_sound_partners(shard, &self.me.domain, &fit, &failing, count);
+        if chosen.is_none() {
+            self.peers.call_standby(now);
+        }
+        chosen
     }
 
     /// Asks another keeping box.
--- a/crates/shards/src/forming.rs
+++ b/crates/shards/src/forming.rs
@@ -118,7 +118,7 @@
 
 /// Place of this box among those that could begin the shard.
 fn first_rank(ctx: &ShardContext, shard: ShardIndex, duties: &DutyBoard) -> usize {
-    let boxes: Vec<CopyHolder> = duties.boxes().cloned().collect();
+    let boxes: Vec<CopyHolder> = duties.at_work().into_iter().cloned().collect();
     let ranked = first_ranked(shard, &boxes);
     ranked.iter().position(|copy| copy.box_id == ctx.me.box_id).unwrap_or(boxes.len())
 }
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -21,7 +21,7 @@
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
 use crate::loads::hear_loads;
-use crate::peers::{hear_beat, own_beat};
+use crate::peers::{own_beat, take_beat};
 
 /// Longest wait for the log when a call changes something.
 const LOG_TIME: Duration = Duration::from_millis(2_500);
@@ -169,7 +169,7 @@
             shard_request::Body::Append(append) => self.append(append).await,
             shard_request::Body::Copy(copy) => self.copy(copy).await,
             shard_request::Body::Beat(beat) => {
-                hear_beat(&self.ctx, &beat);
+                take_beat(&self.ctx, &beat);
                 self.hear_loads(&beat.loads);
                 Ok(shard_answer::Body::Beat(own_beat(&self.ctx, self.keepers.all())))
             }
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -1,4 +1,8 @@
 //! Beats between the boxes that keep data.
+//!
+//! A beat and its answer tell each side of the other, so of two boxes mostly one calls: whoever has just been
+//! called has nothing to ask, unless it has news. Boxes that stand by are called while too few of those at work are
+//! heard.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,6 +24,8 @@
 
 /// Time between beats.
 const BEAT_EVERY: Duration = Duration::from_millis(250);
+/// A box that has beaten within this time has been answered, and is not called as well.
+const BEATEN_TIME: Duration = Duration::from_millis(200);
 /// Longest wait for the answer to a beat.
 const BEAT_TIME: Duration = Duration::from_millis(500);
 /// A box heard within this time may be given a copy.
@@ -29,6 +35,8 @@
 const FAILED_TIME: Duration = Duration::from_millis(1_500);
 /// A box heard within this time has told what it counted up to a second ago.
 const HEARD_TIME: Duration = Duration::from_secs(1);
+/// Boxes that stand by are called for this long once they are needed: some tries to make new copies.
+const STANDBY_TIME: Duration = Duration::from_secs(3);
 /// A box silent for this long is asked less often.
 const SILENT_TIME: Duration = Duration::from_secs(10);
 /// A connection that fails sooner than this was refused: the box runs, its process does not.
@@ -57,6 +65,10 @@
     lacking: HashMap<(ShardIndex, BoxId), (FencingToken, Moment)>,
     /// When a call to a box last broke off or got no answer in time.
     failed: HashMap<BoxId, Moment>,
+    /// When a box last called this one.
+    beaten: HashMap<BoxId, Moment>,
+    /// Until when boxes that stand by are called as well.
+    standby_until: Moment,
 }
 
 /// Which boxes are heard, and what they say of themselves.
@@ -105,6 +117,26 @@
         }
     }
 
+    /// Notes that a box has called this one.
+    pub fn beaten(&self, now: Moment, box_id: &BoxId) {
+        self.lock().beaten.insert(box_id.clone(), now);
+    }
+
+    /// Whether a box has called this one a moment ago, so that each has heard the other.
+    pub fn has_beaten(&self, now: Moment, box_id: &BoxId) -> bool {
+        let beaten_at = self.lock().beaten.get(box_id).copied();
+        beaten_at.is_some_and(|at| now.since(at) < BEATEN_TIME)
+    }
+
+    /// Lets boxes that stand by be called for a while: too few others are heard to give copies to.
+    pub fn call_standby(&self, now: Moment) {
+        self.lock().standby_until = now + STANDBY_TIME;
+    }
+
+    fn calls_standby(&self, now: Moment) -> bool {
+        now < self.lock().standby_until
+    }
+
     /// Whether every one of these boxes was heard just now.
     pub fn all_heard<'a>(&self, now: Moment, boxes: impl IntoIterator<Item = &'a BoxId>) -> bool {
         let states = self.lock();
@@ -218,6 +250,14 @@
     }
 }
 
+/// Takes the beat of a box that calls this one.
+pub fn take_beat(ctx: &ShardContext, beat: &ShardBeat) {
+    hear_beat(ctx, beat);
+    if let Ok(box_id) = beat.box_id.parse() {
+        ctx.peers.beaten(ctx.view.now(), &box_id);
+    }
+}
+
 /// Takes what another box says of itself.
 pub fn hear_beat(ctx: &ShardContext, beat: &ShardBeat) {
     let now = ctx.view.now();
@@ -231,30 +271,49 @@
     }
 }
 
-/// Sends beats to all other boxes until the box ends.
+/// Whether this box has what only a call of its own tells another one.
+fn has_more_to_tell(ctx: &ShardContext, other: &BoxId) -> bool {
+    !told_loads(ctx, other).is_empty() || ctx.usage_told.untold(ctx, other).is_some()
+}
+
+/// The boxes that this one calls: those at work, if it is one of them itself.
+fn called_boxes(ctx: &ShardContext, now: Moment) -> Vec<CopyHolder> {
+    let duties = ctx.view.duties();
+    if ctx.peers.calls_standby(now) {
+        let others = duties.boxes().filter(|copy| copy.box_id != ctx.me.box_id);
+        return others.cloned().collect();
+    }
+    let at_work = duties.at_work();
+    if at_work.iter().all(|copy| copy.box_id != ctx.me.box_id) {
+        return Vec::new();
+    }
+    let others = at_work.into_iter().filter(|copy| copy.box_id != ctx.me.box_id);
+    others.cloned().collect()
+}
+
+/// Sends beats to all other boxes at work until the box ends.
 pub async fn send_beats(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>) {
     let mut turn: u64 = 0;
+    let mut has_news = true;
     loop {
         turn += 1;
         let now = ctx.view.now();
         ctx.work.sample(keepers.all());
         ctx.view.usage.hear_time(now, &ctx.me.box_id, wall_time());
         ctx.view.usage.forget(now);
-        let others: Vec<_> = ctx
-            .view
-            .duties()
-            .boxes()
-            .filter(|copy| copy.box_id != ctx.me.box_id)
-            .cloned()
-            .collect();
-        for other in others {
+        for other in called_boxes(&ctx, now) {
             if ctx.peers.silent_long(now, &other.box_id) && !turn.is_multiple_of(SILENT_BEATS) {
                 continue;
             }
+            if !has_news
+                && ctx.peers.has_beaten(now, &other.box_id)
+                && !has_more_to_tell(&ctx, &other.box_id)
+            {
+                continue;
+            }
             tokio::spawn(send_beat(Arc::clone(&ctx), Arc::clone(&keepers), other));
         }
-        // Early or in time makes no difference to what a beat says.
-        let _early = time::timeout(BEAT_EVERY, ctx.news.notified()).await;
+        has_news = time::timeout(BEAT_EVERY, ctx.news.notified()).await.is_ok();
     }
 }
 
--- a/crates/shards/src/reports.rs
+++ b/crates/shards/src/reports.rs
@@ -196,9 +196,10 @@
     }
 }
 
-/// Whether all other boxes that keep data were heard just now, and so have told what they know of use.
+/// Whether all other boxes at work were heard just now, and so have told what they know of use.
 fn all_heard(ctx: &ShardContext) -> bool {
-    let boxes: Vec<BoxId> = ctx.view.duties().boxes().map(|copy| copy.box_id.clone()).collect();
+    let boxes: Vec<BoxId> =
+        ctx.view.duties().at_work().iter().map(|copy| copy.box_id.clone()).collect();
     let others = boxes.iter().filter(|box_id| **box_id != ctx.me.box_id);
     ctx.peers.all_heard(ctx.view.now(), others)
 }
