Tell how a listing differs, list no large kind where another box does, and trust news as long as the bounds allow

From 1.0 s on the store forgets its history, and watches hear nothing for a second: proofs got older than the 1.7 s that all deployments had, so all 985 boxes lost their feed at one moment and asked the store themselves (14,245 calls in the first 8 s, each list of targets 21 pages); a listing made who tells send all objects anew to each of 164 listeners; and while a proof is nearly too old questions are answered without a wait, so listeners asked again at once.

Change: KindCache tells how a listing differs from what was known, and whole only to those that may know what it missed. A box that was told waits up to 2 s for the teller's word before it lists a kind of more than one page. How old news may be follows from the deployment's own bounds (config_ms and drain_ms: 2 s as before on the small ones, 5 s here), and the watches that prove it with it. Questions that brought nothing have 200 ms between them at least. The test of a listing after forgotten history asked for a whole telling; it is replaced by three that ask for the same state at every listener.

--- a/crates/node/src/feed/cache.rs
+++ b/crates/node/src/feed/cache.rs
@@ -4,7 +4,7 @@
 //! another box, or at the store itself, with the revision that it has reached. Hundreds of boxes ask for the same
 //! changes, so an object is encoded once, when it comes, and changes are found by their revision.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
 use bytes::Bytes;
 use platform::targets::target_service;
@@ -13,6 +13,8 @@
 
 /// Removals that are remembered at least.
 const LEAST_REMOVALS: usize = 512;
+/// Listings after forgotten history that are remembered.
+const MOST_GAPS: usize = 32;
 
 /// Changes of one kind since a revision.
 #[derive(Debug, Clone, PartialEq)]
@@ -30,6 +32,8 @@
 #[derive(Debug)]
 struct CachedObject {
     told: FeedObject,
+    /// Revision by which it is news.
+    news_at: u64,
     /// The service of a target.
     service: Option<Box<str>>,
 }
@@ -54,18 +58,27 @@
     }
 }
 
+/// What happened after one revision and before another is not known.
+#[derive(Debug, Clone, Copy)]
+struct Gap {
+    after: u64,
+    before: u64,
+}
+
 /// One kind of object, as far as the store has told it.
 #[derive(Debug, Default)]
 pub struct KindCache {
     is_targets: bool,
     objects: HashMap<String, CachedObject>,
     /// Names of the objects by the revision of their last change.
-    by_revision: BTreeMap<u64, String>,
+    by_revision: BTreeSet<(u64, String)>,
     removed: BTreeSet<(u64, String)>,
     /// When each of the removed was removed.
     removed_at: HashMap<String, u64>,
     /// Removals up to this revision are forgotten.
     floor: u64,
+    /// Where history was forgotten: what came and went between these revisions is not known.
+    gaps: VecDeque<Gap>,
     /// Known up to this revision; zero before the first listing.
     revision: u64,
 }
@@ -76,20 +89,52 @@
         Self { is_targets: kind == Kind::Targets, ..Self::default() }
     }
 
-    /// Takes all objects.
+    /// Takes all objects. Whoever was as far as this box hears how they differ from what was known; hundreds of
+    /// boxes would hear thousands of objects anew whenever the store forgets its history.
     pub fn listed(&mut self, listing: &Listing) {
-        let (is_targets, revision) = (self.is_targets, listing.revision);
-        *self = Self { is_targets, floor: revision, revision, ..Self::default() };
+        if self.revision == 0 || listing.revision < self.revision {
+            let (is_targets, revision) = (self.is_targets, listing.revision);
+            *self = Self { is_targets, floor: revision, revision, ..Self::default() };
+        }
+        let listed: HashSet<&str> = listing.objects.iter().map(|stored| &*stored.name).collect();
+        let known = self.objects.keys().filter(|name| !listed.contains(name.as_str()));
+        let gone: Vec<String> = known.cloned().collect();
+        for name in gone {
+            self.remove(&name, listing.revision);
+        }
         for stored in &listing.objects {
-            self.put(stored);
+            let known = self.objects.get(&stored.name).map(|object| object.told.revision);
+            // One without a revision is another than before for all that is known.
+            if known != Some(stored.revision) || stored.revision == 0 {
+                self.put(stored, listing.revision);
+            }
         }
+        if listing.revision > self.revision {
+            self.gaps.push_back(Gap { after: self.revision, before: listing.revision });
+            self.revision = listing.revision;
+        }
+        self.forget_gaps();
+        self.forget_removals();
+    }
+
+    fn forget_gaps(&mut self) {
+        while self.gaps.len() > MOST_GAPS
+            && let Some(gap) = self.gaps.pop_front()
+        {
+            self.floor = self.floor.max(gap.before);
+        }
+    }
+
+    /// Whether somebody who has reached `revision` may know objects of which this box has never heard.
+    fn may_know_more(&self, revision: u64) -> bool {
+        self.gaps.iter().any(|gap| gap.after < revision && revision < gap.before)
     }
 
     /// Takes changes that follow what is known.
     pub fn changed(&mut self, changes: &Changes) {
         for change in &changes.changes {
             match change {
-                Changed::Put(stored) => self.put(stored),
+                Changed::Put(stored) => self.put(stored, changes.revision),
                 Changed::Removed(name) => self.remove(name, changes.revision),
             }
         }
@@ -97,18 +142,18 @@
         self.forget_removals();
     }
 
-    fn put(&mut self, stored: &Stored) {
+    /// Takes an object that was told with news up to `revision`.
+    fn put(&mut self, stored: &Stored, revision: u64) {
         if let Some(at) = self.removed_at.remove(&stored.name) {
             self.removed.remove(&(at, stored.name.clone()));
         }
         let service = target_service(stored).filter(|_| self.is_targets).map(Box::from);
-        let object = CachedObject { told: write_object(stored), service };
+        // An object that cannot be read has no revision of its own.
+        let news_at = if stored.revision > 0 { stored.revision } else { revision };
+        let object = CachedObject { told: write_object(stored), news_at, service };
         let before = self.objects.insert(stored.name.clone(), object);
         self.forget_revision(before);
-        // An object that cannot be read has no revision.
-        if stored.revision > 0 {
-            self.by_revision.insert(stored.revision, stored.name.clone());
-        }
+        self.by_revision.insert((news_at, stored.name.clone()));
     }
 
     fn remove(&mut self, name: &str, revision: u64) {
@@ -121,9 +166,8 @@
     }
 
     fn forget_revision(&mut self, before: Option<CachedObject>) {
-        let Some(CachedObject { told: before, .. }) = before else { return };
-        if self.by_revision.get(&before.revision) == Some(&before.name) {
-            self.by_revision.remove(&before.revision);
+        if let Some(CachedObject { told, news_at, .. }) = before {
+            self.by_revision.remove(&(news_at, told.name));
         }
     }
 
@@ -154,7 +198,7 @@
         if self.revision <= revision {
             return None;
         }
-        if revision < self.floor {
+        if revision < self.floor || self.may_know_more(revision) {
             let objects = self.objects.values().filter(|object| filter.passes(object));
             let objects = objects.map(|object| object.told.clone()).collect();
             return Some(KindNews {
@@ -164,7 +208,7 @@
                 revision: self.revision,
             });
         }
-        let changed = self.by_revision.range(revision + 1..);
+        let changed = self.by_revision.range((revision + 1, String::new())..);
         let objects = changed.filter_map(|(_, name)| self.objects.get(name));
         let objects = objects.filter(|object| filter.passes(object));
         let objects: Vec<FeedObject> = objects.map(|object| object.told.clone()).collect();
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -29,6 +29,8 @@
 const ELSEWHERE_PAUSE: Duration = Duration::from_secs(1);
 /// A box of another domain that did not answer is left alone for this long.
 const ELSEWHERE_SILENT: Duration = Duration::from_secs(5);
+/// Least time between two questions of which the first brought no news: hundreds of boxes ask one.
+const LEAST_PAUSE: Duration = Duration::from_millis(200);
 /// Pause while no box of the domain can tell.
 const LOOK_EVERY: Duration = Duration::from_millis(300);
 
@@ -126,8 +128,13 @@
             let wait = if self.view.feed.trust().is_fed() { FEED_WAIT } else { Duration::ZERO };
             if let Some(page) = self.ask(&teller, wait).await {
                 self.view.feed.trust().note_answer();
+                let at_once = page.kinds.is_empty();
                 if self.take(&teller, asked_at, page).await {
                     self.silent.remove(&teller.box_id);
+                    if at_once {
+                        // A box whose proof gets old answers without a wait.
+                        time::sleep_until(asked_at + LEAST_PAUSE).await;
+                    }
                     continue;
                 }
                 // Its news are old: another box may know better.
@@ -264,7 +271,9 @@
         let all_known = self.kinds.iter().all(|fed| *fed.revision.borrow() > 0);
         let proof =
             proven_at.map(|proven_at| HeardProof { teller: teller.box_id.clone(), proven_at });
-        let Some(proof) = proof.filter(|proof| all_known && proof.is_fresh()) else { return false };
+        let trust = self.view.feed.trust();
+        let proof = proof.filter(|proof| all_known && trust.is_fresh(proof));
+        let Some(proof) = proof else { return false };
         self.view.store_answered(Kind::Configuration, true);
         if self.view.feed.trust().hear(proof) {
             log::info!(
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -14,12 +14,14 @@
 mod cache;
 mod client;
 mod serve;
+mod times;
 mod trust;
 
 pub use cache::{KindCache, KindNews, ServiceFilter, write_object};
 pub(crate) use client::FedNews;
 pub use client::{FedKind, follow_feed};
 pub use serve::serve_feed;
+pub use times::NewsTimes;
 pub use trust::{FeedTrust, HeardProof};
 
 use std::collections::HashMap;
@@ -28,16 +30,9 @@
 use std::time::Duration;
 
 use ids::Moment;
-use platform::{Changes, Kind, Listing, WatchTime};
+use platform::{Changes, Kind, Listing};
 use tokio::sync::watch;
 
-/// The watch that proves a kind to be current. One whose answer is overdue is begun again while the
-/// last proof is still good.
-pub const PROOF_TIME: WatchTime =
-    WatchTime { wait: Duration::from_millis(850), slack: Duration::from_millis(200) };
-/// A box whose oldest proof is older than this does not wait for news: [`PROOF_TIME`] and a second
-/// try.
-const TELL_TRUST: Duration = Duration::from_millis(1_300);
 /// How long a question waits for news; also how often a follower learns that there are none.
 const FEED_WAIT: Duration = Duration::from_millis(400);
 
@@ -74,6 +69,7 @@
     proven_at: Mutex<HashMap<Kind, Moment>>,
     /// Whether another box tells this one.
     trust: FeedTrust,
+    times: NewsTimes,
     changed: watch::Sender<u64>,
     /// Nobody is told by this box.
     tells_nobody: AtomicBool,
@@ -81,20 +77,25 @@
     wanted: watch::Sender<u64>,
 }
 
-impl Default for FeedBoard {
-    fn default() -> Self {
+impl FeedBoard {
+    /// A board that has heard nothing.
+    pub fn new(times: NewsTimes) -> Self {
         Self {
             caches: Mutex::default(),
             proven_at: Mutex::default(),
-            trust: FeedTrust::default(),
+            trust: FeedTrust::new(times.hear),
+            times,
             changed: watch::Sender::new(0),
             tells_nobody: AtomicBool::new(false),
             wanted: watch::Sender::new(0),
         }
     }
-}
 
-impl FeedBoard {
+    /// How old news may be.
+    pub const fn times(&self) -> NewsTimes {
+        self.times
+    }
+
     fn caches(&self) -> MutexGuard<'_, HashMap<Kind, KindCache>> {
         self.caches.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -161,7 +162,7 @@
 
     /// Whether a kind is known as it was a moment ago: by an answer of the store, or by another box's word of one.
     pub fn knows(&self, kind: Kind, now: Moment) -> bool {
-        self.age(kind, now).is_some_and(|age| age < trust::HEAR_TRUST) || self.trust.is_proven()
+        self.age(kind, now).is_some_and(|age| age < self.times.hear) || self.trust.is_proven()
     }
 
     /// Whether another box tells this one, so that its own watches rest.
--- a/crates/node/src/feed/serve.rs
+++ b/crates/node/src/feed/serve.rs
@@ -5,7 +5,7 @@
 use tokio::time::{self, Instant};
 use wire::peer::{FeedKind, FeedPage, FeedRead};
 
-use super::{FEED_WAIT, KindNews, ServiceFilter, TELL_TRUST, binds_callers, kind_of};
+use super::{FEED_WAIT, KindNews, ServiceFilter, binds_callers, kind_of};
 use crate::NodeView;
 
 /// Answers a question for changes as soon as there are some, or after the wait that was asked
@@ -16,18 +16,19 @@
     view.usage.merge(&read.usage);
     let wait = Duration::from_millis(u64::from(read.wait_ms)).min(FEED_WAIT);
     let until = asked_at + wait;
+    let trust = view.feed.times().tell;
     let mut changes = view.feed.changed.subscribe();
     loop {
         let age = proof_age(view, read);
         let kinds = news(view, read);
-        if !kinds.is_empty() || age >= TELL_TRUST || Instant::now() >= until {
+        if !kinds.is_empty() || age >= trust || Instant::now() >= until {
             let agreed = view.usage.is_time_agreed();
             let true_ms = if agreed { view.usage.time_at(view.now()).millis() } else { 0 };
             let held_ms = millis(asked_at.elapsed());
             let life = view.usage.life().get();
             return FeedPage { kinds, age_ms: millis(age), held_ms, true_ms, life };
         }
-        let stale_at = Instant::now() + TELL_TRUST.saturating_sub(age);
+        let stale_at = Instant::now() + trust.saturating_sub(age);
         // Whichever comes first, all is looked at once more.
         let _elapsed = time::timeout_at(until.min(stale_at), changes.changed()).await;
     }
--- a/crates/node/src/feed/trust.rs
+++ b/crates/node/src/feed/trust.rs
@@ -9,9 +9,6 @@
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
 
-/// A box asks the store for itself when the last proof it heard of is older than this. Changes must
-/// be known two seconds after they are made, and the store's answer takes some time of that.
-pub(super) const HEAR_TRUST: Duration = Duration::from_millis(1_700);
 /// A box counts as answered by another one for so long: an unanswered question takes at most 0.7 s of it.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
 
@@ -24,16 +21,11 @@
     pub proven_at: Instant,
 }
 
-impl HeardProof {
-    /// Whether it is young enough to do without the store.
-    pub fn is_fresh(&self) -> bool {
-        self.proven_at.elapsed() < HEAR_TRUST
-    }
-}
-
 /// Whether a box is told by another one, so that its own watches rest.
 #[derive(Debug)]
 pub struct FeedTrust {
+    /// How old a proof may be.
+    hear: Duration,
     heard: watch::Sender<Option<HeardProof>>,
     fed: watch::Sender<bool>,
     /// Whether it is known that nobody tells this box.
@@ -42,18 +34,23 @@
     answered_at: watch::Sender<Option<Instant>>,
 }
 
-impl Default for FeedTrust {
-    fn default() -> Self {
+impl FeedTrust {
+    /// No trust yet; a proof is good for `hear`.
+    pub fn new(hear: Duration) -> Self {
         Self {
+            hear,
             heard: watch::Sender::new(None),
             fed: watch::Sender::new(false),
             nobody: watch::Sender::new(false),
             answered_at: watch::Sender::new(None),
         }
     }
-}
 
-impl FeedTrust {
+    /// Whether a proof is young enough to do without the store.
+    pub fn is_fresh(&self, proof: &HeardProof) -> bool {
+        proof.proven_at.elapsed() < self.hear
+    }
+
     /// Takes a proof; `true` when the box was not told before.
     pub fn hear(&self, proof: HeardProof) -> bool {
         // In this order: the proof wakes whoever ends the trust, and it must be there to be ended.
@@ -91,7 +88,7 @@
 
     /// Whether the last proof that was heard is young enough to do without the store.
     pub fn is_proven(&self) -> bool {
-        self.heard.borrow().as_ref().is_some_and(HeardProof::is_fresh)
+        self.heard.borrow().as_ref().is_some_and(|proof| self.is_fresh(proof))
     }
 
     /// Tells when that changes.
@@ -105,7 +102,7 @@
         loop {
             let proof = heard.borrow_and_update().clone();
             if let Some(proof) = proof.filter(|_| self.is_fed()) {
-                let stale_at = proof.proven_at + HEAR_TRUST;
+                let stale_at = proof.proven_at + self.hear;
                 let renewed = time::timeout_at(stale_at, heard.changed()).await;
                 if renewed.is_err() && self.set(false) {
                     lost(&proof);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -15,7 +15,7 @@
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
-use crate::feed::{FedKind, FedNews, PROOF_TIME, binds_callers};
+use crate::feed::{FedKind, FedNews, binds_callers};
 use crate::probe::ProbePace;
 use crate::{NodeView, StoreCall};
 
@@ -37,6 +37,8 @@
 /// How long a follower that may be fed waits for the first news before it asks the store itself. A box
 /// that starts among hundreds makes one or two calls so, in place of six.
 const FIRST_FEED: Duration = Duration::from_secs(1);
+/// How long a follower whose history is gone waits for another box's word of a kind with many objects.
+const TOLD_INSTEAD: Duration = Duration::from_secs(2);
 /// How long changes gather after a first listing that may be old: all boxes of a deployment that starts
 /// are there by then.
 const FIRST_GATHER: Duration = Duration::from_millis(300);
@@ -72,6 +74,11 @@
         }
     }
 
+    /// Whether a listing takes so many calls that another box's word is worth a wait.
+    fn is_large(&self) -> bool {
+        false
+    }
+
     /// Whether the next changes may gather for a while.
     fn may_gather(&self) -> bool {
         true
@@ -191,6 +198,13 @@
                     }
                 }
                 Err(StoreError::HistoryGone) => {
+                    if was_fed
+                        && self.sink.is_large()
+                        && let Some(told) = told_instead(&mut fed, &mut news).await
+                    {
+                        known = told.map(|told| self.take(told)).or(known);
+                        continue;
+                    }
                     log::info!(target: "node", kind:% = self.kind; "list again, history is gone");
                     known = None;
                 }
@@ -270,7 +284,7 @@
 
     fn usual_time(&self) -> WatchTime {
         match self.kind {
-            kind if binds_callers(kind) => PROOF_TIME,
+            kind if binds_callers(kind) => self.view.feed.times().proof,
             Kind::ModelVersions => WATCH_TIME,
             Kind::Evacuations => EVACUATION_TIME,
             _ => LONG_TIME,
@@ -278,6 +292,21 @@
     }
 }
 
+/// Waits for another box's word in place of a long listing, which that box makes for all of its domain; `None` when
+/// it does not come. News, or none where the box is told of all that there is.
+async fn told_instead(
+    fed: &mut watch::Receiver<bool>,
+    news: &mut Option<mpsc::Receiver<FedNews>>,
+) -> Option<Option<FedNews>> {
+    tokio::select! {
+        biased;
+        told = next_news(news) => told.map(Some),
+        told = time::timeout(TOLD_INSTEAD, fed.wait_for(|fed| *fed)) => {
+            told.is_ok().then_some(None)
+        }
+    }
+}
+
 /// The next news of another box; never any where none is heard.
 async fn next_news(news: &mut Option<mpsc::Receiver<FedNews>>) -> Option<FedNews> {
     match news {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -59,6 +59,12 @@
     /// wants reports.
     #[arg(long, env = "GANNETWAY_USAGE_WINDOW_S", default_value = "")]
     pub usage_window_s: String,
+    /// Time in which a configuration must be in force after the store has taken it, in milliseconds.
+    #[arg(long, env = "GANNETWAY_CONFIG_MS", default_value_t = 2_000)]
+    pub config_ms: u64,
+    /// Time in which nothing may go any more to a target that leaves, in milliseconds.
+    #[arg(long, env = "GANNETWAY_DRAIN_MS", default_value_t = 2_000)]
+    pub drain_ms: u64,
     /// Time in which nothing may go any more to a failure domain that is to be emptied, in milliseconds; empty where
     /// the platform empties none.
     #[arg(long, env = "GANNETWAY_EVACUATE_MS", default_value = "")]
@@ -139,6 +145,8 @@
     pub grace: Duration,
     /// Length of the windows of use; `None` where nobody wants reports.
     pub usage_window: Option<WindowLength>,
+    /// How soon a change that binds callers must be heeded.
+    pub news_bound: Duration,
     /// Whether the platform asks for failure domains to be emptied.
     pub evacuations: bool,
     /// How far requests to a cold target may go above what it bears.
@@ -285,6 +293,7 @@
             shards: self.shards,
             max_fds: self.max_fds,
             usage_window: window.and_then(WindowLength::new),
+            news_bound: Duration::from_millis(self.config_ms.min(self.drain_ms)),
             evacuations,
             cold_bound,
             clock: ClockSource::Machine,
--- a/crates/node/src/sinks.rs
+++ b/crates/node/src/sinks.rs
@@ -11,6 +11,8 @@
 use crate::NodeView;
 use crate::follow::KindSink;
 
+/// Objects that the store tells in one answer.
+const LIST_PAGE: usize = 500;
 /// Lines about the targets of one piece of news; where there are more of them, one line counts them. Each of hundreds
 /// of boxes hears of thousands of targets that start or end together.
 const MOST_LINES: usize = 16;
@@ -315,6 +317,10 @@
         self.view.wake();
     }
 
+    fn is_large(&self) -> bool {
+        self.view.board().instances().nth(LIST_PAGE).is_some()
+    }
+
     /// Entries that come back are awaited.
     fn may_gather(&self) -> bool {
         lock(&self.missing).is_empty()
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::BeliefClock;
 use crate::duties::DutyBoard;
-use crate::feed::FeedBoard;
+use crate::feed::{FeedBoard, NewsTimes};
 use crate::usage::UsageBoard;
 use crate::{NodeMetrics, NodeSettings};
 
@@ -65,12 +65,13 @@
         let limit = ConnectionLimit::for_descriptors(settings.max_fds);
         let usage = UsageBoard::new(settings.box_id.clone(), settings.usage_window);
         let clock = BeliefClock::start(settings.clock.clone());
+        let feed = FeedBoard::new(NewsTimes::for_bound(settings.news_bound));
         Self {
             settings,
             store,
             pool: TargetPool::new(limit),
             metrics: NodeMetrics::default(),
-            feed: FeedBoard::default(),
+            feed,
             usage,
             table: RwLock::default(),
             suspects: Mutex::default(),
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -78,13 +78,61 @@
     assert!(!cache.since(2_590).expect("news").whole);
 }
 
+/// The store forgets its history for all who watch it, and hundreds of boxes listen to each of these.
 #[test]
-fn a_listing_after_forgotten_history_is_told_whole() {
+fn a_listing_after_forgotten_history_tells_how_it_differs() {
     let mut cache = listed();
-    cache.listed(&Listing { objects: vec![stored("b", 5)], revision: 30 });
+    let objects = vec![stored("b", 5), stored("c", 22)];
+    cache.listed(&Listing { objects, revision: 30 });
     let news = cache.since(10).expect("news");
-    assert!(news.whole, "whether `a` was removed is known from the listing alone");
-    assert_eq!(news.objects, [told("b", 5)]);
+    assert!(!news.whole);
+    assert_eq!(news.objects, [told("c", 22)]);
+    assert_eq!(news.removed, ["a"], "whether it was removed is known from the listing alone");
+    assert_eq!(news.revision, 30);
+    assert_eq!(cache.since(30), None);
+    // Whoever knows nothing, or less than this box did, hears no less.
+    assert!(cache.since(0).expect("news").whole);
+}
+
+/// Another box's word, or the store's own, may have told somebody of an object that came after this box's last news and
+/// went before its listing.
+#[test]
+fn whoever_may_know_what_a_listing_missed_hears_all_objects() {
+    let mut cache = listed();
+    cache.listed(&Listing { objects: vec![stored("b", 5)], revision: 30 });
+    cache.changed(&put("d", 32));
+    cache.listed(&Listing { objects: vec![stored("b", 5), stored("d", 32)], revision: 40 });
+    for between in [11, 29, 33, 39] {
+        let news = cache.since(between).expect("news");
+        assert!(news.whole, "{between}");
+        assert_eq!(news.objects.len(), 2);
+    }
+    for reached in [10, 30, 32] {
+        assert!(!cache.since(reached).is_some_and(|news| news.whole), "{reached}");
+    }
+    // A store that goes back tells everything anew.
+    cache.listed(&Listing { objects: vec![stored("b", 5)], revision: 20 });
+    assert!(cache.since(10).expect("news").whole);
+}
+
+#[test]
+fn what_is_told_after_forgotten_history_goes_with_the_changes_not_the_objects() {
+    let told = |targets: u64| {
+        let mut cache = KindCache::default();
+        let objects: Vec<Stored> =
+            (0..targets).map(|at| stored(&format!("i-{at}"), at + 1)).collect();
+        cache.listed(&Listing { objects: objects.clone(), revision: targets });
+        let mut total = 0;
+        for round in 1..=20 {
+            let known = cache.revision();
+            let mut objects = objects.clone();
+            objects[0] = stored("i-0", targets + 10 * round);
+            cache.listed(&Listing { objects, revision: targets + 10 * round });
+            total += cache.since(known).expect("news").objects.len();
+        }
+        total
+    };
+    assert_eq!(told(1_000), told(2_000));
 }
 
 /// A failure domain may hold more targets than any fixed number: when they leave together, nobody hears all that is
@@ -150,3 +198,15 @@
     assert_eq!(told(500), 2);
     assert_eq!(told(1_000), 2);
 }
+
+/// Another writer may spoil an entry; nothing may go on under its name, at any box.
+#[test]
+fn an_object_that_cannot_be_read_is_news_like_any_other() {
+    let mut cache = listed();
+    let spoiled = Stored { name: "b".to_owned(), revision: 0, value: serde_json::Value::Null };
+    let changes = Changes { changes: vec![Changed::Put(spoiled.clone())], revision: 12 };
+    cache.changed(&changes);
+    assert_eq!(cache.since(10).expect("news").objects, [write_object(&spoiled)]);
+    cache.changed(&put("b", 14));
+    assert_eq!(cache.since(10).expect("news").objects, [told("b", 14)]);
+}
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -404,7 +404,7 @@
     Mutation {
         name: "platform: the most outdated engines load first, whatever their model",
         file: "crates/swaps/src/loads.rs",
-        from: "fresh * 1_000 / of_model.count().max(1)",
+        from: "fresh * 1_000 / all.max(1)",
         to: "0 * fresh * of_model.count()",
         package: "swaps",
         test: "the_model_with_the_fewest",
@@ -428,8 +428,8 @@
     Mutation {
         name: "platform: trust in what is told does not end by the clock",
         file: "crates/node/src/feed/trust.rs",
-        from: "let stale_at = proof.proven_at + HEAR_TRUST;",
-        to: "let stale_at = proof.proven_at + HEAR_TRUST * 100;",
+        from: "let stale_at = proof.proven_at + self.hear;",
+        to: "let stale_at = proof.proven_at + self.hear * 100;",
         package: "platform-standin",
         test: "trust_lasts_as_long",
     },
