Come back to targets with an open connection, among thousands

Change: in services of more targets than a choice looks at, it looks at the 128 that did work last, too, and one without an open connection that is free counts as a little busier (0.1 of its slots, less than one request more). Small services choose as before.

Two ways weighed: a fixed subset of targets for each box (rendezvous, own domain first), which needs a size that fits each box's rate, and this one, which finds it by itself. Built: the second.

--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -283,7 +283,7 @@
     let mut board = view.board();
     match end {
         TryEnd::Answered(answer) if answer.status.is_success() => {
-            board.succeeded(&slot.instance);
+            board.succeeded(view.now(), &slot.instance);
             board.told_pace(&slot.instance, took);
         }
         TryEnd::NotRun if outcome == TryOutcome::NotSent => {
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -42,6 +42,12 @@
 /// by less than engines of one service differ.
 const FAST_SHARE: f64 = 0.1;
 
+/// What a connection that has to be opened adds to the cost of one of thousands of targets: it takes a moment of a slot
+/// there, and less than a request that runs. A small service's targets have connections open anyway.
+const OPEN_COST: f64 = 0.1;
+/// How long after its last work a target is taken to have a connection open.
+const OPEN_TIME: Duration = Duration::from_secs(6);
+
 /// A model version that a target holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldModel {
@@ -174,6 +180,8 @@
     busy_until: Moment,
     /// Said to be another life by an answer; the list lags.
     gone: bool,
+    /// When it did work last for this box.
+    worked_at: Option<Moment>,
     /// Cold until then.
     cold_until: Moment,
     /// Kept only where cold targets have a limit.
@@ -224,6 +232,11 @@
         self.sent.count(rules.now) >= part
     }
 
+    /// Whether a connection to it is most likely open and free.
+    fn is_connected(&self, now: Moment) -> bool {
+        self.mine == 0 && self.worked_at.is_some_and(|at| now.since(at) < OPEN_TIME)
+    }
+
     fn chill(&mut self, until: Moment) {
         self.cold_until = self.cold_until.max(until);
     }
@@ -320,6 +333,7 @@
         let view = TargetView {
             cold_until: now + record.cold_left,
             sent: SendWindow::default(),
+            worked_at: None,
             record,
             mine: 0,
             others: 0,
@@ -394,13 +408,16 @@
         let views = self.looked(service, need, rng);
         let fastest = fastest(&views);
         let rules = self.rules(now, service);
+        let opens = if self.index.is_large(service) { OPEN_COST } else { 0.0 };
         let mut best: Option<(bool, f64, &TargetView)> = None;
         for view in views {
             if !view.fits(&rules, need) {
                 continue;
             }
             let resting = now < view.rest_until;
-            let cost = self.cost(now, view, fastest, need.fast) + rng.random::<f64>() * 0.01;
+            let opening = if view.is_connected(now) { 0.0 } else { opens };
+            let cost = self.cost(now, view, fastest, need.fast) + opening;
+            let cost = cost + rng.random::<f64>() * 0.01;
             let better = match best {
                 None => true,
                 Some((best_resting, best_cost, _)) => (resting, cost) < (best_resting, best_cost),
@@ -524,12 +541,13 @@
     }
 
     /// Notes good work.
-    pub fn succeeded(&mut self, instance: &InstanceId) {
-        if let Some(view) = self.views.get_mut(instance) {
-            view.failures = 0;
-            view.refusals = 0;
-            view.rest_until = Moment::START;
-        }
+    pub fn succeeded(&mut self, now: Moment, instance: &InstanceId) {
+        let Some(view) = self.views.get_mut(instance) else { return };
+        view.failures = 0;
+        view.refusals = 0;
+        view.rest_until = Moment::START;
+        view.worked_at = Some(now);
+        self.index.worked(&view.record.service, instance);
     }
 
     /// Notes a failure.
--- a/crates/routing/tests/large.rs
+++ b/crates/routing/tests/large.rs
@@ -130,3 +130,36 @@
     let most = (1_000..2_000).map(|at| board.mine(&instance(at))).max();
     assert!(most <= Some(3), "{most:?} requests at one of a thousand targets that are free");
 }
+
+/// A box that sends a request every few seconds opened a connection for each, at another of thousands of targets.
+#[test]
+fn work_comes_back_to_targets_with_an_open_connection() {
+    let used = |targets: usize| {
+        let mut board = board(targets, 0);
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        let mut used = std::collections::HashSet::new();
+        for turn in 0..200 {
+            let now = NOW + Duration::from_secs(turn);
+            let slot = board.choose(now, &service(), &ChoiceNeed::default(), &mut rng);
+            let instance = slot.expect("a target").instance;
+            board.ended(&instance);
+            board.succeeded(now, &instance);
+            used.insert(instance);
+        }
+        used.len()
+    };
+    assert_eq!((used(600), used(6_000)), (1, 1));
+}
+
+/// A connection that is in use is none to come back to: work spreads as before.
+#[test]
+fn work_that_runs_at_one_time_spreads() {
+    let mut board = board(2_000, 0);
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    board.succeeded(NOW, &instance(5));
+    let chosen: std::collections::HashSet<InstanceId> = (0..100)
+        .filter_map(|_| board.choose(NOW, &service(), &ChoiceNeed::default(), &mut rng))
+        .map(|slot| slot.instance)
+        .collect();
+    assert!(chosen.len() > 90, "{} targets", chosen.len());
+}
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -218,7 +218,7 @@
         rests.push(now.since(begun).as_millis());
     }
     assert_eq!(rests, [60, 120, 240, 480]);
-    board.succeeded(&well[0]);
+    board.succeeded(NOW, &well[0]);
     board.failed(now, &well[0], TargetFailure::Full);
     assert!(!fits(&board, now + Duration::from_millis(60)));
 }
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -260,7 +260,7 @@
         view.metrics.ended("run", reason.word());
         let instance = &self.slot.instance;
         if reason == RunReason::Whole {
-            view.board().succeeded(instance);
+            view.board().succeeded(view.now(), instance);
         }
         if let Some(failure) = reason.failure() {
             view.board().failed(view.now(), instance, failure);
--- a/crates/shards/tests/loads.rs
+++ b/crates/shards/tests/loads.rs
@@ -98,7 +98,7 @@
         runs.retain(|(instance, until)| {
             if now >= *until {
                 board.ended(instance);
-                board.succeeded(instance);
+                board.succeeded(now, instance);
             }
             now < *until
         });
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -111,17 +111,17 @@
         without: "the most outdated engines load first, whatever their model",
         edit: SourceEdit {
             file: "crates/swaps/src/loads.rs",
-            from: "        fresh * 1_000 / of_model.count().max(1)",
-            to: "        0 * fresh * of_model.count()",
+            from: "        fresh * 1_000 / all.max(1)",
+            to: "        0 * fresh * all",
         },
     },
     Ablation {
         name: "share-by-work",
         without: "each model gets as many engines, whatever its work",
         edit: SourceEdit {
-            file: "crates/shards/src/conductor.rs",
-            from: "    let counts = divide_engines(engines.len(), &work);",
-            to: "    let counts = divide_engines(engines.len(), &vec![1.0; work.len()]);",
+            file: "crates/shards/src/followers.rs",
+            from: "        let shares = divide_engines(self.engines.len(), work);",
+            to: "        let shares = divide_engines(self.engines.len(), &vec![1.0; work.len()]);",
         },
     },
     Ablation {
@@ -228,7 +228,7 @@
         without: "a holder gives its lease up when the shard moves",
         edit: SourceEdit {
             file: "crates/shards/src/claim.rs",
-            from: "    let concerned = serves || held.may_be_mine();",
+            from: "    let concerned = serves || (held.may_be_mine() && ctx.is_at_work());",
             to: "    let concerned = serves;",
         },
     },
