--- a/crates/front/src/isolation.rs
+++ b/crates/front/src/isolation.rs
@@ -33,8 +33,8 @@
 
 /// Whether a call has given reason to doubt that other failure domains are within reach.
 ///
-/// With it a box whose connections are reset by a cut notices after 0.7 s in place of 2.1 s (logs of one
-/// day), and asks the platform a second earlier to send its domain's trainer elsewhere.
+/// With it a box whose connections are reset by a cut notices before the last proof of the store gets old, and asks
+/// the platform sooner to send its domain's callers elsewhere.
 #[derive(Debug, Default)]
 pub struct ReachDoubt {
     raised: AtomicBool,
--- a/crates/joblog/src/duty.rs
+++ b/crates/joblog/src/duty.rs
@@ -19,8 +19,7 @@
 pub const LEAVING_PATIENCE: Duration = Duration::from_secs(3);
 
 /// The shard of a trainer's jobs. All jobs of one trainer share it, so that text which one of them has left
-/// over is there for the next. Trainers may share a host, and then differ by the model that they train: with
-/// the host alone, six of them had one server of five.
+/// over is there for the next. Trainers may share a host, and then differ by the model that they train.
 pub fn shard_of_job(host: &str, model: &str, shards: u32) -> ShardIndex {
     shard_of(&format!("{} {model}", host.to_ascii_lowercase()), shards)
 }
@@ -52,7 +51,7 @@
     /// Whether this box has the plan's copy on its disk.
     pub has_copy: bool,
     /// Copies before this box's in the plan whose boxes say that their disks have lost them: nobody needs
-    /// to wait for these. After all boxes have lost power and two disks, the third box goes on 1.7 s sooner.
+    /// to wait for these.
     pub lost_before: usize,
     /// How long the plan's server has not said that it serves the shard.
     pub server_silent: Duration,
@@ -101,8 +100,7 @@
 /// The boxes that could begin a shard which has no plan yet, the best first, ranked alike on every box.
 ///
 /// The first boxes of all shards are different ones, in different failure domains for as long as there are
-/// any without: where chance alone ranked them, one box of 45 began two of five shards, and one failure
-/// domain of six two more.
+/// any without: where chance alone ranked them, one box would begin several shards of a large deployment.
 pub fn first_ranked(shard: ShardIndex, boxes: &[CopyHolder]) -> Vec<&CopyHolder> {
     let mut firsts: Vec<&CopyHolder> = Vec::new();
     let mut ranked = Vec::new();
@@ -135,8 +133,7 @@
 /// enough. `None` when there are too few.
 ///
 /// So the copies survive the loss of any domain, and of as many disks as there are partners. A copy in a third domain
-/// would survive no loss more that is to be borne, and each text crosses to it once more: with three copies 0.38 GB
-/// cross between four domains in place of 0.53 in 49 s of a high load, a third of their price.
+/// would survive no loss more that is to be borne, and each text would cross to it once more.
 pub fn choose_partners(
     shard: ShardIndex,
     domain: &DomainId,
--- a/crates/jobs/src/reward_plan.rs
+++ b/crates/jobs/src/reward_plan.rs
@@ -2,9 +2,7 @@
 //!
 //! The pattern: most calls end within the route's goal, a few take several times as long wherever and
 //! however often they are made, and now and then a target is silent. A limit that cuts the long ones off
-//! never ends them, and all others of the step wait: with calls of 0.2 s in the mean of which one in a
-//! hundred takes five times as long, a limit of 0.9 s held steps of two hundred samples up by 5 to 8 s,
-//! and more than one in ten of all calls was made in vain. Without a second call, a silent target
+//! never ends them, and all others of the step wait. Without a second call, a silent target
 //! costs the whole limit. So a call goes on while the same call is made elsewhere, and the first good
 //! answer counts.
 
--- a/crates/jobs/src/turns.rs
+++ b/crates/jobs/src/turns.rs
@@ -2,9 +2,7 @@
 //!
 //! When places at targets are scarce, what decides when a step is whole is when its longest texts begin.
 //! So of all jobs' first items the one goes first that must start the soonest to end in time with the
-//! others: a long text of a later job before a short one of an earlier job. Steps of a day without trouble take 6.85 s so, in place of 6.93 s when each job's groups
-//! started one after the other, job by job; trainers are 5.2 s behind in place of 6.2 s half a minute
-//! after the store was away for 8 s (means over six seeds).
+//! others: a long text of a later job before a short one of an earlier job.
 
 use std::sync::Arc;
 
--- a/crates/links/src/pulse.rs
+++ b/crates/links/src/pulse.rs
@@ -5,10 +5,7 @@
 //! asked for it with a ping, and is given up when nothing comes. A link that owes nothing costs
 //! nothing.
 //!
-//! Without this an entry box never reached a shard's server again over a link that had died, and its
-//! trainer's jobs failed for good: 0.37 of what was owed, less prices, was earned on days on which the
-//! connections of half of the entry boxes fell silent once, and 0.92 now, as on days without trouble (means
-//! of three seeds).
+//! Without this an entry box would never reach a shard's server again over a link that has died.
 
 use std::time::Duration;
 
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -12,9 +12,7 @@
 /// again at once: a watch may be cut without a word while the store is well.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call. Trainers name their versions at the moment of the store's return, and
-/// wait for the engines from then on: with this pause, with answers about leases taken as a sign of the
-/// store, and with no wait for a feed that never was, a day with the store away for 8 s is worth 0.755 in
-/// place of 0.738 (mean of six seeds), at some 30 calls more.
+/// wait for the engines from then on.
 const MOST_PAUSE: Duration = Duration::from_millis(300);
 /// The pause of a box that another one still answers, though with old news. With a call that waits 0.7 s for
 /// its answer, the box knows of a store that serves it alone within 2.2 s; it has three seconds from the
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -63,7 +63,7 @@
 
 #[test]
 fn all_faults_are_told_together_with_their_remedy() {
-    let odd = ["--evacuate-ms", "soon", "--cold-excess", "-1", "--cold-slack", "inf"];
+    let odd = ["--evacuate-ms", "soon", "--cold-excess=-1", "--cold-slack", "inf"];
     let SettingsError(faults) = check(&odd).expect_err("three faults");
     assert_eq!(faults.len(), 3, "{faults:?}");
     assert!(faults.iter().all(|fault| fault.contains("give")));
--- a/crates/routing/src/board.rs
+++ b/crates/routing/src/board.rs
@@ -6,17 +6,17 @@
 //! slow gets less, since a request there holds its slot longer.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use ids::{
-    BirthTime, DomainId, InstanceId, ModelName, ModelVersion, Moment, ServiceName, SoftwareVersion,
-    TargetLife,
-};
+use ids::{DomainId, InstanceId, ModelName, ModelVersion, Moment, ServiceName};
 use rand::Rng;
 
-use crate::cold::{ColdLimit, ColdSender, SendWindow};
+use crate::cold::ColdLimit;
 use crate::index::TargetIndex;
+use crate::target::{
+    ChoiceNeed, HeldModel, TargetFailure, TargetLoad, TargetRecord, TargetShortage, TargetSlot,
+};
+use crate::view::{ServiceRules, TargetView};
 
 /// How long a target rests after its first failure; doubles with each further one.
 const FIRST_REST: Duration = Duration::from_millis(200);
@@ -29,12 +29,8 @@
 const MOST_FULL_REST: Duration = Duration::from_millis(500);
 /// A rest is doubled at most so many times.
 const MOST_DOUBLINGS: u32 = 8;
-/// How long a load told by an answer is believed.
-const LOAD_TRUST: Duration = Duration::from_millis(500);
 /// Weight of the newest reading in a target's pace.
 const PACE_PART: f64 = 0.2;
-/// Slots assumed of a target that tells none.
-const DEFAULT_SLOTS: u32 = 4;
 /// Requests that a target of another failure domain must have fewer, as a share of its slots,
 /// to be chosen over one of the own domain: bytes between domains cost more than a short wait.
 const DOMAIN_PREFERENCE: f64 = 0.34;
@@ -45,211 +41,6 @@
 /// What a connection that has to be opened adds to the cost of one of thousands of targets: it takes a moment of a slot
 /// there, and less than a request that runs. A small service's targets have connections open anyway.
 const OPEN_COST: f64 = 0.1;
-/// How long after its last work a target is taken to have a connection open.
-const OPEN_TIME: Duration = Duration::from_secs(6);
-
-/// A model version that a target holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HeldModel {
-    /// The model.
-    pub model: ModelName,
-    /// The version of its weights.
-    pub version: ModelVersion,
-}
-
-/// What the platform lists of one target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TargetRecord {
-    /// The target's id.
-    pub instance: InstanceId,
-    /// When this life of it began.
-    pub born: BirthTime,
-    /// The software that it runs, where it tells.
-    pub software: Option<SoftwareVersion>,
-    /// Its service.
-    pub service: ServiceName,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// Its failure domain.
-    pub domain: DomainId,
-    /// Requests it works on at a time.
-    pub slots: u32,
-    /// It has said that it will end: no new work.
-    pub leaving: bool,
-    /// How long it is still cold, as it said last.
-    pub cold_left: Duration,
-    /// Models it holds, if it is an engine.
-    pub models: Vec<HeldModel>,
-}
-
-impl TargetRecord {
-    /// This life of it.
-    pub fn life(&self) -> TargetLife {
-        TargetLife { instance: self.instance.clone(), born: self.born }
-    }
-}
-
-impl TargetSlot {
-    /// The life that was chosen.
-    pub fn life(&self) -> TargetLife {
-        TargetLife { instance: self.instance.clone(), born: self.born }
-    }
-}
-
-/// Load as told by an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TargetLoad {
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting there.
-    pub waiting: u32,
-}
-
-/// How a request at a target failed, as far as it concerns the choice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TargetFailure {
-    /// It could not be reached, broke off or was silent.
-    Broken,
-    /// It was full and took no work.
-    Full,
-    /// It is another life, or gone.
-    Gone,
-}
-
-/// What a request needs of its target.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct ChoiceNeed<'a> {
-    /// A version of this model, at least this new.
-    pub model: Option<(&'a ModelName, ModelVersion)>,
-    /// Only targets with a free slot that do not rest: the request may wait.
-    pub free_slot: bool,
-    /// Rather a fast target than an idle or a near one.
-    pub fast: bool,
-    /// In whose part of a cold target's rate it goes; without one it goes to warm targets alone.
-    pub sender: Option<ColdSender>,
-    /// Targets already tried.
-    pub avoid: &'a [InstanceId],
-}
-
-/// Why no target was found for a request that may wait.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TargetShortage {
-    /// None holds the model in a version that is new enough.
-    OldVersion,
-    /// Those that do load weights.
-    Loading,
-    /// Those that do rest after a failure or a refusal.
-    Resting,
-    /// Those that do have no free slot.
-    Full,
-    /// Those that do are cold, and have got what they bear for now.
-    Cold,
-    /// Those that do are in failure domains that are to be emptied.
-    Evacuated,
-}
-
-/// A target chosen for one request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TargetSlot {
-    /// The target's id.
-    pub instance: InstanceId,
-    /// When this life of it began.
-    pub born: BirthTime,
-    /// The software that it runs, where it tells.
-    pub software: Option<SoftwareVersion>,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// Its service.
-    pub service: ServiceName,
-}
-
-#[derive(Debug)]
-struct TargetView {
-    record: TargetRecord,
-    /// Requests of this box that run there.
-    mine: u32,
-    others: u32,
-    others_at: Moment,
-    /// Smoothed time of a unit of work, in milliseconds; zero before the first.
-    pace: f64,
-    failures: u32,
-    /// Refusals for want of room since the last good work.
-    refusals: u32,
-    rest_until: Moment,
-    /// Loads weights: gets no new work until then, unless told otherwise earlier.
-    busy_until: Moment,
-    /// Said to be another life by an answer; the list lags.
-    gone: bool,
-    /// When it did work last for this box.
-    worked_at: Option<Moment>,
-    /// Cold until then.
-    cold_until: Moment,
-    /// Kept only where cold targets have a limit.
-    sent: SendWindow,
-}
-
-/// What holds for all targets of a service at one moment.
-#[derive(Debug, Clone, Copy)]
-struct ServiceRules<'a> {
-    now: Moment,
-    cold: Option<&'a ColdLimit>,
-    evacuated: &'a HashSet<DomainId>,
-}
-
-impl TargetView {
-    fn slots(&self) -> u32 {
-        if self.record.slots == 0 { DEFAULT_SLOTS } else { self.record.slots }
-    }
-
-    fn load(&self, now: Moment) -> u32 {
-        let others = if now.since(self.others_at) < LOAD_TRUST { self.others } else { 0 };
-        self.mine + others
-    }
-
-    fn version(&self, model: &ModelName) -> Option<ModelVersion> {
-        let held = self.record.models.iter().find(|held| held.model == *model)?;
-        Some(held.version)
-    }
-
-    fn fits(&self, rules: &ServiceRules<'_>, need: &ChoiceNeed<'_>) -> bool {
-        let now = rules.now;
-        if now < self.busy_until || !self.is_able(need) || self.is_barred(rules, need) {
-            return false;
-        }
-        // Work that may wait does not go where it was turned away a moment ago.
-        !need.free_slot || (now >= self.rest_until && self.load(now) < self.slots())
-    }
-
-    /// Whether it gets nothing now, however free it is.
-    fn is_barred(&self, rules: &ServiceRules<'_>, need: &ChoiceNeed<'_>) -> bool {
-        rules.evacuated.contains(&self.record.domain) || self.is_chilled(rules, need)
-    }
-
-    /// Whether it is cold, and has got this sender's part of what it bears.
-    fn is_chilled(&self, rules: &ServiceRules<'_>, need: &ChoiceNeed<'_>) -> bool {
-        let Some(limit) = rules.cold.filter(|_| rules.now < self.cold_until) else { return false };
-        let part = need.sender.map_or(0, |sender| limit.part(&self.record.instance, sender));
-        self.sent.count(rules.now) >= part
-    }
-
-    /// Whether a connection to it is most likely open and free.
-    fn is_connected(&self, now: Moment) -> bool {
-        self.mine == 0 && self.worked_at.is_some_and(|at| now.since(at) < OPEN_TIME)
-    }
-
-    fn chill(&mut self, until: Moment) {
-        self.cold_until = self.cold_until.max(until);
-    }
-
-    /// Whether it could serve the need at another time.
-    fn is_able(&self, need: &ChoiceNeed<'_>) -> bool {
-        if self.gone || self.record.leaving || need.avoid.contains(&self.record.instance) {
-            return false;
-        }
-        let Some((model, floor)) = need.model else { return true };
-        self.version(model).is_some_and(|version| version >= floor)
-    }
-}
 
 /// The targets as this box knows them.
 #[derive(Debug)]
@@ -330,21 +121,7 @@
         self.remove(&instance);
         self.index.insert(&record.service, &instance, &record.models);
         self.generation += 1;
-        let view = TargetView {
-            cold_until: now + record.cold_left,
-            sent: SendWindow::default(),
-            worked_at: None,
-            record,
-            mine: 0,
-            others: 0,
-            others_at: Moment::START,
-            pace: 0.0,
-            failures: 0,
-            refusals: 0,
-            rest_until: Moment::START,
-            busy_until: Moment::START,
-            gone: false,
-        };
+        let view = TargetView::new(now, record);
         self.views.insert(instance, view);
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,14 +10,16 @@
 mod customers;
 mod index;
 mod table;
+mod target;
+mod view;
 
-pub use board::{
-    ChoiceNeed, HeldModel, TargetBoard, TargetFailure, TargetLoad, TargetRecord, TargetShortage,
-    TargetSlot,
-};
+pub use board::TargetBoard;
 pub use cold::{ColdBound, ColdLimit, ColdSender, ColdSpec};
 pub use customers::{
     CallerIdentity, Customer, CustomerFault, CustomerSpec, CustomerTable, KeyDigest, KeyFault,
 };
 pub use index::MOST_LOOKED;
 pub use table::{CallerLimits, Route, RouteKind, RouteTable, ServiceSpec, WeightedService};
+pub use target::{
+    ChoiceNeed, HeldModel, TargetFailure, TargetLoad, TargetRecord, TargetShortage, TargetSlot,
+};
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -18,10 +18,9 @@
 use crate::keeper::ShardKeeper;
 use crate::run_reason::RunReason;
 
-/// Longest silence of a run; a target that is dark is left after this. Runs that go on while their engine
-/// loads weights are seldom silent, and moving those that were made no difference.
+/// Longest silence of a run; a target that is dark is left after this.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// Events that gather before they are given to the log: some 0.6 s of a run. Most texts are
+/// Events that gather before they are given to the log. Most texts are
 /// shorter, and are logged once, when they are listed.
 const PROGRESS_EVENTS: usize = 16;
 /// Events over which a run's pace is taken.
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -667,7 +667,7 @@
     },
     Mutation {
         name: "platform: work goes to domains that are to be emptied",
-        file: "crates/routing/src/board.rs",
+        file: "crates/routing/src/view.rs",
         from: "rules.evacuated.contains(&self.record.domain) || self",
         to: "self",
         package: "routing",
