--- a/crates/gannetctl/src/step_account.rs
+++ b/crates/gannetctl/src/step_account.rs
@@ -7,11 +7,13 @@
 use crate::log_lines::LogLine;
 
 /// The fields of a step's line that tell how long it was held up, and the words for them.
-const HOLDS: [(&str, &str); 7] = [
+const HOLDS: [(&str, &str); 9] = [
     ("old_ms", "engine of an older version"),
     ("loading_ms", "engines that load"),
     ("resting_ms", "engines at rest"),
     ("full_ms", "full engines"),
+    ("cold_ms", "cold engines"),
+    ("evacuated_ms", "engines of domains to be emptied"),
     ("no_route_ms", "a route"),
     ("connections_ms", "connections of its server"),
     ("condemned_ms", "an item that ends engines"),
