Entry boxes: ask for further services once, and be told how far the targets are known

Now the board says whose targets are known, by whichever way they came, and a follower lists anew only where some are missing; a whole telling counts only if it is taken. (2) A box that hears of some targets never reached a new revision while only others changed: each of its questions had the teller look through all changes since. Names: `only_listen` for what was a second `tell_nobody`; a function without users goes.

--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -92,7 +92,7 @@
 fn start_followers(view: &Arc<NodeView>, links: &LinkPool, end: &CancellationToken) {
     let v = || Arc::clone(view);
     let none = Duration::ZERO;
-    view.feed.tell_nobody();
+    view.feed.only_listen();
     let mut config = KindFollower::new(view, Kind::Configuration, none, ConfigSink(v()));
     let mut targets = KindFollower::new(view, Kind::Targets, GATHER_TARGETS, TargetSink::new(v()));
     let mut duties = KindFollower::new(view, Kind::Duties, GATHER_DUTIES, DutySink(v()));
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -38,17 +38,8 @@
 /// deployment may start at once.
 const NO_BOX_TIME: Duration = Duration::from_millis(500);
 
-/// Whether targets are wanted that were not among those told.
-fn wants_more(
-    told: Option<&BTreeSet<ServiceName>>,
-    wanted: Option<&BTreeSet<ServiceName>>,
-) -> bool {
-    match (told, wanted) {
-        (None, _) => false,
-        (Some(_), None) => true,
-        (Some(told), Some(wanted)) => !wanted.is_subset(told),
-    }
-}
+/// The services whose targets were told; `None` for all.
+type ToldServices = Option<BTreeSet<ServiceName>>;
 
 /// News of one kind, for the task that keeps it.
 #[derive(Debug)]
@@ -80,7 +71,6 @@
         kinds,
         silent: HashMap::new(),
         counts_told_at: None,
-        told_services: view.wanted_services().map(|_| BTreeSet::new()),
     };
     tokio::select! {
         () = listener.run() => {}
@@ -106,8 +96,6 @@
     silent: HashMap<BoxId, Instant>,
     /// When counts were last told to a box of another domain.
     counts_told_at: Option<Instant>,
-    /// The services whose targets this box has been told of; `None` for all.
-    told_services: Option<BTreeSet<ServiceName>>,
 }
 
 impl FeedListener {
@@ -126,12 +114,16 @@
             };
             let asked_at = Instant::now();
             let wait = if self.view.feed.trust().is_fed() { FEED_WAIT } else { Duration::ZERO };
-            if let Some(page) = self.ask(&teller, wait).await {
+            if let Some((page, services)) = self.ask(&teller, wait).await {
                 self.view.feed.trust().note_answer();
-                let at_once = page.kinds.is_empty();
-                if self.take(&teller, asked_at, page).await {
+                let no_news = page.kinds.is_empty();
+                let is_fresh = self.take(&teller, asked_at, page).await;
+                if let Some(services) = services {
+                    self.view.feed.know_services(services);
+                }
+                if is_fresh {
                     self.silent.remove(&teller.box_id);
-                    if at_once {
+                    if no_news {
                         // A box whose proof gets old answers without a wait.
                         time::sleep_until(asked_at + LEAST_PAUSE).await;
                     }
@@ -173,9 +165,13 @@
         found.map(|copy| (*copy).clone()).collect()
     }
 
-    async fn ask(&mut self, teller: &CopyHolder, wait: Duration) -> Option<FeedPage> {
+    async fn ask(
+        &self,
+        teller: &CopyHolder,
+        wait: Duration,
+    ) -> Option<(FeedPage, Option<ToldServices>)> {
         let wanted = self.view.wanted_services();
-        let anew = wants_more(self.told_services.as_ref(), wanted.as_ref());
+        let anew = self.view.feed.lacks_services(wanted.as_ref());
         let cursors = self.kinds.iter().filter_map(|fed| {
             // Targets that were left out so far stand in no news.
             let revision = *fed.revision.borrow();
@@ -197,8 +193,9 @@
         match self.links.ask_shard(&teller.address, time, body).await {
             Ok(shard_answer::Body::Feed(page)) => {
                 self.heard_counts(teller, version, &page);
-                self.told_services = wanted;
-                Some(page)
+                let whole = |told: &FeedKind| told.whole && self.takes_targets(told);
+                let told = !anew || page.kinds.iter().any(whole);
+                Some((page, told.then_some(wanted)))
             }
             Ok(_other) => None,
             Err(error) => {
@@ -208,6 +205,13 @@
         }
     }
 
+    /// Whether news are of the targets, and not older than what is known of them.
+    fn takes_targets(&self, told: &FeedKind) -> bool {
+        let mut fed = self.kinds.iter().filter(|fed| fed.kind == Kind::Targets);
+        kind_of(told.kind) == Some(Kind::Targets)
+            && fed.any(|fed| told.revision >= *fed.revision.borrow())
+    }
+
     /// Notes that another box has heard this one's counts, and takes true time from it.
     fn heard_counts(&self, peer: &CopyHolder, version: TableVersion, page: &FeedPage) {
         let usage = &self.view.usage;
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -24,12 +24,12 @@
 pub use times::NewsTimes;
 pub use trust::{FeedTrust, HeardProof};
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use ids::Moment;
+use ids::{Moment, ServiceName};
 use platform::{Changes, Kind, Listing};
 use tokio::sync::watch;
 
@@ -71,9 +71,11 @@
     trust: FeedTrust,
     times: NewsTimes,
     changed: watch::Sender<u64>,
-    /// Nobody is told by this box.
-    tells_nobody: AtomicBool,
-    /// Changes when targets are wanted that were not before, and must be listed anew.
+    /// This box tells nobody.
+    only_listens: AtomicBool,
+    /// The services whose targets this box knows; `None` for all.
+    known_services: Mutex<Option<BTreeSet<ServiceName>>>,
+    /// Changes when targets of further services are wanted.
     wanted: watch::Sender<u64>,
 }
 
@@ -86,7 +88,8 @@
             trust: FeedTrust::new(times.hear),
             times,
             changed: watch::Sender::new(0),
-            tells_nobody: AtomicBool::new(false),
+            only_listens: AtomicBool::new(false),
+            known_services: Mutex::default(),
             wanted: watch::Sender::new(0),
         }
     }
@@ -102,21 +105,37 @@
 
     /// Holds nothing from here on, and hears only of targets that this box sends to: it only listens, and its memory
     /// is small.
-    pub fn tell_nobody(&self) {
-        self.tells_nobody.store(true, Ordering::Relaxed);
+    pub fn only_listen(&self) {
+        self.only_listens.store(true, Ordering::Relaxed);
+        self.know_services(Some(BTreeSet::new()));
     }
 
     /// Whether this box only listens.
     pub fn is_listener(&self) -> bool {
-        self.tells_nobody.load(Ordering::Relaxed)
+        self.only_listens.load(Ordering::Relaxed)
     }
 
-    /// Has targets listed anew: some are wanted that were not before.
+    /// Notes the services whose targets have been told; `None` for all.
+    pub(crate) fn know_services(&self, services: Option<BTreeSet<ServiceName>>) {
+        *self.known_services.lock().unwrap_or_else(PoisonError::into_inner) = services;
+    }
+
+    /// Whether some of these services' targets were left out of all that was told.
+    pub(crate) fn lacks_services(&self, wanted: Option<&BTreeSet<ServiceName>>) -> bool {
+        let known = self.known_services.lock().unwrap_or_else(PoisonError::into_inner);
+        match (&*known, wanted) {
+            (None, _) => false,
+            (Some(_), None) => true,
+            (Some(known), Some(wanted)) => !wanted.is_subset(known),
+        }
+    }
+
+    /// Notes that targets of further services are wanted.
     pub(crate) fn want_more(&self) {
         self.wanted.send_modify(|count| *count += 1);
     }
 
-    /// Tells when targets are wanted that were not before.
+    /// Tells when targets of further services are wanted.
     pub(crate) fn wants(&self) -> watch::Receiver<u64> {
         self.wanted.subscribe()
     }
@@ -141,11 +160,6 @@
         }
     }
 
-    /// Whether all objects of a kind have been told, by the store or another box.
-    pub fn has_listed(&self, kind: Kind) -> bool {
-        self.caches().get(&kind).is_some_and(|cache| cache.revision() > 0)
-    }
-
     /// Notes that the store has answered this box about `kind`.
     pub fn proven(&self, kind: Kind, now: Moment) {
         self.proofs().insert(kind, now);
--- a/crates/node/src/feed/serve.rs
+++ b/crates/node/src/feed/serve.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use platform::Kind;
 use tokio::time::{self, Instant};
 use wire::peer::{FeedKind, FeedPage, FeedRead};
 
@@ -20,12 +21,13 @@
     let mut changes = view.feed.changed.subscribe();
     loop {
         let age = proof_age(view, read);
-        let kinds = news(view, read);
+        let kinds = news(view, read, false);
         if !kinds.is_empty() || age >= trust || Instant::now() >= until {
             let agreed = view.usage.is_time_agreed();
             let true_ms = if agreed { view.usage.time_at(view.now()).millis() } else { 0 };
             let held_ms = millis(asked_at.elapsed());
             let life = view.usage.life().get();
+            let kinds = if kinds.is_empty() { news(view, read, true) } else { kinds };
             return FeedPage { kinds, age_ms: millis(age), held_ms, true_ms, life };
         }
         let stale_at = Instant::now() + trust.saturating_sub(age);
@@ -52,13 +54,23 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn news(view: &NodeView, read: &FeedRead) -> Vec<FeedKind> {
+/// What has changed since the cursors. At the `end` of its wait a box that hears of some targets is told how far all of
+/// them are known, too: it need not ask for the same revisions again.
+fn news(view: &NodeView, read: &FeedRead, end: bool) -> Vec<FeedKind> {
     let caches = view.feed.caches();
     let services = read.services.as_ref();
     let filter = services.map_or(ServiceFilter::ALL, |some| ServiceFilter::of(&some.names));
     let kinds = read.cursors.iter().filter_map(|cursor| {
-        let cache = caches.get(&kind_of(cursor.kind)?)?;
-        Some(write_news(cursor.kind, cache.since_of(cursor.revision, filter)?))
+        let kind = kind_of(cursor.kind)?;
+        let cache = caches.get(&kind)?;
+        if let Some(news) = cache.since_of(cursor.revision, filter) {
+            return Some(write_news(cursor.kind, news));
+        }
+        let is_part = services.is_some() && kind == Kind::Targets;
+        let is_behind = (1..cache.revision()).contains(&cursor.revision);
+        let reached =
+            || FeedKind { kind: cursor.kind, revision: cache.revision(), ..FeedKind::default() };
+        (end && is_part && is_behind).then(reached)
     });
     kinds.collect()
 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -160,6 +160,10 @@
         loop {
             let resting = listens && *fed.borrow_and_update();
             was_fed |= resting;
+            if lists_anew && !resting && self.lacks_targets() {
+                // What was left out while another box told stands in no change.
+                known = None;
+            }
             let answered = tokio::select! {
                 biased;
                 Some(told) = next_news(&mut news) => {
@@ -171,11 +175,7 @@
                     wait = PROBE_TIME;
                     continue;
                 }
-                _ = wants.changed(), if lists_anew && !resting => {
-                    // What was left out while another box told stands in no change.
-                    known = None;
-                    continue;
-                }
+                _ = wants.changed(), if lists_anew && !resting => continue,
                 // The connection of a watch that waits may have fallen silent as well, which would show only at its
                 // end, up to nine seconds later.
                 () = lost_by_others(&self.view, self.kind), if !resting => {
@@ -190,7 +190,11 @@
                     self.view.feed.proven(self.kind, self.view.now());
                     pace.answered();
                     wait = self.usual_time();
+                    let lists = matches!(told, FedNews::Listed(_));
                     let next = self.take(told);
+                    if lists && lists_anew {
+                        self.view.feed.know_services(None);
+                    }
                     let is_new = known.is_none_or(|last| last != next);
                     known = Some(next);
                     if is_new && self.sink.may_gather() {
@@ -224,6 +228,11 @@
         }
     }
 
+    /// Whether targets that this box sends to were left out of all that it was told.
+    fn lacks_targets(&self) -> bool {
+        self.view.feed.lacks_services(self.view.wanted_services().as_ref())
+    }
+
     /// Returns once the store is back, and once another box tells of it where one did before.
     async fn wait_for_return(&self, fed: &mut watch::Receiver<bool>, was_fed: bool) {
         wait_until_up(&self.view).await;
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -683,8 +683,8 @@
     },
     Mutation {
         name: "platform: a service that is called later is not listed anew",
-        file: "crates/node/src/feed/client.rs",
-        from: "(Some(told), Some(wanted)) => !wanted.is_subset(told),",
+        file: "crates/node/src/feed/mod.rs",
+        from: "(Some(known), Some(wanted)) => !wanted.is_subset(known),",
         to: "(Some(_), Some(_)) => false,",
         package: "platform-standin",
         test: "a_service_that_callers_reach_only_later",
