Test the pause between questions, and the wait for another box's word in place of a long listing

Both mends stood without a test of their own. Without the wait a box lists the targets itself at once. Mutations for both; no code that runs is changed.

--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -689,6 +689,22 @@
         package: "platform-standin",
         test: "a_service_that_callers_reach_only_later",
     },
+    Mutation {
+        name: "platform: questions that brought nothing are asked again at once",
+        file: "crates/node/src/feed/client.rs",
+        from: "time::sleep_until(asked_at + LEAST_PAUSE).await;",
+        to: "let _none = LEAST_PAUSE;",
+        package: "platform-standin",
+        test: "not_asked_without_a_pause",
+    },
+    Mutation {
+        name: "platform: each box lists many targets when history is gone",
+        file: "crates/node/src/follow.rs",
+        from: "                    if was_fed\n",
+        to: "                    if !was_fed\n",
+        package: "platform-standin",
+        test: "a_box_whose_history_is_gone_hears_of_many_targets",
+    },
     Mutation {
         name: "platform: all boxes with disks are at work",
         file: "crates/joblog/src/standby.rs",
