Take an entry's end and its return in the order in which they are told

Cause: the changes of one answer were gone through together, puts at once and ends last, so that a target whose entry ended and came back in one answer of the store was taken for gone, until its entry changed again.

Change: a return takes the end before it back.

Ruled out: the pause between questions, trust by the bounds (2 s there, as before), the engines' new ranking: the trace names the two boxes, the answer and the moment.

--- a/crates/node/src/sinks.rs
+++ b/crates/node/src/sinks.rs
@@ -298,20 +298,24 @@
 
     fn changed_all(&mut self, changes: &[Changed]) {
         let told = changes.len() > MOST_LINES;
-        let mut gone: Vec<InstanceId> = Vec::new();
+        // One answer may tell of the end of an entry and of its return.
+        let mut gone: HashSet<&str> = HashSet::new();
         for change in changes {
             match change {
-                Changed::Put(stored) => self.put(stored, told),
+                Changed::Put(stored) => {
+                    gone.remove(stored.name.as_str());
+                    self.put(stored, told);
+                }
                 Changed::Removed(name) => {
                     self.accept(name);
-                    gone.extend(name.parse());
+                    gone.insert(name);
                 }
             }
         }
         if told {
             log::info!(target: "targets", changes = changes.len(), gone = gone.len(); "listed");
         }
-        self.missing(gone);
+        self.missing(gone.into_iter().filter_map(|name| name.parse().ok()).collect());
         // Whatever rests at targets that are gone or idle goes as well.
         self.view.pool.sweep();
         self.view.wake();
