--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -129,7 +129,8 @@
     LogFlush(buffer)
 }
 
-fn json_line(box_id: &str, message: &fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+/// Formats a record as one line.
+pub fn json_line(box_id: &str, message: &fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
     let mut line = Map::new();
     // Wall-clock time, so that lines of several boxes can be ordered.
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
