Isolated work waits for a target instead of being refused within 100 ms

What callers saw: a request under which two targets had crashed got 503 time after time, innocent or not, with 1.4 s of its 1.5 s left, and three poison requests that came together were not told apart within six rounds.

Cause: from two crashes on, work runs only at a target without other suspects. If there was none, call_plain looked four times in 80 ms and gave up; a stream gave up at the first look. The looks were also spent on targets that had just crashed: isolated work was sent to the one target without suspects, which was the dead one ("not sent" four times within 3 ms).

Evidence: the lines of a failing run of concurrent_poison_requests_are_told_apart_from_other_work (1 of 6 runs of poison:: with them). From the third round on poison work 34eff5 and innocent work 2e3e are placed at "target=none, required" four times each and end as "not run" after 43 to 85 ms, in four rounds of four; two other requests run 250 ms at the only targets. 34eff5 so stays at three crashes, of which the others explain all, to the end of the test.

Fix: choose_target waits until the time that is left is the route's goal, and skips targets that are backed off meanwhile. Plain, unsafe, stream and reward calls all choose there. Work below two crashes behaves as before.

Ruled out: a verdict that does not settle (settled=false, but 700 ms pass between rounds); crashes that are not counted (each "probed" line says ended).

Red before: isolated_work_waits_for_target (plain, unsafe, stream), 503 for three of four requests in 3 of 3 runs without the wait, 200 for all with it. The listed test: 4 of 12 runs of poison:: failed alone on the code untouched, 1 of 12 beside six busy loops; 0 of 14 with the change beside other tests.

--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -44,9 +44,14 @@
     let work = request_work(&head.method, &head.headers, &head.uri, &body);
     let mut tried: Vec<InstanceId> = Vec::new();
     for _ in 0..MAX_TARGETS_TRIED {
-        let requirements =
-            WorkRequirements { work, tried: &tried, allow_tried: false, is_background: false };
-        let slot = match choose_target(view, route, &requirements) {
+        let requirements = WorkRequirements {
+            work,
+            tried: &tried,
+            allow_tried: false,
+            is_background: false,
+            deadline,
+        };
+        let slot = match choose_target(view, route, &requirements).await {
             TargetChoice::Target(slot) => slot,
             TargetChoice::None => break,
             TargetChoice::Quarantined => return quarantined(view, route, &id, work),
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -1,13 +1,20 @@
 //! Chooses a target for a request. Keeps suspected work apart and rejects quarantined work.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use ids::{InstanceId, WorkDigest};
+use ids::{InstanceId, WorkDigest, whole_millis};
 use rand::Rng;
-use routing::{Route, TargetRequirements};
+use routing::{ChosenTarget, Route, TargetRequirements};
+use tokio::time::{self, Instant};
 
 use crate::{NodeView, SlotGuard, WorkAdmission};
 
+/// Goal of routes without one.
+pub(crate) const DEFAULT_GOAL: Duration = Duration::from_millis(500);
+/// Interval at which isolated work looks for a target while it waits.
+const ISOLATION_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Requirements of a request on its target.
 #[derive(Debug)]
 pub struct WorkRequirements<'a> {
@@ -19,6 +26,8 @@
     pub allow_tried: bool,
     /// Whether no caller waits for this call.
     pub is_background: bool,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
 }
 
 /// Result of [`choose_target`].
@@ -33,23 +42,68 @@
 }
 
 /// Chooses a target of the route's service.
-pub fn choose_target(
+///
+/// Work one crash before quarantine must run at a target without other suspects. It waits for one
+/// as long as its caller has time for the run: a refusal would leave both the caller without a
+/// response and the suspects untold.
+pub async fn choose_target(
     view: &Arc<NodeView>,
     route: &Route,
     requirements: &WorkRequirements<'_>,
 ) -> TargetChoice {
+    let goal = route.goal.unwrap_or(DEFAULT_GOAL);
+    let time_left = requirements.deadline.saturating_duration_since(Instant::now());
+    let wait_until = Instant::now() + time_left.saturating_sub(goal);
+    let mut has_waited = false;
+    loop {
+        let can_wait = Instant::now() < wait_until;
+        if let Some(choice) = choose_now(view, route, requirements, can_wait) {
+            return choice;
+        }
+        if !has_waited {
+            has_waited = true;
+            log_wait(view, route, requirements.work, wait_until);
+        }
+        let next_poll = Instant::now() + ISOLATION_POLL_INTERVAL;
+        time::sleep_until(next_poll.min(wait_until)).await;
+    }
+}
+
+fn log_wait(view: &NodeView, route: &Route, work: WorkDigest, wait_until: Instant) {
+    let suspects = view.suspects();
+    let (crashes, occupied) =
+        (suspects.crash_count(work), suspects.anti_affinity(work).targets.len());
+    drop(suspects);
+    log::info!(
+        target: "targets", work:% = work, route:% = route.name, ends = crashes, occupied = occupied,
+        wait_ms = whole_millis(wait_until.saturating_duration_since(Instant::now()));
+        "suspect work waits"
+    );
+}
+
+/// Chooses a target now. Returns `None` if `can_wait` is set and the work is isolated, but each of
+/// its targets is backed off or runs other suspects.
+fn choose_now(
+    view: &Arc<NodeView>,
+    route: &Route,
+    requirements: &WorkRequirements<'_>,
+    can_wait: bool,
+) -> Option<TargetChoice> {
     let mut rng = rand::rng();
-    let Some(service) = route.service(rng.random()) else { return TargetChoice::None };
+    let Some(service) = route.service(rng.random()) else { return Some(TargetChoice::None) };
     let WorkAdmission::Open(excluded) =
         view.admit_work(requirements.work, service, requirements.is_background)
     else {
-        return TargetChoice::Quarantined;
+        return Some(TargetChoice::Quarantined);
     };
     let anti_affinity = view.suspects().anti_affinity(requirements.work);
+    // A try at a target that just failed would neither serve the caller nor tell suspects apart.
+    let skip_backed_off = anti_affinity.required && can_wait;
     let now = view.now();
     let mut targets = view.target_table();
-    let mut choose = |avoid: &[InstanceId]| {
-        let target_requirements = TargetRequirements { avoid, ..TargetRequirements::default() };
+    let mut choose = |avoid: &[InstanceId]| -> Option<ChosenTarget> {
+        let target_requirements =
+            TargetRequirements { avoid, skip_backed_off, ..TargetRequirements::default() };
         targets.choose(now, service, &target_requirements, &mut rng)
     };
     // Prefers untried targets without other suspected work, then other untried ones, then tried
@@ -63,8 +117,16 @@
         let avoid = if anti_affinity.required { &excluded_or_suspect } else { &excluded };
         chosen = chosen.or_else(|| choose(avoid));
     }
-    drop(targets);
-    chosen.map_or(TargetChoice::None, |target| {
-        TargetChoice::Target(SlotGuard::new(view, requirements.work, target))
-    })
+    if let Some(target) = chosen {
+        drop(targets);
+        return Some(TargetChoice::Target(SlotGuard::new(view, requirements.work, target)));
+    }
+    // Without any such target nothing indicates that one will be free in time.
+    let may_become_free = targets.of_service(service).any(|record| {
+        let instance = &record.instance;
+        !excluded.contains(instance)
+            && (requirements.allow_tried || !requirements.tried.contains(instance))
+    });
+    let waits = skip_backed_off && may_become_free;
+    (!waits).then_some(TargetChoice::None)
 }
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -12,6 +12,7 @@
 use tokio::time::{self, Instant};
 use upstream::{FullResponse, SendError};
 
+use crate::choice::DEFAULT_GOAL;
 use crate::{
     NodeView, TargetChoice, WorkRequirements, choose_target, record_disconnect, request_work,
 };
@@ -25,8 +26,6 @@
 const TRY_TIMEOUT_GOALS: u32 = 3;
 /// Minimum timeout of one try.
 const MIN_TRY_TIMEOUT: Duration = Duration::from_millis(300);
-/// Goal of routes without one.
-const DEFAULT_GOAL: Duration = Duration::from_millis(500);
 /// Pause before the next try when no target is available.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(20);
 
@@ -134,8 +133,9 @@
             tried: &tried,
             allow_tried: true,
             is_background: call.is_background,
+            deadline: call.deadline,
         };
-        let slot = match choose_target(view, call.route, &requirements) {
+        let slot = match choose_target(view, call.route, &requirements).await {
             TargetChoice::Target(slot) => slot,
             TargetChoice::None => {
                 not_run_count += 1;
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -85,6 +85,8 @@
     pub model: Option<(&'a ModelName, ModelVersion)>,
     /// Accepts only targets with a free slot that are not backed off: the request can be deferred.
     pub free_slot: bool,
+    /// Accepts only targets that are not backed off, also if they have no free slot.
+    pub skip_backed_off: bool,
     /// Prefers a fast target over an idle one or one in the same domain.
     pub fast: bool,
     /// Sender whose quota of a cold target's rate is used; without one only warm targets qualify.
--- a/crates/routing/src/target_state.rs
+++ b/crates/routing/src/target_state.rs
@@ -97,6 +97,9 @@
         {
             return false;
         }
+        if requirements.skip_backed_off && now < self.backoff_until {
+            return false;
+        }
         // Work that can be deferred needs a free slot at a target that is not backed off.
         !requirements.free_slot || (now >= self.backoff_until && self.load(now) < self.slots())
     }
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -151,6 +151,7 @@
     let requirements = TargetRequirements {
         model: model.as_ref().map(|model| (model, floor)),
         free_slot: true,
+        skip_backed_off: false,
         fast: true,
         sender: Some(ColdSender { shard, shards: ctx.view.shards().unwrap_or(1) }),
         avoid: &excluded,
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -234,6 +234,7 @@
         TargetRequirements {
             model: self.model.as_ref().map(|model| (model, floor)),
             free_slot: true,
+            skip_backed_off: false,
             fast: false,
             // Runs don't move to cold engines.
             sender: None,
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -593,6 +593,14 @@
         package: "platform-standin",
         test: "concurrent_poison_requests_are_told_apart_from_other_work",
     },
+    Mutation {
+        name: "suspects: isolated work is refused while others occupy its targets",
+        file: "crates/node/src/choice.rs",
+        from: "time_left.saturating_sub(goal)",
+        to: "time_left.saturating_sub(time_left)",
+        package: "platform-standin",
+        test: "isolated_work_waits_for_target",
+    },
     Mutation {
         name: "suspects: a response does not clear its work",
         file: "crates/node/src/plain.rs",
