Hold work one crash before quarantine while its targets fail together

What callers saw: a harmless request that ran when all targets of its service failed at one moment was refused with 503 once they were back, for as long as its quarantine lasted.

Cause: after a disconnect the next try went out within a millisecond, before the probe of the first target had ended and while the others were failing too. The request was so counted under up to three crashes that had one cause, none of them explained by other work, and that is a verdict. The rule that work with two crashes runs alone came too late: it counts confirmed crashes, and the second probe was still open.

Evidence: a failing run of independent_crashes_quarantine_nothing (1 of 14 runs of poison:: beside six busy loops, with the boxes' lines; 1 of 12 on the code untouched, there with 503 for 200): at 3.875 s i-desk-0-2 breaks off 100 ms after the request was sent, at 3.879 s i-desk-2-2 after 3 ms, both probed as ended: two crashes of three in 4 ms. Provoked by simultaneous_crashes_quarantine_nothing, which crashes each target as soon as the request has started there: "work refused ends=3 condemned" and 503.

Fix: work that may have two crashes (confirmed, or disconnects whose probe is open) is not started until its probes have ended and the settle window after its last crash has passed. Then targets that failed together refuse connections, which is no crash of the request, and a verdict that the third crash brings is in force before a fourth run. A closed connection of a living target holds nothing once its probe says so.

Ruled out: 503 for want of a target (the line would say "not run").

Red before: 503 in 4 of 4 runs with the hold switched off, each with "condemned"; passed in 5 of 5 with it, and poison:: in 3 of 3.

--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -71,18 +71,19 @@
 
 fn log_wait(view: &NodeView, route: &Route, work: WorkDigest, wait_until: Instant) {
     let suspects = view.suspects();
-    let (crashes, occupied) =
-        (suspects.crash_count(work), suspects.anti_affinity(work).targets.len());
+    let (crashes, anti_affinity) =
+        (suspects.crash_count(work), suspects.anti_affinity(view.now(), work));
     drop(suspects);
     log::info!(
-        target: "targets", work:% = work, route:% = route.name, ends = crashes, occupied = occupied,
+        target: "targets", work:% = work, route:% = route.name, ends = crashes,
+        occupied = anti_affinity.targets.len(), held = anti_affinity.held,
         wait_ms = whole_millis(wait_until.saturating_duration_since(Instant::now()));
         "suspect work waits"
     );
 }
 
-/// Chooses a target now. Returns `None` if `can_wait` is set and the work is isolated, but each of
-/// its targets is backed off or runs other suspects.
+/// Chooses a target now. Returns `None` if `can_wait` is set and the work is held, or is isolated
+/// and each of its targets is backed off or runs other suspects.
 fn choose_now(
     view: &Arc<NodeView>,
     route: &Route,
@@ -96,7 +97,10 @@
     else {
         return Some(TargetChoice::Quarantined);
     };
-    let anti_affinity = view.suspects().anti_affinity(requirements.work);
+    let anti_affinity = view.suspects().anti_affinity(view.now(), requirements.work);
+    if anti_affinity.held {
+        return (!can_wait).then_some(TargetChoice::None);
+    }
     // A try at a target that just failed would neither serve the caller nor tell suspects apart.
     let skip_backed_off = anti_affinity.required && can_wait;
     let now = view.now();
--- a/crates/node/src/disconnects.rs
+++ b/crates/node/src/disconnects.rs
@@ -41,6 +41,7 @@
         view.suspects().connection_refused(view.now(), &incarnation);
         view.suspects_changed();
     }
+    view.suspects().probe_ended(&incarnation);
     let crashes = view.suspects().crash_count(work);
     log::info!(
         target: "targets", work:% = work, target:% = incarnation, service:% = target.service, ends = crashes,
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -145,7 +145,7 @@
     let WorkAdmission::Open(excluded) = ctx.view.admit_work(work, &service, true) else {
         return Err(BlockReason::Quarantined);
     };
-    let anti_affinity = ctx.view.suspects().anti_affinity(work);
+    let anti_affinity = ctx.view.suspects().anti_affinity(ctx.view.now(), work);
     let model: Option<ModelName> = spec.job.model.parse().ok();
     let floor = ModelVersion::new(spec.job.min_version);
     let requirements = TargetRequirements {
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -64,6 +64,9 @@
     /// Whether avoiding them is mandatory: one more crash would quarantine this work and its
     /// neighbors.
     pub required: bool,
+    /// Whether the work must not start now: it may be one crash before quarantine, and the targets
+    /// that it ran at have just failed. Others may be failing at the same moment for another cause.
+    pub held: bool,
 }
 
 /// State of a trial run of quarantined work.
@@ -205,6 +208,8 @@
     suspects: HashMap<WorkDigest, Suspect>,
     /// Cleared work whose stored record is yet to be deleted, with its revision.
     cleared: HashMap<WorkDigest, u64>,
+    /// Incarnations that disconnected and whose probe has not ended.
+    probing: HashSet<TargetIncarnation>,
     /// Incarnations that refused connections after a disconnect, and when. A network partition may
     /// look the same.
     refused: HashMap<TargetIncarnation, Moment>,
@@ -254,9 +259,17 @@
         if self.refused.contains_key(&incarnation) {
             self.confirm_crash(now, &incarnation);
         }
+        if !already_probed {
+            self.probing.insert(incarnation);
+        }
         !already_probed
     }
 
+    /// Records that the probe of an incarnation ended, after its result was recorded.
+    pub fn probe_ended(&mut self, incarnation: &TargetIncarnation) {
+        self.probing.remove(incarnation);
+    }
+
     /// Records that an incarnation refuses connections. After a disconnect this counts as a crash.
     pub fn connection_refused(&mut self, now: Moment, incarnation: &TargetIncarnation) {
         self.refused.insert(incarnation.clone(), now);
@@ -351,7 +364,7 @@
 
     /// Returns the targets at which this box runs conflicting suspects. A crash of a target that
     /// runs several suspects does not show which of them caused it.
-    pub fn anti_affinity(&self, work: WorkDigest) -> AntiAffinity {
+    pub fn anti_affinity(&self, now: Moment, work: WorkDigest) -> AntiAffinity {
         let suspect = self.suspects.get(&work);
         let others = self.suspects.iter().filter(|(other, entry)| {
             let conflicts = match suspect {
@@ -369,9 +382,18 @@
         AntiAffinity {
             targets,
             required: suspect.is_some_and(|entry| entry.count() >= ISOLATION_CRASHES),
+            held: suspect.is_some_and(|entry| self.is_held(now, entry)),
         }
     }
 
+    /// Whether a run that starts now may crash with targets that have just failed together.
+    fn is_held(&self, now: Moment, suspect: &Suspect) -> bool {
+        let is_probing = |(crash, _): &&(TargetCrash, Moment)| self.probing.contains(&crash.life);
+        let unprobed = suspect.disconnects.iter().filter(is_probing).count();
+        let has_just_crashed = now.since(suspect.last_crash_at) < SETTLE_WINDOW;
+        suspect.count() + unprobed >= ISOLATION_CRASHES && (unprobed > 0 || has_just_crashed)
+    }
+
     /// Whether this box may run quarantined work once as a trial. Requests a trial if one is due; it
     /// is granted to the box whose write the store confirms.
     pub fn request_trial(&mut self, now: Moment, work: WorkDigest) -> bool {
--- a/crates/suspects/tests/table.rs
+++ b/crates/suspects/tests/table.rs
@@ -201,6 +201,22 @@
     assert_eq!(record.ends.len(), QUARANTINE_CRASHES);
 }
 
+#[test]
+fn work_is_held_right_after_second_crash() {
+    let is_held = |table: &SuspectTable, now| table.anti_affinity(now, work("a")).held;
+    let mut table = SuspectTable::default();
+    crash_under(&mut table, at(1), 0, &["a"]);
+    assert!(!is_held(&table, at(1)), "a single crash");
+    // The second target may have crashed as well.
+    table.record_disconnect(at(1), work("a"), &service(), crash_of(1));
+    assert!(is_held(&table, at(1)));
+    table.probe_ended(&incarnation(1));
+    assert!(!is_held(&table, at(1)), "the target is alive");
+    table.instance_gone(at(3), &instance(1));
+    assert!(is_held(&table, at(3)));
+    assert!(!is_held(&table, at(3) + SETTLE_WAIT));
+}
+
 #[test]
 fn next_crash_tells_poison_work_from_its_neighbor() {
     let mut table = SuspectTable::default();
@@ -210,19 +226,23 @@
     assert!(!is_quarantined(&table, at(1), "poison") && !is_quarantined(&table, at(1), "innocent"));
     // They must run at different targets.
     table.work_started(work("poison"), &instance(7));
-    let beside = AntiAffinity { targets: vec![instance(7)], required: true };
-    assert_eq!(table.anti_affinity(work("innocent")), beside);
-    assert!(table.anti_affinity(work("poison")).targets.is_empty());
+    let beside = AntiAffinity { targets: vec![instance(7)], required: true, held: false };
+    assert_eq!(table.anti_affinity(at(2), work("innocent")), beside);
+    assert!(table.anti_affinity(at(2), work("poison")).targets.is_empty());
     let fresh = AntiAffinity { required: false, ..beside };
-    assert_eq!(table.anti_affinity(work("unsuspected")), fresh, "preferred, not required");
+    assert_eq!(table.anti_affinity(at(2), work("unsuspected")), fresh, "preferred, not required");
     let mut once = SuspectTable::default();
     crash_under(&mut once, at(1), 1, &["a"]);
     once.work_started(work("a"), &instance(7));
-    assert_eq!(once.anti_affinity(work("unsuspected")), AntiAffinity::default(), "a single crash");
+    assert_eq!(
+        once.anti_affinity(at(2), work("unsuspected")),
+        AntiAffinity::default(),
+        "a single crash"
+    );
     crash_under(&mut table, at(1), 99, &["other crash"]);
-    assert_eq!(table.anti_affinity(work("other crash")), AntiAffinity::default());
+    assert_eq!(table.anti_affinity(at(2), work("other crash")), AntiAffinity::default());
     table.work_ended(work("poison"), &instance(7));
-    assert!(table.anti_affinity(work("innocent")).targets.is_empty());
+    assert!(table.anti_affinity(at(2), work("innocent")).targets.is_empty());
     let mut cleared = SuspectTable::default();
     for number in 0..QUARANTINE_CRASHES {
         crash_under(&mut cleared, at(1), number, &["poison", "innocent"]);
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -601,6 +601,14 @@
         package: "platform-standin",
         test: "isolated_work_waits_for_target",
     },
+    Mutation {
+        name: "suspects: work close to quarantine runs while all targets of its service fail",
+        file: "crates/node/src/choice.rs",
+        from: "if anti_affinity.held {",
+        to: "if anti_affinity.held && !can_wait {",
+        package: "platform-standin",
+        test: "simultaneous_crashes_quarantine_nothing",
+    },
     Mutation {
         name: "suspects: a response does not clear its work",
         file: "crates/node/src/plain.rs",
