Forward no response of a server that is not the target

What callers saw: a repeatable request got 404 after its target had crashed. Clients do not retry after 404. It also cleared the request of suspicion.

Cause: a response that names no request was taken for the target's. Every response of a target names it; another server that listens at the address of an ended target does not, and only a wrong id was refused, not a missing one.

Evidence: a failing run of independent_crashes_quarantine_nothing (1 of 14 of poison:: beside six busy loops): "404" at its assert. The boxes' lines show two tries broken off and two not sent, then neither a further line of a try nor "request ended", so a fifth try was answered with less than 500, at an address whose target had ended 18 ms before; the stand-ins for targets never send 404, those for the store and the accounts service, which the other tests start at that time, do. Which of them it was cannot be told from the lines.

Fix: one check for plain and unsafe requests, reward calls, streams and items: the response has to name the request. Otherwise the try counts as one that may have run, the target as failed, and the work is not cleared.

Red before: response_of_other_server_is_not_forwarded, 404 in 3 of 3 runs with the old condition; passed in 3 of 3.

--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -84,7 +84,7 @@
             }
         };
         let info = headers::response_info(target_response.headers());
-        if info.request_id.as_deref().is_some_and(|other| other != id) {
+        if !info.responds_to(&id) {
             record_failure(view, target, TargetFailure::Broken);
             return unknown_outcome(view, &id, work);
         }
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -87,7 +87,7 @@
     NoRoom,
     Silent,
     Broken,
-    /// The response belongs to another request.
+    /// The response belongs to another request, or comes from another server.
     MismatchedResponse,
     /// Another target, or another incarnation of it, has the address.
     OtherTarget,
@@ -273,7 +273,7 @@
     if let Some(load) = info.load {
         view.target_table().record_load(view.now(), &target.instance, load);
     }
-    if info.request_id.as_deref().is_some_and(|id| id != call.request_id) {
+    if !info.responds_to(call.request_id) {
         return (TryOutcome::MismatchedResponse, TryResult::Broken);
     }
     if response.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -126,7 +126,7 @@
         let view = &self.ctx.view;
         let info = headers::response_info(response.headers());
         let item = self.spec.request().map_or("", |item| item.id.as_str());
-        if info.request_id.as_deref().is_some_and(|id| id != item) {
+        if !info.responds_to(item) {
             return RunReason::WrongRequestId;
         }
         if let Some(load) = info.load {
--- a/crates/shards/src/run_reason.rs
+++ b/crates/shards/src/run_reason.rs
@@ -16,7 +16,7 @@
     ConnectionLimit,
     TimeoutBeforeHead,
     BrokenBeforeHead,
-    /// The response belongs to another request.
+    /// The response belongs to another request, or comes from another server.
     WrongRequestId,
     /// The address belongs to another incarnation or another target.
     OtherTarget,
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -609,6 +609,14 @@
         package: "platform-standin",
         test: "simultaneous_crashes_quarantine_nothing",
     },
+    Mutation {
+        name: "targets: a response without a request id counts as the target's",
+        file: "platform/src/headers.rs",
+        from: "self.request_id.as_deref().unwrap_or_default() == request_id",
+        to: "self.request_id.as_deref().unwrap_or(request_id) == request_id",
+        package: "platform-standin",
+        test: "response_of_other_server_is_not_forwarded",
+    },
     Mutation {
         name: "suspects: a response does not clear its work",
         file: "crates/node/src/plain.rs",
