--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -43,9 +43,9 @@
 
 /// Chooses a target of the route's service.
 ///
-/// Work one crash before quarantine must run at a target without other suspects. It waits for one
-/// as long as its caller has time for the run: a refusal would leave both the caller without a
-/// response and the suspects untold.
+/// Work one crash before quarantine must run at a target without other suspects, and not while its
+/// targets are failing. It waits as long as its caller has time for the run, since a refusal would
+/// neither serve the caller nor show which suspect crashes targets.
 pub async fn choose_target(
     view: &Arc<NodeView>,
     route: &Route,
@@ -101,7 +101,7 @@
     if anti_affinity.held {
         return (!can_wait).then_some(TargetChoice::None);
     }
-    // A try at a target that just failed would neither serve the caller nor tell suspects apart.
+    // A target that has just failed is probably down, so a try there would be wasted.
     let skip_backed_off = anti_affinity.required && can_wait;
     let now = view.now();
     let mut targets = view.target_table();
