--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -18,8 +18,8 @@
 pub use location::RecordLocation;
 pub use moment::{Moment, whole_millis};
 pub use number::{
-    FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion, ShardIndex,
-    SlotIndex, StartTime, StepNumber, TokenCount,
+    FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion, Priority,
+    ShardIndex, SlotIndex, StartTime, StepNumber, TokenCount,
 };
 pub use text::{
     BoxId, CustomerName, DomainId, IdError, InstanceId, ItemId, JobId, ModelName, PoolName,
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -123,3 +123,7 @@
     /// unknown.
     StartTime(u64), "start time"
 }
+number_id! {
+    /// Priority of requests; zero is the highest.
+    Priority(u8), "priority"
+}
