--- a/crates/front/src/plain.rs
+++ b/crates/front/src/plain.rs
@@ -98,7 +98,10 @@
     let result = time::timeout_at(deadline, call_plain(view, call)).await;
     let (outcome, response) = match result {
         Ok(PlainOutcome::Answered(full_response)) => ("answered", response::forward(full_response)),
-        Ok(PlainOutcome::NotRun(reason)) => ("not run", response::not_run(reason, Some(&id))),
+        Ok(PlainOutcome::NotRun { reason, retry_after }) => {
+            let retry_after = retry_after.unwrap_or(response::RETRY_DELAY);
+            ("not run", response::not_run_until(reason, retry_after, Some(&id)))
+        }
         Ok(PlainOutcome::Quarantined) => ("condemned", response::quarantined(&id)),
         Ok(PlainOutcome::Unknown(reason)) => (
             "unknown",
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -56,8 +56,17 @@
 
 /// Refuses a request that did not run, with a `Retry-After` time.
 pub fn not_run(reason: &str, request_id: Option<&str>) -> Response<FrontBody> {
+    not_run_until(reason, RETRY_DELAY, request_id)
+}
+
+/// Refuses a request that did not run; the caller should return after `retry_delay`.
+pub fn not_run_until(
+    reason: &str,
+    retry_delay: Duration,
+    request_id: Option<&str>,
+) -> Response<FrontBody> {
     let remedy = "it has not run: come back after the time named";
-    refuse_with_retry(reason, remedy, RETRY_DELAY, request_id)
+    refuse_with_retry(reason, remedy, retry_delay, request_id)
 }
 
 /// Refuses a request without a valid key.
@@ -86,7 +95,8 @@
     request_id: Option<&str>,
 ) -> Response<FrontBody> {
     let mut response = refuse(StatusCode::SERVICE_UNAVAILABLE, reason, remedy, request_id);
-    let seconds = format!("{:.1}", retry_delay.as_secs_f64());
+    // Milliseconds, since callers that are told different times must not return together.
+    let seconds = format!("{:.3}", retry_delay.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -73,6 +73,7 @@
     }
     tokio::spawn(log_counters(Arc::clone(&view)));
     let links = LinkPool::new(link_settings, shutdown.clone());
+    view.admission.set_links(links.clone());
     start_watchers(&view, &links, &shutdown);
     tokio::spawn(sync_suspects(Arc::clone(&view), false, shutdown.clone()));
     let shards = ShardClient::new(Arc::clone(&view), links);
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use admission::PermitOutcome;
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
@@ -45,6 +46,9 @@
     let mut tried: Vec<InstanceId> = Vec::new();
     for _ in 0..MAX_TARGETS_TRIED {
         let requirements = WorkRequirements {
+            request_id: &id,
+            customer: admitted.caller.customer(),
+            received,
             work,
             tried: &tried,
             allow_tried: false,
@@ -55,8 +59,16 @@
             TargetChoice::Target(slot) => slot,
             TargetChoice::None => break,
             TargetChoice::Quarantined => return quarantined(view, route, &id, work),
+            TargetChoice::Refused(refusal) => {
+                view.metrics.count_outcome("stream", "not run");
+                let retry_after = refusal.retry_after;
+                return response::not_run_until("no slot in time", retry_after, Some(&id));
+            }
         };
         let target = slot.target();
+        if tried.is_empty() {
+            view.admission.record_request(&target.service);
+        }
         let mut request = Request::new(Full::new(body.clone()));
         *request.method_mut() = head.method.clone();
         *request.uri_mut() = head.uri.clone();
@@ -69,8 +81,12 @@
             Ok(Ok(target_response)) => target_response,
             Ok(Err(SendError::NotSent(_))) => {
                 record_failure(view, target, TargetFailure::Broken);
+                view.admission.record_result(view, target, PermitOutcome::Broken, None);
                 tried.push(target.instance.clone());
-                continue;
+                if view.admission.try_retry(&target.service) {
+                    continue;
+                }
+                break;
             }
             Ok(Err(SendError::LimitReached)) => break,
             Ok(Err(SendError::Broken(_))) => {
@@ -91,14 +107,20 @@
         if target_response.status() == StatusCode::MISDIRECTED_REQUEST {
             record_failure(view, target, TargetFailure::Gone);
             view.suspects().instance_gone(view.now(), &target.instance);
+            view.admission.record_result(view, target, PermitOutcome::Gone, info.load);
             tried.push(target.instance.clone());
             continue;
         }
         if info.not_run {
             record_failure(view, target, TargetFailure::Full);
+            view.admission.record_result(view, target, PermitOutcome::Refused, info.load);
             tried.push(target.instance.clone());
-            continue;
+            if view.admission.try_retry(&target.service) {
+                continue;
+            }
+            break;
         }
+        view.admission.record_result(view, target, PermitOutcome::Served, info.load);
         view.metrics.count_outcome("stream", "begun");
         if let Some(customer) = admitted.caller.customer() {
             view.usage.count(view.now(), customer);
@@ -107,7 +129,8 @@
     }
     view.metrics.count_outcome("stream", "not run");
     log::info!(target: "entry", request = id.as_str(), route:% = route.name, outcome = "not run"; "request ended");
-    response::not_run("no target free", Some(&id))
+    let retry_after = view.admission.local_retry_after().unwrap_or(response::RETRY_DELAY);
+    response::not_run_until("no target free", retry_after, Some(&id))
 }
 
 fn quarantined(view: &NodeView, route: &Route, id: &str, work: WorkDigest) -> Response<FrontBody> {
--- /dev/null
+++ b/crates/node/src/admission.rs
@@ -0,0 +1,470 @@
+//! Permits for requests to services that are short of slots.
+//!
+//! While a plain service is short, this box asks the service's admission home for a permit before
+//! each request to its targets. The home, a storage box, orders the requests of all boxes; a single
+//! box sees too few of them to know how busy the targets are. Otherwise, and while no home
+//! responds, the box chooses targets by itself.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+
+use admission::{PermitOutcome, ReportedLoad, ShortageDetector, TargetReport};
+use coord::rendezvous;
+use coord::retry::RetryBudget;
+use ids::{BoxId, CustomerName, InstanceId, Moment, ServiceName, whole_millis};
+use joblog::StorageBox;
+use links::{CallError, LinkPool, ResponseStream};
+use rand::Rng;
+use routing::{ChosenTarget, DEFAULT_PRIORITY, Route, TargetLoad};
+use tokio::time::{self, Instant};
+use wire::peer::{
+    self, AdmissionAsk, AdmissionReply, PermitReport, ShardResponse, admission_reply,
+    response_item, shard_request, shard_response,
+};
+
+use crate::{NodeView, WorkRequirements};
+
+/// Targets per cell of a service. A home then grants some thousand permits per second, which takes
+/// about a third of a core.
+const TARGETS_PER_CELL: usize = 8;
+/// Minimum wait for the first reply: a home whose CPU quota is used up pauses this long.
+const MIN_REPLY_TIMEOUT: Duration = Duration::from_millis(40);
+/// The wait for the first reply, as a divisor of the route's goal.
+const REPLY_TIMEOUT_DIVISOR: u32 = 4;
+/// A home that did not reply this many times in a row is avoided.
+const MAX_MISSED_REPLIES: u32 = 2;
+/// How long a home that does not reply is avoided.
+const HOME_BACKOFF: Duration = Duration::from_secs(1);
+/// Number of storage boxes that may become the home of a service in turn.
+const HOME_CANDIDATES: usize = 3;
+/// Maximum number of results that wait to be reported with the next ask.
+const MAX_REPORTS: usize = 16;
+/// Further tries per thousand requests.
+const RETRIES_PER_THOUSAND: u64 = 100;
+/// Maximum number of further tries in a burst, such as after the loss of a target.
+const MAX_RETRY_BURST: u64 = 10;
+/// Bounds of the time to return that this box names by itself.
+const LOCAL_RETRY_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
+
+/// Whether requests to services that are short of slots need permits.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AdmissionMode {
+    /// Each box chooses targets by itself.
+    #[default]
+    Off,
+    /// The boxes share one queue for each service that is short.
+    Shared,
+}
+
+/// A text is not an admission mode.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is not an admission mode: use `off` or `shared`")]
+pub struct AdmissionModeError(String);
+
+impl FromStr for AdmissionMode {
+    type Err = AdmissionModeError;
+
+    fn from_str(text: &str) -> Result<Self, AdmissionModeError> {
+        match text {
+            "" | "off" => Ok(Self::Off),
+            "shared" => Ok(Self::Shared),
+            _ => Err(AdmissionModeError(text.to_owned())),
+        }
+    }
+}
+
+impl fmt::Display for AdmissionMode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Off => "off",
+            Self::Shared => "shared",
+        })
+    }
+}
+
+/// A refusal by the home. No target has run the request, and none will.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdmissionRefusal {
+    /// How long the caller should wait before it returns.
+    pub retry_after: Duration,
+}
+
+/// Permission to send one request to a target. Dropping it releases it.
+#[derive(Debug)]
+pub struct Permit {
+    #[expect(dead_code, reason = "held for its drop, which releases the permit")]
+    call: Box<ResponseStream>,
+    /// The target that the home chose.
+    pub target: InstanceId,
+    /// Number of idle connections to the target that this box may keep.
+    pub max_idle: usize,
+}
+
+/// Result of an ask.
+#[derive(Debug)]
+pub(crate) enum PermitResult {
+    Granted(Permit),
+    Refused(AdmissionRefusal),
+    /// No permit is needed, or no home responds: choose a target without one.
+    NotNeeded,
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    shortage: ShortageDetector,
+    /// Whether the last request needed a permit.
+    is_shared: bool,
+    reports: Vec<TargetReport>,
+    retries: RetryBudget,
+}
+
+impl Default for ServiceState {
+    fn default() -> Self {
+        Self {
+            shortage: ShortageDetector::default(),
+            is_shared: false,
+            reports: Vec::new(),
+            retries: RetryBudget::new(RETRIES_PER_THOUSAND, MAX_RETRY_BURST),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct HomeHealth {
+    missed: u32,
+    avoid_until: Moment,
+}
+
+/// State of this box's asks.
+#[derive(Debug, Default)]
+pub struct AdmissionClient {
+    mode: AdmissionMode,
+    links: OnceLock<LinkPool>,
+    services: Mutex<HashMap<ServiceName, ServiceState>>,
+    homes: Mutex<HashMap<BoxId, HomeHealth>>,
+}
+
+impl AdmissionClient {
+    /// Creates a client that has seen no shortage.
+    pub fn new(mode: AdmissionMode) -> Self {
+        Self { mode, ..Self::default() }
+    }
+
+    /// Sets the links to other boxes, once. Without them no permit is requested.
+    pub fn set_links(&self, links: LinkPool) {
+        let _already_set = self.links.set(links);
+    }
+
+    /// Whether the boxes share queues for services that are short.
+    pub fn is_shared(&self) -> bool {
+        self.mode == AdmissionMode::Shared
+    }
+
+    fn services(&self) -> MutexGuard<'_, HashMap<ServiceName, ServiceState>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn homes(&self) -> MutexGuard<'_, HashMap<BoxId, HomeHealth>> {
+        self.homes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request, which earns a part of a further try.
+    pub fn record_request(&self, service: &ServiceName) {
+        if self.is_shared() {
+            self.services().entry(service.clone()).or_default().retries.record_attempt();
+        }
+    }
+
+    /// Whether a request may be tried again. Without a limit, tries that targets refuse multiply
+    /// the load that they are refused for.
+    pub fn try_retry(&self, service: &ServiceName) -> bool {
+        !self.is_shared() || self.services().entry(service.clone()).or_default().retries.try_retry()
+    }
+
+    /// Time to return for a caller that this box refuses by itself; `None` for the default.
+    pub fn local_retry_after(&self) -> Option<Duration> {
+        let [min, max] = LOCAL_RETRY_AFTER;
+        self.is_shared().then(|| min + max.saturating_sub(min).mul_f64(rand::rng().random()))
+    }
+
+    /// Records the result of a request at a target. It is reported with the next ask.
+    pub fn record_result(
+        &self,
+        view: &NodeView,
+        target: &ChosenTarget,
+        outcome: PermitOutcome,
+        load: Option<TargetLoad>,
+    ) {
+        if !self.is_shared() {
+            return;
+        }
+        let now = view.now();
+        let load = load.map(|load| ReportedLoad { running: load.running, waiting: load.waiting });
+        let slots = view.target_table().record(&target.instance).map_or(0, |listed| listed.slots);
+        let mut services = self.services();
+        let state = services.entry(target.service.clone()).or_default();
+        if outcome == PermitOutcome::Refused {
+            state.shortage.record_refusal(now);
+        }
+        if let Some(load) = load {
+            state.shortage.record_load(now, load, slots);
+        }
+        if state.shortage.is_short(now) && state.reports.len() < MAX_REPORTS {
+            let report = TargetReport { target: target.instance.clone(), outcome, load };
+            state.reports.push(report);
+        }
+    }
+
+    fn record_reply(&self, now: Moment, service: &ServiceName, home: &BoxId, is_short: bool) {
+        let mut services = self.services();
+        services.entry(service.clone()).or_default().shortage.record_reply(now, is_short);
+        drop(services);
+        self.homes().remove(home);
+    }
+
+    /// Records that a home did not reply. One that refused the ask is avoided immediately.
+    fn record_missed_reply(&self, now: Moment, home: &BoxId, has_refused: bool) {
+        let mut homes = self.homes();
+        let health = homes.entry(home.clone()).or_default();
+        health.missed += 1;
+        if has_refused || health.missed >= MAX_MISSED_REPLIES {
+            *health = HomeHealth { missed: 0, avoid_until: now + HOME_BACKOFF };
+            drop(homes);
+            log::info!(target: "targets", peer:% = home, refused = has_refused; "admission home changed");
+        }
+    }
+
+    /// Whether requests to the service need a permit now.
+    fn needs_permit(&self, now: Moment, service: &ServiceName) -> bool {
+        if !self.is_shared() {
+            return false;
+        }
+        let mut services = self.services();
+        let Some(state) = services.get_mut(service) else { return false };
+        let is_short = state.shortage.is_short(now);
+        if std::mem::replace(&mut state.is_shared, is_short) == is_short {
+            return is_short;
+        }
+        if !is_short {
+            state.reports.clear();
+        }
+        drop(services);
+        if is_short {
+            log::info!(target: "targets", service:% = service; "admission shared");
+        } else {
+            log::info!(target: "targets", service:% = service; "admission local");
+        }
+        is_short
+    }
+
+    fn take_reports(&self, service: &ServiceName) -> Vec<PermitReport> {
+        let mut services = self.services();
+        let reports = services.get_mut(service).map(|state| std::mem::take(&mut state.reports));
+        reports.unwrap_or_default().iter().map(encode_report).collect()
+    }
+
+    fn is_avoided(&self, now: Moment, home: &BoxId) -> bool {
+        self.homes().get(home).is_some_and(|health| now < health.avoid_until)
+    }
+}
+
+fn encode_report(report: &TargetReport) -> PermitReport {
+    let outcome = match report.outcome {
+        PermitOutcome::Served => peer::PermitOutcome::Served,
+        PermitOutcome::Refused => peer::PermitOutcome::Refused,
+        PermitOutcome::Broken => peer::PermitOutcome::Broken,
+        PermitOutcome::Gone => peer::PermitOutcome::Gone,
+    };
+    let load = report.load.map(|load| peer::TargetLoad {
+        running: load.running,
+        waiting: load.waiting,
+        ..peer::TargetLoad::default()
+    });
+    PermitReport { target: report.target.to_string(), outcome: outcome.into(), load }
+}
+
+/// One cell of a service.
+struct Cell {
+    index: u32,
+    count: u32,
+}
+
+/// Picks a cell of the service at random.
+fn pick_cell(view: &NodeView, service: &ServiceName) -> Cell {
+    let targets = view.target_table().of_service(service).count();
+    let count = u32::try_from(targets.div_ceil(TARGETS_PER_CELL).max(1)).unwrap_or(1);
+    Cell { index: rand::rng().random_range(0..count), count }
+}
+
+/// Selects the home of a cell: the first storage box in rendezvous order that is not avoided.
+fn select_home(view: &NodeView, service: &ServiceName, cell: &Cell) -> Option<StorageBox> {
+    let key = format!("{service}/{}", cell.index);
+    let assignments = view.assignments();
+    let ranked = rendezvous::ranked(
+        &key,
+        assignments.boxes().map(|storage_box| &storage_box.box_id),
+        HOME_CANDIDATES,
+    );
+    let home = ranked.into_iter().find(|home| !view.admission.is_avoided(view.now(), home))?;
+    assignments.boxes().find(|storage_box| storage_box.box_id == *home).cloned()
+}
+
+/// Asks for a permit if the service is short of slots.
+pub(crate) async fn request_permit(
+    view: &NodeView,
+    route: &Route,
+    service: &ServiceName,
+    goal: Duration,
+    requirements: &WorkRequirements<'_>,
+) -> PermitResult {
+    let is_plain =
+        view.table().service(service).is_none_or(|service_spec| service_spec.models.is_empty());
+    if !is_plain || !view.admission.needs_permit(view.now(), service) || view.is_isolated() {
+        return PermitResult::NotNeeded;
+    }
+    // Suspected work is placed by its own rules, which only this box's choice knows.
+    if view.suspects().crash_count(requirements.work) > 0 {
+        return PermitResult::NotNeeded;
+    }
+    let Some(links) = view.admission.links.get() else { return PermitResult::NotNeeded };
+    let cell = pick_cell(view, service);
+    let Some(home) = select_home(view, service, &cell) else {
+        view.metrics.count_outcome("admission", "no home");
+        return PermitResult::NotNeeded;
+    };
+    let ask = ask_message(view, route, service, &cell, goal, requirements);
+    let home_call = HomeCall { view, service, home: &home, requirements, goal };
+    home_call.request(links, ask).await
+}
+
+fn ask_message(
+    view: &NodeView,
+    route: &Route,
+    service: &ServiceName,
+    cell: &Cell,
+    goal: Duration,
+    requirements: &WorkRequirements<'_>,
+) -> AdmissionAsk {
+    let millis = |time: Duration| u32::try_from(whole_millis(time)).unwrap_or(u32::MAX);
+    let now = Instant::now();
+    let priority = view.table().priority(&route.name, requirements.customer);
+    AdmissionAsk {
+        service: service.to_string(),
+        cell: cell.index,
+        cells: cell.count,
+        route: route.name.to_string(),
+        customer: requirements.customer.map(CustomerName::to_string).unwrap_or_default(),
+        priority: u32::from(priority.unwrap_or(DEFAULT_PRIORITY).get()),
+        time_left_ms: millis(requirements.deadline.saturating_duration_since(now)),
+        goal_left_ms: millis((requirements.received + goal).saturating_duration_since(now)),
+        avoid: Vec::new(),
+        reports: view.admission.take_reports(service),
+        box_id: view.settings.box_id.to_string(),
+    }
+}
+
+/// One ask at a home.
+struct HomeCall<'a> {
+    view: &'a NodeView,
+    service: &'a ServiceName,
+    home: &'a StorageBox,
+    requirements: &'a WorkRequirements<'a>,
+    goal: Duration,
+}
+
+impl HomeCall<'_> {
+    async fn request(&self, links: &LinkPool, ask: AdmissionAsk) -> PermitResult {
+        let started = Instant::now();
+        let time_left = self.requirements.deadline.saturating_duration_since(started);
+        let reply_timeout = (self.goal / REPLY_TIMEOUT_DIVISOR).max(MIN_REPLY_TIMEOUT);
+        let body = shard_request::Body::Admission(ask);
+        let first_reply = async {
+            let id = self.requirements.request_id;
+            let mut call = links.call_shard(&self.home.address, id, time_left, body).await?;
+            let reply = next_reply(&mut call, reply_timeout).await?;
+            Ok::<_, CallError>((call, reply))
+        };
+        let (mut call, mut reply) = match time::timeout(reply_timeout, first_reply).await {
+            Ok(Ok(first)) => first,
+            Ok(Err(error)) => return self.no_reply(matches!(error, CallError::Refused(_))),
+            Err(_elapsed) => return self.no_reply(false),
+        };
+        loop {
+            let now = self.view.now();
+            self.view.admission.record_reply(now, self.service, &self.home.box_id, reply.short);
+            match reply.body {
+                Some(admission_reply::Body::Queued(_)) => {}
+                Some(admission_reply::Body::Granted(granted)) => {
+                    let Ok(target) = granted.target.parse() else { return self.no_reply(true) };
+                    self.record_wait(started);
+                    let max_idle = usize::try_from(granted.max_idle).unwrap_or(usize::MAX);
+                    return PermitResult::Granted(Permit {
+                        call: Box::new(call),
+                        target,
+                        max_idle,
+                    });
+                }
+                Some(admission_reply::Body::Refused(refused)) => {
+                    return self.refused(started, &refused);
+                }
+                None => return self.no_reply(true),
+            }
+            let time_left = self.requirements.deadline.saturating_duration_since(Instant::now());
+            reply = match next_reply(&mut call, time_left).await {
+                Ok(next) => next,
+                Err(_lost) => return self.no_reply(false),
+            };
+        }
+    }
+
+    fn no_reply(&self, has_refused: bool) -> PermitResult {
+        let view = self.view;
+        view.metrics.count_outcome("admission", "no reply");
+        view.admission.record_missed_reply(view.now(), &self.home.box_id, has_refused);
+        PermitResult::NotNeeded
+    }
+
+    fn record_wait(&self, started: Instant) {
+        let waited = started.elapsed();
+        self.view.metrics.count_outcome("admission", "granted");
+        self.view.metrics.observe_admission_wait(waited);
+        let is_long = waited > self.goal / REPLY_TIMEOUT_DIVISOR;
+        let level = if is_long { log::Level::Info } else { log::Level::Debug };
+        log::log!(
+            target: "targets", level, request = self.requirements.request_id,
+            service:% = self.service, peer:% = self.home.box_id, waited_ms = whole_millis(waited);
+            "admission granted"
+        );
+    }
+
+    fn refused(&self, started: Instant, refused: &peer::AdmissionRefused) -> PermitResult {
+        self.view.metrics.count_outcome("admission", "refused");
+        log::info!(
+            target: "targets", request = self.requirements.request_id, service:% = self.service,
+            customer = self.requirements.customer.map_or("none", |customer| customer.as_str()),
+            peer:% = self.home.box_id, outcome = refused.reason.as_str(),
+            waited_ms = whole_millis(started.elapsed()), waiting = refused.waiting,
+            expected_wait_ms = refused.expected_wait_ms, retry_after_ms = refused.retry_after_ms;
+            "admission refused"
+        );
+        let retry_after = Duration::from_millis(u64::from(refused.retry_after_ms));
+        PermitResult::Refused(AdmissionRefusal { retry_after })
+    }
+}
+
+async fn next_reply(
+    call: &mut ResponseStream,
+    timeout: Duration,
+) -> Result<AdmissionReply, CallError> {
+    let unexpected = CallError::Broken { why: "unexpected kind of response" };
+    let Some(item) = call.next(timeout).await? else { return Err(unexpected) };
+    match item.body {
+        Some(response_item::Body::Shard(ShardResponse {
+            body: Some(shard_response::Body::Admission(reply)),
+        })) => Ok(reply),
+        _ => Err(unexpected),
+    }
+}
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{InstanceId, WorkDigest, whole_millis};
+use ids::{CustomerName, InstanceId, ServiceName, WorkDigest, whole_millis};
 use rand::Rng;
 use routing::{ChosenTarget, Route, TargetRequirements};
 use tokio::time::{self, Instant};
 
-use crate::{NodeView, SlotGuard, WorkAdmission};
+use crate::admission::{PermitResult, request_permit};
+use crate::{AdmissionRefusal, NodeView, SlotGuard, WorkAdmission};
 
 /// Goal of routes without one.
 pub(crate) const DEFAULT_GOAL: Duration = Duration::from_millis(500);
@@ -18,6 +19,10 @@
 /// Requirements of a request on its target.
 #[derive(Debug)]
 pub struct WorkRequirements<'a> {
+    /// Id of the request, for logs.
+    pub request_id: &'a str,
+    /// The customer, if the caller is identified.
+    pub customer: Option<&'a CustomerName>,
     /// Digest of the work.
     pub work: WorkDigest,
     /// Targets that were tried already.
@@ -26,6 +31,8 @@
     pub allow_tried: bool,
     /// Whether no caller waits for this call.
     pub is_background: bool,
+    /// When the request arrived; its goal counts from then.
+    pub received: Instant,
     /// When the caller stops waiting.
     pub deadline: Instant,
 }
@@ -39,6 +46,8 @@
     None,
     /// The work is quarantined because it crashes targets.
     Quarantined,
+    /// The service is short of slots, and the work would not be served in time.
+    Refused(AdmissionRefusal),
 }
 
 /// Chooses a target of the route's service.
@@ -52,12 +61,18 @@
     requirements: &WorkRequirements<'_>,
 ) -> TargetChoice {
     let goal = route.goal.unwrap_or(DEFAULT_GOAL);
+    let service = route.service(rand::rng().random());
+    if let Some(service) = service
+        && let Some(choice) = choose_by_permit(view, route, service, goal, requirements).await
+    {
+        return choice;
+    }
     let time_left = requirements.deadline.saturating_duration_since(Instant::now());
     let wait_until = Instant::now() + time_left.saturating_sub(goal);
     let mut has_waited = false;
     loop {
         let can_wait = Instant::now() < wait_until;
-        if let Some(choice) = choose_now(view, route, requirements, can_wait) {
+        if let Some(choice) = choose_now(view, service, requirements, can_wait) {
             return choice;
         }
         if !has_waited {
@@ -69,6 +84,27 @@
     }
 }
 
+/// Chooses the target that the service's admission home grants; `None` if the service is not short
+/// of slots, or the granted target is not in use here.
+async fn choose_by_permit(
+    view: &Arc<NodeView>,
+    route: &Route,
+    service: &ServiceName,
+    goal: Duration,
+    requirements: &WorkRequirements<'_>,
+) -> Option<TargetChoice> {
+    let permit = match request_permit(view, route, service, goal, requirements).await {
+        PermitResult::Granted(permit) => permit,
+        PermitResult::Refused(refusal) => return Some(TargetChoice::Refused(refusal)),
+        PermitResult::NotNeeded => return None,
+    };
+    // Bound to a variable, since the lock of the table must not be held below.
+    let target = view.target_table().acquire(view.now(), &permit.target);
+    let target = target?;
+    view.pool.limit_idle(target.address, permit.max_idle);
+    Some(TargetChoice::Target(SlotGuard::new(view, requirements.work, target).with_permit(permit)))
+}
+
 fn log_wait(view: &NodeView, route: &Route, work: WorkDigest, wait_until: Instant) {
     let suspects = view.suspects();
     let (crashes, anti_affinity) =
@@ -86,12 +122,12 @@
 /// and each of its targets is backed off or runs other suspects.
 fn choose_now(
     view: &Arc<NodeView>,
-    route: &Route,
+    service: Option<&ServiceName>,
     requirements: &WorkRequirements<'_>,
     can_wait: bool,
 ) -> Option<TargetChoice> {
     let mut rng = rand::rng();
-    let Some(service) = route.service(rng.random()) else { return Some(TargetChoice::None) };
+    let Some(service) = service else { return Some(TargetChoice::None) };
     let WorkAdmission::Open(excluded) =
         view.admit_work(requirements.work, service, requirements.is_background)
     else {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! versions, and whether the store responds. Watchers keep it up to date; the request path only
 //! reads it. [`call_plain`] sends one plain request, with its retries.
 
+mod admission;
 pub mod assignments;
 mod choice;
 mod clock;
@@ -23,6 +24,9 @@
 mod view;
 mod work;
 
+pub use self::admission::{
+    AdmissionClient, AdmissionMode, AdmissionModeError, AdmissionRefusal, Permit,
+};
 pub use choice::{TargetChoice, WorkRequirements, choose_target};
 pub use clock::ClockSource;
 pub use disconnects::record_disconnect;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -83,6 +83,9 @@
     registry: Registry,
     outcomes: Family<OutcomeLabels, Counter>,
     latency: Histogram,
+    admission_wait: Histogram,
+    admission_waiting: Gauge,
+    admission_permits: Gauge,
     store_calls: Family<CallLabels, Counter>,
     /// Store calls since the last log line, by kind of object and kind of call.
     unlogged_calls: Mutex<BTreeMap<(&'static str, &'static str), u64>>,
@@ -107,6 +110,8 @@
         let outcomes = Family::default();
         // From 1 ms, doubling up to 16 s.
         let latency = Histogram::new(exponential_buckets(0.001, 2.0, 15));
+        let admission_wait = Histogram::new(exponential_buckets(0.001, 2.0, 12));
+        let (admission_waiting, admission_permits) = (Gauge::default(), Gauge::default());
         let store_calls = Family::default();
         let (jobs_held, items_waiting, job_bytes) =
             (Gauge::default(), Gauge::default(), Gauge::default());
@@ -141,6 +146,22 @@
             Unit::Seconds,
             latency.clone(),
         );
+        registry.register_with_unit(
+            "admission_wait",
+            "Time that requests of this box waited for a permit",
+            Unit::Seconds,
+            admission_wait.clone(),
+        );
+        registry.register(
+            "admission_waiting",
+            "Requests of all boxes that wait here for a permit",
+            admission_waiting.clone(),
+        );
+        registry.register(
+            "admission_permits",
+            "Permits in use that this box has granted",
+            admission_permits.clone(),
+        );
         registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         registry.register("jobs_held", "Jobs held by shards served here", jobs_held.clone());
         registry.register("items_waiting", "Items to be started", items_waiting.clone());
@@ -154,6 +175,9 @@
             registry,
             outcomes,
             latency,
+            admission_wait,
+            admission_waiting,
+            admission_permits,
             store_calls,
             unlogged_calls: Mutex::default(),
             jobs_held,
@@ -178,6 +202,18 @@
         self.latency.observe(time.as_secs_f64());
     }
 
+    /// Records how long a request waited for a permit.
+    pub fn observe_admission_wait(&self, time: Duration) {
+        self.admission_wait.observe(time.as_secs_f64());
+    }
+
+    /// Sets the gauges of the admission queues on this box.
+    pub fn admission(&self, waiting: usize, permits: usize) {
+        let to_i64 = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.admission_waiting.set(to_i64(waiting));
+        self.admission_permits.set(to_i64(permits));
+    }
+
     /// Counts a store call.
     pub fn store_call(&self, kind: Kind, call: StoreCall) {
         self.store_calls.get_or_create(&CallLabels { kind, call }).inc();
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use admission::PermitOutcome;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
@@ -10,7 +11,7 @@
 use platform::headers::{self, ResponseInfo};
 use routing::{ChosenTarget, Route, RouteKind, TargetFailure};
 use tokio::time::{self, Instant};
-use upstream::{FullResponse, SendError};
+use upstream::{FullResponse, ReusePolicy, SendError};
 
 use crate::choice::DEFAULT_GOAL;
 use crate::{
@@ -64,7 +65,12 @@
     /// A target responded, possibly with an error of its own.
     Answered(FullResponse),
     /// No target has run the request, and none will.
-    NotRun(&'static str),
+    NotRun {
+        /// Why it did not run.
+        reason: &'static str,
+        /// How long the caller should wait before it returns; `None` for the default.
+        retry_after: Option<Duration>,
+    },
     /// The request is quarantined because it crashes targets. No target has run it during this
     /// call, and none will.
     Quarantined,
@@ -102,6 +108,22 @@
         matches!(self, Self::Answered | Self::Broken | Self::MismatchedResponse | Self::Unsigned)
     }
 
+    /// The outcome as the service's admission home counts it; `None` if it says nothing about the
+    /// target.
+    const fn permit_outcome(self) -> Option<PermitOutcome> {
+        Some(match self {
+            Self::Answered => PermitOutcome::Served,
+            Self::Full => PermitOutcome::Refused,
+            Self::OtherTarget => PermitOutcome::Gone,
+            Self::NotSent
+            | Self::Silent
+            | Self::Broken
+            | Self::MismatchedResponse
+            | Self::Unsigned => PermitOutcome::Broken,
+            Self::NoRoom => return None,
+        })
+    }
+
     const fn as_str(self) -> &'static str {
         match self {
             Self::Answered => "answered",
@@ -121,6 +143,7 @@
 pub async fn call_plain(view: &Arc<NodeView>, call: PlainCall<'_>) -> PlainOutcome {
     let repeatable = call.route.kind == RouteKind::Safe;
     let work = call.work();
+    let received = Instant::now();
     let mut tried: Vec<InstanceId> = Vec::new();
     let (mut run_count, mut not_run_count) = (0, 0);
     let mut last_response = None;
@@ -129,6 +152,9 @@
         && Instant::now() < call.deadline
     {
         let requirements = WorkRequirements {
+            request_id: call.request_id,
+            customer: call.customer.as_ref(),
+            received,
             work,
             tried: &tried,
             allow_tried: true,
@@ -147,12 +173,20 @@
             TargetChoice::Quarantined if run_count == 0 => {
                 return refuse_quarantined(view, &call, work);
             }
-            TargetChoice::Quarantined => break,
+            TargetChoice::Refused(refusal) if run_count == 0 => {
+                let retry_after = Some(refusal.retry_after);
+                return PlainOutcome::NotRun { reason: "no slot in time", retry_after };
+            }
+            TargetChoice::Quarantined | TargetChoice::Refused(_) => break,
         };
         let is_last = run_count + 1 >= call.route.attempts || !repeatable;
         let result = try_once(view, &call, work, slot.target(), is_last).await;
+        let service = slot.target().service.clone();
         tried.push(slot.target().instance.clone());
         drop(slot);
+        if run_count + not_run_count == 0 {
+            view.admission.record_request(&service);
+        }
         match result {
             TryResult::Answered(response) if response.status.is_success() || !repeatable => {
                 return PlainOutcome::Answered(response);
@@ -165,13 +199,18 @@
             TryResult::Broken if repeatable => run_count += 1,
             TryResult::Broken => return give_up(view, &call, work, "target broke off"),
         }
+        if !view.admission.try_retry(&service) {
+            view.metrics.count_outcome("admission", "no retry left");
+            break;
+        }
     }
     match last_response {
         Some(response) => PlainOutcome::Answered(response),
         None if run_count == 0 && Instant::now() < call.deadline => {
-            PlainOutcome::NotRun("no target free")
+            let retry_after = view.admission.local_retry_after();
+            PlainOutcome::NotRun { reason: "no target free", retry_after }
         }
-        None if run_count == 0 => PlainOutcome::NotRun("out of time"),
+        None if run_count == 0 => PlainOutcome::NotRun { reason: "out of time", retry_after: None },
         None => give_up(view, &call, work, "targets broke off"),
     }
 }
@@ -224,8 +263,10 @@
     let (started, sent_at) = (Instant::now(), view.now());
     let sent = async {
         let response = view.pool.send(target.address, request).await?;
-        response.read_full(MAX_RESPONSE_BYTES).await
+        let policy = ReusePolicy::SuccessesAndRefusals(headers::REFUSAL_HEADER);
+        response.read_full_reusing(MAX_RESPONSE_BYTES, policy).await
     };
+    let mut load = None;
     let (outcome, result) = match time::timeout(limit, sent).await {
         Err(_elapsed) => {
             view.pool.close_idle();
@@ -234,8 +275,15 @@
         Ok(Err(SendError::NotSent(_))) => (TryOutcome::NotSent, TryResult::NotRun),
         Ok(Err(SendError::LimitReached)) => (TryOutcome::NoRoom, TryResult::NotRun),
         Ok(Err(SendError::Broken(_))) => (TryOutcome::Broken, TryResult::Broken),
-        Ok(Ok(response)) => classify_response(view, call, target, response),
+        Ok(Ok(response)) => {
+            let info = headers::response_info(&response.headers);
+            load = info.load;
+            classify_response(view, call, target, response, &info)
+        }
     };
+    if let Some(outcome) = outcome.permit_outcome() {
+        view.admission.record_result(view, target, outcome, load);
+    }
     if let Some(customer) = call.customer.as_ref().filter(|_| outcome.has_begun()) {
         // Counted from the time of sending: the time spent queued at the target is unknown.
         view.usage.count(sent_at, customer);
@@ -268,8 +316,8 @@
     call: &PlainCall<'_>,
     target: &ChosenTarget,
     response: FullResponse,
+    info: &ResponseInfo,
 ) -> (TryOutcome, TryResult) {
-    let info = headers::response_info(&response.headers);
     if let Some(load) = info.load {
         view.target_table().record_load(view.now(), &target.instance, load);
     }
@@ -284,7 +332,7 @@
         view.target_table().failed(view.now(), &target.instance, TargetFailure::Full);
         return (TryOutcome::Full, TryResult::NotRun);
     }
-    if response.status.is_success() && !is_signed(&info) {
+    if response.status.is_success() && !is_signed(info) {
         return (TryOutcome::Unsigned, TryResult::Broken);
     }
     (TryOutcome::Answered, TryResult::Answered(response))
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,7 +11,7 @@
 use usage::WindowLength;
 use wire::DeploymentKey;
 
-use crate::ClockSource;
+use crate::{AdmissionMode, ClockSource};
 
 /// Unvalidated settings of both roles.
 #[derive(Debug, Clone, Args)]
@@ -77,6 +77,10 @@
     /// Requests per second that a cold target may get beyond that; empty for none.
     #[arg(long, env = "GANNETWAY_COLD_SLACK", default_value = "")]
     pub cold_slack: String,
+    /// Whether boxes share one queue for each plain service that is short of slots: `off` or
+    /// `shared`; empty for `off`.
+    #[arg(long, env = "GANNETWAY_ADMISSION", default_value = "")]
+    pub admission: String,
     /// Log level: error, warn, info, debug or trace.
     #[arg(long, env = "GANNETWAY_LOG", default_value = "info")]
     pub log: log::LevelFilter,
@@ -154,6 +158,8 @@
     pub evacuations: bool,
     /// How far requests to a cold target may exceed its limit.
     pub cold_bound: ColdBound,
+    /// Whether requests to services that are short of slots need permits.
+    pub admission: AdmissionMode,
     /// Log level.
     pub log: log::LevelFilter,
 }
@@ -276,6 +282,10 @@
             ));
         }
         let (evacuations, cold_bound) = self.check_platform_bounds(&mut faults);
+        let admission = self.admission.trim().parse::<AdmissionMode>();
+        if let Err(error) = &admission {
+            faults.push(format!("--admission: {error}"));
+        }
         let (Ok(box_id), Ok(domain), Ok(key)) = (box_id, domain, key) else {
             return Err(SettingsError(faults));
         };
@@ -300,6 +310,7 @@
             propagation_bound: Duration::from_millis(self.config_ms.min(self.drain_ms)),
             evacuations,
             cold_bound,
+            admission: admission.unwrap_or_default(),
             clock: ClockSource::Machine,
             grace: Duration::from_secs_f64(self.grace_s),
             log: self.log,
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/slot.rs
@@ -5,7 +5,7 @@
 use ids::WorkDigest;
 use routing::ChosenTarget;
 
-use crate::NodeView;
+use crate::{NodeView, Permit};
 
 /// Holds a slot at a target and releases it on drop, also when the caller disconnects.
 #[derive(Debug)]
@@ -13,13 +13,22 @@
     view: Arc<NodeView>,
     work: WorkDigest,
     target: ChosenTarget,
+    permit: Option<Permit>,
 }
 
 impl SlotGuard {
     /// Guards the slot that the target table counted when it chose `target`.
     pub fn new(view: &Arc<NodeView>, work: WorkDigest, target: ChosenTarget) -> Self {
         view.suspects().work_started(work, &target.instance);
-        Self { view: Arc::clone(view), work, target }
+        Self { view: Arc::clone(view), work, target, permit: None }
+    }
+
+    /// Holds `permit` as long as the slot.
+    #[must_use]
+    pub fn with_permit(self, permit: Permit) -> Self {
+        let mut guard = self;
+        guard.permit = Some(permit);
+        guard
     }
 
     /// Digest of the work.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -16,7 +16,7 @@
 use crate::clock::NodeClock;
 use crate::feed::{FeedState, FeedTimes};
 use crate::usage::UsageTracker;
-use crate::{NodeMetrics, NodeSettings};
+use crate::{AdmissionClient, NodeMetrics, NodeSettings};
 
 /// The state of one box, shared by all its tasks.
 #[derive(Debug)]
@@ -33,6 +33,8 @@
     pub feed: FeedState,
     /// Usage counts per customer, and cluster time.
     pub usage: UsageTracker,
+    /// Permits for services that are short of slots.
+    pub admission: AdmissionClient,
     table: RwLock<Arc<RouteTable>>,
     suspects: Mutex<SuspectTable>,
     suspects_notify: Notify,
@@ -64,6 +66,7 @@
         let target_table = TargetTable::new(settings.domain.clone());
         let limit = ConnectionLimit::for_descriptors(settings.max_fds);
         let usage = UsageTracker::new(settings.box_id.clone(), settings.usage_window);
+        let admission = AdmissionClient::new(settings.admission);
         let clock = NodeClock::start(settings.clock.clone());
         let feed = FeedState::new(FeedTimes::for_bound(settings.propagation_bound));
         Self {
@@ -73,6 +76,7 @@
             metrics: NodeMetrics::default(),
             feed,
             usage,
+            admission,
             table: RwLock::default(),
             suspects: Mutex::default(),
             suspects_notify: Notify::new(),
--- a/crates/routing/src/customers.rs
+++ b/crates/routing/src/customers.rs
@@ -13,7 +13,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use ids::CustomerName;
+use ids::{CustomerName, Priority};
 use sha2::{Digest, Sha256};
 
 /// Maximum length of a key in bytes; longer keys might not fit into the request head.
@@ -148,6 +148,8 @@
 pub struct CustomerTable {
     /// `None` if two customers list the key.
     by_key: HashMap<KeyDigest, Option<Arc<Customer>>>,
+    /// Priorities of the customers that have one.
+    priorities: HashMap<CustomerName, Priority>,
     faults: Vec<CustomerFault>,
     count: usize,
 }
@@ -159,6 +161,10 @@
         let (customers, faults) = merge(&specs);
         table.faults = faults;
         table.count = customers.len();
+        let priorities = customers.values().filter_map(|customer| {
+            Some((customer.name.clone(), Priority::new(customer.priority?)))
+        });
+        table.priorities = priorities.collect();
         for spec in specs {
             let Some(customer) = customers.get(&spec.name) else { continue };
             for key in spec.keys {
@@ -196,6 +202,11 @@
         self.by_key.get(&key)?.as_ref()
     }
 
+    /// Priority of a customer, if it has its own.
+    pub fn priority(&self, customer: &CustomerName) -> Option<Priority> {
+        self.priorities.get(customer).copied()
+    }
+
     /// Invalid entries found in the configuration, to be logged.
     pub fn faults(&self) -> &[CustomerFault] {
         &self.faults
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,7 +18,9 @@
     CallerIdentity, Customer, CustomerFault, CustomerSpec, CustomerTable, KeyDigest, KeyFault,
 };
 pub use index::MAX_CANDIDATES;
-pub use table::{CallerLimits, Route, RouteKind, RouteTable, ServiceSpec, WeightedService};
+pub use table::{
+    CallerLimits, DEFAULT_PRIORITY, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
+};
 pub use target::{
     ChosenTarget, HeldModel, NoTargetReason, TargetFailure, TargetLoad, TargetRecord,
     TargetRequirements,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{Generation, ModelName, RouteName, ServiceName};
+use ids::{CustomerName, Generation, ModelName, Priority, RouteName, ServiceName};
 
 use replicas::ReplicaLimits;
 
 use crate::{CallerIdentity, ColdSpec, CustomerTable, KeyDigest};
 
+/// Priority of routes that name none: the middle of the range that targets accept.
+pub const DEFAULT_PRIORITY: Priority = Priority::new(5);
+
 /// How the requests of a route may be handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -57,6 +60,8 @@
     pub single_version: bool,
     /// Whether callers may omit the key.
     pub public: bool,
+    /// Priority of its requests, unless the customer has one.
+    pub priority: Priority,
 }
 
 impl Route {
@@ -123,6 +128,7 @@
     services: HashMap<ServiceName, ServiceSpec>,
     /// Routes by host, longest prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
+    priorities: HashMap<RouteName, Priority>,
 }
 
 impl RouteTable {
@@ -133,6 +139,7 @@
         routes: Vec<Route>,
         services: Vec<ServiceSpec>,
     ) -> Self {
+        let priorities = routes.iter().map(|route| (route.name.clone(), route.priority)).collect();
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -141,7 +148,7 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
-        Self { version, limits, customers: None, services, hosts }
+        Self { version, limits, customers: None, services, hosts, priorities }
     }
 
     /// Requires a customer's key on all routes that are not public.
@@ -198,6 +205,14 @@
         routes.is_some_and(|routes| routes.iter().any(|route| route.kind == RouteKind::Jobs))
     }
 
+    /// Priority of a customer's requests on a route: the customer's own, or else the route's.
+    /// `None` if neither is configured.
+    pub fn priority(&self, route: &RouteName, customer: Option<&CustomerName>) -> Option<Priority> {
+        let customers = self.customers.as_ref();
+        let own = customer.and_then(|customer| customers?.priority(customer));
+        own.or_else(|| self.priorities.get(route).copied())
+    }
+
     /// Looks up a service by name.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -213,13 +213,37 @@
             }
         }
         let chosen = best.map(|(_, _, state)| state.record.instance.clone())?;
-        let state = self.targets.get_mut(&chosen)?;
+        self.start(now, &chosen)
+    }
+
+    /// Counts a request to a target that another box chose, as [`Self::choose`] does. Returns
+    /// `None` if the target must get no request now.
+    pub fn acquire(&mut self, now: Moment, instance: &InstanceId) -> Option<ChosenTarget> {
+        let state = self.targets.get(instance)?;
+        let rules = self.rules(now, &state.record.service);
+        if !state.fits(&rules, &TargetRequirements::default()) {
+            return None;
+        }
+        self.start(now, instance)
+    }
+
+    /// Targets of a service that may get requests, with their slots.
+    pub fn available(&self, now: Moment, service: &ServiceName) -> Vec<(InstanceId, u32)> {
+        let rules = self.rules(now, service);
+        let requirements = TargetRequirements::default();
+        let states = self.index.of_service(service).filter_map(|id| self.targets.get(id));
+        let available = states.filter(|state| state.fits(&rules, &requirements));
+        available.map(|state| (state.record.instance.clone(), state.slots())).collect()
+    }
+
+    fn start(&mut self, now: Moment, instance: &InstanceId) -> Option<ChosenTarget> {
+        let state = self.targets.get_mut(instance)?;
         state.local_in_flight += 1;
-        if self.cold.contains_key(service) {
+        if self.cold.contains_key(&state.record.service) {
             state.recent_sends.record(now);
         }
         Some(ChosenTarget {
-            instance: chosen,
+            instance: instance.clone(),
             born: state.record.born,
             software: state.record.software.clone(),
             address: state.record.address,
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -27,6 +27,7 @@
         max_wait: None,
         single_version: false,
         public: false,
+        priority: routing::DEFAULT_PRIORITY,
     }
 }
 
--- /dev/null
+++ b/crates/shards/src/admission.rs
@@ -0,0 +1,339 @@
+//! Admission home: grants permits for services that are short of slots.
+//!
+//! Any storage box may be the home of a service; asking boxes select the same one by rendezvous
+//! hashing. The queues live in memory only. If they are lost, or two boxes act as home at once, the
+//! targets' own queues take the excess, and their reported loads lower the limits here.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use admission::{
+    Admission, AdmissionQueue, AdmissionRequest, Grant, PermitOutcome, QueueEvent, Rejection,
+    ReportedLoad, TargetReport, TicketId,
+};
+use ids::{BoxId, Generation, InstanceId, Moment, Priority, ServiceName, whole_millis};
+use links::{ResponseEnd, ResponseSink};
+use node::NodeView;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
+use wire::peer::{
+    self, AdmissionAsk, AdmissionGranted, AdmissionQueued, AdmissionRefused, AdmissionReply,
+    PermitReport, ResponseItem, ShardResponse, admission_reply, response_item, shard_response,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Interval at which waiting requests are checked if nothing else happens.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which the targets in use are read again.
+const TARGETS_INTERVAL: Duration = Duration::from_millis(50);
+/// A box that asked within this time may hold connections to the targets.
+const ASKER_TTL: Duration = Duration::from_secs(10);
+/// A queue is dropped if no box asked for this long.
+const QUEUE_TTL: Duration = Duration::from_mins(1);
+/// Share of a target's connections that boxes may keep idle, as a divisor. The rest is for requests
+/// in flight and for boxes that have not asked yet.
+const IDLE_SHARE_DIVISOR: usize = 2;
+/// Idle connections per box and target if the service has no limit.
+const DEFAULT_MAX_IDLE: usize = 16;
+
+/// A part of a service's targets, with its own queue.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct CellKey {
+    service: ServiceName,
+    cell: u32,
+    cells: u32,
+}
+
+impl CellKey {
+    fn contains(&self, target: &InstanceId) -> bool {
+        let cells = u64::from(self.cells.max(1));
+        xxh3_64(target.as_str().as_bytes()) % cells == u64::from(self.cell)
+    }
+}
+
+type Outcome = Result<Grant, Rejection>;
+
+#[derive(Debug, Default)]
+struct CellState {
+    queue: AdmissionQueue,
+    waiters: HashMap<TicketId, oneshot::Sender<Outcome>>,
+    /// When each box last asked.
+    askers: HashMap<BoxId, Moment>,
+    asked_at: Moment,
+    targets_read_at: Option<Moment>,
+    config_version: Generation,
+}
+
+impl CellState {
+    /// Delivers the outcomes of waiting requests.
+    fn poll(&mut self, now: Moment) {
+        for event in self.queue.poll(now, &mut rand::rng()) {
+            let (ticket, outcome) = match event {
+                QueueEvent::Granted(grant) => (grant.ticket, Ok(grant)),
+                QueueEvent::Rejected(ticket, rejection) => (ticket, Err(rejection)),
+            };
+            // A waiter that is gone releases its ticket itself.
+            let _gone = self.waiters.remove(&ticket).map(|waiter| waiter.send(outcome));
+        }
+    }
+
+    fn release(&mut self, now: Moment, ticket: TicketId) {
+        self.waiters.remove(&ticket);
+        self.queue.release(now, ticket);
+        self.poll(now);
+    }
+}
+
+/// The admission queues on this box.
+#[derive(Debug, Default)]
+pub struct AdmissionHome {
+    cells: Mutex<HashMap<CellKey, CellState>>,
+    waiting: Notify,
+}
+
+/// How far an ask got.
+enum Place {
+    Granted(Grant),
+    Queued(TicketId, Duration, oneshot::Receiver<Outcome>),
+    Rejected(Rejection),
+}
+
+impl AdmissionHome {
+    fn cells(&self) -> MutexGuard<'_, HashMap<CellKey, CellState>> {
+        self.cells.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Handles an ask: replies until the permit is granted or refused, then holds the permit until
+    /// `cancel` or the request's deadline.
+    pub async fn serve(
+        &self,
+        view: &NodeView,
+        ask: AdmissionAsk,
+        mut sink: ResponseSink,
+        cancel: CancellationToken,
+    ) {
+        let Ok(service) = ask.service.parse::<ServiceName>() else { return };
+        let key = CellKey { service, cell: ask.cell, cells: ask.cells.max(1) };
+        let deadline = Instant::now() + Duration::from_millis(u64::from(ask.time_left_ms));
+        let (ticket, receiver) = match self.place(view, &key, &ask) {
+            Place::Granted(grant) => {
+                let ticket = grant.ticket;
+                self.reply(view, &key, &mut sink, Ok(grant)).await;
+                return self.hold(view, &key, ticket, deadline, &cancel).await;
+            }
+            Place::Rejected(rejection) => {
+                self.reply(view, &key, &mut sink, Err(rejection)).await;
+                return sink.end(ResponseEnd::default()).await;
+            }
+            Place::Queued(ticket, expected_wait, receiver) => {
+                let queued = AdmissionQueued { expected_wait_ms: millis(expected_wait) };
+                let body = admission_reply::Body::Queued(queued);
+                sink.item(reply_item(AdmissionReply { body: Some(body), short: true })).await;
+                (ticket, receiver)
+            }
+        };
+        let outcome = tokio::select! {
+            outcome = receiver => outcome.ok(),
+            () = cancel.cancelled() => None,
+        };
+        match outcome {
+            Some(Ok(grant)) => {
+                self.reply(view, &key, &mut sink, Ok(grant)).await;
+                self.hold(view, &key, ticket, deadline, &cancel).await;
+            }
+            Some(Err(rejection)) => {
+                self.reply(view, &key, &mut sink, Err(rejection)).await;
+                sink.end(ResponseEnd::default()).await;
+            }
+            None => self.release(view, &key, ticket),
+        }
+    }
+
+    /// Checks waiting requests until `stop` is cancelled.
+    pub async fn run(&self, view: Arc<NodeView>, stop: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = self.waiting.notified() => {}
+                () = stop.cancelled() => return,
+            }
+            while self.poll_all(&view) {
+                time::sleep(POLL_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Checks all queues. Returns whether any request waits or holds a permit.
+    fn poll_all(&self, view: &NodeView) -> bool {
+        let now = view.now();
+        let mut cells = self.cells();
+        cells.retain(|_, cell| now.since(cell.asked_at) < QUEUE_TTL);
+        for (key, cell) in cells.iter_mut() {
+            cell.refresh(view, key, now);
+            cell.poll(now);
+        }
+        let waiting = cells.values().map(|cell| cell.queue.waiting()).sum();
+        let permits = cells.values().map(|cell| cell.queue.in_use()).sum();
+        drop(cells);
+        view.metrics.admission(waiting, permits);
+        waiting + permits > 0
+    }
+
+    fn place(&self, view: &NodeView, key: &CellKey, ask: &AdmissionAsk) -> Place {
+        let now = view.now();
+        let mut cells = self.cells();
+        let cell = cells.entry(key.clone()).or_default();
+        cell.asked_at = now;
+        if let Ok(box_id) = ask.box_id.parse() {
+            cell.askers.insert(box_id, now);
+        }
+        cell.refresh(view, key, now);
+        for report in ask.reports.iter().filter_map(decode_report) {
+            cell.queue.report(now, &report);
+        }
+        let Some(request) = admission_request(view, now, ask) else {
+            return Place::Rejected(Rejection {
+                reason: admission::RejectReason::NoTarget,
+                retry_after: Duration::ZERO,
+                waiting: 0,
+                expected_wait: Duration::ZERO,
+            });
+        };
+        let admission = cell.queue.request(now, request, &mut rand::rng());
+        let place = match admission {
+            Admission::Granted(grant) => Place::Granted(grant),
+            Admission::Rejected(rejection) => Place::Rejected(rejection),
+            Admission::Queued { ticket, expected_wait } => {
+                let (sender, receiver) = oneshot::channel();
+                cell.waiters.insert(ticket, sender);
+                Place::Queued(ticket, expected_wait, receiver)
+            }
+        };
+        // Reports may have made room, and the request may have displaced others.
+        cell.poll(now);
+        drop(cells);
+        self.waiting.notify_one();
+        place
+    }
+
+    async fn reply(
+        &self,
+        view: &NodeView,
+        key: &CellKey,
+        sink: &mut ResponseSink,
+        outcome: Outcome,
+    ) {
+        let (is_short, max_idle) = {
+            let cells = self.cells();
+            let cell = cells.get(key);
+            let is_short = cell.is_some_and(|cell| cell.queue.is_short(view.now()));
+            (is_short, cell.map_or(1, |cell| cell.max_idle(view, key)))
+        };
+        let body = match outcome {
+            Ok(grant) => admission_reply::Body::Granted(AdmissionGranted {
+                target: grant.target.to_string(),
+                max_idle: u32::try_from(max_idle).unwrap_or(u32::MAX),
+            }),
+            Err(rejection) => {
+                view.metrics.count_outcome("admission home", rejection.reason.as_str());
+                admission_reply::Body::Refused(AdmissionRefused {
+                    reason: rejection.reason.to_string(),
+                    retry_after_ms: millis(rejection.retry_after),
+                    waiting: u32::try_from(rejection.waiting).unwrap_or(u32::MAX),
+                    expected_wait_ms: millis(rejection.expected_wait),
+                })
+            }
+        };
+        sink.item(reply_item(AdmissionReply { body: Some(body), short: is_short })).await;
+    }
+
+    /// Holds a permit until the asking box releases it or its request must have ended.
+    async fn hold(
+        &self,
+        view: &NodeView,
+        key: &CellKey,
+        ticket: TicketId,
+        deadline: Instant,
+        cancel: &CancellationToken,
+    ) {
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = time::sleep_until(deadline) => {}
+        }
+        self.release(view, key, ticket);
+    }
+
+    fn release(&self, view: &NodeView, key: &CellKey, ticket: TicketId) {
+        if let Some(cell) = self.cells().get_mut(key) {
+            cell.release(view.now(), ticket);
+        }
+    }
+}
+
+impl CellState {
+    /// Updates the targets in use, and the priorities of waiting requests after a change of the
+    /// configuration.
+    fn refresh(&mut self, view: &NodeView, key: &CellKey, now: Moment) {
+        if self.targets_read_at.is_none_or(|at| now.since(at) >= TARGETS_INTERVAL) {
+            self.targets_read_at = Some(now);
+            let mut targets = view.target_table().available(now, &key.service);
+            targets.retain(|(target, _)| key.contains(target));
+            self.queue.set_targets(&targets);
+            self.askers.retain(|_, at| now.since(*at) < ASKER_TTL);
+        }
+        let table = view.table();
+        if self.config_version != table.version {
+            self.config_version = table.version;
+            self.queue.update_priorities(|route, customer| table.priority(route, customer));
+        }
+    }
+
+    /// Number of idle connections that each box may keep to a target.
+    fn max_idle(&self, view: &NodeView, key: &CellKey) -> usize {
+        let table = view.table();
+        let max_connections =
+            table.service(&key.service).and_then(|service| service.max_connections);
+        let Some(max_connections) = max_connections else { return DEFAULT_MAX_IDLE };
+        let max_connections = usize::try_from(max_connections).unwrap_or(usize::MAX);
+        let share = max_connections / IDLE_SHARE_DIVISOR / self.askers.len().max(1);
+        share.clamp(1, DEFAULT_MAX_IDLE)
+    }
+}
+
+fn admission_request(view: &NodeView, now: Moment, ask: &AdmissionAsk) -> Option<AdmissionRequest> {
+    let route = ask.route.parse().ok()?;
+    let customer = ask.customer.parse().ok();
+    let priority = view.table().priority(&route, customer.as_ref());
+    let sent_priority = Priority::new(u8::try_from(ask.priority).unwrap_or(u8::MAX));
+    let after = |millis: u32| now + Duration::from_millis(u64::from(millis));
+    Some(AdmissionRequest {
+        route,
+        customer,
+        priority: priority.unwrap_or(sent_priority),
+        goal_by: after(ask.goal_left_ms),
+        deadline: after(ask.time_left_ms),
+        avoid: ask.avoid.iter().filter_map(|target| target.parse().ok()).collect(),
+    })
+}
+
+fn decode_report(report: &PermitReport) -> Option<TargetReport> {
+    let outcome = match report.outcome() {
+        peer::PermitOutcome::Served => PermitOutcome::Served,
+        peer::PermitOutcome::Refused => PermitOutcome::Refused,
+        peer::PermitOutcome::Broken => PermitOutcome::Broken,
+        peer::PermitOutcome::Gone => PermitOutcome::Gone,
+    };
+    let load = report.load.as_ref();
+    let load = load.map(|load| ReportedLoad { running: load.running, waiting: load.waiting });
+    Some(TargetReport { target: report.target.parse().ok()?, outcome, load })
+}
+
+fn reply_item(reply: AdmissionReply) -> ResponseItem {
+    let body = Some(shard_response::Body::Admission(reply));
+    ResponseItem { body: Some(response_item::Body::Shard(ShardResponse { body })) }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(whole_millis(time)).unwrap_or(u32::MAX)
+}
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use wire::peer::{HeldLease, shard_request, shard_response};
 
+use crate::admission::AdmissionHome;
 use crate::backlog::BacklogTable;
 use crate::copies::OpenCopies;
 use crate::loads::LoadTable;
@@ -39,6 +40,8 @@
     pub loads: LoadTable,
     /// Limits hedged reward calls.
     pub hedge_limiter: HedgeLimiter,
+    /// Admission queues of services whose home is here.
+    pub admission: AdmissionHome,
     /// Usage cells that the reporting box has acknowledged.
     pub usage_sync: UsageSync,
     /// Cancelled when the box starts to stop.
@@ -74,6 +77,7 @@
             backlog: BacklogTable::default(),
             loads: LoadTable::default(),
             hedge_limiter: HedgeLimiter::default(),
+            admission: AdmissionHome::default(),
             usage_sync: UsageSync::default(),
             stopping: CancellationToken::new(),
             retiring: Mutex::default(),
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -56,6 +56,12 @@
                 ))
                 .await;
         };
+        if let shard_request::Body::Admission(ask) = body {
+            if self.ctx.is_leaving() {
+                return sink.refuse(not_served()).await;
+            }
+            return self.ctx.admission.serve(&self.ctx.view, ask, sink, cancel).await;
+        }
         let result = tokio::select! {
             result = self.handle(body) => result,
             () = cancel.cancelled() => return,
@@ -194,6 +200,8 @@
                 }
                 Ok(shard_response::Body::Synced(LogSynced::default()))
             }
+            // Handled by the caller, since it holds its call open.
+            shard_request::Body::Admission(_) => Err(not_served()),
             shard_request::Body::Feed(read) => {
                 Ok(shard_response::Body::Feed(serve_feed(&self.ctx.view, &read).await))
             }
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -4,9 +4,11 @@
 //! [`ShardKeeper`] follows the plan in the store and serves the shard while the plan names this
 //! box. The server of the shard to which a service's name maps also orders that service's engines
 //! to load weights. The server of the shard of the accounting lease sends usage reports and
-//! replica orders. One box at a time does each of these, under a lease (`claim.rs`).
+//! replica orders. One box at a time does each of these, under a lease (`claim.rs`). Without a
+//! lease, any storage box grants permits for services that are short of slots (`admission.rs`).
 
 mod accounting;
+mod admission;
 mod backlog;
 mod claim;
 mod context;
--- a/crates/shards/src/reward.rs
+++ b/crates/shards/src/reward.rs
@@ -122,7 +122,7 @@
             RewardOutcome::Failed { attempts }
         }
         PlainOutcome::Quarantined => RewardOutcome::Quarantined,
-        PlainOutcome::Answered(_) | PlainOutcome::NotRun(_) | PlainOutcome::Unknown(_) => {
+        PlainOutcome::Answered(_) | PlainOutcome::NotRun { .. } | PlainOutcome::Unknown(_) => {
             RewardOutcome::Missed
         }
     }
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -64,6 +64,8 @@
     start_watchers(&ctx, &shutdown);
     tokio::spawn(register(Arc::clone(&ctx)));
     let keepers = Arc::new(KeeperSet::default());
+    ctx.view.admission.set_links(ctx.links.clone());
+    tokio::spawn(run_admission(Arc::clone(&ctx), shutdown.clone()));
     let handler = ShardHandler::new(Arc::clone(&ctx), Arc::clone(&keepers));
     tokio::spawn(serve_links(listener, node.key.clone(), handler, shutdown.clone()));
     tokio::spawn(run_heartbeats(Arc::clone(&ctx), Arc::clone(&keepers)));
@@ -83,6 +85,10 @@
     Ok(())
 }
 
+async fn run_admission(ctx: Arc<ShardContext>, shutdown: CancellationToken) {
+    ctx.admission.run(Arc::clone(&ctx.view), shutdown).await;
+}
+
 /// Starts the tasks of all shards once the shard count is agreed.
 async fn start_shards(ctx: Arc<ShardContext>, keepers: Arc<KeeperSet>) {
     for keeper in keepers.start(&ctx).await {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,7 +1,8 @@
 //! HTTP connections to targets, with one request at a time on each.
 //!
 //! A connection returns to the pool only if its response was complete, belonged to the request and
-//! was a success, and neither side wants to close the connection. In all other cases (a response to
+//! was a success or a refusal that the caller of this crate recognises, and neither side wants to
+//! close the connection. In all other cases (a response to
 //! another request, unexpected bytes, an error, a disconnect) the connection is closed. Late bytes
 //! of one request are thus never mistaken for the response to another.
 
@@ -11,4 +12,4 @@
 
 pub use limit::{ConnectionLimit, ConnectionPermit};
 pub use pool::{PortState, SendError, TargetPool};
-pub use response::{FullResponse, TargetResponse, keep_alive_time};
+pub use response::{FullResponse, ReusePolicy, TargetResponse, keep_alive_time};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -22,7 +22,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long a connection may stay idle if the target's response states no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
-/// Maximum number of idle connections per target; further ones are closed after use.
+/// Default maximum number of idle connections per target; further ones are closed after use.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
 /// Why a request got no response.
@@ -60,7 +60,19 @@
     idle_until: Instant,
 }
 
-type IdleConnections = Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>;
+type IdleConnections = Arc<Mutex<HashMap<SocketAddr, TargetConnections>>>;
+
+/// Idle connections to one target.
+struct TargetConnections {
+    idle: Vec<Connection>,
+    max_idle: usize,
+}
+
+impl Default for TargetConnections {
+    fn default() -> Self {
+        Self { idle: Vec::new(), max_idle: MAX_IDLE_PER_TARGET }
+    }
+}
 
 /// Pool of connections to targets; clones share it.
 #[derive(Clone, Default)]
@@ -102,7 +114,7 @@
         })
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, TargetConnections>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -166,7 +178,7 @@
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock();
-        let connections = idle.get_mut(&address)?;
+        let connections = &mut idle.get_mut(&address)?.idle;
         let now = Instant::now();
         while let Some(connection) = connections.pop() {
             if now < connection.idle_until && connection.sender.is_ready() {
@@ -187,12 +199,21 @@
         connection.idle_until = now + keep_alive.unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let mut idle = self.lock();
         let connections = idle.entry(address).or_default();
-        connections.retain(|other| now < other.idle_until && !other.sender.is_closed());
-        if connections.len() < MAX_IDLE_PER_TARGET {
-            connections.push(connection);
+        connections.idle.retain(|other| now < other.idle_until && !other.sender.is_closed());
+        if connections.idle.len() < connections.max_idle {
+            connections.idle.push(connection);
         }
     }
 
+    /// Limits the idle connections to a target until it has none. A target accepts a limited number
+    /// of connections from all boxes together.
+    pub fn limit_idle(&self, address: SocketAddr, max_idle: usize) {
+        let mut idle = self.lock();
+        let connections = idle.entry(address).or_default();
+        connections.max_idle = max_idle;
+        connections.idle.truncate(max_idle);
+    }
+
     /// Closes all idle connections. If one connection became unresponsive, others may have failed
     /// for the same reason, and each would delay a request until its timeout.
     pub fn close_idle(&self) {
@@ -203,8 +224,8 @@
     pub fn sweep(&self) {
         let now = Instant::now();
         self.lock().retain(|_, connections| {
-            connections.retain(|other| now < other.idle_until && !other.sender.is_closed());
-            !connections.is_empty()
+            connections.idle.retain(|other| now < other.idle_until && !other.sender.is_closed());
+            !connections.idle.is_empty()
         });
     }
 }
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -35,6 +35,27 @@
     }
 }
 
+/// Which complete responses leave their connection usable.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReusePolicy {
+    /// Successes only.
+    Successes,
+    /// Successes, and errors with this header, by which the target states that it did not run the
+    /// request. Without reuse, each refusal of a full target costs it another connection.
+    SuccessesAndRefusals(&'static str),
+}
+
+impl ReusePolicy {
+    fn allows(self, status: StatusCode, headers: &HeaderMap) -> bool {
+        match self {
+            Self::Successes => status.is_success(),
+            Self::SuccessesAndRefusals(header) => {
+                status.is_success() || headers.contains_key(header)
+            }
+        }
+    }
+}
+
 /// A completely received response.
 #[derive(Debug, Clone)]
 pub struct FullResponse {
@@ -86,11 +107,15 @@
     /// Returns the connection to the pool, unless the status or the headers forbid it. The caller
     /// must have read the complete body and checked that the response belongs to the request.
     pub fn reuse(self) {
+        self.reuse_if(ReusePolicy::Successes);
+    }
+
+    fn reuse_if(self, policy: ReusePolicy) {
         let text = |name: &str| self.headers.get(name).and_then(|value| value.to_str().ok());
         let closes = text("connection").is_some_and(|value| {
             value.split(',').any(|token| token.trim().eq_ignore_ascii_case("close"))
         });
-        if closes || !self.status.is_success() {
+        if closes || !policy.allows(self.status, &self.headers) {
             return;
         }
         let keep_alive = text("keep-alive").and_then(keep_alive_time);
@@ -101,7 +126,16 @@
     }
 
     /// Reads a complete body of at most `max_bytes` and returns the connection to the pool.
-    pub async fn read_full(mut self, max_bytes: usize) -> Result<FullResponse, SendError> {
+    pub async fn read_full(self, max_bytes: usize) -> Result<FullResponse, SendError> {
+        self.read_full_reusing(max_bytes, ReusePolicy::Successes).await
+    }
+
+    /// Like [`Self::read_full`], with the responses that leave the connection usable.
+    pub async fn read_full_reusing(
+        mut self,
+        max_bytes: usize,
+        policy: ReusePolicy,
+    ) -> Result<FullResponse, SendError> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.next().await? {
             if body.len() + chunk.len() > max_bytes {
@@ -114,7 +148,7 @@
             headers: self.headers.clone(),
             body: body.freeze(),
         };
-        self.reuse();
+        self.reuse_if(policy);
         Ok(full_response)
     }
 }
