Admission home: recognise callers that return after a refusal

Cause: a caller's goal counts from its first try. Ruled out: telling returning callers by a shorter deadline than usual, since callers may have different deadlines.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod queue;
 mod rate;
+mod refused_work;
 mod request;
 mod schedule;
 mod shares;
@@ -19,6 +20,7 @@
 
 pub use limit::TargetLimit;
 pub use queue::AdmissionQueue;
+pub use refused_work::RefusedWork;
 pub use request::{
     Admission, AdmissionRequest, Grant, PermitOutcome, QueueEvent, RejectReason, Rejection,
     ReportedLoad, TargetReport, TicketId,
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -363,6 +363,7 @@
         avoid: Vec::new(),
         reports: view.admission.take_reports(service),
         box_id: view.settings.box_id.to_string(),
+        work: requirements.work.to_string(),
     }
 }
 
--- a/crates/shards/src/admission.rs
+++ b/crates/shards/src/admission.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use admission::{
-    Admission, AdmissionQueue, AdmissionRequest, Grant, PermitOutcome, QueueEvent, Rejection,
-    ReportedLoad, TargetReport, TicketId,
+    Admission, AdmissionQueue, AdmissionRequest, Grant, PermitOutcome, QueueEvent, RefusedWork,
+    Rejection, ReportedLoad, TargetReport, TicketId,
 };
-use ids::{BoxId, Generation, InstanceId, Moment, Priority, ServiceName, whole_millis};
+use ids::{BoxId, Generation, InstanceId, Moment, Priority, ServiceName, WorkDigest, whole_millis};
 use links::{ResponseEnd, ResponseSink};
 use node::NodeView;
 use tokio::sync::{Notify, oneshot};
@@ -55,10 +55,25 @@
 
 type Outcome = Result<Grant, Rejection>;
 
+/// Work of an ask, and when a caller sent it first.
+#[derive(Debug, Clone, Copy)]
+struct AskedWork {
+    digest: WorkDigest,
+    first_arrival: Moment,
+}
+
+/// A waiting ask.
+#[derive(Debug)]
+struct Waiter {
+    work: AskedWork,
+    outcome: oneshot::Sender<Outcome>,
+}
+
 #[derive(Debug, Default)]
 struct CellState {
     queue: AdmissionQueue,
-    waiters: HashMap<TicketId, oneshot::Sender<Outcome>>,
+    waiters: HashMap<TicketId, Waiter>,
+    refused: RefusedWork,
     /// When each box last asked.
     askers: HashMap<BoxId, Moment>,
     asked_at: Moment,
@@ -74,8 +89,12 @@
                 QueueEvent::Granted(grant) => (grant.ticket, Ok(grant)),
                 QueueEvent::Rejected(ticket, rejection) => (ticket, Err(rejection)),
             };
+            let Some(waiter) = self.waiters.remove(&ticket) else { continue };
+            if outcome.is_err() {
+                self.refused.record(now, waiter.work.digest, waiter.work.first_arrival);
+            }
             // A waiter that is gone releases its ticket itself.
-            let _gone = self.waiters.remove(&ticket).map(|waiter| waiter.send(outcome));
+            let _gone = waiter.outcome.send(outcome);
         }
     }
 
@@ -117,7 +136,8 @@
         let Ok(service) = ask.service.parse::<ServiceName>() else { return };
         let key = CellKey { service, cell: ask.cell, cells: ask.cells.max(1) };
         let deadline = Instant::now() + Duration::from_millis(u64::from(ask.time_left_ms));
-        let (ticket, receiver) = match self.place(view, &key, &ask) {
+        let Some(place) = self.place(view, &key, &ask) else { return };
+        let (ticket, receiver) = match place {
             Place::Granted(grant) => {
                 let ticket = grant.ticket;
                 self.reply(view, &key, &mut sink, Ok(grant)).await;
@@ -180,7 +200,8 @@
         waiting + permits > 0
     }
 
-    fn place(&self, view: &NodeView, key: &CellKey, ask: &AdmissionAsk) -> Place {
+    /// Applies an ask to its queue; `None` if it is malformed.
+    fn place(&self, view: &NodeView, key: &CellKey, ask: &AdmissionAsk) -> Option<Place> {
         let now = view.now();
         let mut cells = self.cells();
         let cell = cells.entry(key.clone()).or_default();
@@ -192,21 +213,19 @@
         for report in ask.reports.iter().filter_map(decode_report) {
             cell.queue.report(now, &report);
         }
-        let Some(request) = admission_request(view, now, ask) else {
-            return Place::Rejected(Rejection {
-                reason: admission::RejectReason::NoTarget,
-                retry_after: Duration::ZERO,
-                waiting: 0,
-                expected_wait: Duration::ZERO,
-            });
-        };
+        let digest = ask.work.parse::<WorkDigest>().ok()?;
+        let work = AskedWork { digest, first_arrival: cell.refused.first_arrival(now, digest) };
+        let request = admission_request(view, now, work.first_arrival, ask)?;
         let admission = cell.queue.request(now, request, &mut rand::rng());
         let place = match admission {
             Admission::Granted(grant) => Place::Granted(grant),
-            Admission::Rejected(rejection) => Place::Rejected(rejection),
+            Admission::Rejected(rejection) => {
+                cell.refused.record(now, work.digest, work.first_arrival);
+                Place::Rejected(rejection)
+            }
             Admission::Queued { ticket, expected_wait } => {
-                let (sender, receiver) = oneshot::channel();
-                cell.waiters.insert(ticket, sender);
+                let (outcome, receiver) = oneshot::channel();
+                cell.waiters.insert(ticket, Waiter { work, outcome });
                 Place::Queued(ticket, expected_wait, receiver)
             }
         };
@@ -214,7 +233,7 @@
         cell.poll(now);
         drop(cells);
         self.waiting.notify_one();
-        place
+        Some(place)
     }
 
     async fn reply(
@@ -301,18 +320,23 @@
     }
 }
 
-fn admission_request(view: &NodeView, now: Moment, ask: &AdmissionAsk) -> Option<AdmissionRequest> {
+fn admission_request(
+    view: &NodeView,
+    now: Moment,
+    first_arrival: Moment,
+    ask: &AdmissionAsk,
+) -> Option<AdmissionRequest> {
     let route = ask.route.parse().ok()?;
     let customer = ask.customer.parse().ok();
     let priority = view.table().priority(&route, customer.as_ref());
     let sent_priority = Priority::new(u8::try_from(ask.priority).unwrap_or(u8::MAX));
-    let after = |millis: u32| now + Duration::from_millis(u64::from(millis));
+    let after = |start: Moment, millis: u32| start + Duration::from_millis(u64::from(millis));
     Some(AdmissionRequest {
         route,
         customer,
         priority: priority.unwrap_or(sent_priority),
-        goal_by: after(ask.goal_left_ms),
-        deadline: after(ask.time_left_ms),
+        goal_by: after(first_arrival, ask.goal_left_ms),
+        deadline: after(now, ask.time_left_ms),
         avoid: ask.avoid.iter().filter_map(|target| target.parse().ok()).collect(),
     })
 }
