--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -260,6 +260,7 @@
     *request.headers_mut() = call.headers.clone();
     headers::set_time_left(request.headers_mut(), left);
     headers::set_instance(request.headers_mut(), &target.instance);
+    set_engine_priority(view, call, target, request.headers_mut());
     let (started, sent_at) = (Instant::now(), view.now());
     let sent = async {
         let response = view.pool.send(target.address, request).await?;
@@ -310,6 +311,25 @@
     result
 }
 
+/// Tells an engine the request's priority. Other targets run requests in the order of arrival.
+fn set_engine_priority(
+    view: &NodeView,
+    call: &PlainCall<'_>,
+    target: &ChosenTarget,
+    header_map: &mut HeaderMap,
+) {
+    if !view.admission.is_shared() {
+        return;
+    }
+    let table = view.table();
+    let is_engine = table.service(&target.service).is_some_and(|spec| !spec.models.is_empty());
+    if let Some(priority) = table.priority(&call.route.name, call.customer.as_ref())
+        && is_engine
+    {
+        headers::set_priority(header_map, priority.get());
+    }
+}
+
 /// Classifies a response and updates the target table.
 fn classify_response(
     view: &NodeView,
--- a/crates/shards/src/reward.rs
+++ b/crates/shards/src/reward.rs
@@ -122,6 +122,11 @@
             RewardOutcome::Failed { attempts }
         }
         PlainOutcome::Quarantined => RewardOutcome::Quarantined,
+        PlainOutcome::NotRun { retry_after: Some(delay), .. } => {
+            // Without the delay, the item would ask for another permit right away.
+            time::sleep_until(deadline.min(Instant::now() + delay)).await;
+            RewardOutcome::Missed
+        }
         PlainOutcome::Answered(_) | PlainOutcome::NotRun { .. } | PlainOutcome::Unknown(_) => {
             RewardOutcome::Missed
         }
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -16,6 +16,33 @@
 }
 
 const ABLATIONS: &[Ablation] = &[
+    Ablation {
+        name: "shared-admission",
+        without: "boxes choose targets of a short service by themselves; only retries are bound",
+        edit: SourceEdit {
+            file: "crates/node/src/admission.rs",
+            from: "        let is_short = state.shortage.is_short(now);",
+            to: "        let is_short = false && state.shortage.is_short(now);",
+        },
+    },
+    Ablation {
+        name: "returning-callers",
+        without: "a caller that returns after a refusal counts as a new one",
+        edit: SourceEdit {
+            file: "crates/admission/src/refused_work.rs",
+            from: "        self.first_arrivals.get(&work).copied().unwrap_or(now)",
+            to: "        self.first_arrivals.get(&work).copied().filter(|_| false).unwrap_or(now)",
+        },
+    },
+    Ablation {
+        name: "reuse-after-refusal",
+        without: "each refusal of a full target closes its connection",
+        edit: SourceEdit {
+            file: "crates/upstream/src/response.rs",
+            from: "                status.is_success() || headers.contains_key(header)",
+            to: "                status.is_success() || (false && headers.contains_key(header))",
+        },
+    },
     Ablation {
         name: "trainer-shards",
         without: "trainers on one host share one server",
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -33,6 +33,38 @@
 }
 
 const MUTATIONS: &[Mutation] = &[
+    Mutation {
+        name: "admission: a permit outlives the box that holds it",
+        file: "crates/shards/src/admission.rs",
+        from: "            () = cancel.cancelled() => {}\n            () = time::sleep_until(deadline) => {}",
+        to: "            () = time::sleep_until(deadline) => {}",
+        package: "platform-standin",
+        test: "permits_of_a_dead_box",
+    },
+    Mutation {
+        name: "admission: changed priorities do not reach waiting requests",
+        file: "crates/shards/src/admission.rs",
+        from: "            self.queue.update_priorities(|route, customer| table.priority(route, customer));",
+        to: "",
+        package: "platform-standin",
+        test: "changed_priority",
+    },
+    Mutation {
+        name: "admission: a home that does not reply is asked for as long as the caller waits",
+        file: "crates/node/src/admission.rs",
+        from: "        let reply_timeout = (self.goal / REPLY_TIMEOUT_DIVISOR).max(MIN_REPLY_TIMEOUT);",
+        to: "        let reply_timeout = time_left + MIN_REPLY_TIMEOUT;",
+        package: "platform-standin",
+        test: "home_is_paused",
+    },
+    Mutation {
+        name: "admission: permits are requested without a shortage",
+        file: "crates/node/src/admission.rs",
+        from: "        let is_short = state.shortage.is_short(now);",
+        to: "        let is_short = true;",
+        package: "platform-standin",
+        test: "below_capacity",
+    },
     Mutation {
         name: "1: a missing stamp is treated as the last version",
         file: "crates/ledger/src/chunks.rs",
