Estimate long-term speed and slowdown of targets separately

Cause: one smoothed time per unit of work stood for a permanently slow target and for one that is slow for a moment, and every item preferred a fast engine. Short texts took the fast slots that long ones needed, and runs moved later, which reads the prompt again.

Change, for services of which a listed target has reported the fourth field of its load: - Two estimates per target: the usual time per unit of work, and the reported slowdown, which expires after 400 ms. A measurement without a current report changes the usual time only within a factor of 1.5. - A text's cost on a target is its expected time there, raised by the load, plus a price for a fast slot if the text is shorter than those that usually occupy a slot. Only targets with a free slot are compared, so no slot stays idle. The length is predicted from the hint and from complete texts. - The slowdown multiplies the cost of plain requests. For texts it is expected to last another 400 ms only. - A run moves only if the rest of its text and the prompt's prefill take less time on the other engine, and the choice then prefers that engine. - An engine at three times the median unit time or more, after at least four measurements, gets only work that no other engine has room for; at most a third of the compared engines.

Logs: "target chosen" (debug), and the estimates in "run ended". Metrics: outcomes target_choice and run_moved.

Tested: cargo test of routing, jobs, shards, node, front and platform.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 //! seen is on every copy.
 
 mod item;
+mod length;
 mod order;
 mod packed;
 mod reads;
@@ -22,6 +23,7 @@
 mod trace;
 
 pub use item::{ItemRef, LossReason, RewardOutcome, RunEvent, RunOutcome, RunResult, RunSpec};
+pub use length::LengthForecast;
 pub use order::run_order;
 pub use packed::{UnpackError, pack_text, unpack_text};
 pub use reads::{JobCounts, ResultsPage, StepInfo};
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -52,6 +52,7 @@
             let Some(state) = self.jobs.get_mut(&next.job) else { continue };
             let index = next.index;
             let item = &state.items[index as usize];
+            let hint = state.job.items.get(index as usize).map_or(0, |item| item.length_hint);
             let spec = RunSpec {
                 item: ItemRef { job: next.job.clone(), index },
                 job: Arc::clone(&state.job),
@@ -59,6 +60,7 @@
                 newest: item.versions.last().copied(),
                 complete: item.complete,
                 run: item.run + 1,
+                forecast: self.lengths.forecast(hint),
             };
             let target = match start(spec) {
                 Ok(target) => target,
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -9,6 +9,7 @@
 use wire::peer::{ItemProgress, Job, JobRef, JobResult, ListedResult, LogRecord};
 
 use crate::item::{ItemPhase, ItemState};
+use crate::length::LengthEstimator;
 use crate::order::DurationEstimator;
 use crate::state::{JobState, ListedItem, record, request_bytes};
 use crate::trace::StepTrace;
@@ -46,6 +47,7 @@
     /// Whether no log accepts records at the moment.
     appends_suspended: bool,
     pub(crate) durations: DurationEstimator,
+    pub(crate) lengths: LengthEstimator,
 }
 
 impl JobTable {
@@ -60,6 +62,7 @@
             bytes: 0,
             appends_suspended: false,
             durations: DurationEstimator::default(),
+            lengths: LengthEstimator::default(),
         }
     }
 
@@ -301,8 +304,9 @@
         match run.outcome {
             RunOutcome::Complete => {
                 entry.complete = true;
+                let hint = spec.request().map_or(0, |item| item.length_hint);
+                self.lengths.observe(hint, entry.events);
                 if spec.events == 0 {
-                    let hint = spec.request().map_or(0, |item| item.length_hint);
                     self.durations.observe(hint, now.since(entry.started_at));
                 }
                 true
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -8,7 +8,7 @@
 use routing::{ChosenTarget, Route, TargetRequirements};
 use tokio::time::{self, Instant};
 
-use crate::{NodeView, SlotGuard, WorkAdmission};
+use crate::{NodeView, SlotGuard, WorkAdmission, record_choice};
 
 /// Goal of routes without one.
 pub(crate) const DEFAULT_GOAL: Duration = Duration::from_millis(500);
@@ -122,7 +122,9 @@
         chosen = chosen.or_else(|| choose(avoid));
     }
     if let Some(target) = chosen {
+        let speed = targets.speed(now, &target.instance);
         drop(targets);
+        record_choice(view, requirements.work, &target, None, speed);
         return Some(TargetChoice::Target(SlotGuard::new(view, requirements.work, target)));
     }
     // Without any such target nothing indicates that one will be free in time.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod slot;
 mod stop;
 mod suspects;
+mod target_speed;
 mod usage;
 mod view;
 mod work;
@@ -35,6 +36,7 @@
 pub use slot::SlotGuard;
 pub use stop::wait_for_stop;
 pub use suspects::{WorkAdmission, suspect_object, sync_suspects};
+pub use target_speed::record_choice;
 pub use usage::{UsageTracker, wall_time};
 pub use view::NodeView;
 pub use work::{item_work, request_work};
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -306,7 +306,7 @@
     match result {
         TryResult::Answered(response) if response.status.is_success() => {
             targets.succeeded(view.now(), &target.instance);
-            targets.record_unit_time(&target.instance, took);
+            targets.record_unit_time(view.now(), &target.instance, took);
         }
         TryResult::NotRun if outcome == TryOutcome::NotSent => {
             targets.failed(view.now(), &target.instance, TargetFailure::Broken);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,19 +8,22 @@
 mod cold;
 mod customers;
 mod index;
+mod speed;
 mod table;
 mod target;
 mod target_state;
 mod target_table;
+mod uneven;
 
 pub use cold::{ColdBound, ColdLimit, ColdSender, ColdSpec};
 pub use customers::{
     CallerIdentity, Customer, CustomerFault, CustomerSpec, CustomerTable, KeyDigest, KeyFault,
 };
 pub use index::MAX_CANDIDATES;
+pub use speed::Slowdown;
 pub use table::{CallerLimits, Route, RouteKind, RouteTable, ServiceSpec, WeightedService};
 pub use target::{
-    ChosenTarget, HeldModel, NoTargetReason, TargetFailure, TargetLoad, TargetRecord,
-    TargetRequirements,
+    ChosenTarget, HeldModel, MoveEstimate, NoTargetReason, PredictedWork, RunProgress,
+    TargetFailure, TargetLoad, TargetRecord, TargetRequirements, TargetSpeed, WorkUnits,
 };
 pub use target_table::TargetTable;
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -8,7 +8,7 @@
     TargetIncarnation,
 };
 
-use crate::ColdSender;
+use crate::{ColdSender, Slowdown};
 
 /// A model version that a target holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -65,6 +65,74 @@
     pub running: u32,
     /// Number of requests queued at the target.
     pub waiting: u32,
+    /// Current slowdown; only targets that share their machine report it.
+    pub slowdown: Option<Slowdown>,
+}
+
+/// An amount of work: events of a text, or requests.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct WorkUnits(f64);
+
+impl WorkUnits {
+    /// Creates an amount of work; it is at least one unit.
+    pub const fn new(units: f64) -> Self {
+        Self(units.max(1.0))
+    }
+
+    /// Returns the number of units.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+/// Prediction of the work that a text still needs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PredictedWork {
+    /// Work left for this text.
+    pub units: WorkUnits,
+    /// Work of the texts that usually occupy a slot. Shorter texts leave fast targets to them.
+    pub reference: WorkUnits,
+}
+
+/// Progress of a run that may move to another target.
+#[derive(Debug, Clone, Copy)]
+pub struct RunProgress {
+    /// Last measured time per unit of work.
+    pub unit_time: Duration,
+    /// Time that the run needed to read its prompt.
+    pub prefill: Duration,
+    /// Work left.
+    pub left: PredictedWork,
+}
+
+/// Why a run should move: its expected remaining times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MoveEstimate {
+    /// Remaining time if it stays.
+    pub here: Duration,
+    /// Remaining time on the other target, including reading the prompt there.
+    pub elsewhere: Duration,
+}
+
+/// Speed estimates of one target that reports its slowdown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetSpeed {
+    /// Long-term time per unit of work; zero before the first measurement.
+    pub usual_unit_time: Duration,
+    /// Current slowdown, unless the last report has expired.
+    pub slowdown: Option<Slowdown>,
+}
+
+impl TargetSpeed {
+    /// The long-term time per unit of work in microseconds, for logs.
+    pub fn usual_unit_us(&self) -> u64 {
+        u64::try_from(self.usual_unit_time.as_micros()).unwrap_or(u64::MAX)
+    }
+
+    /// The current slowdown as a percentage of the usual time, for logs; zero if it is unknown.
+    pub fn slowdown_percent(&self) -> u32 {
+        self.slowdown.map_or(0, Slowdown::percent)
+    }
 }
 
 /// How a request at a target failed, as far as it affects later choices.
@@ -89,6 +157,8 @@
     pub skip_backed_off: bool,
     /// Prefers a fast target over an idle one or one in the same domain.
     pub fast: bool,
+    /// Work of a text, for services whose targets report their slowdown.
+    pub work: Option<PredictedWork>,
     /// Sender whose quota of a cold target's rate is used; without one only warm targets qualify.
     pub sender: Option<ColdSender>,
     /// Targets to exclude, usually because they were tried already.
--- a/crates/routing/src/target_state.rs
+++ b/crates/routing/src/target_state.rs
@@ -6,6 +6,7 @@
 use ids::{DomainId, ModelName, ModelVersion, Moment};
 
 use crate::cold::{ColdLimit, SendWindow};
+use crate::speed::SpeedEstimate;
 use crate::target::{TargetRecord, TargetRequirements};
 
 /// How long a load reported in a response is used.
@@ -26,6 +27,8 @@
     pub remote_load_at: Moment,
     /// Smoothed time per unit of work, in milliseconds; zero before the first measurement.
     pub unit_time_ms: f64,
+    /// Used instead of `unit_time_ms` in services whose targets report their slowdown.
+    pub speed: SpeedEstimate,
     pub failures: u32,
     /// Refusals for lack of capacity since the last success.
     pub refusals: u32,
@@ -62,6 +65,7 @@
             remote_load: 0,
             remote_load_at: Moment::START,
             unit_time_ms: 0.0,
+            speed: SpeedEstimate::default(),
             failures: 0,
             refusals: 0,
             backoff_until: Moment::START,
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -4,6 +4,9 @@
 //! This box counts its own requests exactly; the requests of other boxes are estimated from the
 //! load that targets report in responses, which is used for a short time only. A failed target is
 //! backed off exponentially. Slow targets get fewer requests, because each occupies a slot longer.
+//!
+//! If targets of a service report their slowdown, their long-term speed and their current slowdown
+//! are estimated separately, and [`SpeedComparison`] determines the costs.
 
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -13,11 +16,13 @@
 
 use crate::cold::ColdLimit;
 use crate::index::TargetIndex;
+use crate::speed::duration_of_ms;
 use crate::target::{
-    ChosenTarget, HeldModel, NoTargetReason, TargetFailure, TargetLoad, TargetRecord,
-    TargetRequirements,
+    ChosenTarget, HeldModel, MoveEstimate, NoTargetReason, RunProgress, TargetFailure, TargetLoad,
+    TargetRecord, TargetRequirements, TargetSpeed,
 };
 use crate::target_state::{ServiceRules, TargetState};
+use crate::uneven::SpeedComparison;
 
 /// Backoff after the first failure; doubles with each consecutive failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
@@ -51,6 +56,8 @@
     cold: HashMap<ServiceName, ColdLimit>,
     /// Failure domains that get no requests.
     evacuated: HashSet<DomainId>,
+    /// Number of targets that have reported a slowdown, by service.
+    reporting: HashMap<ServiceName, usize>,
     /// See [`Self::generation`].
     generation: u64,
 }
@@ -64,6 +71,7 @@
             index: TargetIndex::default(),
             cold: HashMap::new(),
             evacuated: HashSet::new(),
+            reporting: HashMap::new(),
             generation: 0,
         }
     }
@@ -140,16 +148,48 @@
         }
         self.generation += u64::from(state.record.leaving != record.leaving);
         state.mark_cold(now + record.cold_left);
-        state.record = record;
+        let previous = std::mem::replace(&mut state.record, record);
+        if state.speed.has_reported() && previous.service != state.record.service {
+            let service = state.record.service.clone();
+            self.stop_counting_reports(&previous.service);
+            *self.reporting.entry(service).or_default() += 1;
+        }
     }
 
     /// Removes a target; requests in flight there continue.
     pub fn remove(&mut self, instance: &InstanceId) {
         let Some(state) = self.targets.remove(instance) else { return };
         self.index.remove(&state.record.service, instance, &state.record.models);
+        if state.speed.has_reported() {
+            self.stop_counting_reports(&state.record.service);
+        }
         self.generation += 1;
     }
 
+    /// Removes a target from the number of those in a service that have reported a slowdown.
+    fn stop_counting_reports(&mut self, service: &ServiceName) {
+        if let Some(count) = self.reporting.get_mut(service) {
+            *count -= 1;
+            if *count == 0 {
+                self.reporting.remove(service);
+            }
+        }
+    }
+
+    /// Whether a target of a service has reported a slowdown.
+    pub fn reports_slowdown(&self, service: &ServiceName) -> bool {
+        self.reporting.contains_key(service)
+    }
+
+    /// Speed estimates of a target; `None` if its service reports no slowdown.
+    pub fn speed(&self, now: Moment, instance: &InstanceId) -> Option<TargetSpeed> {
+        let state = self.targets.get(instance)?;
+        self.reports_slowdown(&state.record.service).then(|| TargetSpeed {
+            usual_unit_time: duration_of_ms(state.speed.usual_ms().unwrap_or_default()),
+            slowdown: state.speed.slowdown(now),
+        })
+    }
+
     /// Ids of all targets.
     pub fn instances(&self) -> impl Iterator<Item = &InstanceId> {
         self.targets.keys()
@@ -181,7 +221,8 @@
     /// Picks the target with the lowest cost, with random tie-breaking: (requests + 1) * unit time /
     /// slots, plus a cost for another domain or a new connection. Requests that prefer a fast target
     /// weigh its unit time higher. Backed-off targets are chosen only if no other target fits. In
-    /// large services only a sample of the targets is compared.
+    /// large services only a sample of the targets is compared. If targets of the service report
+    /// their slowdown, the costs are those of [`SpeedComparison`].
     pub fn choose(
         &mut self,
         now: Moment,
@@ -191,17 +232,26 @@
     ) -> Option<ChosenTarget> {
         let targets = self.candidates(service, requirements, rng);
         let fastest_unit_time = fastest_unit_time(&targets);
+        let comparison =
+            self.reports_slowdown(service).then(|| SpeedComparison::new(now, &targets));
         let rules = self.rules(now, service);
         let connect_cost = if self.index.is_large(service) { CONNECT_COST } else { 0.0 };
         let mut best: Option<(bool, f64, &TargetState)> = None;
-        for state in targets {
-            if !state.fits(&rules, requirements) {
-                continue;
-            }
+        let mut fitting = targets;
+        fitting.retain(|state| state.fits(&rules, requirements));
+        if let Some(comparison) = &comparison {
+            fitting = comparison.preferred(fitting);
+        }
+        for state in fitting {
             let is_backed_off = now < state.backoff_until;
             let extra_cost = if state.is_connected(now) { 0.0 } else { connect_cost };
-            let cost = self.cost(now, state, fastest_unit_time, requirements.fast) + extra_cost;
-            let cost = cost + rng.random::<f64>() * 0.01;
+            let cost = match &comparison {
+                None => self.cost(now, state, fastest_unit_time, requirements.fast),
+                Some(comparison) => {
+                    comparison.cost(state, requirements.work, self.domain_cost(state))
+                }
+            };
+            let cost = cost + extra_cost + rng.random::<f64>() * 0.01;
             let better = match best {
                 None => true,
                 Some((best_is_backed_off, best_cost, _)) => {
@@ -282,8 +332,11 @@
         if fast {
             return slowness + FAST_LOAD_WEIGHT * load_ratio;
         }
-        let domain_cost = if state.record.domain == self.domain { 0.0 } else { REMOTE_DOMAIN_COST };
-        load_ratio * slowness + domain_cost
+        load_ratio * slowness + self.domain_cost(state)
+    }
+
+    fn domain_cost(&self, state: &TargetState) -> f64 {
+        if state.record.domain == self.domain { 0.0 } else { REMOTE_DOMAIN_COST }
     }
 
     /// Whether a request running at `instance` should move: another target fits, is not backed off
@@ -307,6 +360,35 @@
         })
     }
 
+    /// Whether a run at `instance` should move, in a service whose targets report their slowdown:
+    /// another target that fits completes the rest of the text earlier, even though it must read
+    /// the prompt again, and [`Self::choose`] prefers it for that rest.
+    pub fn better_target(
+        &self,
+        now: Moment,
+        instance: &InstanceId,
+        run: &RunProgress,
+        requirements: &TargetRequirements<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<MoveEstimate> {
+        let here = self.targets.get(instance)?;
+        let service = &here.record.service;
+        if !self.reports_slowdown(service) {
+            return None;
+        }
+        let rules = self.rules(now, service);
+        let targets = self.candidates(service, requirements, rng);
+        let comparison = SpeedComparison::new(now, &targets);
+        let others = targets.into_iter().filter(|state| {
+            state.record.instance != *instance
+                && now >= state.backoff_until
+                && state.fits(&rules, requirements)
+                && !comparison.is_outlier(state)
+        });
+        let estimates = others.filter_map(|state| comparison.compare_run(here, state, run));
+        estimates.min_by_key(|estimate| estimate.elsewhere)
+    }
+
     /// Records that a request to a chosen target ended, successfully or not.
     pub fn ended(&mut self, instance: &InstanceId) {
         if let Some(state) = self.targets.get_mut(instance) {
@@ -319,13 +401,19 @@
         if let Some(state) = self.targets.get_mut(instance) {
             state.remote_load = (load.running + load.waiting).saturating_sub(state.local_in_flight);
             state.remote_load_at = now;
+            if let Some(slowdown) = load.slowdown
+                && state.speed.record_slowdown(now, slowdown)
+            {
+                *self.reporting.entry(state.record.service.clone()).or_default() += 1;
+            }
         }
     }
 
     /// Records a measured time per unit of work.
-    pub fn record_unit_time(&mut self, instance: &InstanceId, unit: Duration) {
+    pub fn record_unit_time(&mut self, now: Moment, instance: &InstanceId, unit: Duration) {
         let Some(state) = self.targets.get_mut(instance) else { return };
         let millis = unit.as_secs_f64() * 1_000.0;
+        state.speed.record_unit_time(now, millis);
         state.unit_time_ms = if state.unit_time_ms == 0.0 {
             millis
         } else {
--- a/crates/routing/tests/large_services.rs
+++ b/crates/routing/tests/large_services.rs
@@ -133,7 +133,11 @@
 fn requests_spread_over_idle_targets() {
     let mut table = target_table(2_000, 0);
     for number in 0..1_000 {
-        table.record_load(NOW, &instance(number), TargetLoad { running: 6, waiting: 4 });
+        table.record_load(
+            NOW,
+            &instance(number),
+            TargetLoad { running: 6, waiting: 4, slowdown: None },
+        );
     }
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     for _ in 0..500 {
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -140,7 +140,7 @@
 fn reported_load_occupies_slots_until_it_expires() {
     let mut table = target_table(&[target("t", "home", 1)]);
     let requirements = TargetRequirements { free_slot: true, ..TargetRequirements::default() };
-    table.record_load(NOW, &instance("t"), TargetLoad { running: 4, waiting: 0 });
+    table.record_load(NOW, &instance("t"), TargetLoad { running: 4, waiting: 0, slowdown: None });
     assert_eq!(choose(&mut table, NOW, &requirements), None);
     let later = NOW + Duration::from_secs(1);
     assert_eq!(choose(&mut table, later, &requirements).as_deref(), Some("t"));
@@ -158,8 +158,8 @@
 #[test]
 fn slow_targets_get_fewer_requests() {
     let mut table = target_table(&[target("fast", "home", 1), target("slow", "home", 1)]);
-    table.record_unit_time(&instance("fast"), Duration::from_millis(40));
-    table.record_unit_time(&instance("slow"), Duration::from_millis(160));
+    table.record_unit_time(NOW, &instance("fast"), Duration::from_millis(40));
+    table.record_unit_time(NOW, &instance("slow"), Duration::from_millis(160));
     let mut fast = 0;
     for _ in 0..4 {
         fast += u32::from(
@@ -172,8 +172,8 @@
 #[test]
 fn fast_requests_prefer_speed_over_domain_and_load() {
     let mut table = target_table(&[target("near", "home", 1), target("fast", "away", 1)]);
-    table.record_unit_time(&instance("near"), Duration::from_millis(52));
-    table.record_unit_time(&instance("fast"), Duration::from_millis(40));
+    table.record_unit_time(NOW, &instance("near"), Duration::from_millis(52));
+    table.record_unit_time(NOW, &instance("fast"), Duration::from_millis(40));
     let requirements = TargetRequirements { fast: true, ..TargetRequirements::default() };
     for _ in 0..3 {
         assert_eq!(choose(&mut table, NOW, &requirements).as_deref(), Some("fast"));
@@ -205,9 +205,13 @@
         )
     };
     assert!(!should_move(&table), "its unit time is unknown");
-    table.record_unit_time(&instance("fast"), Duration::from_millis(40));
+    table.record_unit_time(NOW, &instance("fast"), Duration::from_millis(40));
     assert!(should_move(&table));
-    table.record_load(NOW, &instance("fast"), TargetLoad { running: 4, waiting: 0 });
+    table.record_load(
+        NOW,
+        &instance("fast"),
+        TargetLoad { running: 4, waiting: 0, slowdown: None },
+    );
     assert!(!should_move(&table));
 }
 
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use ids::{ModelName, ModelVersion, ServiceName, ShardIndex, WorkDigest};
 use jobs::{BlockReason, RewardOutcome, RunOutcome, RunResult, RunSpec};
-use node::{SlotGuard, WorkAdmission, item_work};
+use node::{SlotGuard, WorkAdmission, item_work, record_choice};
 use rand::Rng;
 use routing::{ColdSender, NoTargetReason, TargetRequirements};
 use tokio::time;
@@ -14,7 +14,7 @@
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
 use crate::reward::call_reward;
-use crate::run::run_item;
+use crate::run::{predicted_work, run_item};
 
 /// Maximum interval between two passes over the items if no change is notified.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -148,11 +148,13 @@
     let anti_affinity = ctx.view.suspects().anti_affinity(ctx.view.now(), work);
     let model: Option<ModelName> = spec.job.model.parse().ok();
     let floor = ModelVersion::new(spec.job.min_version);
+    let predicted = predicted_work(&spec.forecast, spec.events);
     let requirements = TargetRequirements {
         model: model.as_ref().map(|model| (model, floor)),
         free_slot: true,
         skip_backed_off: false,
         fast: true,
+        work: Some(predicted),
         sender: Some(ColdSender { shard, shards: ctx.view.shards().unwrap_or(1) }),
         avoid: &excluded,
     };
@@ -165,7 +167,9 @@
     let slot = targets.choose(now, &service, &preferred, &mut rng);
     let slot = slot.or_else(|| targets.choose(now, &service, &requirements, &mut rng));
     if let Some(slot) = slot {
+        let speed = targets.speed(now, &slot.instance);
         drop(targets);
+        record_choice(&ctx.view, work, &slot, Some(predicted.units), speed);
         return Ok(NextStep::Run(SlotGuard::new(&ctx.view, work, slot)));
     }
     Err(match targets.no_target_reason(now, &service, &requirements, &mut rng) {
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -6,11 +6,13 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 use ids::{CustomerName, ModelName, ModelVersion, WorkDigest, whole_millis};
-use jobs::{RunEvent, RunResult, RunSpec};
+use jobs::{LengthForecast, RunEvent, RunResult, RunSpec};
 use node::{SlotGuard, record_disconnect};
 use platform::events::EventReader;
 use platform::headers;
-use routing::{ChosenTarget, TargetRequirements};
+use routing::{
+    ChosenTarget, MoveEstimate, PredictedWork, RunProgress, TargetRequirements, WorkUnits,
+};
 use tokio::time::{self, Instant};
 use upstream::{SendError, TargetResponse};
 
@@ -25,8 +27,8 @@
 const PROGRESS_EVENTS: usize = 16;
 /// Number of events over which a run's time per event is measured.
 const RATE_EVENTS: u32 = 6;
-/// A run moves if another engine is faster by this factor. A smaller difference may come from the
-/// batch size, and a move repeats the prompt's prefill.
+/// If the engines report no slowdown, a run moves if another engine is faster by this factor. A
+/// smaller difference may come from the batch size, and a move repeats the prompt's prefill.
 const MOVE_FACTOR: f64 = 1.8;
 /// The factor for long texts. They have a long expected remainder and determine when a step
 /// completes.
@@ -47,6 +49,19 @@
     logged: usize,
     /// Time and event count of the last rate measurement.
     rate_measured_at: Option<(Instant, usize)>,
+    started: Instant,
+    /// Time until the first events: the engine has read the prompt.
+    prefill: Duration,
+    /// The estimates for which the run moves, if its engine reports its slowdown.
+    moved: Option<MoveEstimate>,
+}
+
+/// Returns the predicted work of a text with `events` events.
+pub fn predicted_work(forecast: &LengthForecast, events: u32) -> PredictedWork {
+    PredictedWork {
+        units: WorkUnits::new(forecast.left(events)),
+        reference: WorkUnits::new(forecast.reference),
+    }
 }
 
 /// Runs an item from its last complete event on. The result contains all complete events received.
@@ -67,10 +82,12 @@
         events: Vec::new(),
         logged: 0,
         rate_measured_at: None,
+        started: Instant::now(),
+        prefill: Duration::ZERO,
+        moved: None,
     };
-    let started = Instant::now();
     let reason = state.run().await;
-    state.record_end(reason, started);
+    state.record_end(reason);
     RunResult { outcome: reason.outcome(), events: state.events, logged: state.logged }
 }
 
@@ -211,6 +228,7 @@
         let now = Instant::now();
         let Some((since, at)) = self.rate_measured_at else {
             self.rate_measured_at = Some((now, self.events.len()));
+            self.prefill = now.duration_since(self.started);
             return false;
         };
         let events = u32::try_from(self.events.len() - at).unwrap_or(u32::MAX);
@@ -221,10 +239,18 @@
         let unit_time = now.duration_since(since) / events;
         let view = &self.ctx.view;
         let mut targets = view.target_table();
-        targets.record_unit_time(&self.slot.instance, unit_time);
+        targets.record_unit_time(view.now(), &self.slot.instance, unit_time);
         let events = self.spec.events + u32::try_from(self.events.len()).unwrap_or(u32::MAX);
         let factor = if events >= LONG_EVENTS { LONG_MOVE_FACTOR } else { MOVE_FACTOR };
         let requirements = self.requirements();
+        if targets.reports_slowdown(&self.slot.service) {
+            let left = predicted_work(&self.spec.forecast, events);
+            let run = RunProgress { unit_time, prefill: self.prefill, left };
+            let (instance, rng) = (&self.slot.instance, &mut rand::rng());
+            let moved = targets.better_target(view.now(), instance, &run, &requirements, rng);
+            self.moved = moved;
+            return moved.is_some();
+        }
         let faster = unit_time.div_f64(factor);
         targets.has_faster(view.now(), &self.slot.instance, faster, &requirements, &mut rand::rng())
     }
@@ -236,13 +262,14 @@
             free_slot: true,
             skip_backed_off: false,
             fast: false,
+            work: None,
             // Runs don't move to cold engines.
             sender: None,
             avoid: &[],
         }
     }
 
-    fn record_end(&self, reason: RunReason, started: Instant) {
+    fn record_end(&self, reason: RunReason) {
         let view = &self.ctx.view;
         match reason {
             RunReason::Broken | RunReason::BrokenBeforeHead => {
@@ -261,6 +288,10 @@
         // the next run.
         view.suspects_changed();
         view.metrics.count_outcome("run", reason.as_str());
+        if reason == RunReason::SlowEngine {
+            let why = if self.moved.is_some() { "earlier elsewhere" } else { "faster engine" };
+            view.metrics.count_outcome("run_moved", why);
+        }
         let instance = &self.slot.instance;
         if reason == RunReason::Complete {
             view.target_table().succeeded(view.now(), instance);
@@ -271,11 +302,20 @@
         let level =
             if reason == RunReason::Complete { log::Level::Debug } else { log::Level::Info };
         let item = self.spec.request().map_or("", |item| item.id.as_str());
+        let speed = view.target_table().speed(view.now(), instance);
+        let millis = |time: fn(&MoveEstimate) -> Duration| {
+            self.moved.as_ref().map_or(0, |estimate| whole_millis(time(estimate)))
+        };
         log::log!(
             target: "jobs", level, job:% = self.spec.item.job, item = item, work:% = self.work,
             target:% = instance, from_event = self.spec.events, events = self.events.len(),
             weight_version = self.version.unwrap_or(0), min_version = self.spec.job.min_version,
-            took_ms = whole_millis(started.elapsed()),
+            took_ms = whole_millis(self.started.elapsed()),
+            predicted_events = self.spec.forecast.total.round(),
+            usual_unit_us = speed.map_or(0, |speed| speed.usual_unit_us()),
+            slowdown_percent = speed.map_or(0, |speed| speed.slowdown_percent()),
+            left_here_ms = millis(|estimate| estimate.here),
+            left_elsewhere_ms = millis(|estimate| estimate.elsewhere),
             outcome:% = reason;
             "run ended"
         );
