--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -88,6 +88,15 @@
             to: "        fast: false,",
         },
     },
+    Ablation {
+        name: "length-match",
+        without: "short texts take slots of fast engines from long ones",
+        edit: SourceEdit {
+            file: "crates/routing/src/uneven.rs",
+            from: "const PRICE_SHARE: f64 = 0.5;",
+            to: "const PRICE_SHARE: f64 = 0.0;",
+        },
+    },
     Ablation {
         name: "latest-start",
         without: "items start job by job, regardless of their length",
@@ -138,8 +147,8 @@
         without: "runs stay on slow engines",
         edit: SourceEdit {
             file: "crates/shards/src/run.rs",
-            from: "        targets.has_faster(view.now()",
-            to: "        false && targets.has_faster(view.now()",
+            from: "            if self.should_move() {",
+            to: "            if self.should_move() && false {",
         },
     },
     Ablation {
