--- a/crates/routing/tests/uneven/choices.rs
+++ b/crates/routing/tests/uneven/choices.rs
@@ -77,3 +77,14 @@
     let fast = chosen.filter(|name| name == "fast").count();
     assert!((5..=7).contains(&fast), "{fast} of 8");
 }
+
+/// Guards against a slowdown that no current report covers and that counts as long-term speed.
+#[test]
+fn unreported_slowdown_changes_the_long_term_speed_little() {
+    let mut table = table(&[("a", 20)]);
+    let later = NOW + Duration::from_secs(1);
+    table.record_unit_time(later, &instance("a"), Duration::from_millis(200));
+    let speed = table.speed(later, &instance("a")).expect("it reported its slowdown");
+    assert_eq!(speed.slowdown, None);
+    assert!(speed.usual_unit_time <= Duration::from_millis(22), "{:?}", speed.usual_unit_time);
+}
