--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,7 +30,7 @@
 pub use plain::{PlainCall, PlainOutcome, call_plain};
 pub use probe::ProbeBackoff;
 pub use settings::{
-    NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
+    JobOrder, NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
 };
 pub use slot::SlotGuard;
 pub use stop::wait_for_stop;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -82,6 +82,26 @@
     pub log: log::LevelFilter,
 }
 
+/// How items of jobs that compete for engines are ordered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum JobOrder {
+    /// By acceptance of their job and predicted length, within one shard.
+    #[default]
+    Accepted,
+    /// By the time left until their job is due, within and between shards.
+    Due,
+}
+
+/// Parses a job order. Empty text, as left by templates, is the default. Returns `None` if invalid.
+fn read_job_order(text: &str) -> Option<JobOrder> {
+    match text.trim() {
+        "" => Some(JobOrder::default()),
+        "accepted" => Some(JobOrder::Accepted),
+        "due" => Some(JobOrder::Due),
+        _ => None,
+    }
+}
+
 /// Unvalidated settings of the storage role.
 #[derive(Debug, Clone, Args)]
 pub struct RawStorageSettings {
@@ -106,6 +126,9 @@
     /// At most one in this many engines loads weights at a time.
     #[arg(long, env = "GANNETWAY_LOAD_PARTS", default_value_t = 5)]
     pub load_parts: usize,
+    /// Order in which items of jobs get engines: accepted or due.
+    #[arg(long, env = "GANNETWAY_JOB_ORDER", default_value = "accepted")]
+    pub job_order: String,
     /// Address of the platform's accounting service for usage reports and replica orders, as
     /// IP:PORT; empty if there is none.
     #[arg(long, env = "GANNETWAY_ACCOUNTS", default_value = "")]
@@ -175,6 +198,8 @@
     pub job_bytes: usize,
     /// At most one in this many engines loads weights at a time.
     pub load_parts: usize,
+    /// Order in which items of jobs get engines.
+    pub job_order: JobOrder,
     /// Address of the platform's accounting service.
     pub accounts: Option<SocketAddr>,
     /// How long after the end of its window a usage report is due.
@@ -339,6 +364,10 @@
                 self.usage_late_s
             ));
         }
+        let job_order = read_job_order(&self.job_order);
+        if job_order.is_none() {
+            faults.push(format!("--job-order is `{}`: give accepted or due", self.job_order));
+        }
         if !faults.is_empty() {
             return Err(SettingsError(faults));
         }
@@ -350,6 +379,7 @@
             order_gap: Duration::from_millis(self.order_gap_ms),
             job_bytes: (self.memory_mb << 20) / JOB_MEMORY_DIVISOR,
             load_parts: self.load_parts,
+            job_order: job_order.unwrap_or_default(),
             accounts,
             usage_late: late.filter(|late| !late.is_zero()).unwrap_or(DEFAULT_USAGE_LATE),
         })
--- a/crates/routing/src/customers.rs
+++ b/crates/routing/src/customers.rs
@@ -13,7 +13,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use ids::CustomerName;
+use ids::{CustomerName, Priority};
 use sha2::{Digest, Sha256};
 
 /// Maximum length of a key in bytes; longer keys might not fit into the request head.
@@ -196,6 +196,12 @@
         self.by_key.get(&key)?.as_ref()
     }
 
+    /// Returns the priority of a customer; `None` if it is unknown or its routes' priority applies.
+    pub fn priority_of(&self, name: &CustomerName) -> Option<Priority> {
+        let customer = self.by_key.values().flatten().find(|customer| customer.name == *name)?;
+        customer.priority.map(Priority::new)
+    }
+
     /// Invalid entries found in the configuration, to be logged.
     pub fn faults(&self) -> &[CustomerFault] {
         &self.faults
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -307,6 +307,19 @@
         })
     }
 
+    /// Whether a target fits a request now. Reserves nothing.
+    pub fn has_fitting(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        requirements: &TargetRequirements<'_>,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let rules = self.rules(now, service);
+        let candidates = self.candidates(service, requirements, rng);
+        candidates.iter().any(|state| state.fits(&rules, requirements))
+    }
+
     /// Records that a request to a chosen target ended, successfully or not.
     pub fn ended(&mut self, instance: &InstanceId) {
         if let Some(state) = self.targets.get_mut(instance) {
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -25,6 +25,7 @@
             WeightedService { service: service("b"), weight: 10 },
         ],
         max_wait: None,
+        due: None,
         single_version: false,
         public: false,
     }
