Order jobs by due time within and between shards

Cause: the server of a shard ordered only its own items, by acceptance and predicted length. Nobody ordered items of different shards or customers that compete for the same engines, the due time was not used, and engines were divided among models by the number of open items alone. After an outage, trainers stayed behind for good.

Change, with the job order `due` (with `accepted` nothing changes): - Items are ranked by the slack of their job, with credit for the lateness of the trainer's earlier steps and for priority. Groups that the trainer waits for come first, those nearest to completion wanted first; carried-over groups are always wanted. A job that can't meet its due time ranks like one with 3 s of slack and gains over time. - Job records carry due_ms and the wall clock at acceptance, so that a job keeps its due time when another box replays it. A record without the field has no due time and ages from acceptance. - Heartbeats carry the least adjusted slack of the items that wait for a slot, and the work due, for each model. A server that has recently found no free slot leaves free ones to another shard (of another box or its own) that is more urgent by 500 ms, for at most 140 ms plus one pass; if they are not used, it stops for 1 s. Reports expire after 700 ms. - Engines are divided by predicted time of the open items, weighted by slack. The number of engines that a model needs is still capped by its number of items. - Requests to engines carry a priority: 5, 4 or 3 by slack, 6 and 7 for groups that the trainer doesn't wait for. - The line `step timings` has the slack at acceptance and at the end, and the time for which slots were yielded; metrics count `job_due` and `slot` outcomes.

Ruled out: late jobs strictly last (a rank of 8 s of slack, about the whole time until a job is due). Yielding without a scarcity check or pause, because slots that the other server can't use would be idle most of the time.

Tested: cargo test -p jobs -p shards -p node -p platform -p swaps -p routing -p gannetctl.

--- a/crates/gannetctl/src/step_timings.rs
+++ b/crates/gannetctl/src/step_timings.rs
@@ -7,7 +7,7 @@
 use crate::log_lines::LogLine;
 
 /// Log fields with the time that items of a step were blocked, and the reasons as printed.
-const BLOCK_REASONS: [(&str, &str); 9] = [
+const BLOCK_REASONS: [(&str, &str); 10] = [
     ("old_ms", "engine of an older version"),
     ("loading_ms", "engines that load"),
     ("resting_ms", "engines at rest"),
@@ -17,6 +17,7 @@
     ("no_route_ms", "a route"),
     ("connections_ms", "connections of its server"),
     ("condemned_ms", "an item that ends engines"),
+    ("yielded_ms", "more urgent items of other shards"),
 ];
 
 /// Time breakdown of a step's last wanted item, in seconds.
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -7,7 +7,7 @@
 use wire::peer::log_record::Body;
 use wire::peer::{ItemProgress, Job, JobItem, LogRecord};
 
-use crate::pack_text;
+use crate::{Urgency, pack_text};
 
 /// Identifies an item by its job and index.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -33,6 +33,8 @@
     pub complete: bool,
     /// Number of this run of the item; results of earlier runs are ignored.
     pub run: u32,
+    /// Urgency of the item; `None` if items are ordered by acceptance.
+    pub urgency: Option<Urgency>,
 }
 
 impl RunSpec {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,8 @@
 //! A result can be read only after its record was applied, so every position that a reader has
 //! seen is on every copy.
 
+mod due_order;
+mod groups;
 mod item;
 mod order;
 mod packed;
@@ -20,7 +22,11 @@
 mod state;
 mod table;
 mod trace;
+mod trainers;
+mod urgency;
+mod yielding;
 
+pub use due_order::{ModelDemand, StartOrder};
 pub use item::{ItemRef, LossReason, RewardOutcome, RunEvent, RunOutcome, RunResult, RunSpec};
 pub use order::run_order;
 pub use packed::{UnpackError, pack_text, unpack_text};
@@ -28,7 +34,9 @@
 pub use reward_plan::RewardHedgePlan;
 pub use snapshot::{SnapshotCursor, SnapshotPiece};
 pub use table::JobTable;
-pub use trace::{BlockReason, ItemTimings, StepTimings};
+pub use trace::{BlockReason, ItemTimings, StepSlack, StepTimings};
+pub use urgency::{DEFAULT_PRIORITY, GroupStanding, JobStanding, Urgency};
+pub use yielding::{SlotYield, UrgencyReports};
 
 /// Short names of the reasons why a shard's server refuses a call.
 pub mod reason {
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -1,13 +1,17 @@
 //! Start order of items.
 
-use std::cmp::{Ordering, Reverse};
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use ids::Moment;
 use wire::peer::Job;
 
+use crate::Urgency;
+
 /// Decay of the observed durations: only the last few hundred texts count.
 const DECAY_FACTOR: f64 = 0.995;
+/// Predicted time of a text, in milliseconds, before any was observed.
+const UNOBSERVED_TEXT_MS: f64 = 1_000.0;
 
 /// Latest useful start of an item, in milliseconds since [`Moment::START`]; may be negative. Only
 /// compare it with other values.
@@ -15,8 +19,9 @@
 pub(crate) struct LatestStart(f64);
 
 impl LatestStart {
-    pub(crate) fn compare(self, other: Self) -> Ordering {
-        self.0.total_cmp(&other.0)
+    /// Returns the urgency that orders items by their latest start alone.
+    pub(crate) const fn urgency(self) -> Urgency {
+        Urgency::by_rank(self.0)
     }
 }
 
@@ -46,6 +51,15 @@
         self.decayed_hints = self.decayed_hints * DECAY_FACTOR + f64::from(hint);
     }
 
+    /// Returns the predicted time of generating the rest of a text, in milliseconds.
+    pub(crate) fn remaining_ms(&self, hint: u32) -> f64 {
+        if self.decayed_hints > 0.0 {
+            self.decayed_millis / self.decayed_hints * f64::from(hint)
+        } else {
+            UNOBSERVED_TEXT_MS
+        }
+    }
+
     /// Returns the latest useful start of an item of a job accepted at `accepted_at`. The item with
     /// the smallest value starts first.
     pub(crate) fn latest_start(&self, accepted_at: Moment, hint: u32) -> LatestStart {
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -2,16 +2,16 @@
 //!
 //! When target capacity is scarce, a step completes when its longest texts do. So among the first
 //! items of all jobs, the one with the smallest [`LatestStart`] goes first: a long text of a later
-//! job may start before a short one of an earlier job.
+//! job may start before a short one of an earlier job. If items are ordered by due time instead, the
+//! most urgent one goes first ([`JobTable::rank_waiting`]).
 
 use std::sync::Arc;
 
 use ids::{InstanceId, JobId, Moment};
 
 use crate::item::ItemPhase;
-use crate::order::LatestStart;
 use crate::table::QUARANTINE_RETRY_DELAY;
-use crate::{BlockReason, ItemRef, JobTable, RunSpec};
+use crate::{BlockReason, ItemRef, JobTable, RunSpec, Urgency};
 
 /// The next startable item of one job.
 struct StartCandidate {
@@ -21,12 +21,12 @@
     index: u32,
     /// Whether the job's runs are blocked; only items that need just their reward call may start.
     blocked: bool,
-    latest_start: LatestStart,
+    urgency: Urgency,
 }
 
 fn take_most_urgent(candidates: &mut Vec<StartCandidate>) -> Option<StartCandidate> {
     let by_start = candidates.iter().enumerate();
-    let first = by_start.min_by(|(_, a), (_, b)| a.latest_start.compare(b.latest_start));
+    let first = by_start.min_by(|(_, a), (_, b)| a.urgency.compare(b.urgency));
     let (at, _) = first?;
     // `remove` keeps the order of the others, so ties go to the candidate added first.
     Some(candidates.remove(at))
@@ -59,6 +59,7 @@
                 newest: item.versions.last().copied(),
                 complete: item.complete,
                 run: item.run + 1,
+                urgency: state.ranks.urgency(index),
             };
             let target = match start(spec) {
                 Ok(target) => target,
@@ -101,6 +102,7 @@
         })?;
         let hint = state.job.items.get(index as usize).map_or(0, |item| item.length_hint);
         let latest_start = self.durations.latest_start(state.accepted_at, hint);
-        Some(StartCandidate { job, offset, index, blocked, latest_start })
+        let urgency = state.ranks.urgency(index).unwrap_or_else(|| latest_start.urgency());
+        Some(StartCandidate { job, offset, index, blocked, urgency })
     }
 }
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -10,9 +10,12 @@
     ItemProgress, Job, JobItem, JobRef, JobResult, ListedResult, LogRecord, RewardCall,
 };
 
+use crate::due_order::JobRanks;
+use crate::groups::JobGroups;
 use crate::item::{ItemPhase, ItemState};
 use crate::pack_text;
 use crate::trace::StepTrace;
+use crate::trainers::DueTime;
 
 /// A result that is on every copy of the log.
 #[derive(Debug)]
@@ -50,6 +53,10 @@
     pub bytes: usize,
     /// Timings, reported when the job ends.
     pub trace: StepTrace,
+    pub due: DueTime,
+    pub groups: JobGroups,
+    /// Ranks of the items; empty if they are ordered by acceptance.
+    pub ranks: JobRanks,
 }
 
 impl JobState {
@@ -68,6 +75,8 @@
         }
         self.job = Arc::new(job);
         self.trace.drop_items();
+        self.groups = JobGroups::default();
+        self.ranks = JobRanks::default();
         self.bytes = self.bytes.saturating_sub(freed);
         freed
     }
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -6,12 +6,15 @@
 
 use ids::{JobId, Moment, RecordLocation};
 use wire::peer::log_record::Body;
-use wire::peer::{ItemProgress, Job, JobRef, JobResult, ListedResult, LogRecord};
+use wire::peer::{ItemProgress, Job, JobItem, JobRef, JobResult, ListedResult, LogRecord};
 
+use crate::due_order::{JobRanks, StartOrder};
+use crate::groups::JobGroups;
 use crate::item::{ItemPhase, ItemState};
 use crate::order::DurationEstimator;
 use crate::state::{JobState, ListedItem, record, request_bytes};
 use crate::trace::StepTrace;
+use crate::trainers::{DueTime, TrainerLateness};
 use crate::{
     ItemRef, LossReason, RewardOutcome, RunOutcome, RunResult, RunSpec, StepTimings, pack_text,
     run_order, unpack_text,
@@ -46,6 +49,13 @@
     /// Whether no log accepts records at the moment.
     appends_suspended: bool,
     pub(crate) durations: DurationEstimator,
+    /// Order of waiting items as of the last pass.
+    pub(crate) order: StartOrder,
+    /// When the waiting items were last ranked by due time.
+    pub(crate) ranked_at: Option<Moment>,
+    pub(crate) lateness: TrainerLateness,
+    /// The wall clock in milliseconds since the Unix epoch, and when it was read.
+    pub(crate) wall_time: Option<(Moment, u64)>,
 }
 
 impl JobTable {
@@ -60,6 +70,10 @@
             bytes: 0,
             appends_suspended: false,
             durations: DurationEstimator::default(),
+            order: StartOrder::default(),
+            ranked_at: None,
+            lateness: TrainerLateness::default(),
+            wall_time: None,
         }
     }
 
@@ -75,7 +89,7 @@
         match record.body {
             Some(Body::Accepted(job)) => self.apply_accepted(now, job),
             Some(Body::Listed(listed)) => self.apply_listed(now, listed, location),
-            Some(Body::Ended(ended)) => self.apply_ended(&ended.job),
+            Some(Body::Ended(ended)) => self.apply_ended(now, &ended.job),
             Some(Body::Dropped(dropped)) => self.apply_dropped(&dropped.job),
             Some(Body::Progress(progress)) => self.apply_progress(&progress),
             None => {}
@@ -89,7 +103,13 @@
         }
         let job = Arc::new(job);
         let order = run_order(&job);
-        let trace = StepTrace::new(now, &job, |item| self.latest_refs.contains_key(&item.id));
+        let is_carried = |item: &JobItem| self.latest_refs.contains_key(&item.id);
+        let mut trace = StepTrace::new(now, &job, is_carried);
+        let groups = JobGroups::new(&job, is_carried);
+        let due = DueTime::new(&job, now, self.wall_ms(now));
+        let hints = job.items.iter().map(|item| item.length_hint);
+        let longest_ms = self.durations.remaining_ms(hints.max().unwrap_or_default());
+        trace.set_accepted_slack(due.due_in_ms(now).map(|due_in| due_in - longest_ms));
         let mut items = vec![ItemState::new(); job.items.len()];
         for (index, item) in job.items.iter().enumerate() {
             if let Some(state) = self.carried_state(&job, &item.id) {
@@ -112,6 +132,9 @@
             dropping: false,
             bytes,
             trace,
+            due,
+            groups,
+            ranks: JobRanks::default(),
         };
         self.jobs.insert(id.clone(), state);
         self.open.push(id);
@@ -152,13 +175,22 @@
             .then_some(state)
     }
 
+    /// Records how late a job has its wanted groups, unless it had them before the replay.
+    fn record_lateness(lateness: &mut TrainerLateness, now: Moment, state: &JobState) {
+        let is_replay = state.due.replayed && now == state.accepted_at;
+        if !is_replay && let Some(due_in) = state.due.due_in_ms(now) {
+            lateness.record(&state.job, -due_in);
+        }
+    }
+
     fn apply_listed(
         &mut self,
         now: Moment,
         listed: ListedResult,
         location: Option<RecordLocation>,
     ) {
-        let Some(state) = self.state_mut(&listed.job) else { return };
+        let Ok(id) = listed.job.parse::<JobId>() else { return };
+        let Some(state) = self.jobs.get_mut(&id) else { return };
         let Some(result) = listed.result else { return };
         if listed.position as usize != state.listed.len() {
             return;
@@ -172,7 +204,11 @@
             state.waiting.retain(|waiting| *waiting as usize != index);
             let group = &state.job.items[index].group;
             let index = u32::try_from(index).unwrap_or(u32::MAX);
+            let had_wanted = state.trace.has_wanted();
             state.trace.item_listed(now, index, listed.position, group);
+            if !had_wanted && state.trace.has_wanted() {
+                Self::record_lateness(&mut self.lateness, now, state);
+            }
         }
         let bytes = result.packed_text.len();
         state.listed.push(ListedItem { result, location });
@@ -195,8 +231,13 @@
         item.complete |= progress.complete;
     }
 
-    fn apply_ended(&mut self, job: &str) {
-        let Some(state) = self.state_mut(job) else { return };
+    fn apply_ended(&mut self, now: Moment, job: &str) {
+        let Ok(id) = job.parse::<JobId>() else { return };
+        let Some(state) = self.jobs.get_mut(&id) else { return };
+        let is_late = state.due.due_in_ms(now).is_some_and(|due_in| due_in < 0.0);
+        if !state.ended && !state.trace.has_wanted() && is_late {
+            Self::record_lateness(&mut self.lateness, now, state);
+        }
         state.ended = true;
         state.ending = true;
         state.waiting.clear();
@@ -222,6 +263,7 @@
         self.open.retain(|open| *open != id);
         self.recently_ended.retain(|ended| *ended != id);
         self.latest_refs.retain(|_, latest| latest.job != id);
+        self.lateness.retain(self.jobs.values().map(|state| state.job.as_ref()));
     }
 
     fn state_mut(&mut self, job: &str) -> Option<&mut JobState> {
@@ -449,7 +491,7 @@
     /// Returns the timings of a job that ends now, or `None` if it is unknown or has ended before.
     pub fn finish_timings(&mut self, now: Moment, id: &JobId) -> Option<StepTimings> {
         let state = self.jobs.get_mut(id).filter(|state| !state.ended)?;
-        Some(state.trace.finish(now, state.accepted_at, &state.job))
+        Some(state.trace.finish(now, state.accepted_at, &state.job, state.due.due_in_ms(now)))
     }
 
     /// Returns the records that drop ended jobs past their retention.
--- a/crates/jobs/src/trace.rs
+++ b/crates/jobs/src/trace.rs
@@ -31,11 +31,13 @@
     NoConnections,
     /// The item is quarantined because it crashes its targets. It doesn't block other items.
     Quarantined,
+    /// Free slots are left to more urgent items of another shard.
+    Yielded,
 }
 
 impl BlockReason {
     /// All reasons, in reporting order.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::NoRoute,
         Self::OldWeights,
         Self::Loading,
@@ -45,6 +47,7 @@
         Self::Evacuated,
         Self::NoConnections,
         Self::Quarantined,
+        Self::Yielded,
     ];
 }
 
@@ -82,6 +85,30 @@
     pub last: Option<(String, ItemTimings)>,
     /// How long items were blocked, by reason.
     pub blocked: Vec<(BlockReason, Duration)>,
+    /// Slack of the job, in milliseconds; `None` if it has no due time.
+    pub slack: Option<StepSlack>,
+}
+
+impl StepTimings {
+    /// Returns whether the job met its due time, as a label for metrics; `None` if it had none.
+    pub fn due_outcome(&self) -> Option<&'static str> {
+        let slack = self.slack?;
+        Some(match self.wanted {
+            None => "incomplete",
+            Some(_) if slack.end_ms < 0 => "late",
+            Some(_) => "met",
+        })
+    }
+}
+
+/// Slack of a job relative to its due time, in milliseconds; negative if late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StepSlack {
+    /// Time until the job was due when it was accepted, minus the predicted time of its longest
+    /// text.
+    pub accepted_ms: i64,
+    /// Time until the job was due when it had its wanted groups, or when it ended without them.
+    pub end_ms: i64,
 }
 
 /// Records the timings of an open job.
@@ -101,6 +128,8 @@
     wanted_groups: u32,
     complete_groups: u32,
     items: Vec<ItemTimings>,
+    /// Slack at acceptance, in milliseconds.
+    accepted_slack_ms: Option<f64>,
 }
 
 impl StepTrace {
@@ -130,9 +159,25 @@
             wanted_groups: job.wanted_groups,
             complete_groups: 0,
             items: vec![ItemTimings { since: now, ..ItemTimings::default() }; job.items.len()],
+            accepted_slack_ms: None,
         }
     }
 
+    /// Sets the slack at acceptance.
+    pub const fn set_accepted_slack(&mut self, slack_ms: Option<f64>) {
+        self.accepted_slack_ms = slack_ms;
+    }
+
+    /// Returns whether the wanted groups are listed.
+    pub const fn has_wanted(&self) -> bool {
+        self.wanted_at.is_some()
+    }
+
+    /// Returns whether an item found no free slot in the last pass.
+    pub const fn waits_for_slot(&self) -> bool {
+        matches!(self.current_block, Some((BlockReason::Full | BlockReason::BackedOff, _)))
+    }
+
     fn item_mut(&mut self, index: u32) -> Option<&mut ItemTimings> {
         self.items.get_mut(index as usize)
     }
@@ -192,8 +237,24 @@
         }
     }
 
-    /// Returns the timings at the job's end.
-    pub fn finish(&mut self, now: Moment, accepted_at: Moment, job: &Job) -> StepTimings {
+    /// Returns the slack, given the time until the job is due at `now`.
+    #[expect(clippy::cast_possible_truncation, reason = "float-to-integer conversion saturates")]
+    fn slack(&self, now: Moment, due_in_ms: Option<f64>) -> Option<StepSlack> {
+        let since_wanted = self.wanted_at.map_or(Duration::ZERO, |at| now.since(at));
+        Some(StepSlack {
+            accepted_ms: self.accepted_slack_ms? as i64,
+            end_ms: (due_in_ms? + since_wanted.as_secs_f64() * 1_000.0) as i64,
+        })
+    }
+
+    /// Returns the timings at the job's end; `due_in_ms` is the time until it is due.
+    pub fn finish(
+        &mut self,
+        now: Moment,
+        accepted_at: Moment,
+        job: &Job,
+        due_in_ms: Option<f64>,
+    ) -> StepTimings {
         self.set_block_reason(now, None);
         let after = |at: Option<Moment>| at.map(|at| at.since(accepted_at));
         let last = self.last.and_then(|(_, index)| {
@@ -211,6 +272,7 @@
             blocked: reasons
                 .filter_map(|reason| Some((reason, *self.block_times.get(&reason)?)))
                 .collect(),
+            slack: self.slack(now, due_in_ms),
         }
     }
 
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -5,6 +5,7 @@
 
 use ids::{BoxId, FencingToken, ShardIndex};
 use joblog::{StorageBox, choose_healthy_partners};
+use jobs::StartOrder;
 use links::{CallError, LinkPool};
 use node::{NodeView, StorageSettings};
 use tokio::sync::Notify;
@@ -13,6 +14,7 @@
 
 use crate::backlog::BacklogTable;
 use crate::copies::OpenCopies;
+use crate::job_order::{UrgencyTable, start_order};
 use crate::loads::LoadTable;
 use crate::peers::PeerTable;
 use crate::reports::UsageSync;
@@ -35,6 +37,8 @@
     pub peers: PeerTable,
     /// Backlog of each model.
     pub backlog: BacklogTable,
+    /// Urgency of the waiting items of all shards.
+    pub urgencies: UrgencyTable,
     /// Weight loads that this box has ordered.
     pub loads: LoadTable,
     /// Limits hedged reward calls.
@@ -72,6 +76,7 @@
             copies,
             peers,
             backlog: BacklogTable::default(),
+            urgencies: UrgencyTable::default(),
             loads: LoadTable::default(),
             hedge_limiter: HedgeLimiter::default(),
             usage_sync: UsageSync::default(),
@@ -87,6 +92,11 @@
         self.retiring.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the order in which items of jobs get engines.
+    pub const fn job_order(&self) -> StartOrder {
+        start_order(self.settings.job_order)
+    }
+
     /// Returns whether this box is stopping or being retired.
     pub fn is_leaving(&self) -> bool {
         self.stopping.is_cancelled() || self.retiring().contains(&self.me.box_id)
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use ids::{ModelName, ModelVersion, ServiceName, ShardIndex, WorkDigest};
-use jobs::{BlockReason, RewardOutcome, RunOutcome, RunResult, RunSpec};
-use node::{SlotGuard, WorkAdmission, item_work};
+use jobs::{BlockReason, RewardOutcome, RunOutcome, RunResult, RunSpec, StartOrder};
+use node::{SlotGuard, WorkAdmission, item_work, wall_time};
 use rand::Rng;
 use routing::{ColdSender, NoTargetReason, TargetRequirements};
 use tokio::time;
 use wire::peer::{LogRecord, log_record};
 
 use crate::context::ShardContext;
+use crate::job_order::job_priority;
 use crate::keeper::ShardKeeper;
 use crate::reward::call_reward;
 use crate::run::run_item;
@@ -60,7 +61,10 @@
 
 fn sweep(ctx: &ShardContext, keeper: &ShardKeeper) {
     list_abandoned(ctx, keeper);
-    let dropped = keeper.jobs().expire(ctx.view.now());
+    let now = ctx.view.now();
+    // The wall clock may have been set since the last sweep.
+    keeper.jobs().set_wall_time(now, wall_time().millis());
+    let dropped = keeper.jobs().expire(now);
     keeper.append(dropped);
 }
 
@@ -84,7 +88,13 @@
 fn start_items(ctx: &Arc<ShardContext>, keeper: &Arc<ShardKeeper>) {
     let now = ctx.view.now();
     let mut starts = Vec::new();
-    keeper.jobs().start_ready(now, |spec| {
+    let order = ctx.job_order();
+    let mut jobs = keeper.jobs();
+    {
+        let table = ctx.view.table();
+        jobs.rank_waiting(now, order, |job| job_priority(&table, job));
+    }
+    jobs.start_ready(now, |spec| {
         let step = next_step(ctx, keeper.shard(), &spec)?;
         let target = match &step {
             NextStep::Run(slot) => Some(slot.target().instance.clone()),
@@ -93,6 +103,10 @@
         starts.push((spec, step));
         Ok(target)
     });
+    if order == StartOrder::Due {
+        ctx.urgencies.record_shard(now, keeper.shard(), &jobs);
+    }
+    drop(jobs);
     for (spec, step) in starts {
         let (ctx, keeper) = (Arc::clone(ctx), Arc::clone(keeper));
         let token = keeper.run_token(&spec.item.job);
@@ -159,6 +173,15 @@
     let now = ctx.view.now();
     let mut rng = rand::rng();
     let mut targets = ctx.view.target_table();
+    let job_model = spec.job.model.as_str();
+    if let Some(urgency) = spec.urgency
+        && ctx.urgencies.is_outranked(now, shard, job_model, urgency)
+        && targets.has_fitting(now, &service, &requirements, &mut rng)
+        && ctx.urgencies.should_yield(now, shard, job_model, urgency)
+    {
+        ctx.view.metrics.count_outcome("slot", "yielded");
+        return Err(BlockReason::Yielded);
+    }
     // Prefer targets that run no other suspect work.
     let preferred = [excluded.as_slice(), anti_affinity.targets.as_slice()].concat();
     let preferred = TargetRequirements { avoid: &preferred, ..requirements };
@@ -168,14 +191,18 @@
         drop(targets);
         return Ok(NextStep::Run(SlotGuard::new(&ctx.view, work, slot)));
     }
-    Err(match targets.no_target_reason(now, &service, &requirements, &mut rng) {
+    let reason = match targets.no_target_reason(now, &service, &requirements, &mut rng) {
         NoTargetReason::OldVersion => BlockReason::OldWeights,
         NoTargetReason::Loading => BlockReason::Loading,
         NoTargetReason::BackedOff => BlockReason::BackedOff,
         NoTargetReason::Full => BlockReason::Full,
         NoTargetReason::Cold => BlockReason::Cold,
         NoTargetReason::Evacuated => BlockReason::Evacuated,
-    })
+    };
+    if spec.urgency.is_some() && matches!(reason, BlockReason::Full | BlockReason::BackedOff) {
+        ctx.urgencies.no_free_slot(now, shard, job_model);
+    }
+    Err(reason)
 }
 
 fn spec_work(spec: &RunSpec) -> WorkDigest {
--- a/crates/shards/src/engine_assignments.rs
+++ b/crates/shards/src/engine_assignments.rs
@@ -7,10 +7,19 @@
 use routing::TargetTable;
 use swaps::{EngineRanking, divide_engines, needed_engines};
 
-/// Fraction by which a model's peak work decays per update. A slow decay avoids reassigning
+/// Fraction by which a model's peak number of items decays per update. A slow decay avoids reassigning
 /// engines between the steps of a job, which would load weights twice.
 const PEAK_DECAY: f64 = 0.001;
 
+/// Demand of each model for engines.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EngineDemand<'a> {
+    /// Work by which the engines are divided, in any unit.
+    pub work: &'a [f64],
+    /// Number of open items, which limits the engines that a model needs.
+    pub items: &'a [f64],
+}
+
 /// The engines of a service, and the models that they are assigned to.
 #[derive(Debug, Default)]
 pub(crate) struct EngineAssignments {
@@ -19,29 +28,29 @@
     engines: Vec<InstanceId>,
     slots: u32,
     ranking: EngineRanking,
-    /// Peak work of each model, with decay.
-    peak_work: Vec<f64>,
+    /// Peak number of open items of each model, with decay.
+    peak_items: Vec<f64>,
     counts: Vec<usize>,
     assigned: Vec<(InstanceId, usize)>,
 }
 
 impl EngineAssignments {
-    /// Updates the assignment; `work` has one entry per model in `models`.
+    /// Updates the assignment; `demand` has one entry per model in `models`.
     pub fn update(
         &mut self,
         targets: &TargetTable,
         service: &ServiceName,
         models: &[ModelName],
-        work: &[f64],
+        demand: EngineDemand<'_>,
     ) {
         let ranked = self.generation != Some(targets.generation()) || self.models != models;
         if ranked {
             self.rank(targets, service, models);
         }
-        for (peak, work) in self.peak_work.iter_mut().zip(work) {
-            *peak = (*peak * (1.0 - PEAK_DECAY)).max(*work);
+        for (peak, items) in self.peak_items.iter_mut().zip(demand.items) {
+            *peak = (*peak * (1.0 - PEAK_DECAY)).max(*items);
         }
-        let counts = self.shares(work);
+        let counts = self.shares(demand.work);
         if ranked || counts != self.counts {
             let assigned = self.ranking.followers(&counts).into_iter();
             self.assigned = assigned.map(|(at, model)| (self.engines[at].clone(), model)).collect();
@@ -64,14 +73,14 @@
         self.generation = Some(targets.generation());
         if self.models != models {
             self.models = models.to_vec();
-            self.peak_work = vec![0.0; models.len()];
+            self.peak_items = vec![0.0; models.len()];
         }
     }
 
     /// Returns the number of engines per model: its share, capped by its need.
     fn shares(&self, work: &[f64]) -> Vec<usize> {
         let shares = divide_engines(self.engines.len(), work);
-        let needs = self.peak_work.iter().map(|work| needed_engines(*work, self.slots));
+        let needs = self.peak_items.iter().map(|items| needed_engines(*items, self.slots));
         shares.into_iter().zip(needs).map(|(share, need)| share.min(need)).collect()
     }
 
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -8,6 +8,7 @@
 use jobs::{ResultsPage, reason};
 use links::{PeerHandler, ResponseEnd, ResponseSink};
 use node::feed::serve_feed;
+use node::wall_time;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 use wire::peer::{
@@ -210,7 +211,7 @@
         view.wake();
     }
 
-    async fn submit(&self, shard: u32, job: Job) -> HandlerResult {
+    async fn submit(&self, shard: u32, mut job: Job) -> HandlerResult {
         let keeper = self.served(shard)?;
         let id: JobId =
             job.id.parse().map_err(|_error| bad_request("the job's id is invalid: check it"))?;
@@ -226,6 +227,7 @@
         }
         let (items, min_version, customer) =
             (job.items.len(), job.min_version, job.customer.clone());
+        job.accepted_wall_ms = wall_time().millis();
         let record = LogRecord { body: Some(log_record::Body::Accepted(job)) };
         let logged = append_with_timeout(keeper, vec![record]).await;
         log::info!(
@@ -329,6 +331,9 @@
         keeper.cancel_runs(&id);
         if let Some(timings) = timings.filter(|_| records.is_some()) {
             log_timings(keeper, &id, &timings);
+            if let Some(outcome) = timings.due_outcome() {
+                self.ctx.view.metrics.count_outcome("job_due", outcome);
+            }
         }
         // Without a record this waits for an append of the same end that is in flight.
         let logged = append_with_timeout(keeper, records.into_iter().collect()).await;
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -8,6 +8,7 @@
 use ids::{FencingToken, JobId, Moment, RecordLocation, ShardIndex};
 use joblog::EpochId;
 use jobs::JobTable;
+use node::wall_time;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 use wire::peer::LogRecord;
@@ -61,10 +62,16 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn new_table(ctx: &ShardContext) -> JobTable {
+    let mut jobs = JobTable::new(ctx.settings.retention);
+    jobs.set_wall_time(ctx.view.now(), wall_time().millis());
+    jobs
+}
+
 impl ShardKeeper {
     /// Creates a shard that is not served here.
     pub fn new(ctx: Arc<ShardContext>, shard: ShardIndex) -> Self {
-        let jobs = JobTable::new(ctx.settings.retention);
+        let jobs = new_table(&ctx);
         Self {
             shard,
             ctx,
@@ -92,7 +99,7 @@
     /// Drops all jobs and cancels their runs.
     pub fn reset(&self) {
         self.cancel_all_runs();
-        *self.jobs() = JobTable::new(self.ctx.settings.retention);
+        *self.jobs() = new_table(&self.ctx);
         self.set_jobs_epoch(None);
     }
 
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -15,6 +15,7 @@
 mod dispatch;
 mod engine_assignments;
 mod handler;
+mod job_order;
 mod keeper;
 mod keepers;
 mod loads;
@@ -31,7 +32,9 @@
 mod takeover;
 mod timings;
 
+pub use backlog::BacklogTable;
 pub use context::ShardContext;
+pub use job_order::UrgencyTable;
 pub use keeper::ShardKeeper;
 pub use loads::{LoadTable, apply_loads};
 pub use role::run_storage;
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -250,7 +250,7 @@
         leases: ctx.held_leases(),
         wall_ms: wall_time().millis(),
         usage: Vec::new(),
-        work: ctx.backlog.local(),
+        work: ctx.backlog.local(keepers),
         loads: Vec::new(),
         taking_over: keepers
             .iter()
@@ -273,6 +273,7 @@
     let now = ctx.view.now();
     ctx.peers.record_heartbeat(now, heartbeat);
     ctx.backlog.record_report(now, heartbeat);
+    ctx.urgencies.record_report(now, heartbeat);
     ctx.view.usage.merge(&heartbeat.usage);
     if let Ok(box_id) = heartbeat.box_id.parse()
         && heartbeat.wall_ms > 0
--- a/crates/shards/src/rollout.rs
+++ b/crates/shards/src/rollout.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use ids::{InstanceId, ModelName, ModelVersion, ServiceName};
+use jobs::StartOrder;
 use platform::orders::SwapMode;
 use routing::RouteKind;
 use swaps::{FollowedEngine, due_loads};
@@ -15,7 +16,7 @@
 
 use crate::claim::{LeaseSubject, ManagedLease, lock, maintain_lease};
 use crate::context::ShardContext;
-use crate::engine_assignments::EngineAssignments;
+use crate::engine_assignments::{EngineAssignments, EngineDemand};
 use crate::keepers::KeeperSet;
 use crate::order::{OrderResult, OrderSpec, order_engine};
 
@@ -66,9 +67,15 @@
     }
     let named = named_models(ctx, &rollout.service);
     let models: Vec<ModelName> = named.iter().map(|(model, _)| model.clone()).collect();
-    let work = ctx.backlog.for_models(ctx.view.now(), &models);
+    let now = ctx.view.now();
+    let items = ctx.backlog.for_models(now, &models);
+    let work = match ctx.job_order() {
+        StartOrder::Accepted => items.clone(),
+        StartOrder::Due => ctx.backlog.work_due(now, &models),
+    };
+    let demand = EngineDemand { work: &work, items: &items };
     let mut assignments = lock(&rollout.assignments);
-    assignments.update(&ctx.view.target_table(), &rollout.service, &models, &work);
+    assignments.update(&ctx.view.target_table(), &rollout.service, &models, demand);
     let max_loads = max_concurrent_loads(assignments.engines(), ctx.settings.load_parts);
     let capacity = max_loads.saturating_sub(lock(&rollout.in_flight).len());
     if capacity == 0 {
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -86,6 +86,9 @@
         header_map.insert(headers::REQUEST_ID, HeaderValue::from_str(&item.id).ok()?);
         self.set_customer_header(&mut header_map);
         headers::set_instance(&mut header_map, &self.slot.instance);
+        if let Some(urgency) = self.spec.urgency {
+            headers::set_priority(&mut header_map, urgency.engine_priority().get());
+        }
         if self.spec.events > 0 {
             headers::set_last_event(&mut header_map, self.spec.events);
         }
