--- a/crates/jobs/tests/due_order.rs
+++ b/crates/jobs/tests/due_order.rs
@@ -223,14 +223,20 @@
 fn carried_over_groups_are_wanted_first() {
     let mut table = table();
     let first = due_job("first", 2, 7_500);
-    let carried = JobItem { group: "carried".to_owned(), ..first.items[3].clone() };
+    // As large as the new groups, and with longer texts.
+    let carried: Vec<JobItem> = first.items[2..]
+        .iter()
+        .map(|item| JobItem { group: "carried".to_owned(), length_hint: 5, ..item.clone() })
+        .collect();
     table.apply(at(0), accepted(first));
     let end = table.end(&"first".parse().expect("valid job id")).expect("a record");
     table.apply(at(1), end);
     let mut second = Job { wanted_groups: 1, ..due_job("second", 2, 7_500) };
-    second.items.push(carried);
+    second.items.extend(carried);
     table.apply(at(2), accepted(second));
-    assert_eq!(groups_of(&start_by_due(&mut table, 3))[0], "carried");
+    let specs = start_by_due(&mut table, 3);
+    assert_eq!(groups_of(&specs)[..2], ["carried", "carried"]);
+    assert_eq!(engine_priorities(&specs), [5, 5, 6, 6, 6, 6]);
 }
 
 #[test]
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -97,6 +97,24 @@
             to: "as_secs_f64() * 1_000.0 - text_millis * 0.0",
         },
     },
+    Ablation {
+        name: "yield-slots",
+        without: "with jobs ordered by due time, shards order only their own items",
+        edit: SourceEdit {
+            file: "crates/jobs/src/yielding.rs",
+            from: "        yielded < YIELD_TIME\n",
+            to: "        false\n",
+        },
+    },
+    Ablation {
+        name: "late-trainers",
+        without: "with jobs ordered by due time, a trainer that is behind counts like any other",
+        edit: SourceEdit {
+            file: "crates/jobs/src/urgency.rs",
+            from: "        self.behind_ms.clamp(0.0, MAX_BEHIND_MS) +",
+            to: "        self.behind_ms.clamp(0.0, 0.0) +",
+        },
+    },
     Ablation {
         name: "longest-first",
         without: "items of a job start group by group, not longest first",
