Log no slack for steps that were complete before a replay

Cause: a box that replays a log sees the wanted groups listed at the time of the replay, so the slack at the end of such a step was wrong and the step could count as late.

Change: the timings of such a step have no slack, and `job_due` doesn't count it.

Tested: cargo test -p jobs, with a new test that replays a complete step; cargo test -p shards -p xtask.

--- a/crates/jobs/src/trace.rs
+++ b/crates/jobs/src/trace.rs
@@ -85,7 +85,7 @@
     pub last: Option<(String, ItemTimings)>,
     /// How long items were blocked, by reason.
     pub blocked: Vec<(BlockReason, Duration)>,
-    /// Slack of the job, in milliseconds; `None` if it has no due time.
+    /// Slack of the job; `None` if it has no due time, or had its wanted groups before a replay.
     pub slack: Option<StepSlack>,
 }
 
@@ -237,9 +237,13 @@
         }
     }
 
-    /// Returns the slack, given the time until the job is due at `now`.
+    /// Returns the slack, given the time until the job is due at `now`; `None` if the wanted groups
+    /// were listed in a replay, which doesn't tell when.
     #[expect(clippy::cast_possible_truncation, reason = "float-to-integer conversion saturates")]
-    fn slack(&self, now: Moment, due_in_ms: Option<f64>) -> Option<StepSlack> {
+    fn slack(&self, now: Moment, accepted_at: Moment, due_in_ms: Option<f64>) -> Option<StepSlack> {
+        if self.wanted_at == Some(accepted_at) {
+            return None;
+        }
         let since_wanted = self.wanted_at.map_or(Duration::ZERO, |at| now.since(at));
         Some(StepSlack {
             accepted_ms: self.accepted_slack_ms? as i64,
@@ -272,7 +276,7 @@
             blocked: reasons
                 .filter_map(|reason| Some((reason, *self.block_times.get(&reason)?)))
                 .collect(),
-            slack: self.slack(now, due_in_ms),
+            slack: self.slack(now, accepted_at, due_in_ms),
         }
     }
 
--- a/crates/jobs/tests/due_order.rs
+++ b/crates/jobs/tests/due_order.rs
@@ -335,3 +335,23 @@
     assert_eq!((timings.slack, timings.due_outcome()), (None, None));
     assert!(text_of(&table, "old").is_empty());
 }
+
+/// Guards against jobs that count as late because another box replays them.
+#[test]
+fn a_step_that_was_complete_before_a_replay_has_no_slack() {
+    let mut first = table();
+    let mut log = vec![accepted(Job { wanted_groups: 1, ..due_job("j", 1, 7_500) })];
+    first.apply(at(0), log[0].clone());
+    for spec in start_by_due(&mut first, 1) {
+        first.run_ended(at(2), &spec, &run(RunOutcome::Complete, events(1, 1, 3)));
+        let scored = RewardOutcome::Scored("s".to_owned());
+        log.extend(first.scored(at(2), &spec.item, scored));
+    }
+    let mut second = table();
+    for record in log {
+        second.apply(at(100), record);
+    }
+    let id = "j".parse().expect("valid job id");
+    let timings = second.finish_timings(at(60_000), &id).expect("timings");
+    assert_eq!((timings.slack, timings.due_outcome()), (None, None));
+}
