--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -7,7 +7,7 @@
 use wire::peer::log_record::Body;
 use wire::peer::{ItemProgress, Job, JobItem, LogRecord};
 
-use crate::{LengthForecast, pack_text};
+use crate::{LengthForecast, Urgency, pack_text};
 
 /// Identifies an item by its job and index.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -35,6 +35,8 @@
     pub run: u32,
     /// Predicted length of the text.
     pub forecast: LengthForecast,
+    /// Urgency of the item; `None` if items are ordered by acceptance.
+    pub urgency: Option<Urgency>,
 }
 
 impl RunSpec {
