Admission: limit of a target changes once per four service times

Cause: boxes report loads with their next request, so reports may be several service times old. The limit fell by one for each old report, down to one, before the first fall showed in the reports. When all return times are booked by higher priorities, a lower priority got a random time in the same range and could return first.

Change: reported loads change the limit at most once per four service times; refusals still once per service time. A lower priority returns last when higher ones have booked all times.

--- a/crates/admission/src/limit.rs
+++ b/crates/admission/src/limit.rs
@@ -15,6 +15,9 @@
 const SLOTS_PER_EXTRA_PERMIT: u32 = 4;
 /// Maximum limit, as a multiple of the slots.
 const MAX_SLOT_MULTIPLE: u32 = 2;
+/// Service times between two changes by reported loads. Reports may be some service times old; if
+/// each changed the limit, it would fall to one before the first fall shows in the reports.
+const SERVICE_TIMES_PER_CHANGE: u32 = 4;
 /// Factor applied after a refusal.
 const REFUSAL_FACTOR: f64 = 0.8;
 
@@ -65,7 +68,7 @@
         is_exhausted: bool,
         service_time: Duration,
     ) {
-        if !self.may_change(now, service_time) {
+        if !self.may_change(now, service_time * SERVICE_TIMES_PER_CHANGE) {
             return;
         }
         if load.waiting > self.slots.div_ceil(SLOTS_PER_EXTRA_PERMIT) {
@@ -75,8 +78,8 @@
         }
     }
 
-    fn may_change(&self, now: Moment, service_time: Duration) -> bool {
-        now.since(self.changed_at) >= service_time
+    fn may_change(&self, now: Moment, interval: Duration) -> bool {
+        now.since(self.changed_at) >= interval
     }
 
     fn set(&mut self, now: Moment, permits: f64) {
--- a/crates/admission/src/schedule.rs
+++ b/crates/admission/src/schedule.rs
@@ -36,8 +36,11 @@
         let latest = now + MAX_DELAY;
         let start = higher.unwrap_or_default().max(now + MIN_DELAY);
         if start >= latest {
-            // The book is full: spread the returns over its second half.
-            return MAX_DELAY.mul_f64(0.5 + 0.5 * rng.random::<f64>());
+            // Booked up by higher priorities: return after them. Else spread the returns over the
+            // second half.
+            let by_higher = self.booked_until.range(..priority).any(|(_, until)| *until >= latest);
+            let fraction = if by_higher { 1.0 } else { 0.5 + 0.5 * rng.random::<f64>() };
+            return MAX_DELAY.mul_f64(fraction);
         }
         self.booked_until.insert(priority, (start + spacing).min(latest));
         let jitter = spacing.mul_f64(rng.random::<f64>());
