Admission: correct order, shares and refusals; test them under load

Causes and changes: - Customers kept credit for time in which they asked for little, and kept the count of earlier service after an idle time: another customer got no grant until the counts were equal. Shares are now per priority, by service time, and a customer with nothing waiting starts at the minimum of those that wait, at most 1 s behind. - Half of the requests that waited longest missed their goal, and requests were refused after a long wait. The queue is planned for half of the time before a request must start, leaving twice the mean time for it; under overload only recent requests are refused, others are served even late, unless a higher priority takes their place. - Requests of a lower priority or with a long goal, never refused themselves, hid a long queue of others: refusals are found by priority. - The arrival rate covered 100 ms, so short bursts were refused. It covers 400 ms. - A waiting request in the middle of the order got no event at its deadline, could be granted after it, or waited although all targets it may use were gone. - An expired permit counted as a service time, after which all requests seemed to have no time. - A target that was removed and added again forgot its permits, a target without a known time was avoided, and failures of one moment doubled the backoff several times.

Ruled out: refusing late requests under overload, which returned 0.1% to 3% of the refusals late, most after more than 100 ms; a limit on waits by the goal alone.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -1,19 +1,20 @@
 //! Admission queue of one service.
 //!
 //! Requests are granted by priority; within a priority, those that can still end within their goal
-//! go first; then the customer that was granted least; then the earliest deadline. The request at
-//! the end of that order is refused when it could not end in time. Under a lasting overload that
-//! means within its goal, because a longer queue would make all requests late; otherwise the queue
-//! is a passing burst, and requests may wait up to their deadline.
+//! go first; then the customer that received least service; then the earliest deadline. What could
+//! not end in time is refused. Under a lasting overload the queue is kept so short that requests end
+//! within their goal, because a longer queue would make all of them late: the most recent requests
+//! are refused, so that refusals return soon. The others are granted, even late. Without an overload
+//! the queue is a passing burst, and requests may wait up to their deadline.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ids::{CustomerName, Moment, Priority, RouteName};
+use ids::{CustomerName, InstanceId, Moment, Priority, RouteName};
 use rand::Rng;
 
 use crate::rate::{ArrivalRate, SmoothedDuration};
-use crate::shares::CustomerShares;
+use crate::shares::{CustomerShares, ShareIndex, micros};
 use crate::targets::TargetSet;
 use crate::{
     Admission, AdmissionRequest, Grant, QueueEvent, RejectReason, Rejection, ReturnSchedule,
@@ -33,18 +34,43 @@
 const SHORTAGE_TTL: Duration = Duration::from_secs(1);
 /// Fraction of the permits in use from which the service counts as short.
 const SHORTAGE_FRACTION: f64 = 0.7;
+/// Multiple of the mean time of a request that is left for it when its wait is planned. With the
+/// mean alone, half of the requests that wait longest would miss their goal.
+const GOAL_RESERVE: u32 = 2;
+/// Fraction of the time before a request must start that its wait may take when it arrives. The rest
+/// is for requests that overtake it; without it, many would be refused after a long wait.
+const WAIT_FRACTION: u32 = 2;
+/// Requests that waited less than this fraction of their goal are refused before others. Less than
+/// the quarter within which refusals must return, by the time of the messages.
+const RECENT_FRACTION: u32 = 5;
 
 #[derive(Debug, Clone)]
 struct WaitingRequest {
     ticket: TicketId,
     request: AdmissionRequest,
+    share: ShareIndex,
     since: Moment,
+    recent_until: Moment,
+}
+
+impl WaitingRequest {
+    /// Whether a refusal would still reach the caller within a quarter of its goal.
+    fn is_recent(&self, now: Moment) -> bool {
+        now < self.recent_until
+    }
+}
+
+/// Until when a request that arrives at `now` counts as recent. One that avoids a target was granted
+/// before, so it has waited already.
+fn recent_until(now: Moment, request: &AdmissionRequest) -> Moment {
+    if request.avoid.is_empty() { now + request.goal_by.since(now) / RECENT_FRACTION } else { now }
 }
 
 #[derive(Debug, Clone)]
 struct Permit {
     grant: Grant,
-    customer: Option<CustomerName>,
+    share: ShareIndex,
+    expected: Duration,
     granted_at: Moment,
     deadline: Moment,
 }
@@ -53,7 +79,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct AdmissionQueue {
     waiting: Vec<WaitingRequest>,
-    permits: HashMap<TicketId, Permit>,
+    permits: BTreeMap<TicketId, Permit>,
     targets: TargetSet,
     shares: CustomerShares,
     returns: ReturnSchedule,
@@ -61,15 +87,35 @@
     hold_time: SmoothedDuration,
     waited_at: Option<Moment>,
     next_ticket: u64,
+    is_overloaded: bool,
+    /// No waiting request is unservable whose end is expected before this.
+    unservable_from: Moment,
 }
 
-/// Position in the order of grants; the smallest goes first.
-type OrderKey = (Priority, bool, u64, Moment, TicketId);
+/// Position in the order of grants; the smallest goes first. In order: priority, whether it is late,
+/// service of its customer, whether it came recently, deadline.
+type OrderKey = (Priority, bool, u64, bool, Moment, TicketId);
+
+/// Position in the order of refusals at a priority; the largest is refused first. In order: whether
+/// it came recently, claim of its customer, deadline.
+type RefusalKey = (bool, u64, Moment, TicketId);
+
+/// Waiting requests of one priority.
+#[derive(Debug, Clone, Copy)]
+struct PriorityLevel {
+    waiting: usize,
+    /// The first to refuse, and its index.
+    last: (RefusalKey, usize),
+}
 
 impl AdmissionQueue {
     /// Replaces the targets in use, given with their slots.
-    pub fn set_targets(&mut self, targets: &[(ids::InstanceId, u32)]) {
-        self.targets.set(targets);
+    pub fn set_targets(&mut self, targets: &[(InstanceId, u32)]) {
+        self.unservable_from = Moment::START;
+        let permits = &self.permits;
+        self.targets.set(targets, |instance| {
+            permits.values().filter(|permit| permit.grant.target == *instance).count()
+        });
     }
 
     /// Number of waiting requests.
@@ -99,16 +145,16 @@
         rng: &mut impl Rng,
     ) -> Admission {
         self.arrivals.record(now);
-        if self.targets.is_empty() {
-            return Admission::Rejected(self.reject(now, &request, RejectReason::NoTarget, rng));
-        }
-        if now >= request.deadline {
-            return Admission::Rejected(self.reject(now, &request, RejectReason::NoTime, rng));
+        self.update(now);
+        if let Some(reason) = self.refusal_of(self.earliest_end(now), &request) {
+            return Admission::Rejected(self.reject(now, &request, reason, rng));
         }
         let ticket = TicketId(self.next_ticket);
         self.next_ticket += 1;
-        self.shares.enqueued(request.customer.as_ref());
-        self.waiting.push(WaitingRequest { ticket, request, since: now });
+        let share = self.shares.enqueued(request.priority, request.customer.as_ref());
+        let recent_until = recent_until(now, &request);
+        self.unservable_from = self.unservable_from.min(request.deadline);
+        self.waiting.push(WaitingRequest { ticket, request, share, since: now, recent_until });
         // If others wait, the request must not overtake them.
         if self.waiting.len() == 1
             && let Some(grant) = self.grant_next(now)
@@ -117,10 +163,10 @@
         }
         self.waited_at = Some(now);
         let expected_wait = self.expected_wait(now, self.waiting.len() - 1);
-        if self.last_in_order(now) == Some(self.waiting.len() - 1)
-            && let Some(reason) = self.refusal_at_end(now, self.waiting.len() - 1)
-            && let Some(waiting) = self.remove(self.waiting.len() - 1)
+        if let Some((at, reason)) = self.next_refusal(now)
+            && at == self.waiting.len() - 1
         {
+            let waiting = self.remove(self.waiting.len() - 1);
             return Admission::Rejected(self.reject(now, &waiting.request, reason, rng));
         }
         Admission::Queued { ticket, expected_wait }
@@ -128,25 +174,17 @@
 
     /// Returns outcomes of waiting requests. Call after every change and when time has passed.
     pub fn poll(&mut self, now: Moment, rng: &mut impl Rng) -> Vec<QueueEvent> {
-        let mut events = Vec::new();
-        self.expire_permits(now);
+        self.update(now);
+        let mut events = self.refuse_unservable(now, rng);
         while let Some(grant) = self.grant_next(now) {
             events.push(QueueEvent::Granted(grant));
         }
-        while let Some(last) = self.last_in_order(now) {
-            let reason = if self.targets.is_empty() {
-                RejectReason::NoTarget
-            } else {
-                match self.refusal_at_end(now, last) {
-                    // It was accepted before, so others have taken its place.
-                    Some(RejectReason::QueueFull) => RejectReason::Displaced,
-                    Some(reason) => reason,
-                    None => break,
-                }
+        while let Some((last, reason)) = self.next_refusal(now) {
+            let reason = match reason {
+                RejectReason::QueueFull if self.is_overtaken(last) => RejectReason::Displaced,
+                reason => reason,
             };
-            let Some(waiting) = self.remove(last) else { break };
-            let rejection = self.reject(now, &waiting.request, reason, rng);
-            events.push(QueueEvent::Rejected(waiting.ticket, rejection));
+            events.push(self.reject_waiting(now, last, reason, rng));
         }
         events
     }
@@ -156,11 +194,9 @@
         if let Some(permit) = self.permits.remove(&ticket) {
             let held = now.since(permit.granted_at);
             self.hold_time.observe(held);
-            self.targets.release(&permit.grant.target, held);
-            self.shares.released(permit.customer.as_ref());
-            return;
-        }
-        if let Some(at) = self.waiting.iter().position(|waiting| waiting.ticket == ticket) {
+            self.targets.release(&permit.grant.target, Some(held));
+            self.shares.released(permit.share, permit.expected, held);
+        } else if let Some(at) = self.waiting.iter().position(|waiting| waiting.ticket == ticket) {
             self.remove(at);
         }
     }
@@ -178,9 +214,13 @@
     ) {
         for waiting in &mut self.waiting {
             let request = &mut waiting.request;
-            if let Some(updated) = priority(&request.route, request.customer.as_ref()) {
-                request.priority = updated;
-            }
+            let updated = priority(&request.route, request.customer.as_ref());
+            let Some(updated) = updated.filter(|updated| *updated != request.priority) else {
+                continue;
+            };
+            request.priority = updated;
+            self.shares.dequeued(waiting.share);
+            waiting.share = self.shares.enqueued(updated, request.customer.as_ref());
         }
     }
 
@@ -199,72 +239,166 @@
         Duration::from_secs_f64((ahead as f64 + 1.0) / self.served_per_second(now))
     }
 
-    fn is_overloaded(&mut self, now: Moment) -> bool {
-        self.arrivals.per_second(now) >= self.served_per_second(now) * OVERLOAD_FRACTION
+    fn update(&mut self, now: Moment) {
+        self.expire_permits(now);
+        let overload = self.served_per_second(now) * OVERLOAD_FRACTION;
+        self.is_overloaded = self.arrivals.per_second(now) >= overload;
     }
 
-    fn order_key(&self, now: Moment, waiting: &WaitingRequest) -> OrderKey {
-        let request = &waiting.request;
-        let is_late = now + self.hold_time() > request.goal_by;
-        let grants = self.shares.grants(request.customer.as_ref());
-        (request.priority, is_late, grants, request.deadline, waiting.ticket)
+    /// When a request would end that is granted at `now`.
+    fn earliest_end(&self, now: Moment) -> Moment {
+        // Only permits correct the time that a request is assumed to take.
+        if self.permits.is_empty() { now } else { now + self.hold_time() }
+    }
+
+    /// Why the request can't be served at all, wherever it is in the order.
+    fn refusal_of(&self, earliest_end: Moment, request: &AdmissionRequest) -> Option<RejectReason> {
+        if !self.targets.has_other_than(&request.avoid) {
+            return Some(RejectReason::NoTarget);
+        }
+        (earliest_end >= request.deadline).then_some(RejectReason::NoTime)
+    }
+
+    /// Refuses waiting requests that can't be served at all.
+    fn refuse_unservable(&mut self, now: Moment, rng: &mut impl Rng) -> Vec<QueueEvent> {
+        let mut events = Vec::new();
+        let earliest_end = self.earliest_end(now);
+        if earliest_end < self.unservable_from {
+            return events;
+        }
+        for at in (0..self.waiting.len()).rev() {
+            if let Some(reason) = self.refusal_of(earliest_end, &self.waiting[at].request) {
+                events.push(self.reject_waiting(now, at, reason, rng));
+            }
+        }
+        let deadlines = self.waiting.iter().map(|waiting| waiting.request.deadline);
+        self.unservable_from = deadlines.min().unwrap_or(Moment::NEVER);
+        events
     }
 
     /// Grants the next request in order for which a target has room.
     fn grant_next(&mut self, now: Moment) -> Option<Grant> {
-        let in_order = self.waiting.iter().enumerate();
-        let candidates = in_order.filter_map(|(at, waiting)| {
-            let target = self.targets.choose(now, &waiting.request.avoid)?;
-            Some((self.order_key(now, waiting), at, target))
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let expected = self.hold_time();
+        let with_room = self.targets.with_room(now, expected);
+        if with_room.is_empty() {
+            return None;
+        }
+        // Under overload all requests that wait were planned to end within their goal.
+        let late_from = if self.is_overloaded { Moment::START } else { now + expected };
+        let candidates = self.waiting.iter().enumerate().filter_map(|(at, waiting)| {
+            let avoid = &waiting.request.avoid;
+            let target = with_room.iter().find(|target| !avoid.contains(target))?;
+            let received = self.shares.received(waiting.share);
+            Some((order_key(now, late_from, waiting, received), at, target))
         });
         let (_, at, target) = candidates.min_by_key(|(key, ..)| *key)?;
-        let waiting = self.remove(at)?;
-        let request = waiting.request;
-        self.shares.granted(request.customer.as_ref());
+        let target = target.clone();
+        let waiting = self.remove(at);
+        self.shares.granted(waiting.share, expected);
         self.targets.acquire(now, &target);
         let grant = Grant { ticket: waiting.ticket, target, waited: now.since(waiting.since) };
         let permit = Permit {
             grant: grant.clone(),
-            customer: request.customer,
+            share: waiting.share,
+            expected,
             granted_at: now,
-            deadline: request.deadline,
+            deadline: waiting.request.deadline,
         };
         self.permits.insert(waiting.ticket, permit);
         Some(grant)
     }
 
-    fn remove(&mut self, at: usize) -> Option<WaitingRequest> {
-        if at >= self.waiting.len() {
-            return None;
+    /// Removes the request at index `at`; the last one takes its index.
+    fn remove(&mut self, at: usize) -> WaitingRequest {
+        let waiting = self.waiting.swap_remove(at);
+        self.shares.dequeued(waiting.share);
+        waiting
+    }
+
+    /// Whether a request that came later than the one at index `at` still waits.
+    fn is_overtaken(&self, at: usize) -> bool {
+        let ticket = self.waiting[at].ticket;
+        self.waiting.iter().any(|waiting| waiting.ticket > ticket)
+    }
+
+    /// The next request to refuse because of those before it, and why: of the lowest priority that
+    /// has one.
+    fn next_refusal(&self, now: Moment) -> Option<(usize, RejectReason)> {
+        let levels = self.levels(now);
+        let mut ahead = self.waiting.len();
+        for (index, (priority, level)) in levels.iter().rev().enumerate() {
+            let wait = self.expected_wait(now, ahead - 1);
+            ahead -= level.waiting;
+            let last = level.last.1;
+            if now + wait + self.hold_time() > self.waiting[last].request.deadline {
+                return Some((last, RejectReason::NoTime));
+            }
+            let is_too_many = index == 0 && self.waiting.len() > MAX_WAITING;
+            let refused = self.first_to_miss_goal(now, *priority, wait, ahead > 0);
+            if let Some(at) = refused.or(is_too_many.then_some(last)) {
+                return Some((at, RejectReason::QueueFull));
+            }
         }
-        let waiting = self.waiting.remove(at);
-        self.shares.dequeued(waiting.request.customer.as_ref());
-        Some(waiting)
+        None
     }
 
-    /// Index of the request that is granted last: of the lowest priority, of the customer that
-    /// claims most, with the latest deadline.
-    fn last_in_order(&self, now: Moment) -> Option<usize> {
-        let keys = self.waiting.iter().enumerate().map(|(at, waiting)| {
-            let request = &waiting.request;
-            let is_late = now + self.hold_time() > request.goal_by;
-            let claimed = self.shares.claimed(request.customer.as_ref());
-            ((request.priority, is_late, claimed, request.deadline, waiting.ticket), at)
-        });
-        keys.max().map(|(_, at)| at)
+    fn levels(&self, now: Moment) -> BTreeMap<Priority, PriorityLevel> {
+        let service_time = micros(self.hold_time());
+        let mut levels = BTreeMap::new();
+        for (at, waiting) in self.waiting.iter().enumerate() {
+            let last = (self.refusal_key(now, waiting, service_time), at);
+            let level = levels
+                .entry(waiting.request.priority)
+                .or_insert(PriorityLevel { waiting: 0, last });
+            level.waiting += 1;
+            level.last = level.last.max(last);
+        }
+        levels
     }
 
-    /// Why the last request in order, at index `last`, can't be served in time.
-    fn refusal_at_end(&mut self, now: Moment, last: usize) -> Option<RejectReason> {
-        let waiting = self.waiting.len();
-        let ends_at = now + self.expected_wait(now, waiting - 1) + self.hold_time();
-        let request = &self.waiting.get(last)?.request;
-        let (goal_by, deadline) = (request.goal_by, request.deadline);
-        if now >= deadline || ends_at > deadline {
-            return Some(RejectReason::NoTime);
+    /// The first request to refuse at a priority whose expected `wait` is longer than planned under
+    /// an overload. Refusals of requests that waited for long would be late, so only a higher
+    /// priority takes their place.
+    fn first_to_miss_goal(
+        &self,
+        now: Moment,
+        priority: Priority,
+        wait: Duration,
+        has_higher: bool,
+    ) -> Option<usize> {
+        if !self.is_overloaded {
+            return None;
         }
-        let is_full = waiting > MAX_WAITING || (ends_at > goal_by && self.is_overloaded(now));
-        is_full.then_some(RejectReason::QueueFull)
+        let hold_time = self.hold_time();
+        let planned = wait * WAIT_FRACTION + hold_time * GOAL_RESERVE;
+        let refusable = self.waiting.iter().enumerate().filter(|(_, waiting)| {
+            waiting.request.priority == priority
+                && (has_higher || waiting.is_recent(now))
+                && waiting.since + planned > waiting.request.goal_by
+        });
+        let service_time = micros(hold_time);
+        let first =
+            refusable.max_by_key(|(_, waiting)| self.refusal_key(now, waiting, service_time));
+        first.map(|(at, _)| at)
+    }
+
+    fn refusal_key(&self, now: Moment, waiting: &WaitingRequest, service_time: u64) -> RefusalKey {
+        let claimed = self.shares.claimed(waiting.share, service_time);
+        (waiting.is_recent(now), claimed, waiting.request.deadline, waiting.ticket)
+    }
+
+    fn reject_waiting(
+        &mut self,
+        now: Moment,
+        at: usize,
+        reason: RejectReason,
+        rng: &mut impl Rng,
+    ) -> QueueEvent {
+        let waiting = self.remove(at);
+        QueueEvent::Rejected(waiting.ticket, self.reject(now, &waiting.request, reason, rng))
     }
 
     fn reject(
@@ -286,8 +420,18 @@
     fn expire_permits(&mut self, now: Moment) {
         let expired = self.permits.iter().filter(|(_, permit)| now >= permit.deadline);
         let expired: Vec<TicketId> = expired.map(|(ticket, _)| *ticket).collect();
-        for ticket in expired {
-            self.release(now, ticket);
+        for permit in expired.iter().filter_map(|ticket| self.permits.remove(ticket)) {
+            // How long the request ran is unknown, so it does not count as a service time.
+            self.targets.release(&permit.grant.target, None);
+            let held = now.since(permit.granted_at);
+            self.shares.released(permit.share, permit.expected, held);
         }
     }
 }
+
+fn order_key(now: Moment, late_from: Moment, waiting: &WaitingRequest, received: u64) -> OrderKey {
+    let request = &waiting.request;
+    let is_late = late_from > request.goal_by;
+    let is_recent = waiting.is_recent(now);
+    (request.priority, is_late, received, is_recent, request.deadline, waiting.ticket)
+}
--- a/crates/admission/src/rate.rs
+++ b/crates/admission/src/rate.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
-use ids::Moment;
+use ids::{Moment, whole_millis};
 
-/// Weight of the newest duration.
-const DURATION_SMOOTHING: f64 = 0.05;
-/// Length of the windows over which arrivals are counted.
-const RATE_WINDOW: Duration = Duration::from_millis(100);
+/// Weight of the newest duration. With 0.05, the estimate of the served rate varied by a twelfth, and
+/// bursts were taken for overload.
+const DURATION_SMOOTHING: f64 = 0.02;
+/// Time that the rate of arrivals covers. A burst that is worked off in that time does not count as
+/// overload, and an overload is noticed before its queue exceeds usual goals.
+const RATE_PERIOD: Duration = Duration::from_millis(400);
+/// Number of windows in which arrivals are counted.
+const RATE_WINDOWS: usize = 8;
 
 /// Moving average of a duration.
 #[derive(Debug, Clone, Copy, Default)]
@@ -29,34 +33,42 @@
     }
 }
 
-/// Rate of arrivals, from the last complete window.
+/// Rate of arrivals over the last windows.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct ArrivalRate {
-    window_start: Moment,
-    in_window: u32,
-    per_second: f64,
+    /// Number of the newest window.
+    newest: u64,
+    counts: [u32; RATE_WINDOWS],
 }
 
 impl ArrivalRate {
     /// Counts an arrival.
     pub fn record(&mut self, now: Moment) {
-        self.advance(now);
-        self.in_window += 1;
+        let newest = self.advance(now);
+        self.counts[newest] += 1;
     }
 
     /// Arrivals per second.
     pub fn per_second(&mut self, now: Moment) -> f64 {
         self.advance(now);
-        self.per_second
+        let total = f64::from(self.counts.iter().sum::<u32>());
+        total / RATE_PERIOD.as_secs_f64()
     }
 
-    fn advance(&mut self, now: Moment) {
-        let elapsed = now.since(self.window_start);
-        if elapsed < RATE_WINDOW {
-            return;
+    /// Clears the windows that have passed and returns the index of the newest.
+    fn advance(&mut self, now: Moment) -> usize {
+        let window =
+            whole_millis(now.since_start()) * RATE_WINDOWS as u64 / whole_millis(RATE_PERIOD);
+        let passed = window.saturating_sub(self.newest).min(RATE_WINDOWS as u64);
+        for offset in 0..passed {
+            self.counts[index(window - offset)] = 0;
         }
-        self.per_second = f64::from(self.in_window) / elapsed.as_secs_f64();
-        self.in_window = 0;
-        self.window_start = now;
+        self.newest = self.newest.max(window);
+        index(self.newest)
     }
 }
+
+#[expect(clippy::cast_possible_truncation, reason = "less than the number of windows")]
+const fn index(window: u64) -> usize {
+    (window % RATE_WINDOWS as u64) as usize
+}
--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -1,101 +1,137 @@
 //! Fair shares of customers.
 //!
-//! Start-time fair queueing: the customer that was granted least goes first. A returning customer
-//! starts at the minimum of the active ones, so it gains no credit while it is inactive.
+//! Start-time fair queueing: within a priority, the customer that received least service goes
+//! first. A customer that had nothing waiting starts at the minimum of those that have, so that it
+//! gains no credit for time in which it asked for less than its share.
 
-use std::collections::HashMap;
-use std::iter;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
-use ids::CustomerName;
+use ids::{CustomerName, Priority};
 
-/// Number of customers above which inactive ones are forgotten.
-const MAX_CUSTOMERS: usize = 1_024;
+/// Number of shares above which inactive ones are forgotten.
+const MAX_SHARES: usize = 1_024;
+/// Maximum service by which a customer with nothing waiting is ahead of the others when it returns.
+/// Bounds how long it stays behind them.
+const MAX_LEAD: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Clone, Copy, Default)]
+/// Refers to the share of a customer at a priority. Valid while the customer has a waiting request
+/// or a permit there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ShareIndex(usize);
+
+type ShareKey = (Priority, Option<CustomerName>);
+
+#[derive(Debug, Clone)]
 struct Share {
-    granted: u64,
+    key: ShareKey,
+    /// Service received in microseconds, comparable with that of others at this priority.
+    received: u64,
     waiting: u32,
     in_use: u32,
 }
 
 impl Share {
-    const fn is_active(self) -> bool {
+    const fn is_active(&self) -> bool {
         self.waiting > 0 || self.in_use > 0
     }
 }
 
-/// Grants and waiting requests of each customer. Callers without a customer have one share together.
+/// Service and waiting requests by customer and priority. Callers without a customer have one share
+/// together.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct CustomerShares {
-    customers: HashMap<CustomerName, Share>,
-    anonymous: Share,
+    shares: Vec<Share>,
+    indexes: HashMap<ShareKey, usize>,
+    free: Vec<usize>,
+    /// Service received by the customer that was granted last, by priority.
+    granted_at: BTreeMap<Priority, u64>,
 }
 
 impl CustomerShares {
     /// Records that a request of the customer waits.
-    pub fn enqueued(&mut self, customer: Option<&CustomerName>) {
-        if self.customers.len() > MAX_CUSTOMERS {
-            self.customers.retain(|_, share| share.is_active());
+    pub fn enqueued(&mut self, priority: Priority, customer: Option<&CustomerName>) -> ShareIndex {
+        let start = self.start(priority);
+        let index = self.index(&(priority, customer.cloned()));
+        let share = &mut self.shares[index];
+        if share.waiting == 0 {
+            share.received = share.received.clamp(start, start + micros(MAX_LEAD));
         }
-        let is_active = self.share(customer).is_active();
-        let min_granted = if is_active { 0 } else { self.min_granted().unwrap_or_default() };
-        let share = match customer {
-            Some(customer) => self.customers.entry(customer.clone()).or_default(),
-            None => &mut self.anonymous,
-        };
-        share.granted = share.granted.max(min_granted);
         share.waiting += 1;
+        ShareIndex(index)
     }
 
     /// Records that a waiting request left the queue.
-    pub fn dequeued(&mut self, customer: Option<&CustomerName>) {
-        if let Some(share) = self.share_mut(customer) {
-            share.waiting = share.waiting.saturating_sub(1);
-        }
+    pub fn dequeued(&mut self, index: ShareIndex) {
+        let share = &mut self.shares[index.0];
+        share.waiting = share.waiting.saturating_sub(1);
     }
 
-    /// Records a grant to a request that had been enqueued.
-    pub fn granted(&mut self, customer: Option<&CustomerName>) {
-        if let Some(share) = self.share_mut(customer) {
-            share.granted += 1;
-            share.in_use += 1;
-        }
+    /// Records a grant to a request that was dequeued, and charges the expected service.
+    pub fn granted(&mut self, index: ShareIndex, expected: Duration) {
+        let share = &mut self.shares[index.0];
+        self.granted_at.insert(share.key.0, share.received);
+        share.received += micros(expected);
+        share.in_use += 1;
     }
 
-    /// Records the end of a permit.
-    pub fn released(&mut self, customer: Option<&CustomerName>) {
-        if let Some(share) = self.share_mut(customer) {
-            share.in_use = share.in_use.saturating_sub(1);
-        }
+    /// Records the end of a permit, and replaces the expected service by the one received.
+    pub fn released(&mut self, index: ShareIndex, expected: Duration, received: Duration) {
+        let share = &mut self.shares[index.0];
+        share.received = (share.received + micros(received)).saturating_sub(micros(expected));
+        share.in_use = share.in_use.saturating_sub(1);
     }
 
-    /// Number of grants to the customer, comparable with those of other active customers.
-    pub fn grants(&self, customer: Option<&CustomerName>) -> u64 {
-        self.share(customer).granted
+    /// Service that the customer received, in microseconds.
+    pub fn received(&self, index: ShareIndex) -> u64 {
+        self.shares[index.0].received
     }
 
-    /// Grants that the customer would have if all its waiting requests were granted.
-    pub fn claimed(&self, customer: Option<&CustomerName>) -> u64 {
-        let share = self.share(customer);
-        share.granted + u64::from(share.waiting)
+    /// Service that the customer would have if all its waiting requests ended, in microseconds.
+    pub fn claimed(&self, index: ShareIndex, service_time: u64) -> u64 {
+        let share = &self.shares[index.0];
+        share.received + u64::from(share.waiting) * service_time
     }
 
-    fn share(&self, customer: Option<&CustomerName>) -> Share {
-        match customer {
-            Some(customer) => self.customers.get(customer).copied().unwrap_or_default(),
-            None => self.anonymous,
-        }
+    fn start(&self, priority: Priority) -> u64 {
+        let waiting =
+            self.shares.iter().filter(|share| share.waiting > 0 && share.key.0 == priority);
+        let min = waiting.map(|share| share.received).min();
+        min.or_else(|| self.granted_at.get(&priority).copied()).unwrap_or_default()
     }
 
-    fn share_mut(&mut self, customer: Option<&CustomerName>) -> Option<&mut Share> {
-        match customer {
-            Some(customer) => self.customers.get_mut(customer),
-            None => Some(&mut self.anonymous),
+    fn index(&mut self, key: &ShareKey) -> usize {
+        if let Some(index) = self.indexes.get(key) {
+            return *index;
+        }
+        if self.indexes.len() >= MAX_SHARES {
+            self.forget_inactive();
         }
+        let share = Share { key: key.clone(), received: 0, waiting: 0, in_use: 0 };
+        let index = if let Some(index) = self.free.pop() {
+            self.shares[index] = share;
+            index
+        } else {
+            self.shares.push(share);
+            self.shares.len() - 1
+        };
+        self.indexes.insert(key.clone(), index);
+        index
     }
 
-    fn min_granted(&self) -> Option<u64> {
-        let shares = self.customers.values().chain(iter::once(&self.anonymous));
-        shares.filter(|share| share.is_active()).map(|share| share.granted).min()
+    fn forget_inactive(&mut self) {
+        let (shares, free) = (&self.shares, &mut self.free);
+        self.indexes.retain(|_, index| {
+            let is_active = shares[*index].is_active();
+            if !is_active {
+                free.push(*index);
+            }
+            is_active
+        });
     }
 }
+
+/// Whole microseconds of a duration.
+pub(crate) fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX / 4)
+}
