xtask: mutations for the admission crate

Five mechanisms whose removal a test must detect: expiry of permits, shares without credit, refusals of recent requests only, room for requests without a permit, permits of a target that is added again. Each was applied by hand and its test failed.

--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -769,6 +769,46 @@
         package: "platform-standin",
         test: "resumed_box_does_not_report_old_state_as_fresh",
     },
+    Mutation {
+        name: "admission: a permit that is never released does not expire",
+        file: "crates/admission/src/queue.rs",
+        from: "filter(|(_, permit)| now >= permit.deadline)",
+        to: "filter(|(_, permit)| now >= permit.deadline && false)",
+        package: "admission",
+        test: "permit_expires_at_its_deadline",
+    },
+    Mutation {
+        name: "admission: a customer keeps credit for time in which it asked for little",
+        file: "crates/admission/src/shares.rs",
+        from: "share.received = share.received.clamp(start, start + micros(MAX_LEAD));",
+        to: "let _ = (start, MAX_LEAD);",
+        package: "admission",
+        test: "gains_no_credit",
+    },
+    Mutation {
+        name: "admission: requests that waited for long are refused like recent ones",
+        file: "crates/admission/src/queue.rs",
+        from: "now < self.recent_until",
+        to: "now < self.recent_until || true",
+        package: "admission",
+        test: "the_rest_refused_at_once",
+    },
+    Mutation {
+        name: "admission: permits are granted for slots that other requests use",
+        file: "crates/admission/src/targets.rs",
+        from: "(f64::from(self.limit.permits()) - self.unpermitted(now)).max(1.0)",
+        to: "(f64::from(self.limit.permits()) - self.unpermitted(now) * 0.0).max(1.0)",
+        package: "admission",
+        test: "reported_load_without_permits",
+    },
+    Mutation {
+        name: "admission: a target that is added again forgets its permits",
+        file: "crates/admission/src/targets.rs",
+        from: "TargetPermits { in_use, ..TargetPermits::new(*slots) }",
+        to: "TargetPermits { in_use: in_use * 0, ..TargetPermits::new(*slots) }",
+        package: "admission",
+        test: "added_again",
+    },
 ];
 
 /// Runs every mutation whose name contains `only`. Returns an error that lists the mutations that
