Limit the bytes that a box buffers for slow callers and targets

Cause: each message had a size limit, but nothing limited the sum over all callers of a box. Callers that left large responses unread, or stopped in the middle of a body, could use up its memory.

Change: MemoryBudget (crates/upstream) counts the bytes of request bodies from their receipt until no retry needs them, and of responses from their receipt until the caller's socket has taken them. Reservations are attached to the buffers themselves and are released with their last copy, so no path can forget to release them. Bodies may use three quarters of it; the rest is for responses, without which no request could complete and release its body. A request that does not fit is refused with 503 before its body is read further; the connection then discards input for up to 1 s, because a close with unread input resets the connection and may destroy the refusal. While reservations fail, callers that have taken nothing for 5 s are disconnected, the longest stalled first, until enough is free. The send buffer of callers' sockets is fixed at 64 KB, since a slow reader of a buffer grown by the kernel appears to take nothing.

Ruled out: reserving the stated length of a body, since a caller could then reserve memory without sending anything; counting at the HTTP library's body, which hands over its bytes long before the socket takes them.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,8 @@
 //! responds immediately, and says that the request did not run only if that is certain.
 
 mod admission;
+mod caller_stream;
+mod callers;
 mod isolation;
 mod jobs_api;
 mod plain;
--- a/crates/front/src/plain.rs
+++ b/crates/front/src/plain.rs
@@ -13,8 +13,10 @@
 use platform::headers;
 use routing::Route;
 use tokio::time::{self, Instant};
+use upstream::{ByteCount, MemoryBudget, MemoryUse, OutOfMemory};
 
 use crate::admission::AdmittedRequest;
+use crate::callers::Caller;
 use crate::response::{self, FrontBody};
 
 /// Timeout of callers that don't send one.
@@ -27,23 +29,51 @@
     TooLong,
     /// The caller disconnected.
     Broken,
+    /// The body does not fit into the memory budget.
+    NoMemory,
 }
 
-/// Reads a complete request body of at most `max_bytes`.
-pub async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
-    if body.size_hint().lower() > max_bytes as u64 {
+impl From<OutOfMemory> for BodyError {
+    fn from(_error: OutOfMemory) -> Self {
+        Self::NoMemory
+    }
+}
+
+/// Maximum size of the buffer that is allocated before any byte of a body has arrived, in bytes.
+const MAX_INITIAL_CAPACITY: usize = 16 << 10;
+
+/// Reads a complete request body of at most `max_bytes`. Its bytes are reserved in the memory budget
+/// as they arrive, and until the last copy of the body is dropped. While the budget is short of
+/// room for bodies, requests without a body are refused as well, since their responses need room.
+pub async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    memory: &Arc<MemoryBudget>,
+    caller: &Caller,
+) -> Result<Bytes, BodyError> {
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > max_bytes {
         return Err(BodyError::TooLong);
     }
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    memory.check_room(MemoryUse::RequestBody, ByteCount::new(stated.max(1)))?;
+    let mut held = memory.reserve_nothing();
+    let mut bytes = BytesMut::with_capacity(stated.min(MAX_INITIAL_CAPACITY));
+    loop {
+        if !bytes.is_empty() {
+            caller.record_stall();
+        }
+        let frame = body.frame().await;
+        caller.record_progress();
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|_broken| BodyError::Broken)?;
         let Ok(data) = frame.into_data() else { continue };
         if bytes.len() + data.len() > max_bytes {
             return Err(BodyError::TooLong);
         }
+        held.try_grow(MemoryUse::RequestBody, ByteCount::new(data.len()))?;
         bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
+    Ok(held.attach(bytes.freeze()))
 }
 
 /// Creates the response to a request whose body could not be read.
@@ -61,6 +91,7 @@
             "send the whole body",
             request_id,
         ),
+        BodyError::NoMemory => response::not_run("no memory free", request_id),
     }
 }
 
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -1,15 +1,16 @@
 //! Responses to callers.
 
 use std::convert::Infallible;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::channel::Channel;
 use http_body_util::{Either, Full};
 use platform::headers;
-use upstream::FullResponse;
+use upstream::{ByteCount, FullResponse, MemoryBudget};
 
 /// The target disconnected during a stream; the caller's connection is closed before the end of
 /// the body.
@@ -107,3 +108,24 @@
     headers::strip_connection(headers);
     headers.remove(CONTENT_LENGTH);
 }
+
+/// Reserves the bytes of a buffered body until the caller has taken them.
+pub fn reserve_body(
+    response: Response<FrontBody>,
+    memory: &Arc<MemoryBudget>,
+) -> Response<FrontBody> {
+    response.map(|body| match body {
+        Either::Left(full) => {
+            let bytes = full.into_inner().unwrap_or_default();
+            let held = memory.reserve_held(ByteCount::new(bytes.len()));
+            Either::Left(Full::new(held.attach(bytes)))
+        }
+        Either::Right(stream) => Either::Right(stream),
+    })
+}
+
+/// Closes the caller's connection after the response.
+pub fn close_after(mut response: Response<FrontBody>) -> Response<FrontBody> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -1,6 +1,7 @@
 //! Startup and shutdown of an entry box.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,10 +12,11 @@
 use node::sinks::{ConfigSink, EvacuationSink, TargetSink};
 use node::{NodeSettings, NodeView, log_counters, serve_metrics, sync_suspects};
 use platform::{Kind, ObjectStore};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 
+use crate::callers::disconnect_slow_callers;
 use crate::isolation::watch_isolation;
 use crate::jobs_api::ShardClient;
 use crate::server::{FrontState, serve_front, serve_ready};
@@ -32,6 +34,11 @@
 /// Maximum wait for the final usage counts to be reported: the long poll of the feed and its
 /// transit time.
 const USAGE_REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Size of the kernel's send buffer per caller, in bytes. A buffer grown by the kernel takes
+/// megabytes, and a slow reader must empty a third of it before it is seen to take anything.
+const SEND_BUFFER_BYTES: u32 = 64 << 10;
+/// Number of connections that wait to be accepted; the value that the runtime uses.
+const ACCEPT_BACKLOG: u32 = 1_024;
 /// How often a stopping box checks whether all requests have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -50,10 +57,19 @@
         let (Some(front), Some(ready)) = (settings.front, settings.ready) else {
             return Err(io::Error::other("--front or --ready is missing: give both as IP:PORT"));
         };
-        Ok(Self { front: TcpListener::bind(front).await?, ready: TcpListener::bind(ready).await? })
+        Ok(Self { front: bind_callers(front)?, ready: TcpListener::bind(ready).await? })
     }
 }
 
+/// Binds the socket for callers. Its connections inherit the size of the send buffer.
+fn bind_callers(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_BACKLOG)
+}
+
 /// Runs an entry box until `stop_requested` resolves, then shuts it down gracefully.
 pub async fn run_entry(
     settings: NodeSettings,
@@ -78,6 +94,8 @@
     let shards = ShardClient::new(Arc::clone(&view), links);
     tokio::spawn(watch_isolation(Arc::clone(&view), shards.clone(), shutdown.clone()));
     let state = FrontState::new(view, shards, CancellationToken::new());
+    let callers = Arc::clone(&state.callers);
+    tokio::spawn(disconnect_slow_callers(Arc::clone(&state.view), callers, shutdown.clone()));
     let front_server = serve_front(state.clone(), front, shutdown.clone());
     let ready_server = serve_ready(state.clone(), ready, shutdown.clone());
     tokio::select! {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -1,13 +1,15 @@
 //! Connections of callers and the readiness endpoint.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -18,10 +20,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
+use upstream::{ByteCount, MemoryUse};
 
 use crate::admission::{admit, host_of, identify, path_of};
+use crate::caller_stream::CallerStream;
+use crate::callers::{Caller, CallerTable};
 use crate::jobs_api::{self, ShardClient};
-use crate::plain::{body_error_response, read_body, serve_plain};
+use crate::plain::{BodyError, body_error_response, read_body, serve_plain};
 use crate::response::{self, FrontBody, ServeResult};
 use crate::stream::serve_stream;
 
@@ -39,12 +44,13 @@
     pub shards: ShardClient,
     /// Cancelled when the box is asked to stop.
     pub stopping: CancellationToken,
+    /// The connected callers.
+    pub callers: Arc<CallerTable>,
     counts: Arc<FrontCounts>,
 }
 
 #[derive(Debug, Default)]
 struct FrontCounts {
-    connections: AtomicUsize,
     requests: AtomicUsize,
     ready: AtomicBool,
 }
@@ -52,7 +58,7 @@
 impl FrontState {
     /// Creates the state of a box without connections.
     pub fn new(view: Arc<NodeView>, shards: ShardClient, stopping: CancellationToken) -> Self {
-        Self { view, shards, stopping, counts: Arc::default() }
+        Self { view, shards, stopping, callers: Arc::default(), counts: Arc::default() }
     }
 
     /// Number of requests in flight.
@@ -102,8 +108,8 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _peer)) => {
-                tokio::spawn(serve_connection(state.clone(), stream));
+            Ok((stream, peer)) => {
+                tokio::spawn(serve_connection(state.clone(), stream, peer));
             }
             Err(error) => {
                 log::warn!(target: "entry", error:% = error; "accept failed, pausing");
@@ -113,39 +119,47 @@
     }
 }
 
-async fn serve_connection(state: FrontState, stream: TcpStream) {
+async fn serve_connection(state: FrontState, stream: TcpStream, peer: SocketAddr) {
     // Best effort: without this option, small responses may be delayed.
     let _nodelay = stream.set_nodelay(true);
-    state.counts.connections.fetch_add(1, Ordering::Relaxed);
+    let guard = state.callers.connect(peer);
+    let caller = guard.caller();
     let limits = state.view.table().limits;
     let service = {
-        let state = state.clone();
-        service_fn(move |request| serve(state.clone(), request))
+        let (state, caller) = (state.clone(), Arc::clone(caller));
+        service_fn(move |request| serve(state.clone(), Arc::clone(&caller), request))
     };
+    let stream = TokioIo::new(CallerStream::new(stream, Arc::clone(caller)));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER) * 2)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // The caller may disconnect at any time, which cancels its request.
-        _ended = connection.as_mut() => {}
-        () = state.stopping.cancelled() => {
-            // Responses now carry `Connection: close`.
-            connection.as_mut().graceful_shutdown();
-            let _ended = connection.as_mut().await;
+    let served = async {
+        tokio::select! {
+            // The caller may disconnect at any time, which cancels its request.
+            _ended = connection.as_mut() => {}
+            () = state.stopping.cancelled() => {
+                // Responses now carry `Connection: close`.
+                connection.as_mut().graceful_shutdown();
+                let _ended = connection.as_mut().await;
+            }
         }
+    };
+    tokio::select! {
+        () = served => {}
+        () = caller.disconnected.cancelled() => {}
     }
-    state.counts.connections.fetch_sub(1, Ordering::Relaxed);
 }
 
-async fn serve(state: FrontState, request: Request<Incoming>) -> ServeResult {
+async fn serve(state: FrontState, sender: Arc<Caller>, request: Request<Incoming>) -> ServeResult {
     let received = Instant::now();
     let _guard = RequestGuard::new(&state);
     let (head, body) = request.into_parts();
     let id = headers::request_id(&head.headers).map(str::to_owned);
     let table = state.view.table();
+    let memory = &state.view.memory;
     if table.version.get() == 0 {
         return Ok(response::not_run("no configuration yet", id.as_deref()));
     }
@@ -157,15 +171,27 @@
             Ok(caller) => caller,
             Err(refusal) => return Ok(*refusal),
         };
+        if let Err(error) = memory.check_room(MemoryUse::RequestBody, ByteCount::new(1)) {
+            return Ok(refuse_body(&state, error.into(), &head, id.as_deref()));
+        }
         let wait = headers::read_wait(&head.headers);
-        return Ok(jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await);
+        let response = jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await;
+        return Ok(response::reserve_body(response, memory));
     }
     if let Err(refusal) = admit(&state.view, &head) {
         return Ok(*refusal);
     }
-    let body = match read_body(body, table.limits.body_bytes).await {
+    let has_body = !body.is_end_stream();
+    let body = match read_body(body, table.limits.body_bytes, memory, &sender).await {
         Ok(body) => body,
-        Err(error) => return Ok(body_error_response(error, id.as_deref())),
+        Err(error) => {
+            let refusal = refuse_body(&state, error, &head, id.as_deref());
+            if !has_body {
+                return Ok(refusal);
+            }
+            sender.discard_input();
+            return Ok(response::close_after(refusal));
+        }
     };
     // The key may have been revoked while a long body was read.
     let admitted = match admit(&state.view, &head) {
@@ -183,6 +209,25 @@
     })
 }
 
+/// Refuses a request whose body was not read completely.
+fn refuse_body(
+    state: &FrontState,
+    error: BodyError,
+    head: &Parts,
+    id: Option<&str>,
+) -> Response<FrontBody> {
+    if error == BodyError::NoMemory {
+        let memory = &state.view.memory;
+        state.view.metrics.count_outcome("memory", "refused");
+        log::info!(
+            target: "entry", request = id.unwrap_or(""), host = host_of(head),
+            reserved = memory.reserved().get(), limit = memory.limit().get(), outcome = "no memory";
+            "request ended"
+        );
+    }
+    body_error_response(error, id)
+}
+
 /// Serves the readiness endpoint until `shutdown` is cancelled.
 pub async fn serve_ready(
     state: FrontState,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -2,6 +2,7 @@
 //! arrives.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::request::Parts;
@@ -16,7 +17,7 @@
 use platform::headers;
 use routing::{ChosenTarget, Route, TargetFailure};
 use tokio::time::{self, Instant};
-use upstream::{SendError, TargetResponse};
+use upstream::{ByteCount, MemoryBudget, SendError, TargetResponse};
 
 use crate::admission::AdmittedRequest;
 use crate::plain::deadline;
@@ -26,6 +27,9 @@
 const MAX_TARGETS_TRIED: u32 = 4;
 /// Maximum number of body chunks buffered for a slow caller.
 const STREAM_BUFFER_CHUNKS: usize = 16;
+/// Maximum wait for the memory of a chunk. Targets abort a response that is left unread for some
+/// seconds.
+const CHUNK_MEMORY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Serves a streaming request on its route.
 pub async fn serve_stream(
@@ -151,9 +155,17 @@
     response::strip_target_headers(response.headers_mut());
     let view = Arc::clone(view);
     tokio::spawn(async move {
-        match copy_chunks(target_response, chunks).await {
+        match copy_chunks(target_response, chunks, &view.memory).await {
             StreamEnd::Complete => view.suspects().succeeded(work),
             StreamEnd::CallerDisconnected => {}
+            StreamEnd::NoMemory => {
+                view.metrics.count_outcome("memory", "stream ended");
+                log::info!(
+                    target: "entry", work:% = work, reserved = view.memory.reserved().get(),
+                    limit = view.memory.limit().get(), outcome = "no memory";
+                    "stream ended"
+                );
+            }
             StreamEnd::Broken => {
                 record_failure(&view, slot.target(), TargetFailure::Broken);
                 record_disconnect(&view, slot.target(), work);
@@ -169,6 +181,8 @@
 enum StreamEnd {
     Complete,
     CallerDisconnected,
+    /// A chunk did not fit into the memory budget.
+    NoMemory,
     Broken,
 }
 
@@ -177,11 +191,17 @@
 async fn copy_chunks(
     mut target_response: TargetResponse,
     mut chunks: Sender<Bytes, StreamBroken>,
+    memory: &Arc<MemoryBudget>,
 ) -> StreamEnd {
     loop {
         match target_response.next().await {
             Ok(Some(chunk)) => {
-                if chunks.send_data(chunk).await.is_err() {
+                let held = memory.reserve_response(ByteCount::new(chunk.len()));
+                let Ok(held) = time::timeout(CHUNK_MEMORY_TIMEOUT, held).await else {
+                    chunks.abort(StreamBroken);
+                    return StreamEnd::NoMemory;
+                };
+                if chunks.send_data(held.attach(chunk)).await.is_err() {
                     return StreamEnd::CallerDisconnected;
                 }
             }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -19,6 +19,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use tokio::net::TcpListener;
 use tokio::time;
+use upstream::ByteCount;
 
 /// Labels of an outcome counter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -91,6 +92,7 @@
     job_bytes: Gauge,
     config_version: Gauge,
     target_connections: Gauge,
+    buffered_bytes: Gauge,
     entries_refused: Gauge,
     window_reported: Gauge,
 }
@@ -112,6 +114,7 @@
             (Gauge::default(), Gauge::default(), Gauge::default());
         let config_version = Gauge::default();
         let target_connections = Gauge::default();
+        let buffered_bytes = Gauge::default();
         let entries_refused = Gauge::default();
         let window_reported = Gauge::default();
         registry.register(
@@ -129,6 +132,12 @@
             "Open connections to targets, resting ones included",
             target_connections.clone(),
         );
+        registry.register_with_unit(
+            "buffered",
+            "Bytes of requests and responses reserved in the memory budget",
+            Unit::Bytes,
+            buffered_bytes.clone(),
+        );
         registry.register(
             "config_version",
             "Version of the configuration in force",
@@ -161,6 +170,7 @@
             job_bytes,
             config_version,
             target_connections,
+            buffered_bytes,
             entries_refused,
             window_reported,
         }
@@ -226,6 +236,11 @@
         self.target_connections.set(i64::try_from(open).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of bytes reserved in the memory budget.
+    pub fn buffered(&self, bytes: ByteCount) {
+        self.buffered_bytes.set(i64::try_from(bytes.get()).unwrap_or(i64::MAX));
+    }
+
     fn text(&self) -> String {
         let mut text = String::new();
         // Writing to a string cannot fail.
@@ -272,6 +287,7 @@
         let view = Arc::clone(&view);
         async move {
             view.metrics.connections(view.pool.limit().open());
+            view.metrics.buffered(view.memory.reserved());
             view.metrics.text()
         }
     };
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -10,7 +10,7 @@
 use platform::headers::{self, ResponseInfo};
 use routing::{ChosenTarget, Route, RouteKind, TargetFailure};
 use tokio::time::{self, Instant};
-use upstream::{FullResponse, SendError};
+use upstream::{FullResponse, ReadError, SendError};
 
 use crate::choice::DEFAULT_GOAL;
 use crate::{
@@ -93,13 +93,22 @@
     OtherTarget,
     Full,
     Unsigned,
+    /// The response did not fit into the box's memory budget.
+    NoMemory,
 }
 
 impl TryOutcome {
     /// Whether a target probably started to run the request. One that disconnects or sends an
     /// invalid response usually has.
     const fn has_begun(self) -> bool {
-        matches!(self, Self::Answered | Self::Broken | Self::MismatchedResponse | Self::Unsigned)
+        matches!(
+            self,
+            Self::Answered
+                | Self::Broken
+                | Self::MismatchedResponse
+                | Self::Unsigned
+                | Self::NoMemory
+        )
     }
 
     const fn as_str(self) -> &'static str {
@@ -113,6 +122,7 @@
             Self::OtherTarget => "another target",
             Self::Full => "full",
             Self::Unsigned => "unsigned",
+            Self::NoMemory => "no memory",
         }
     }
 }
@@ -224,16 +234,19 @@
     let (started, sent_at) = (Instant::now(), view.now());
     let sent = async {
         let response = view.pool.send(target.address, request).await?;
-        response.read_full(MAX_RESPONSE_BYTES).await
+        response.read_full_by(MAX_RESPONSE_BYTES, started + limit).await
     };
     let (outcome, result) = match time::timeout(limit, sent).await {
         Err(_elapsed) => {
             view.pool.close_idle();
             (TryOutcome::Silent, TryResult::Broken)
         }
-        Ok(Err(SendError::NotSent(_))) => (TryOutcome::NotSent, TryResult::NotRun),
-        Ok(Err(SendError::LimitReached)) => (TryOutcome::NoRoom, TryResult::NotRun),
-        Ok(Err(SendError::Broken(_))) => (TryOutcome::Broken, TryResult::Broken),
+        Ok(Err(ReadError::Send(SendError::NotSent(_)))) => (TryOutcome::NotSent, TryResult::NotRun),
+        Ok(Err(ReadError::Send(SendError::LimitReached))) => {
+            (TryOutcome::NoRoom, TryResult::NotRun)
+        }
+        Ok(Err(ReadError::Send(SendError::Broken(_)))) => (TryOutcome::Broken, TryResult::Broken),
+        Ok(Err(ReadError::NoMemory)) => (TryOutcome::NoMemory, TryResult::Broken),
         Ok(Ok(response)) => classify_response(view, call, target, response),
     };
     if let Some(customer) = call.customer.as_ref().filter(|_| outcome.has_begun()) {
@@ -313,6 +326,8 @@
         }
         // An error of the target, or a refusal that `classify_response` has recorded.
         TryResult::Answered(_) | TryResult::NotRun => {}
+        // The target is not at fault.
+        TryResult::Broken if outcome == TryOutcome::NoMemory => {}
         TryResult::Broken => targets.failed(view.now(), &target.instance, TargetFailure::Broken),
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,7 @@
 use clap::Args;
 use ids::{BoxId, DomainId};
 use routing::ColdBound;
+use upstream::ByteCount;
 use usage::WindowLength;
 use wire::DeploymentKey;
 
@@ -77,6 +78,10 @@
     /// Requests per second that a cold target may get beyond that; empty for none.
     #[arg(long, env = "GANNETWAY_COLD_SLACK", default_value = "")]
     pub cold_slack: String,
+    /// Memory of the box, in MB. Buffered requests and responses may use a quarter of it, jobs a
+    /// third. Empty or 0 does not limit buffered bytes, and limits jobs as 256 does.
+    #[arg(long, env = "GANNETWAY_MEMORY_MB", default_value = "")]
+    pub memory_mb: String,
     /// Log level: error, warn, info, debug or trace.
     #[arg(long, env = "GANNETWAY_LOG", default_value = "info")]
     pub log: log::LevelFilter,
@@ -100,9 +105,6 @@
     /// Delay after the last order of one lease holder before another may order, in milliseconds.
     #[arg(long, env = "GANNETWAY_ORDER_GAP_MS", default_value_t = 3_000)]
     pub order_gap_ms: u64,
-    /// Memory of the box, in MB; jobs may use a third of it.
-    #[arg(long, env = "GANNETWAY_MEMORY_MB", default_value_t = 256)]
-    pub memory_mb: usize,
     /// At most one in this many engines loads weights at a time.
     #[arg(long, env = "GANNETWAY_LOAD_PARTS", default_value_t = 5)]
     pub load_parts: usize,
@@ -154,6 +156,8 @@
     pub evacuations: bool,
     /// How far requests to a cold target may exceed its limit.
     pub cold_bound: ColdBound,
+    /// Limit of the bytes buffered for callers and targets; `None` for no limit.
+    pub memory_limit: Option<ByteCount>,
     /// Log level.
     pub log: log::LevelFilter,
 }
@@ -213,6 +217,18 @@
     text.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
 }
 
+/// Share of the box's memory for buffered requests and responses, as a divisor.
+const BUFFER_MEMORY_DIVISOR: usize = 4;
+
+/// Parses megabytes to bytes. Empty text, as left by templates, is zero. Returns `None` if invalid.
+fn read_megabytes(text: &str) -> Option<usize> {
+    let text = text.trim();
+    if text.is_empty() {
+        return Some(0);
+    }
+    text.parse::<usize>().ok()?.checked_mul(1 << 20)
+}
+
 impl RawNodeSettings {
     /// Validates the bounds that the platform sets, and adds their faults to `faults`.
     fn check_platform_bounds(&self, faults: &mut Vec<String>) -> (bool, ColdBound) {
@@ -275,6 +291,13 @@
                 self.usage_window_s
             ));
         }
+        let memory = read_megabytes(&self.memory_mb);
+        if memory.is_none() {
+            faults.push(format!(
+                "--memory-mb is `{}`: give whole megabytes, or leave it empty for no limit",
+                self.memory_mb
+            ));
+        }
         let (evacuations, cold_bound) = self.check_platform_bounds(&mut faults);
         let (Ok(box_id), Ok(domain), Ok(key)) = (box_id, domain, key) else {
             return Err(SettingsError(faults));
@@ -302,6 +325,9 @@
             cold_bound,
             clock: ClockSource::Machine,
             grace: Duration::from_secs_f64(self.grace_s),
+            memory_limit: memory
+                .filter(|bytes| *bytes > 0)
+                .map(|bytes| ByteCount::new(bytes / BUFFER_MEMORY_DIVISOR)),
             log: self.log,
         })
     }
@@ -310,11 +336,14 @@
 /// Share of the box's memory for jobs, as a divisor. The rest is for log replay, request and
 /// response bodies.
 const JOB_MEMORY_DIVISOR: usize = 3;
+/// Memory of a storage box whose settings state none, in bytes.
+const DEFAULT_STORAGE_MEMORY: usize = 256 << 20;
 
 impl RawStorageSettings {
     /// Validates all values. An error lists every fault.
     pub fn check(&self) -> Result<StorageSettings, SettingsError> {
         let node = self.node.check()?;
+        let memory = read_megabytes(&self.node.memory_mb).filter(|bytes| *bytes > 0);
         let mut faults = Vec::new();
         if self.data_dir.as_os_str().is_empty() {
             faults.push("--data-dir is empty: name a directory on the box's disk".to_owned());
@@ -348,7 +377,7 @@
             copies: self.losses + 1,
             retention: Duration::from_secs_f64(self.retention_s),
             order_gap: Duration::from_millis(self.order_gap_ms),
-            job_bytes: (self.memory_mb << 20) / JOB_MEMORY_DIVISOR,
+            job_bytes: memory.unwrap_or(DEFAULT_STORAGE_MEMORY) / JOB_MEMORY_DIVISOR,
             load_parts: self.load_parts,
             accounts,
             usage_late: late.filter(|late| !late.is_zero()).unwrap_or(DEFAULT_USAGE_LATE),
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -10,7 +10,7 @@
 use routing::{ColdLimit, RouteTable, TargetTable};
 use suspects::SuspectTable;
 use tokio::sync::{Notify, watch};
-use upstream::{ConnectionLimit, TargetPool};
+use upstream::{ConnectionLimit, MemoryBudget, TargetPool};
 
 use crate::assignments::AssignmentTable;
 use crate::clock::NodeClock;
@@ -27,6 +27,8 @@
     pub store: ObjectStore,
     /// Connections to targets.
     pub pool: TargetPool,
+    /// Budget for the bytes that the box buffers for callers and targets.
+    pub memory: Arc<MemoryBudget>,
     /// Metrics of the box.
     pub metrics: NodeMetrics,
     /// Feed of store updates, sent and received.
@@ -66,10 +68,12 @@
         let usage = UsageTracker::new(settings.box_id.clone(), settings.usage_window);
         let clock = NodeClock::start(settings.clock.clone());
         let feed = FeedState::new(FeedTimes::for_bound(settings.propagation_bound));
+        let memory = Arc::new(MemoryBudget::new(settings.memory_limit));
         Self {
             settings,
             store,
-            pool: TargetPool::new(limit),
+            pool: TargetPool::new(limit).with_memory(Arc::clone(&memory)),
+            memory,
             metrics: NodeMetrics::default(),
             feed,
             usage,
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,11 +1,12 @@
-//! Validation of the bounds that the platform may leave empty.
+//! Validation of the settings that the platform may leave empty.
 
 use std::time::Duration;
 
 use clap::Parser;
 use node::feed::FeedTimes;
-use node::{NodeSettings, RawNodeSettings, SettingsError};
+use node::{NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings};
 use routing::ColdBound;
+use upstream::ByteCount;
 
 #[derive(Debug, Parser)]
 struct Cli {
@@ -13,23 +14,53 @@
     node: RawNodeSettings,
 }
 
+#[derive(Debug, Parser)]
+struct StorageCli {
+    #[command(flatten)]
+    storage: RawStorageSettings,
+}
+
+const REQUIRED: [&str; 13] = [
+    "gannetwayd",
+    "--box-id",
+    "entry-1",
+    "--domain",
+    "hall",
+    "--ip",
+    "127.0.0.1",
+    "--peer-port",
+    "7000",
+    "--store",
+    "127.0.0.1:8000",
+    "--key",
+    "a key for these tests",
+];
+
 fn check(extra: &[&str]) -> Result<NodeSettings, SettingsError> {
-    let required = [
-        "gannetwayd",
-        "--box-id",
-        "entry-1",
-        "--domain",
-        "hall",
-        "--ip",
-        "127.0.0.1",
-        "--peer-port",
-        "7000",
-        "--store",
-        "127.0.0.1:8000",
-        "--key",
-        "a key for these tests",
-    ];
-    Cli::parse_from(required.iter().chain(extra)).node.check()
+    Cli::parse_from(REQUIRED.iter().chain(extra)).node.check()
+}
+
+fn check_storage(extra: &[&str]) -> StorageSettings {
+    let arguments = REQUIRED.iter().chain(&["--data-dir", "/data"]).chain(extra);
+    StorageCli::parse_from(arguments).storage.check().expect("valid settings")
+}
+
+#[test]
+fn buffers_may_use_a_quarter_of_the_memory() {
+    let limit = |text: &str| check(&["--memory-mb", text]).map(|settings| settings.memory_limit);
+    assert_eq!(limit("160"), Ok(Some(ByteCount::new(40 << 20))));
+    assert_eq!(limit("0"), Ok(None));
+    assert_eq!(limit(""), Ok(None));
+    assert_eq!(check(&[]).expect("valid settings").memory_limit, None);
+    limit("much").expect_err("no number");
+}
+
+/// Guards against a change of the jobs' share by the limit of buffered bytes.
+#[test]
+fn jobs_may_use_a_third_of_the_memory() {
+    assert_eq!(check_storage(&["--memory-mb", "300"]).job_bytes, 100 << 20);
+    assert_eq!(check_storage(&[]).job_bytes, (256 << 20) / 3);
+    assert_eq!(check_storage(&["--memory-mb", ""]).job_bytes, (256 << 20) / 3);
 }
 
 #[test]
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,11 +4,17 @@
 //! was a success, and neither side wants to close the connection. In all other cases (a response to
 //! another request, unexpected bytes, an error, a disconnect) the connection is closed. Late bytes
 //! of one request are thus never mistaken for the response to another.
+//!
+//! Bytes of responses are reserved in the box's [`MemoryBudget`] while they are buffered.
 
 mod limit;
+mod memory;
 mod pool;
 mod response;
 
 pub use limit::{ConnectionLimit, ConnectionPermit};
+pub use memory::{
+    ByteCount, MemoryBudget, MemoryUse, OutOfMemory, READER_TIMEOUT, ReaderPolicy, Reservation,
+};
 pub use pool::{PortState, SendError, TargetPool};
-pub use response::{FullResponse, TargetResponse, keep_alive_time};
+pub use response::{FullResponse, ReadError, TargetResponse, keep_alive_time};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -16,7 +16,7 @@
 use tokio::time::{self, Instant};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::{ConnectionLimit, ConnectionPermit, TargetResponse};
+use crate::{ConnectionLimit, ConnectionPermit, MemoryBudget, TargetResponse};
 
 /// Timeout for opening a connection; shorter than the retransmission delay of a lost SYN packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -67,6 +67,7 @@
 pub struct TargetPool {
     idle: IdleConnections,
     limit: Arc<ConnectionLimit>,
+    memory: Arc<MemoryBudget>,
 }
 
 impl std::fmt::Debug for TargetPool {
@@ -78,7 +79,18 @@
 impl TargetPool {
     /// Creates a pool with a limit on open connections.
     pub fn new(limit: ConnectionLimit) -> Self {
-        Self { idle: IdleConnections::default(), limit: Arc::new(limit) }
+        Self { limit: Arc::new(limit), ..Self::default() }
+    }
+
+    /// Sets the budget in which buffered responses are reserved.
+    #[must_use]
+    pub fn with_memory(self, memory: Arc<MemoryBudget>) -> Self {
+        Self { memory, ..self }
+    }
+
+    /// The budget for buffered bytes.
+    pub const fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
     }
 
     /// The limit and the number of open connections.
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -6,10 +6,11 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use tokio::time::{self, Instant};
 
 use crate::pool::Connection;
-use crate::{SendError, TargetPool};
+use crate::{ByteCount, MemoryUse, Reservation, SendError, TargetPool};
 
 /// Margin subtracted from the time for which a target keeps an idle connection. It covers the round
 /// trip and a pause of up to 100 ms when the box has used up its CPU quota. Targets state whole
@@ -46,6 +47,17 @@
     pub body: Bytes,
 }
 
+/// Why a response was not read completely.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    /// The request or the response failed.
+    #[error(transparent)]
+    Send(#[from] SendError),
+    /// The response does not fit into the memory budget. The target has run the request.
+    #[error("the memory limit is reached: retry later, or raise `--memory-mb`")]
+    NoMemory,
+}
+
 impl TargetResponse {
     pub(crate) fn new(
         pool: TargetPool,
@@ -100,23 +112,76 @@
         self.pool.put_back(self.address, self.connection, keep_alive);
     }
 
-    /// Reads a complete body of at most `max_bytes` and returns the connection to the pool.
-    pub async fn read_full(mut self, max_bytes: usize) -> Result<FullResponse, SendError> {
+    /// Reads a complete body of at most `max_bytes` and returns the connection to the pool. Waits
+    /// while the body does not fit into the memory budget, in which it stays reserved until its
+    /// last copy is dropped.
+    pub async fn read_full(self, max_bytes: usize) -> Result<FullResponse, SendError> {
+        self.read_reserved(max_bytes, None).await.map_err(|error| match error {
+            ReadError::Send(error) => error,
+            ReadError::NoMemory => SendError::Broken(error.to_string()),
+        })
+    }
+
+    /// Like [`Self::read_full`], but stops waiting for memory at `give_up_at`.
+    pub async fn read_full_by(
+        self,
+        max_bytes: usize,
+        give_up_at: Instant,
+    ) -> Result<FullResponse, ReadError> {
+        self.read_reserved(max_bytes, Some(give_up_at)).await
+    }
+
+    async fn read_reserved(
+        mut self,
+        max_bytes: usize,
+        give_up_at: Option<Instant>,
+    ) -> Result<FullResponse, ReadError> {
+        let mut held = self.pool.memory().reserve_nothing();
+        // Reserved at once if the target states the length, so that partly read responses don't
+        // wait for each other.
+        let stated = self.body.size_hint().exact().and_then(|size| usize::try_from(size).ok());
+        if let Some(size) = stated.filter(|size| *size <= max_bytes) {
+            self.reserve(&mut held, size, give_up_at).await?;
+        }
         let mut body = BytesMut::new();
         while let Some(chunk) = self.next().await? {
-            if body.len() + chunk.len() > max_bytes {
-                return Err(SendError::Broken("the response is too long".to_owned()));
+            let length = body.len() + chunk.len();
+            if length > max_bytes {
+                return Err(SendError::Broken("the response is too long".to_owned()).into());
             }
+            self.reserve(&mut held, length, give_up_at).await?;
             body.extend_from_slice(&chunk);
         }
         let full_response = FullResponse {
             status: self.status,
             headers: self.headers.clone(),
-            body: body.freeze(),
+            body: held.attach(body.freeze()),
         };
         self.reuse();
         Ok(full_response)
     }
+
+    /// Grows a reservation to `length` bytes.
+    async fn reserve(
+        &self,
+        held: &mut Reservation,
+        length: usize,
+        give_up_at: Option<Instant>,
+    ) -> Result<(), ReadError> {
+        let total = ByteCount::new(length);
+        if total <= held.bytes() {
+            return Ok(());
+        }
+        if !self.pool.memory().can_ever_fit(MemoryUse::Response, total) {
+            return Err(ReadError::NoMemory);
+        }
+        let grow = held.grow(total.saturating_sub(held.bytes()));
+        let Some(give_up_at) = give_up_at else {
+            grow.await;
+            return Ok(());
+        };
+        time::timeout_at(give_up_at, grow).await.map_err(|_elapsed| ReadError::NoMemory)
+    }
 }
 
 /// Returns how long a connection may stay idle according to a `Keep-Alive` header, minus a margin;
