Reload settings from a file on SIGHUP and when the file changes

Cause: no setting of a running process could change; SIGHUP was ignored.

Its values are added to the command line as flags, unless the flag is given there, so the parser of the flags and RawNodeSettings::check remain the only validation. It is read at the start, on SIGHUP, and when its modification time or size changes (checked each second). Log level, memory limit and grace period apply at once; other changes are logged as requiring a restart. A missing or invalid file changes nothing and is logged with all its faults. Without a file, SIGHUP logs that none is named.

The time limits of the feed are fixed when it starts, so a changed propagation bound requires a restart.

Ruled out: setting environment variables of the running process, which is not safe with several threads.

Tests: parsing, precedence, comparison and reload in crates/node/tests/settings_file.rs; a process that receives SIGHUP in crates/gannetwayd/tests/reload.rs.

--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -78,7 +78,6 @@
 ) -> io::Result<()> {
     let EntryListeners { front, ready } = listeners;
     let store = ObjectStore::new(&settings.store.to_string()).map_err(io::Error::other)?;
-    let grace = settings.grace;
     let link_settings = LinkSettings { me: settings.box_id.clone(), key: settings.key.clone() };
     let metrics = settings.metrics;
     let view = Arc::new(NodeView::new(settings, store));
@@ -101,7 +100,7 @@
     tokio::select! {
         ended = front_server => ended,
         ended = ready_server => ended,
-        stopped = async { stop_requested.await?; stop_gracefully(&state, grace).await; Ok(()) } => {
+        stopped = async { stop_requested.await?; stop_gracefully(&state).await; Ok(()) } => {
             shutdown.cancel();
             stopped
         }
@@ -152,8 +151,10 @@
 
 /// Reports the box as not ready, closes callers' connections after their current request, and waits
 /// for the requests in flight.
-async fn stop_gracefully(state: &FrontState, grace: Duration) {
+async fn stop_gracefully(state: &FrontState) {
     let started = Instant::now();
+    let settings = &state.view.settings;
+    let grace = settings.live.grace(settings.grace);
     log::info!(target: "entry", in_flight = state.in_flight(); "stopping");
     state.stopping.cancel();
     let deadline = started + grace.saturating_sub(STOP_MARGIN);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,7 +14,9 @@
 mod metrics;
 mod plain;
 mod probe;
+mod reload;
 mod settings;
+mod settings_file;
 pub mod sinks;
 mod slot;
 mod stop;
@@ -29,9 +31,14 @@
 pub use metrics::{NodeMetrics, StoreCall, log_counters, serve_metrics};
 pub use plain::{PlainCall, PlainOutcome, call_plain};
 pub use probe::ProbeBackoff;
+pub use reload::{LiveSettings, ReloadableSettings, SettingChange, SettingsReloader};
 pub use settings::{
     NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
 };
+pub use settings_file::{
+    FileStamp, KnownSetting, add_file_values, file_stamp, known_settings, named_settings_file,
+    parse_settings_file, read_settings_file,
+};
 pub use slot::SlotGuard;
 pub use stop::wait_for_stop;
 pub use suspects::{WorkAdmission, suspect_object, sync_suspects};
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -5,6 +5,7 @@
 //! once there is room again.
 
 use std::io::{self, Write};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 use std::{fmt, mem, thread};
@@ -101,6 +102,18 @@
     let _result = io::stdout().write_all(bytes);
 }
 
+/// Log targets whose level is a setting.
+const PARTS: [&str; 7] = ["config", "conductor", "entry", "jobs", "node", "shard", "targets"];
+/// Level of [`PARTS`].
+static PART_LEVEL: AtomicUsize = AtomicUsize::new(log::LevelFilter::Info as usize);
+
+/// Changes the log level.
+pub fn set_log_level(level: log::LevelFilter) {
+    PART_LEVEL.store(level as usize, Ordering::Relaxed);
+    // Calls above this level are skipped before they are formatted.
+    log::set_max_level(level.max(log::LevelFilter::Warn));
+}
+
 /// Sets up logging to standard output. A second call in a process has no effect.
 pub fn start_logs(box_id: &str, level: log::LevelFilter) -> LogFlush {
     let buffer = LineBuffer::default();
@@ -113,10 +126,15 @@
         .level(log::LevelFilter::Warn)
         .chain(output);
     // All other sources, such as libraries, log only warnings and errors.
-    let parts = ["config", "conductor", "entry", "jobs", "node", "shard", "targets"];
-    let dispatch =
-        parts.into_iter().fold(dispatch, |dispatch, part| dispatch.level_for(part, level));
+    let dispatch = PARTS
+        .into_iter()
+        .fold(dispatch, |dispatch, part| dispatch.level_for(part, log::LevelFilter::Trace));
+    let dispatch = dispatch.filter(|metadata| {
+        !PARTS.contains(&metadata.target())
+            || metadata.level() as usize <= PART_LEVEL.load(Ordering::Relaxed)
+    });
     if dispatch.apply().is_ok() {
+        set_log_level(level);
         let writer = buffer.clone();
         let spawned = thread::Builder::new().name("logs".to_owned()).spawn(move || {
             loop {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,6 +3,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use clap::Args;
@@ -12,7 +13,7 @@
 use usage::WindowLength;
 use wire::DeploymentKey;
 
-use crate::ClockSource;
+use crate::{ClockSource, LiveSettings};
 
 /// Unvalidated settings of both roles.
 #[derive(Debug, Clone, Args)]
@@ -82,6 +83,10 @@
     /// third. Empty or 0 does not limit buffered bytes, and limits jobs as 256 does.
     #[arg(long, env = "GANNETWAY_MEMORY_MB", default_value = "")]
     pub memory_mb: String,
+    /// File with lines `NAME=value`, whose values replace those of the environment. It is read
+    /// again on SIGHUP and when it changes; empty for none.
+    #[arg(long, env = "GANNETWAY_SETTINGS_FILE", default_value = "")]
+    pub settings_file: String,
     /// Log level: error, warn, info, debug or trace.
     #[arg(long, env = "GANNETWAY_LOG", default_value = "info")]
     pub log: log::LevelFilter,
@@ -158,6 +163,8 @@
     pub cold_bound: ColdBound,
     /// Limit of the bytes buffered for callers and targets; `None` for no limit.
     pub memory_limit: Option<ByteCount>,
+    /// Current values of the settings that change while the process runs.
+    pub live: Arc<LiveSettings>,
     /// Log level.
     pub log: log::LevelFilter,
 }
@@ -328,6 +335,7 @@
             memory_limit: memory
                 .filter(|bytes| *bytes > 0)
                 .map(|bytes| ByteCount::new(bytes / BUFFER_MEMORY_DIVISOR)),
+            live: Arc::default(),
             log: self.log,
         })
     }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -68,7 +68,8 @@
         let usage = UsageTracker::new(settings.box_id.clone(), settings.usage_window);
         let clock = NodeClock::start(settings.clock.clone());
         let feed = FeedState::new(FeedTimes::for_bound(settings.propagation_bound));
-        let memory = Arc::new(MemoryBudget::new(settings.memory_limit));
+        let memory = Arc::clone(&settings.live.memory);
+        memory.set_limit(settings.memory_limit);
         Self {
             settings,
             store,
