--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
-use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use admission::{PermitOutcome, ReportedLoad, ShortageDetector, TargetReport};
@@ -25,7 +25,7 @@
     response_item, shard_request, shard_response,
 };
 
-use crate::{NodeView, WorkRequirements};
+use crate::{LiveSettings, NodeView, WorkRequirements};
 
 /// Targets per cell of a service. A home then grants some thousand permits per second, which takes
 /// about a third of a core.
@@ -141,7 +141,9 @@
 /// State of this box's asks.
 #[derive(Debug, Default)]
 pub struct AdmissionClient {
-    mode: AdmissionMode,
+    /// The mode at the start.
+    initial_mode: AdmissionMode,
+    live: Arc<LiveSettings>,
     links: OnceLock<LinkPool>,
     services: Mutex<HashMap<ServiceName, ServiceState>>,
     homes: Mutex<HashMap<BoxId, HomeHealth>>,
@@ -149,8 +151,8 @@
 
 impl AdmissionClient {
     /// Creates a client that has seen no shortage.
-    pub fn new(mode: AdmissionMode) -> Self {
-        Self { mode, ..Self::default() }
+    pub fn new(initial_mode: AdmissionMode, live: Arc<LiveSettings>) -> Self {
+        Self { initial_mode, live, ..Self::default() }
     }
 
     /// Sets the links to other boxes, once. Without them no permit is requested.
@@ -160,7 +162,7 @@
 
     /// Whether the boxes share queues for services that are short.
     pub fn is_shared(&self) -> bool {
-        self.mode == AdmissionMode::Shared
+        self.live.admission(self.initial_mode) == AdmissionMode::Shared
     }
 
     fn services(&self) -> MutexGuard<'_, HashMap<ServiceName, ServiceState>> {
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -11,7 +11,7 @@
 use platform::headers::{self, ResponseInfo};
 use routing::{ChosenTarget, Route, RouteKind, TargetFailure};
 use tokio::time::{self, Instant};
-use upstream::{FullResponse, ReusePolicy, SendError};
+use upstream::{FullResponse, ReadError, ReusePolicy, SendError};
 
 use crate::choice::DEFAULT_GOAL;
 use crate::{
@@ -99,13 +99,22 @@
     OtherTarget,
     Full,
     Unsigned,
+    /// The response did not fit into the box's memory budget.
+    NoMemory,
 }
 
 impl TryOutcome {
     /// Whether a target probably started to run the request. One that disconnects or sends an
     /// invalid response usually has.
     const fn has_begun(self) -> bool {
-        matches!(self, Self::Answered | Self::Broken | Self::MismatchedResponse | Self::Unsigned)
+        matches!(
+            self,
+            Self::Answered
+                | Self::Broken
+                | Self::MismatchedResponse
+                | Self::Unsigned
+                | Self::NoMemory
+        )
     }
 
     /// The outcome as the service's admission home counts it; `None` if it says nothing about the
@@ -120,7 +129,7 @@
             | Self::Broken
             | Self::MismatchedResponse
             | Self::Unsigned => PermitOutcome::Broken,
-            Self::NoRoom => return None,
+            Self::NoRoom | Self::NoMemory => return None,
         })
     }
 
@@ -135,6 +144,7 @@
             Self::OtherTarget => "another target",
             Self::Full => "full",
             Self::Unsigned => "unsigned",
+            Self::NoMemory => "no memory",
         }
     }
 }
@@ -265,7 +275,8 @@
     let sent = async {
         let response = view.pool.send(target.address, request).await?;
         let policy = ReusePolicy::SuccessesAndRefusals(headers::REFUSAL_HEADER);
-        response.read_full_reusing(MAX_RESPONSE_BYTES, policy).await
+        let response = response.reusable_after(policy);
+        response.read_full_by(MAX_RESPONSE_BYTES, started + limit).await
     };
     let mut load = None;
     let (outcome, result) = match time::timeout(limit, sent).await {
@@ -273,9 +284,12 @@
             view.pool.close_idle();
             (TryOutcome::Silent, TryResult::Broken)
         }
-        Ok(Err(SendError::NotSent(_))) => (TryOutcome::NotSent, TryResult::NotRun),
-        Ok(Err(SendError::LimitReached)) => (TryOutcome::NoRoom, TryResult::NotRun),
-        Ok(Err(SendError::Broken(_))) => (TryOutcome::Broken, TryResult::Broken),
+        Ok(Err(ReadError::Send(SendError::NotSent(_)))) => (TryOutcome::NotSent, TryResult::NotRun),
+        Ok(Err(ReadError::Send(SendError::LimitReached))) => {
+            (TryOutcome::NoRoom, TryResult::NotRun)
+        }
+        Ok(Err(ReadError::Send(SendError::Broken(_)))) => (TryOutcome::Broken, TryResult::Broken),
+        Ok(Err(ReadError::NoMemory)) => (TryOutcome::NoMemory, TryResult::Broken),
         Ok(Ok(response)) => {
             let info = headers::response_info(&response.headers);
             load = info.load;
@@ -381,6 +395,8 @@
         }
         // An error of the target, or a refusal that `classify_response` has recorded.
         TryResult::Answered(_) | TryResult::NotRun => {}
+        // The target is not at fault.
+        TryResult::Broken if outcome == TryOutcome::NoMemory => {}
         TryResult::Broken => targets.failed(view.now(), &target.instance, TargetFailure::Broken),
     }
 }
