Admission: callers that return after a refusal give way under overload

Cause: a returning request's goal has passed, so it counted neither as recent nor as one to refuse: under overload only new callers were refused. Change: the request carries the route's goal beside its end. A caller that returns gives way under overload while the queue is near its planned length, unless its customer asks for less than others; refused callers are told to return half a second later than booked while the overload lasts. The load tests now count goals from a caller's first try, as the home does. Measured: the admission crate's tests pass, their bounds unchanged.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -41,6 +41,12 @@
 /// Fraction of the time before a request must start that its wait may take when it arrives. The rest
 /// is for requests that overtake it; without it, many would be refused after a long wait.
 const WAIT_FRACTION: u32 = 2;
+/// Fraction of the goal from which a planned wait makes returning callers give way. Below it the
+/// overload is over, and there is room for them.
+const LATE_GOAL_FRACTION: f64 = 0.9;
+/// Added to the times to return under overload. Until it ends there is no room to return to, and a
+/// caller that is refused twice is worse off than one that waits.
+const OVERLOAD_DELAY: Duration = Duration::from_millis(500);
 /// Requests that waited less than this fraction of their goal are refused before others. Less than
 /// the quarter within which refusals must return, by the time of the messages.
 const RECENT_FRACTION: u32 = 5;
@@ -52,6 +58,8 @@
     share: ShareIndex,
     since: Moment,
     recent_until: Moment,
+    /// Whether it arrived too late to end within its goal, as after a refusal.
+    is_late: bool,
 }
 
 impl WaitingRequest {
@@ -64,7 +72,7 @@
 /// Until when a request that arrives at `now` counts as recent. One that avoids a target was granted
 /// before, so it has waited already.
 fn recent_until(now: Moment, request: &AdmissionRequest) -> Moment {
-    if request.avoid.is_empty() { now + request.goal_by.since(now) / RECENT_FRACTION } else { now }
+    if request.avoid.is_empty() { now + request.goal / RECENT_FRACTION } else { now }
 }
 
 #[derive(Debug, Clone)]
@@ -94,12 +102,13 @@
 }
 
 /// Position in the order of grants; the smallest goes first. In order: priority, whether it is late,
-/// service of its customer, whether it came recently, deadline.
-type OrderKey = (Priority, bool, u64, bool, Moment, TicketId);
+/// service of its customer, whether it arrived too late for its goal, whether it came recently,
+/// deadline.
+type OrderKey = (Priority, bool, u64, bool, bool, Moment, TicketId);
 
 /// Position in the order of refusals at a priority; the largest is refused first. In order: whether
-/// it came recently, claim of its customer, deadline.
-type RefusalKey = (bool, u64, Moment, TicketId);
+/// it came recently, claim of its customer, whether it arrived too late for its goal, deadline.
+type RefusalKey = (bool, u64, bool, Moment, TicketId);
 
 /// Waiting requests of one priority.
 #[derive(Debug, Clone, Copy)]
@@ -154,8 +163,16 @@
         self.next_ticket += 1;
         let share = self.shares.enqueued(request.priority, request.customer.as_ref());
         let recent_until = recent_until(now, &request);
+        let is_late = now + self.hold_time() > request.goal_by;
         self.unservable_from = self.unservable_from.min(request.deadline);
-        self.waiting.push(WaitingRequest { ticket, request, share, since: now, recent_until });
+        self.waiting.push(WaitingRequest {
+            ticket,
+            request,
+            share,
+            since: now,
+            recent_until,
+            is_late,
+        });
         // If others wait, the request must not overtake them.
         if self.waiting.len() == 1
             && let Some(grant) = self.grant_next(now)
@@ -290,7 +307,7 @@
         if with_room.is_empty() {
             return None;
         }
-        // Under overload all requests that wait were planned to end within their goal.
+        // Under overload all other requests that wait were planned to end within their goal.
         let late_from = if self.is_overloaded { Moment::START } else { now + expected };
         let candidates = self.waiting.iter().enumerate().filter_map(|(at, waiting)| {
             let avoid = &waiting.request.avoid;
@@ -379,12 +396,25 @@
         }
         let hold_time = self.hold_time();
         let planned = wait * WAIT_FRACTION + hold_time * SERVICE_TIME_RESERVE;
-        let refusable = self.waiting.iter().enumerate().filter(|(_, waiting)| {
-            waiting.request.priority == priority
-                && (has_higher || waiting.is_recent(now))
-                && waiting.since + planned > waiting.request.goal_by
-        });
         let service_time = micros(hold_time);
+        let same_priority = || {
+            let waiting = self.waiting.iter().enumerate();
+            waiting.filter(|(_, waiting)| waiting.request.priority == priority)
+        };
+        let claims =
+            same_priority().map(|(_, waiting)| self.shares.claimed(waiting.share, service_time));
+        let most_claimed = claims.max().unwrap_or_default();
+        let refusable = same_priority().filter(|(_, waiting)| {
+            // A caller that returns is late anyway. It gives way to those that are not, unless its
+            // customer asks for less than others.
+            let asks_for_more = self.shares.claimed(waiting.share, service_time) == most_claimed
+                || self.shares.waiting(waiting.share) > 1;
+            let goal = waiting.request.goal;
+            let gives_way =
+                waiting.is_late && asks_for_more && planned > goal.mul_f64(LATE_GOAL_FRACTION);
+            let misses_goal = planned > goal;
+            (has_higher || waiting.is_recent(now)) && (gives_way || misses_goal)
+        });
         let first =
             refusable.max_by_key(|(_, waiting)| self.refusal_key(now, waiting, service_time));
         first.map(|(at, _)| at)
@@ -392,7 +422,8 @@
 
     fn refusal_key(&self, now: Moment, waiting: &WaitingRequest, service_time: u64) -> RefusalKey {
         let claimed = self.shares.claimed(waiting.share, service_time);
-        (waiting.is_recent(now), claimed, waiting.request.deadline, waiting.ticket)
+        let is_recent = waiting.is_recent(now);
+        (is_recent, claimed, waiting.is_late, waiting.request.deadline, waiting.ticket)
     }
 
     fn reject_waiting(
@@ -416,7 +447,8 @@
         let served = self.served_per_second(now);
         let spare = (served - self.arrivals.per_second(now)).max(served * MIN_SPARE_FRACTION);
         let spacing = Duration::from_secs_f64(1.0 / spare);
-        let retry_after = self.returns.book(now, request.priority, spacing, rng);
+        let booked = self.returns.book(now, request.priority, spacing, rng);
+        let retry_after = if self.is_overloaded { booked + OVERLOAD_DELAY } else { booked };
         let waiting = self.waiting.len();
         Rejection { reason, retry_after, waiting, expected_wait: self.expected_wait(now, waiting) }
     }
@@ -438,5 +470,6 @@
     let request = &waiting.request;
     let is_late = late_from > request.goal_by;
     let is_recent = waiting.is_recent(now);
-    (request.priority, is_late, received, is_recent, request.deadline, waiting.ticket)
+    let arrived_late = waiting.is_late && is_recent;
+    (request.priority, is_late, received, arrived_late, is_recent, request.deadline, waiting.ticket)
 }
--- a/crates/admission/src/request.rs
+++ b/crates/admission/src/request.rs
@@ -18,7 +18,9 @@
     pub customer: Option<CustomerName>,
     /// Priority of the customer, or else of the route.
     pub priority: Priority,
-    /// End of the route's response time goal.
+    /// Response time goal of the route.
+    pub goal: Duration,
+    /// End of the goal, which counts from the caller's first try.
     pub goal_by: Moment,
     /// When the caller stops waiting.
     pub deadline: Moment,
--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -87,6 +87,11 @@
         self.shares[index.0].received
     }
 
+    /// Number of the customer's waiting requests.
+    pub fn waiting(&self, index: ShareIndex) -> u32 {
+        self.shares[index.0].waiting
+    }
+
     /// Service that the customer would have if all its waiting requests ended, in microseconds.
     pub fn claimed(&self, index: ShareIndex, service_time: u64) -> u64 {
         let share = &self.shares[index.0];
--- a/crates/admission/tests/common/mod.rs
+++ b/crates/admission/tests/common/mod.rs
@@ -265,11 +265,12 @@
 
     fn ask(&mut self, id: usize) {
         let caller = &self.callers[id];
-        let (goal_by, deadline) = (caller.tried_at + GOAL, caller.arrived + DEADLINE);
+        let (goal_by, deadline) = (caller.arrived + GOAL, caller.arrived + DEADLINE);
         let request = AdmissionRequest {
             route: "route".parse().expect("valid id"),
             customer: Some(customer(caller.customer)),
             priority: Priority::new(caller.priority),
+            goal: GOAL,
             goal_by,
             deadline,
             avoid: caller.avoid.clone(),
--- a/crates/admission/tests/invariants.rs
+++ b/crates/admission/tests/invariants.rs
@@ -83,6 +83,7 @@
             route: "route".parse().expect("valid id"),
             customer: u.ratio(4, 5)?.then_some(customer(u.choose_index(4)?)),
             priority: Priority::new(u.int_in_range(0..=3)?),
+            goal: Duration::from_millis(150),
             goal_by: self.now + Duration::from_millis(150),
             deadline: self.now + Duration::from_millis(millis),
             avoid,
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -36,6 +36,7 @@
         route: format!("route-{of}").parse().expect("valid id"),
         customer: Some(customer(of)),
         priority: Priority::new(priority),
+        goal: common::GOAL,
         goal_by: now + common::GOAL,
         deadline: now + common::DEADLINE,
         avoid: Vec::new(),
@@ -118,6 +119,7 @@
         for of in [1, 2] {
             while owners.values().filter(|owner| **owner == of).count() < 20 {
                 let asked = AdmissionRequest {
+                    goal: common::DEADLINE,
                     goal_by: now + common::DEADLINE,
                     deadline: now + common::DEADLINE * 4,
                     ..request(now, of, 5)
@@ -201,6 +203,7 @@
     let now = at(0.0);
     let far = now + Duration::from_secs(1_000);
     let patient = |of, priority| AdmissionRequest {
+        goal: far.since(now),
         goal_by: far,
         deadline: far,
         ..request(now, of, priority)
@@ -594,7 +597,12 @@
     let mut queue = queue(1);
     for _ in 0..1_100 {
         let far = now + Duration::from_secs(100);
-        let patient = AdmissionRequest { goal_by: far, deadline: far, ..request(now, 1, 5) };
+        let patient = AdmissionRequest {
+            goal: far.since(now),
+            goal_by: far,
+            deadline: far,
+            ..request(now, 1, 5)
+        };
         queue.request(now, patient, &mut rng());
         queue.poll(now, &mut rng());
     }
@@ -625,7 +633,12 @@
         let mut queue = queue(1);
         fill(&mut queue, now, 1);
         let far = now + Duration::from_secs(100);
-        let patient = AdmissionRequest { goal_by: far, deadline: far, ..request(now, 2, low) };
+        let patient = AdmissionRequest {
+            goal: far.since(now),
+            goal_by: far,
+            deadline: far,
+            ..request(now, 2, low)
+        };
         let patient = queued(queue.request(now, patient, &mut rng()));
         let waiting = overload(&mut queue, now, 5);
         assert!(waiting.len() < 60, "{} wait for a goal of 150 ms", waiting.len());
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -366,6 +366,7 @@
         reports: view.admission.take_reports(service),
         box_id: view.settings.box_id.to_string(),
         work: requirements.work.to_string(),
+        goal_ms: millis(goal),
     }
 }
 
--- a/crates/shards/src/admission.rs
+++ b/crates/shards/src/admission.rs
@@ -335,6 +335,7 @@
         route,
         customer,
         priority: priority.unwrap_or(sent_priority),
+        goal: Duration::from_millis(u64::from(ask.goal_ms)),
         goal_by: after(first_arrival, ask.goal_left_ms),
         deadline: after(now, ask.time_left_ms),
         avoid: ask.avoid.iter().filter_map(|target| target.parse().ok()).collect(),
