--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -33,7 +33,7 @@
 /// How long a shortage is reported after the last request that had to wait.
 const SHORTAGE_TTL: Duration = Duration::from_secs(1);
 /// Fraction of the permits in use from which the service counts as short.
-const SHORTAGE_FRACTION: f64 = 0.7;
+const SHORTAGE_FRACTION: f64 = 0.9;
 /// Multiple of the mean time of a request that is left for it when its wait is planned. With the
 /// mean alone, half of the requests that wait longest would miss their goal, or end without a
 /// response because their time runs out at the target.
@@ -207,12 +207,22 @@
         events
     }
 
-    /// Releases a permit, or removes a waiting request whose caller has left.
+    /// Releases the permit of a request that its target has served.
     pub fn release(&mut self, now: Moment, ticket: TicketId) {
-        if let Some(permit) = self.permits.remove(&ticket) {
+        if let Some(permit) = self.permits.get(&ticket) {
             let held = now.since(permit.granted_at);
             self.hold_time.observe(held);
-            self.targets.release(&permit.grant.target, Some(held));
+            self.targets.observe_hold_time(&permit.grant.target, held);
+        }
+        self.withdraw(now, ticket);
+    }
+
+    /// Releases the permit of a request that was not served, or removes a waiting request. Its time
+    /// does not count as a service time: a target that fails fast would seem to be the fastest.
+    pub fn withdraw(&mut self, now: Moment, ticket: TicketId) {
+        if let Some(permit) = self.permits.remove(&ticket) {
+            let held = now.since(permit.granted_at);
+            self.targets.release(&permit.grant.target);
             self.shares.released(permit.share, permit.expected, held);
         } else if let Some(at) = self.waiting.iter().position(|waiting| waiting.ticket == ticket) {
             self.remove(at);
@@ -459,7 +469,7 @@
         let expired: Vec<TicketId> = expired.map(|(ticket, _)| *ticket).collect();
         for permit in expired.iter().filter_map(|ticket| self.permits.remove(ticket)) {
             // How long the request ran is unknown, so it does not count as a service time.
-            self.targets.release(&permit.grant.target, None);
+            self.targets.release(&permit.grant.target);
             let held = now.since(permit.granted_at);
             self.shares.released(permit.share, permit.expected, held);
         }
--- a/crates/admission/src/refused_work.rs
+++ b/crates/admission/src/refused_work.rs
@@ -24,7 +24,8 @@
 
 impl RefusedWork {
     /// When the work arrived first, as far as this is remembered.
-    pub fn first_arrival(&self, now: Moment, work: WorkDigest) -> Moment {
+    pub fn first_arrival(&mut self, now: Moment, work: WorkDigest) -> Moment {
+        self.forget_old(now);
         self.first_arrivals.get(&work).copied().unwrap_or(now)
     }
 
--- a/crates/admission/src/request.rs
+++ b/crates/admission/src/request.rs
@@ -111,8 +111,10 @@
 /// How a permit was used, as far as it affects later grants.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PermitOutcome {
-    /// The target responded.
+    /// The target served the request.
     Served,
+    /// The target responded with an error of its own.
+    Failed,
     /// The target refused the request for lack of capacity and did not run it.
     Refused,
     /// The target was unreachable or unresponsive, or the connection broke.
--- a/crates/admission/src/targets.rs
+++ b/crates/admission/src/targets.rs
@@ -159,10 +159,15 @@
     }
 
     /// Ends a permit, of whose request the time at the target is known if it ended.
-    pub fn release(&mut self, target: &InstanceId, held: Option<Duration>) {
-        let Some(target) = self.0.get_mut(target) else { return };
-        target.in_use = target.in_use.saturating_sub(1);
-        if let Some(held) = held {
+    pub fn release(&mut self, target: &InstanceId) {
+        if let Some(target) = self.0.get_mut(target) {
+            target.in_use = target.in_use.saturating_sub(1);
+        }
+    }
+
+    /// Records for how long the permit of a served request was held.
+    pub fn observe_hold_time(&mut self, target: &InstanceId, held: Duration) {
+        if let Some(target) = self.0.get_mut(target) {
             target.hold_time.observe(held);
         }
     }
@@ -172,6 +177,7 @@
         let Some(target) = self.0.get_mut(&report.target) else { return };
         match report.outcome {
             PermitOutcome::Served => target.record_success(now),
+            PermitOutcome::Failed => {}
             PermitOutcome::Refused => target.limit.record_refusal(now, service_time),
             PermitOutcome::Broken | PermitOutcome::Gone => target.record_failure(now),
         }
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -648,3 +648,30 @@
         assert!(refused > 90, "{refused} of 100 are refused under overload");
     }
 }
+
+/// Guards against a target that fails fast and so seems to be the fastest: it would get most grants,
+/// and the queue would plan with a service time that no target has.
+#[test]
+fn target_that_fails_fast_is_not_preferred() {
+    let mut queue = queue(2);
+    let failing = instance(0);
+    let (mut now, mut to_failing) = (at(1.0), 0);
+    for _ in 0..200 {
+        let first = granted(queue.request(now, request(now, 1, 5), &mut rng()));
+        let second = granted(queue.request(now, request(now, 1, 5), &mut rng()));
+        for grant in [first, second] {
+            if grant.target == failing {
+                to_failing += 1;
+                queue.withdraw(now + Duration::from_millis(3), grant.ticket);
+            } else {
+                end(&mut queue, now + Duration::from_millis(25), &grant);
+            }
+        }
+        now = now + Duration::from_millis(25);
+    }
+    assert!(to_failing <= 220, "{to_failing} of 400 grants went to the failing target");
+    fill(&mut queue, now, 2);
+    let waiting = queue.request(now, request(now, 1, 5), &mut rng());
+    let Admission::Queued { expected_wait, .. } = waiting else { panic!("not queued") };
+    assert!(expected_wait >= Duration::from_millis(1), "planned with fast failures");
+}
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -96,14 +96,20 @@
     request_id: Option<&str>,
 ) -> Response<FrontBody> {
     let mut response = refuse(StatusCode::SERVICE_UNAVAILABLE, reason, remedy, request_id);
-    // Milliseconds, since callers that are told different times must not return together.
-    let seconds = format!("{:.3}", retry_delay.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
+    if let Ok(value) = HeaderValue::from_str(&format_seconds(retry_delay)) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
     response
 }
 
+/// Formats a time as seconds with one to three decimals. Milliseconds matter: callers that are told
+/// different times must not return together.
+fn format_seconds(time: Duration) -> String {
+    let seconds = format!("{:.3}", time.as_secs_f64());
+    let short = seconds.trim_end_matches('0');
+    if short.ends_with('.') { format!("{short}0") } else { short.to_owned() }
+}
+
 /// Forwards a target's response without its connection headers.
 pub fn forward(target_response: FullResponse) -> Response<FrontBody> {
     let mut response = Response::new(Either::Left(Full::new(target_response.body)));
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -13,7 +13,7 @@
 use ids::{InstanceId, WorkDigest};
 use node::{
     NodeView, SlotGuard, TargetChoice, WorkRequirements, choose_target, record_disconnect,
-    request_work,
+    request_work, reuse_policy,
 };
 use platform::headers;
 use routing::{ChosenTarget, Route, TargetFailure};
@@ -26,6 +26,10 @@
 
 /// Maximum number of targets that are tried for one stream.
 const MAX_TARGETS_TRIED: u32 = 4;
+/// Maximum size of a refusal, in bytes.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
+/// Maximum time for the rest of a refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
 /// Maximum number of body chunks buffered for a slow caller.
 const STREAM_BUFFER_CHUNKS: usize = 16;
 /// Maximum wait for the memory of a chunk. Targets abort a response that is left unread for some
@@ -84,8 +88,7 @@
         let target_response = match sent {
             Ok(Ok(target_response)) => target_response,
             Ok(Err(SendError::NotSent(_))) => {
-                record_failure(view, target, TargetFailure::Broken);
-                view.admission.record_result(view, target, PermitOutcome::Broken, None);
+                record_broken(view, target);
                 tried.push(target.instance.clone());
                 if view.admission.try_retry(&target.service) {
                     continue;
@@ -94,18 +97,18 @@
             }
             Ok(Err(SendError::LimitReached)) => break,
             Ok(Err(SendError::Broken(_))) => {
-                record_failure(view, target, TargetFailure::Broken);
+                record_broken(view, target);
                 record_disconnect(view, target, work);
                 return unknown_outcome(view, &id, work);
             }
             Err(_elapsed) => {
-                record_failure(view, target, TargetFailure::Broken);
+                record_broken(view, target);
                 return unknown_outcome(view, &id, work);
             }
         };
         let info = headers::response_info(target_response.headers());
         if !info.responds_to(&id) {
-            record_failure(view, target, TargetFailure::Broken);
+            record_broken(view, target);
             return unknown_outcome(view, &id, work);
         }
         if target_response.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -118,6 +121,7 @@
         if info.not_run {
             record_failure(view, target, TargetFailure::Full);
             view.admission.record_result(view, target, PermitOutcome::Refused, info.load);
+            drain_refusal(view, target_response).await;
             tried.push(target.instance.clone());
             if view.admission.try_retry(&target.service) {
                 continue;
@@ -161,6 +165,12 @@
     )
 }
 
+/// Records that a target was unreachable or unresponsive, or broke the connection.
+fn record_broken(view: &NodeView, target: &ChosenTarget) {
+    record_failure(view, target, TargetFailure::Broken);
+    view.admission.record_result(view, target, PermitOutcome::Broken, None);
+}
+
 fn record_failure(view: &NodeView, target: &ChosenTarget, failure: TargetFailure) {
     view.target_table().failed(view.now(), &target.instance, failure);
 }
@@ -177,9 +187,13 @@
     *response.headers_mut() = target_response.headers().clone();
     response::strip_target_headers(response.headers_mut());
     let view = Arc::clone(view);
+    let mut slot = slot;
     tokio::spawn(async move {
         match copy_chunks(target_response, chunks, &view.memory).await {
-            StreamEnd::Complete => view.suspects().succeeded(work),
+            StreamEnd::Complete => {
+                slot.mark_served();
+                view.suspects().succeeded(work);
+            }
             StreamEnd::CallerDisconnected => {}
             StreamEnd::NoMemory => {
                 view.metrics.count_outcome("memory", "stream ended");
@@ -200,6 +214,13 @@
     response
 }
 
+/// Reads the rest of a refusal, so that its connection can be used again.
+async fn drain_refusal(view: &NodeView, refusal: TargetResponse) {
+    let rest = refusal.reusable_after(reuse_policy(view)).read_full(MAX_REFUSAL_BYTES);
+    // Without the rest the connection closes.
+    let _drained = time::timeout(REFUSAL_TIMEOUT, rest).await;
+}
+
 /// How forwarding a response body ended.
 enum StreamEnd {
     Complete,
--- a/crates/links/src/response.rs
+++ b/crates/links/src/response.rs
@@ -1,5 +1,6 @@
 //! Streamed responses: the sending and the receiving side.
 
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -21,17 +22,34 @@
     pub text_digest: u64,
 }
 
+/// Why the caller dropped a response before its end, if it said so.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct CancelReason(Arc<OnceLock<String>>);
+
+impl CancelReason {
+    pub(crate) fn set(&self, reason: String) {
+        // Only the first cancellation counts.
+        let _already_set = self.0.set(reason);
+    }
+}
+
 /// Sends the response of one call.
 #[derive(Debug)]
 pub struct ResponseSink {
     call: u64,
     frames: mpsc::Sender<Frame>,
     checksum: ResponseChecksum,
+    cancel_reason: CancelReason,
 }
 
 impl ResponseSink {
-    pub(crate) fn new(call: u64, frames: mpsc::Sender<Frame>) -> Self {
-        Self { call, frames, checksum: ResponseChecksum::default() }
+    pub(crate) fn new(call: u64, frames: mpsc::Sender<Frame>, cancel_reason: CancelReason) -> Self {
+        Self { call, frames, checksum: ResponseChecksum::default(), cancel_reason }
+    }
+
+    /// Why the caller dropped the response, if it has and said so.
+    pub fn cancel_reason(&self) -> Option<&str> {
+        self.cancel_reason.0.get().map(String::as_str)
     }
 
     /// Sends an item. Returns `false` if the connection is closed or, within one box, the caller has
@@ -65,7 +83,7 @@
 #[derive(Debug)]
 enum CancelPath {
     Link { call: u64, frames: mpsc::Sender<Frame>, calls: OpenCalls },
-    Local(CancellationToken),
+    Local { token: CancellationToken, reason: CancelReason },
 }
 
 /// Receives the response of one call. Dropping it before the end cancels the call.
@@ -76,6 +94,8 @@
     checksum: ResponseChecksum,
     end: Option<ResponseEnd>,
     closed: bool,
+    /// Told to the serving side if the response is dropped before its end.
+    cancel_reason: &'static str,
 }
 
 impl ResponseStream {
@@ -93,12 +113,25 @@
     pub fn local() -> (ResponseSink, Self, CancellationToken) {
         let (frames, incoming) = mpsc::channel(LOCAL_QUEUE_LEN);
         let token = CancellationToken::new();
-        let stream = Self::with_cancel(incoming, CancelPath::Local(token.clone()));
-        (ResponseSink::new(0, frames), stream, token)
+        let reason = CancelReason::default();
+        let cancel = CancelPath::Local { token: token.clone(), reason: reason.clone() };
+        (ResponseSink::new(0, frames, reason), Self::with_cancel(incoming, cancel), token)
     }
 
     fn with_cancel(incoming: mpsc::Receiver<Frame>, cancel: CancelPath) -> Self {
-        Self { incoming, cancel, checksum: ResponseChecksum::default(), end: None, closed: false }
+        Self {
+            incoming,
+            cancel,
+            checksum: ResponseChecksum::default(),
+            end: None,
+            closed: false,
+            cancel_reason: "the caller went away",
+        }
+    }
+
+    /// Sets what the serving side is told if the response is dropped before its end.
+    pub const fn set_cancel_reason(&mut self, reason: &'static str) {
+        self.cancel_reason = reason;
     }
 
     /// Returns the next item, or `None` after the verified end. `timeout` is the maximum wait for
@@ -163,10 +196,13 @@
             return;
         }
         match &self.cancel {
-            CancelPath::Local(token) => token.cancel(),
+            CancelPath::Local { token, reason } => {
+                reason.set(self.cancel_reason.to_owned());
+                token.cancel();
+            }
             CancelPath::Link { call, frames, calls } => {
                 calls.remove(*call);
-                let why = "the caller went away".to_owned();
+                let why = self.cancel_reason.to_owned();
                 let body = Some(Body::Cancel(Cancel { why }));
                 // Best effort: a closed connection cancels the peer's calls anyway, and the items
                 // of a call that could not be cancelled are discarded.
--- a/crates/links/src/server.rs
+++ b/crates/links/src/server.rs
@@ -20,6 +20,7 @@
 use crate::ResponseSink;
 use crate::liveness::{CALLER_IDLE_TIMEOUT, CALLER_TIMEOUT};
 use crate::pool::write_frames;
+use crate::response::CancelReason;
 
 /// Maximum number of queued outgoing frames of a connection.
 const WRITE_QUEUE_LEN: usize = 256;
@@ -117,10 +118,11 @@
         };
         match frame.body {
             Some(Body::Request(request)) => {
-                let sink = ResponseSink::new(frame.call, frames.clone());
-                calls.start(frame.call, request, sink, &handler, &closed);
+                let reason = CancelReason::default();
+                let sink = ResponseSink::new(frame.call, frames.clone(), reason.clone());
+                calls.start(frame.call, request, (sink, reason), &handler, &closed);
             }
-            Some(Body::Cancel(_)) => calls.cancel(frame.call),
+            Some(Body::Cancel(cancel)) => calls.cancel(frame.call, cancel.why),
             Some(Body::Ping(_)) => {
                 // If the queue is full, the frames in it show the peer that the link is alive.
                 let _unsent = frames.try_send(Frame { call: 0, body: Some(Body::Pong(Pong {})) });
@@ -151,19 +153,19 @@
 
 /// Calls of one connection that are in flight, by call number.
 #[derive(Debug, Clone, Default)]
-struct CallTable(Arc<Mutex<HashMap<u64, CancellationToken>>>);
+struct CallTable(Arc<Mutex<HashMap<u64, (CancellationToken, CancelReason)>>>);
 
 impl CallTable {
     fn start(
         &self,
         call: u64,
         request: Request,
-        sink: ResponseSink,
+        (sink, reason): (ResponseSink, CancelReason),
         handler: &impl PeerHandler,
         closed: &CancellationToken,
     ) {
         let cancel = closed.child_token();
-        self.lock().insert(call, cancel.clone());
+        self.lock().insert(call, (cancel.clone(), reason));
         let (handler, table) = (handler.clone(), self.clone());
         tokio::spawn(async move {
             handler.request(request, sink, cancel).await;
@@ -175,13 +177,14 @@
         self.lock().is_empty()
     }
 
-    fn cancel(&self, call: u64) {
-        if let Some(cancel) = self.lock().remove(&call) {
+    fn cancel(&self, call: u64, why: String) {
+        if let Some((cancel, reason)) = self.lock().remove(&call) {
+            reason.set(why);
             cancel.cancel();
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, CancellationToken>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, (CancellationToken, CancelReason)>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use admission::{PermitOutcome, ReportedLoad, ShortageDetector, TargetReport};
+use admission::{PermitOutcome, RejectReason, ReportedLoad, ShortageDetector, TargetReport};
 use coord::rendezvous;
 use coord::retry::RetryBudget;
 use ids::{BoxId, CustomerName, InstanceId, Moment, ServiceName, whole_millis};
@@ -21,7 +21,7 @@
 use routing::{ChosenTarget, DEFAULT_PRIORITY, Route, TargetLoad};
 use tokio::time::{self, Instant};
 use wire::peer::{
-    self, AdmissionAsk, AdmissionReply, PermitReport, ShardResponse, admission_reply,
+    self, AdmissionAsk, AdmissionReply, PermitReport, ServedQuery, ShardResponse, admission_reply,
     response_item, shard_request, shard_response,
 };
 
@@ -36,6 +36,8 @@
 const REPLY_TIMEOUT_DIVISOR: u32 = 4;
 /// A home that did not reply this many times in a row is avoided.
 const MAX_MISSED_REPLIES: u32 = 2;
+/// Timeout for connecting to a home that did not reply in time.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a home that does not reply is avoided.
 const HOME_BACKOFF: Duration = Duration::from_secs(1);
 /// Number of storage boxes that may become the home of a service in turn.
@@ -49,6 +51,9 @@
 /// Bounds of the time to return that this box names by itself.
 const LOCAL_RETRY_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
 
+/// Reason with which a box ends its call to the home after the target has served the request.
+pub const PERMIT_SERVED: &str = "served";
+
 /// Whether requests to services that are short of slots need permits.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum AdmissionMode {
@@ -95,7 +100,7 @@
 /// Permission to send one request to a target. Dropping it releases it.
 #[derive(Debug)]
 pub struct Permit {
-    #[expect(dead_code, reason = "held for its drop, which releases the permit")]
+    /// Dropped to release the permit.
     call: Box<ResponseStream>,
     /// The target that the home chose.
     pub target: InstanceId,
@@ -103,6 +108,13 @@
     pub max_idle: usize,
 }
 
+impl Permit {
+    /// Records that the target has served the request.
+    pub(crate) const fn mark_served(&mut self) {
+        self.call.set_cancel_reason(PERMIT_SERVED);
+    }
+}
+
 /// Result of an ask.
 #[derive(Debug)]
 pub(crate) enum PermitResult {
@@ -135,6 +147,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct HomeHealth {
     missed: u32,
+    /// When the last missing reply was recorded.
+    missed_at: Moment,
     avoid_until: Moment,
 }
 
@@ -214,7 +228,9 @@
         if let Some(load) = load {
             state.shortage.record_load(now, load, slots);
         }
-        if state.shortage.is_short(now) && state.reports.len() < MAX_REPORTS {
+        if !state.shortage.is_short(now) {
+            state.reports.clear();
+        } else if state.reports.len() < MAX_REPORTS {
             let report = TargetReport { target: target.instance.clone(), outcome, load };
             state.reports.push(report);
         }
@@ -228,12 +244,17 @@
     }
 
     /// Records that a home did not reply. One that refused the ask is avoided immediately.
-    fn record_missed_reply(&self, now: Moment, home: &BoxId, has_refused: bool) {
+    fn record_missed_reply(&self, now: Moment, asked_at: Moment, home: &BoxId, has_refused: bool) {
         let mut homes = self.homes();
         let health = homes.entry(home.clone()).or_default();
+        if !has_refused && asked_at < health.missed_at {
+            // Asked before the last miss: both are of the same pause of the home.
+            return;
+        }
         health.missed += 1;
+        health.missed_at = now;
         if has_refused || health.missed >= MAX_MISSED_REPLIES {
-            *health = HomeHealth { missed: 0, avoid_until: now + HOME_BACKOFF };
+            *health = HomeHealth { missed: 0, missed_at: now, avoid_until: now + HOME_BACKOFF };
             drop(homes);
             log::info!(target: "targets", peer:% = home, refused = has_refused; "admission home changed");
         }
@@ -279,6 +300,7 @@
         PermitOutcome::Refused => peer::PermitOutcome::Refused,
         PermitOutcome::Broken => peer::PermitOutcome::Broken,
         PermitOutcome::Gone => peer::PermitOutcome::Gone,
+        PermitOutcome::Failed => peer::PermitOutcome::Failed,
     };
     let load = report.load.map(|load| peer::TargetLoad {
         running: load.running,
@@ -362,7 +384,7 @@
         priority: u32::from(priority.unwrap_or(DEFAULT_PRIORITY).get()),
         time_left_ms: millis(requirements.deadline.saturating_duration_since(now)),
         goal_left_ms: millis((requirements.received + goal).saturating_duration_since(now)),
-        avoid: Vec::new(),
+        avoid: targets_to_avoid(view, service, requirements),
         reports: view.admission.take_reports(service),
         box_id: view.settings.box_id.to_string(),
         work: requirements.work.to_string(),
@@ -370,6 +392,21 @@
     }
 }
 
+/// Targets that were tried already, unless all of them were and may be tried again.
+fn targets_to_avoid(
+    view: &NodeView,
+    service: &ServiceName,
+    requirements: &WorkRequirements<'_>,
+) -> Vec<String> {
+    let tried = requirements.tried;
+    let targets = view.target_table();
+    let mut others = targets.of_service(service).filter(|listed| !tried.contains(&listed.instance));
+    if requirements.allow_tried && others.next().is_none() {
+        return Vec::new();
+    }
+    tried.iter().map(InstanceId::to_string).collect()
+}
+
 /// One ask at a home.
 struct HomeCall<'a> {
     view: &'a NodeView,
@@ -393,8 +430,13 @@
         };
         let (mut call, mut reply) = match time::timeout(reply_timeout, first_reply).await {
             Ok(Ok(first)) => first,
-            Ok(Err(error)) => return self.no_reply(matches!(error, CallError::Refused(_))),
-            Err(_elapsed) => return self.no_reply(false),
+            Ok(Err(error)) => {
+                return self.no_reply(started, matches!(error, CallError::Refused(_)));
+            }
+            Err(_elapsed) => {
+                self.connect_in_background(links);
+                return self.no_reply(started, false);
+            }
         };
         loop {
             let now = self.view.now();
@@ -402,7 +444,9 @@
             match reply.body {
                 Some(admission_reply::Body::Queued(_)) => {}
                 Some(admission_reply::Body::Granted(granted)) => {
-                    let Ok(target) = granted.target.parse() else { return self.no_reply(true) };
+                    let Ok(target) = granted.target.parse() else {
+                        return self.no_reply(started, true);
+                    };
                     self.record_wait(started);
                     let max_idle = usize::try_from(granted.max_idle).unwrap_or(usize::MAX);
                     return PermitResult::Granted(Permit {
@@ -412,22 +456,43 @@
                     });
                 }
                 Some(admission_reply::Body::Refused(refused)) => {
+                    if refused.reason == RejectReason::NoTarget.as_str() && self.has_targets() {
+                        // The home has just started, or its list is older than this box's.
+                        return self.no_reply(started, true);
+                    }
                     return self.refused(started, &refused);
                 }
-                None => return self.no_reply(true),
+                None => return self.no_reply(started, true),
             }
             let time_left = self.requirements.deadline.saturating_duration_since(Instant::now());
             reply = match next_reply(&mut call, time_left).await {
                 Ok(next) => next,
-                Err(_lost) => return self.no_reply(false),
+                Err(_lost) => return self.no_reply(started, false),
             };
         }
     }
 
-    fn no_reply(&self, has_refused: bool) -> PermitResult {
+    /// Whether this box lists a target that may get the request.
+    fn has_targets(&self) -> bool {
+        !self.view.target_table().available(self.view.now(), self.service).is_empty()
+    }
+
+    /// Completes a connection to the home that the ask gave up, for later asks.
+    fn connect_in_background(&self, links: &LinkPool) {
+        let (links, address) = (links.clone(), self.home.address.clone());
+        let body = shard_request::Body::Served(ServedQuery::default());
+        tokio::spawn(async move {
+            // The response does not matter.
+            let _response = links.call_shard_unary(&address, CONNECT_TIMEOUT, body).await;
+        });
+    }
+
+    fn no_reply(&self, started: Instant, has_refused: bool) -> PermitResult {
         let view = self.view;
+        let now = view.now();
+        let asked_at = now - started.elapsed();
         view.metrics.count_outcome("admission", "no reply");
-        view.admission.record_missed_reply(view.now(), &self.home.box_id, has_refused);
+        view.admission.record_missed_reply(now, asked_at, &self.home.box_id, has_refused);
         PermitResult::NotNeeded
     }
 
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -98,6 +98,10 @@
         PermitResult::Refused(refusal) => return Some(TargetChoice::Refused(refusal)),
         PermitResult::NotNeeded => return None,
     };
+    // The work may have become suspect while it waited.
+    if view.suspects().crash_count(requirements.work) > 0 {
+        return None;
+    }
     // Bound to a variable, since the lock of the table must not be held below.
     let target = view.target_table().acquire(view.now(), &permit.target);
     let target = target?;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -157,6 +157,7 @@
     let mut tried: Vec<InstanceId> = Vec::new();
     let (mut run_count, mut not_run_count) = (0, 0);
     let mut last_response = None;
+    let mut tried_service = None;
     while run_count < call.route.attempts
         && not_run_count < MAX_NOT_RUN_TRIES
         && Instant::now() < call.deadline
@@ -171,7 +172,13 @@
             is_background: call.is_background,
             deadline: call.deadline,
         };
-        let slot = match choose_target(view, call.route, &requirements).await {
+        if let Some(service) = &tried_service
+            && !view.admission.try_retry(service)
+        {
+            view.metrics.count_outcome("admission", "no retry left");
+            break;
+        }
+        let mut slot = match choose_target(view, call.route, &requirements).await {
             TargetChoice::Target(slot) => slot,
             TargetChoice::None => {
                 not_run_count += 1;
@@ -191,12 +198,15 @@
         };
         let is_last = run_count + 1 >= call.route.attempts || !repeatable;
         let result = try_once(view, &call, work, slot.target(), is_last).await;
-        let service = slot.target().service.clone();
+        if matches!(&result, TryResult::Answered(response) if !response.status.is_server_error()) {
+            slot.mark_served();
+        }
         tried.push(slot.target().instance.clone());
-        drop(slot);
-        if run_count + not_run_count == 0 {
-            view.admission.record_request(&service);
+        if tried_service.is_none() {
+            view.admission.record_request(&slot.target().service);
         }
+        tried_service = Some(slot.target().service.clone());
+        drop(slot);
         match result {
             TryResult::Answered(response) if response.status.is_success() || !repeatable => {
                 return PlainOutcome::Answered(response);
@@ -209,10 +219,6 @@
             TryResult::Broken if repeatable => run_count += 1,
             TryResult::Broken => return give_up(view, &call, work, "target broke off"),
         }
-        if !view.admission.try_retry(&service) {
-            view.metrics.count_outcome("admission", "no retry left");
-            break;
-        }
     }
     match last_response {
         Some(response) => PlainOutcome::Answered(response),
@@ -274,8 +280,7 @@
     let (started, sent_at) = (Instant::now(), view.now());
     let sent = async {
         let response = view.pool.send(target.address, request).await?;
-        let policy = ReusePolicy::SuccessesAndRefusals(headers::REFUSAL_HEADER);
-        let response = response.reusable_after(policy);
+        let response = response.reusable_after(reuse_policy(view));
         response.read_full_by(MAX_RESPONSE_BYTES, started + limit).await
     };
     let mut load = None;
@@ -296,8 +301,8 @@
             classify_response(view, call, target, response, &info)
         }
     };
-    if let Some(outcome) = outcome.permit_outcome() {
-        view.admission.record_result(view, target, outcome, load);
+    if let Some(permit_outcome) = permit_outcome(outcome, &result) {
+        view.admission.record_result(view, target, permit_outcome, load);
     }
     if let Some(customer) = call.customer.as_ref().filter(|_| outcome.has_begun()) {
         // Counted from the time of sending: the time spent queued at the target is unknown.
@@ -325,6 +330,26 @@
     result
 }
 
+/// Which responses leave their connection usable. While boxes share queues, refusals are frequent,
+/// and each one that closed its connection would cost the target another.
+pub fn reuse_policy(view: &NodeView) -> ReusePolicy {
+    if view.admission.is_shared() {
+        ReusePolicy::SuccessesAndRefusals(headers::REFUSAL_HEADER)
+    } else {
+        ReusePolicy::Successes
+    }
+}
+
+/// The outcome as the service's admission home counts it.
+fn permit_outcome(outcome: TryOutcome, result: &TryResult) -> Option<PermitOutcome> {
+    match result {
+        TryResult::Answered(response) if response.status.is_server_error() => {
+            Some(PermitOutcome::Failed)
+        }
+        _ => outcome.permit_outcome(),
+    }
+}
+
 /// Tells an engine the request's priority. Other targets run requests in the order of arrival.
 fn set_engine_priority(
     view: &NodeView,
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/slot.rs
@@ -31,6 +31,13 @@
         guard
     }
 
+    /// Records that the target has served the request, for the box that granted the permit.
+    pub fn mark_served(&mut self) {
+        if let Some(permit) = &mut self.permit {
+            permit.mark_served();
+        }
+    }
+
     /// Digest of the work.
     pub const fn work(&self) -> WorkDigest {
         self.work
--- a/crates/shards/src/admission.rs
+++ b/crates/shards/src/admission.rs
@@ -14,7 +14,7 @@
 };
 use ids::{BoxId, Generation, InstanceId, Moment, Priority, ServiceName, WorkDigest, whole_millis};
 use links::{ResponseEnd, ResponseSink};
-use node::NodeView;
+use node::{NodeView, PERMIT_SERVED};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
@@ -98,9 +98,13 @@
         }
     }
 
-    fn release(&mut self, now: Moment, ticket: TicketId) {
+    fn release(&mut self, now: Moment, ticket: TicketId, is_served: bool) {
         self.waiters.remove(&ticket);
-        self.queue.release(now, ticket);
+        if is_served {
+            self.queue.release(now, ticket);
+        } else {
+            self.queue.withdraw(now, ticket);
+        }
         self.poll(now);
     }
 }
@@ -112,6 +116,12 @@
     waiting: Notify,
 }
 
+/// A permit in use.
+struct HeldPermit {
+    ticket: TicketId,
+    deadline: Instant,
+}
+
 /// How far an ask got.
 enum Place {
     Granted(Grant),
@@ -136,12 +146,16 @@
         let Ok(service) = ask.service.parse::<ServiceName>() else { return };
         let key = CellKey { service, cell: ask.cell, cells: ask.cells.max(1) };
         let deadline = Instant::now() + Duration::from_millis(u64::from(ask.time_left_ms));
+        if cancel.is_cancelled() {
+            return;
+        }
         let Some(place) = self.place(view, &key, &ask) else { return };
         let (ticket, receiver) = match place {
             Place::Granted(grant) => {
                 let ticket = grant.ticket;
                 self.reply(view, &key, &mut sink, Ok(grant)).await;
-                return self.hold(view, &key, ticket, deadline, &cancel).await;
+                let held = HeldPermit { ticket, deadline };
+                return self.hold(view, &key, held, &cancel, &sink).await;
             }
             Place::Rejected(rejection) => {
                 self.reply(view, &key, &mut sink, Err(rejection)).await;
@@ -161,13 +175,14 @@
         match outcome {
             Some(Ok(grant)) => {
                 self.reply(view, &key, &mut sink, Ok(grant)).await;
-                self.hold(view, &key, ticket, deadline, &cancel).await;
+                let held = HeldPermit { ticket, deadline };
+                self.hold(view, &key, held, &cancel, &sink).await;
             }
             Some(Err(rejection)) => {
                 self.reply(view, &key, &mut sink, Err(rejection)).await;
                 sink.end(ResponseEnd::default()).await;
             }
-            None => self.release(view, &key, ticket),
+            None => self.release(view, &key, ticket, false),
         }
     }
 
@@ -188,7 +203,10 @@
     fn poll_all(&self, view: &NodeView) -> bool {
         let now = view.now();
         let mut cells = self.cells();
-        cells.retain(|_, cell| now.since(cell.asked_at) < QUEUE_TTL);
+        // Tickets are unique within a queue, so one with permits in use must not be replaced.
+        cells.retain(|_, cell| {
+            now.since(cell.asked_at) < QUEUE_TTL || cell.queue.waiting() + cell.queue.in_use() > 0
+        });
         for (key, cell) in cells.iter_mut() {
             cell.refresh(view, key, now);
             cell.poll(now);
@@ -213,7 +231,8 @@
         for report in ask.reports.iter().filter_map(decode_report) {
             cell.queue.report(now, &report);
         }
-        let digest = ask.work.parse::<WorkDigest>().ok()?;
+        // Customers may send equal requests.
+        let digest = WorkDigest::of(&[ask.work.as_bytes(), ask.customer.as_bytes()]);
         let work = AskedWork { digest, first_arrival: cell.refused.first_arrival(now, digest) };
         let request = admission_request(view, now, work.first_arrival, ask)?;
         let admission = cell.queue.request(now, request, &mut rand::rng());
@@ -272,20 +291,21 @@
         &self,
         view: &NodeView,
         key: &CellKey,
-        ticket: TicketId,
-        deadline: Instant,
+        held: HeldPermit,
         cancel: &CancellationToken,
+        sink: &ResponseSink,
     ) {
         tokio::select! {
             () = cancel.cancelled() => {}
-            () = time::sleep_until(deadline) => {}
+            () = time::sleep_until(held.deadline) => {}
         }
-        self.release(view, key, ticket);
+        let is_served = sink.cancel_reason() == Some(PERMIT_SERVED);
+        self.release(view, key, held.ticket, is_served);
     }
 
-    fn release(&self, view: &NodeView, key: &CellKey, ticket: TicketId) {
+    fn release(&self, view: &NodeView, key: &CellKey, ticket: TicketId, is_served: bool) {
         if let Some(cell) = self.cells().get_mut(key) {
-            cell.release(view.now(), ticket);
+            cell.release(view.now(), ticket, is_served);
         }
     }
 }
@@ -348,6 +368,7 @@
         peer::PermitOutcome::Refused => PermitOutcome::Refused,
         peer::PermitOutcome::Broken => PermitOutcome::Broken,
         peer::PermitOutcome::Gone => PermitOutcome::Gone,
+        peer::PermitOutcome::Failed => PermitOutcome::Failed,
     };
     let load = report.load.as_ref();
     let load = load.map(|load| ReportedLoad { running: load.running, waiting: load.waiting });
