--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -36,8 +36,8 @@
     Mutation {
         name: "admission: a permit outlives the box that holds it",
         file: "crates/shards/src/admission.rs",
-        from: "            () = cancel.cancelled() => {}\n            () = time::sleep_until(deadline) => {}",
-        to: "            () = time::sleep_until(deadline) => {}",
+        from: "            () = cancel.cancelled() => {}\n            () = time::sleep_until(held.deadline) => {}",
+        to: "            () = time::sleep_until(held.deadline) => {}",
         package: "platform-standin",
         test: "permits_of_a_dead_box",
     },
