Comments and names: state what the code does, without figures of trials

Several comments told how a constant was found, some no longer matched the code (slots yielded are not part of UrgencyReports), and some names had two meanings (is_late in the admission queue, granted_at for a virtual time).

No behaviour changes.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -23,7 +23,8 @@
 
 /// Maximum number of waiting requests; bounds memory and the time of a decision.
 const MAX_WAITING: usize = 1_024;
-/// Fraction of the served rate from which arrivals count as an overload.
+/// Fraction of the served rate from which arrivals count as an overload. Less than one, since both
+/// rates are estimates.
 const OVERLOAD_FRACTION: f64 = 0.95;
 /// Minimum fraction of the served rate that is expected to be free for returning callers. Without
 /// it no caller would be told to return while an overload lasts.
@@ -38,18 +39,19 @@
 /// mean alone, half of the requests that wait longest would miss their goal, or end without a
 /// response because their time runs out at the target.
 const SERVICE_TIME_RESERVE: u32 = 2;
-/// Fraction of the time before a request must start that its wait may take when it arrives. The rest
-/// is for requests that overtake it; without it, many would be refused after a long wait.
-const WAIT_FRACTION: u32 = 2;
+/// Factor by which an expected wait is lengthened when it is compared with the goal, for requests
+/// that arrive later and go first. Without it, many would be refused after a long wait.
+const WAIT_FACTOR: u32 = 2;
 /// Fraction of the goal from which a planned wait makes returning callers give way. Below it the
 /// overload is over, and there is room for them.
 const LATE_GOAL_FRACTION: f64 = 0.9;
 /// Added to the times to return under overload. Until it ends there is no room to return to, and a
 /// caller that is refused twice is worse off than one that waits.
 const OVERLOAD_DELAY: Duration = Duration::from_millis(500);
-/// Requests that waited less than this fraction of their goal are refused before others. Less than
-/// the quarter within which refusals must return, by the time of the messages.
-const RECENT_FRACTION: u32 = 5;
+/// Time for which a request counts as recent, as a divisor of its goal. Recent requests are refused
+/// before others: a refusal must return within a quarter of the goal, including the time of the
+/// messages.
+const RECENT_DIVISOR: u32 = 5;
 
 #[derive(Debug, Clone)]
 struct WaitingRequest {
@@ -59,7 +61,7 @@
     since: Moment,
     recent_until: Moment,
     /// Whether it arrived too late to end within its goal, as after a refusal.
-    is_late: bool,
+    arrived_late: bool,
 }
 
 impl WaitingRequest {
@@ -72,13 +74,14 @@
 /// Until when a request that arrives at `now` counts as recent. One that avoids a target was granted
 /// before, so it has waited already.
 fn recent_until(now: Moment, request: &AdmissionRequest) -> Moment {
-    if request.avoid.is_empty() { now + request.goal / RECENT_FRACTION } else { now }
+    if request.avoid.is_empty() { now + request.goal / RECENT_DIVISOR } else { now }
 }
 
 #[derive(Debug, Clone)]
 struct Permit {
     grant: Grant,
     share: ShareIndex,
+    /// Service that the customer was charged at the grant.
     expected: Duration,
     granted_at: Moment,
     deadline: Moment,
@@ -93,7 +96,9 @@
     shares: CustomerShares,
     returns: ReturnSchedule,
     arrivals: ArrivalRate,
+    /// Time between the grant of a permit and its release.
     hold_time: SmoothedDuration,
+    /// When a request last had to wait.
     waited_at: Option<Moment>,
     next_ticket: u64,
     is_overloaded: bool,
@@ -101,20 +106,38 @@
     unservable_from: Moment,
 }
 
-/// Position in the order of grants; the smallest goes first. In order: priority, whether it is late,
-/// service of its customer, whether it arrived too late for its goal, whether it came recently,
-/// deadline.
-type OrderKey = (Priority, bool, u64, bool, bool, Moment, TicketId);
+/// Position in the order of grants; the smallest goes first. The order of the fields matters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct OrderKey {
+    priority: Priority,
+    /// Whether it can't end within its goal any more, without an overload.
+    is_late: bool,
+    /// Service that its customer received.
+    received: u64,
+    /// Whether it is recent and arrived too late for its goal.
+    arrived_late: bool,
+    is_recent: bool,
+    deadline: Moment,
+    ticket: TicketId,
+}
 
-/// Position in the order of refusals at a priority; the largest is refused first. In order: whether
-/// it came recently, claim of its customer, whether it arrived too late for its goal, deadline.
-type RefusalKey = (bool, u64, bool, Moment, TicketId);
+/// Position in the order of refusals at a priority; the largest is refused first. The order of the
+/// fields matters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct RefusalKey {
+    is_recent: bool,
+    /// Service that its customer received and asks for.
+    claimed: u64,
+    arrived_late: bool,
+    deadline: Moment,
+    ticket: TicketId,
+}
 
 /// Waiting requests of one priority.
 #[derive(Debug, Clone, Copy)]
 struct PriorityLevel {
     waiting: usize,
-    /// The first to refuse, and its index.
+    /// The last in order, which is refused first, and its index.
     last: (RefusalKey, usize),
 }
 
@@ -163,7 +186,7 @@
         self.next_ticket += 1;
         let share = self.shares.enqueued(request.priority, request.customer.as_ref());
         let recent_until = recent_until(now, &request);
-        let is_late = now + self.hold_time() > request.goal_by;
+        let arrived_late = now + self.hold_time() > request.goal_by;
         self.unservable_from = self.unservable_from.min(request.deadline);
         self.waiting.push(WaitingRequest {
             ticket,
@@ -171,7 +194,7 @@
             share,
             since: now,
             recent_until,
-            is_late,
+            arrived_late,
         });
         // If others wait, the request must not overtake them.
         if self.waiting.len() == 1
@@ -190,7 +213,7 @@
         Admission::Queued { ticket, expected_wait }
     }
 
-    /// Returns outcomes of waiting requests. Call after every change and when time has passed.
+    /// Grants and refuses waiting requests. Call after every change and when time has passed.
     pub fn poll(&mut self, now: Moment, rng: &mut impl Rng) -> Vec<QueueEvent> {
         self.update(now);
         let mut events = self.refuse_unservable(now, rng);
@@ -345,8 +368,8 @@
         self.waiting.iter().any(|waiting| waiting.ticket > ticket)
     }
 
-    /// The next request to refuse because of those before it, and why: of the lowest priority that
-    /// has one.
+    /// The next request to refuse because of those before it, and why. Lower priorities are refused
+    /// first.
     fn next_refusal(&self, now: Moment) -> Option<(usize, RejectReason)> {
         let levels = self.levels(now);
         let mut ahead = self.waiting.len();
@@ -367,6 +390,7 @@
         None
     }
 
+    /// The waiting requests by priority.
     fn levels(&self, now: Moment) -> BTreeMap<Priority, PriorityLevel> {
         let service_time = micros(self.hold_time());
         let mut levels = BTreeMap::new();
@@ -395,7 +419,7 @@
             return None;
         }
         let hold_time = self.hold_time();
-        let planned = wait * WAIT_FRACTION + hold_time * SERVICE_TIME_RESERVE;
+        let planned = wait * WAIT_FACTOR + hold_time * SERVICE_TIME_RESERVE;
         let service_time = micros(hold_time);
         let same_priority = || {
             let waiting = self.waiting.iter().enumerate();
@@ -411,7 +435,7 @@
                 || self.shares.waiting(waiting.share) > 1;
             let goal = waiting.request.goal;
             let gives_way =
-                waiting.is_late && asks_for_more && planned > goal.mul_f64(LATE_GOAL_FRACTION);
+                waiting.arrived_late && asks_for_more && planned > goal.mul_f64(LATE_GOAL_FRACTION);
             let misses_goal = planned > goal;
             (has_higher || waiting.is_recent(now)) && (gives_way || misses_goal)
         });
@@ -421,9 +445,13 @@
     }
 
     fn refusal_key(&self, now: Moment, waiting: &WaitingRequest, service_time: u64) -> RefusalKey {
-        let claimed = self.shares.claimed(waiting.share, service_time);
-        let is_recent = waiting.is_recent(now);
-        (is_recent, claimed, waiting.is_late, waiting.request.deadline, waiting.ticket)
+        RefusalKey {
+            is_recent: waiting.is_recent(now),
+            claimed: self.shares.claimed(waiting.share, service_time),
+            arrived_late: waiting.arrived_late,
+            deadline: waiting.request.deadline,
+            ticket: waiting.ticket,
+        }
     }
 
     fn reject_waiting(
@@ -466,10 +494,17 @@
     }
 }
 
+/// `late_from` is when a request granted now would end, or [`Moment::START`] under an overload.
 fn order_key(now: Moment, late_from: Moment, waiting: &WaitingRequest, received: u64) -> OrderKey {
     let request = &waiting.request;
-    let is_late = late_from > request.goal_by;
     let is_recent = waiting.is_recent(now);
-    let arrived_late = waiting.is_late && is_recent;
-    (request.priority, is_late, received, arrived_late, is_recent, request.deadline, waiting.ticket)
+    OrderKey {
+        priority: request.priority,
+        is_late: late_from > request.goal_by,
+        received,
+        arrived_late: waiting.arrived_late && is_recent,
+        is_recent,
+        deadline: request.deadline,
+        ticket: waiting.ticket,
+    }
 }
--- a/crates/admission/src/rate.rs
+++ b/crates/admission/src/rate.rs
@@ -4,8 +4,8 @@
 
 use ids::{Moment, whole_millis};
 
-/// Weight of the newest duration. With 0.05, the estimate of the served rate varied by a twelfth, and
-/// bursts were taken for overload.
+/// Weight of the newest duration. With a larger one, the estimate of the served rate varies so much
+/// that bursts count as overload.
 const DURATION_SMOOTHING: f64 = 0.02;
 /// Time that the rate of arrivals covers. A burst that is worked off in that time does not count as
 /// overload, and an overload is noticed before its queue exceeds usual goals.
--- a/crates/admission/src/refused_work.rs
+++ b/crates/admission/src/refused_work.rs
@@ -8,8 +8,8 @@
 
 use ids::{Moment, WorkDigest};
 
-/// How long refused work is remembered. Callers return within their deadline, mostly a second or
-/// two.
+/// How long refused work is remembered. Callers return within their deadline, usually one or two
+/// seconds.
 const MEMORY_TTL: Duration = Duration::from_secs(4);
 /// Maximum number of remembered refusals.
 const MAX_REMEMBERED: usize = 8_192;
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct RefusedWork {
     first_arrivals: HashMap<WorkDigest, Moment>,
-    /// Time of each refusal that was remembered, the oldest first.
+    /// Time of the first refusal of each remembered work, the oldest first.
     refusals: VecDeque<(Moment, WorkDigest)>,
 }
 
--- a/crates/admission/src/schedule.rs
+++ b/crates/admission/src/schedule.rs
@@ -32,12 +32,12 @@
         rng: &mut impl Rng,
     ) -> Duration {
         self.booked_until.retain(|_, until| *until > now);
-        let higher = self.booked_until.range(..=priority).map(|(_, until)| *until).max();
+        let booked = self.booked_until.range(..=priority).map(|(_, until)| *until).max();
         let latest = now + MAX_DELAY;
-        let start = higher.unwrap_or_default().max(now + MIN_DELAY);
+        let start = booked.unwrap_or_default().max(now + MIN_DELAY);
         if start >= latest {
-            // Booked up by higher priorities: return after them. Else spread the returns over the
-            // second half.
+            // If higher priorities have booked all times, return after them. Otherwise spread the
+            // returns over the second half of the time.
             let by_higher = self.booked_until.range(..priority).any(|(_, until)| *until >= latest);
             let fraction = if by_higher { 1.0 } else { 0.5 + 0.5 * rng.random::<f64>() };
             return MAX_DELAY.mul_f64(fraction);
--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -11,8 +11,8 @@
 
 /// Number of shares above which inactive ones are forgotten.
 const MAX_SHARES: usize = 1_024;
-/// Maximum service by which a customer with nothing waiting is ahead of the others when it returns.
-/// Bounds how long it stays behind them.
+/// Maximum service that a customer which had nothing waiting counts as having received beyond the
+/// others. Bounds how long they go first.
 const MAX_LEAD: Duration = Duration::from_secs(1);
 
 /// Refers to the share of a customer at a priority. Valid while the customer has a waiting request
@@ -44,8 +44,8 @@
     shares: Vec<Share>,
     indexes: HashMap<ShareKey, usize>,
     free: Vec<usize>,
-    /// Service received by the customer that was granted last, by priority.
-    granted_at: BTreeMap<Priority, u64>,
+    /// Virtual time by priority: service received by the customer that was granted last.
+    virtual_time: BTreeMap<Priority, u64>,
 }
 
 impl CustomerShares {
@@ -70,7 +70,7 @@
     /// Records a grant to a request that was dequeued, and charges the expected service.
     pub fn granted(&mut self, index: ShareIndex, expected: Duration) {
         let share = &mut self.shares[index.0];
-        self.granted_at.insert(share.key.0, share.received);
+        self.virtual_time.insert(share.key.0, share.received);
         share.received += micros(expected);
         share.in_use += 1;
     }
@@ -98,11 +98,12 @@
         share.received + u64::from(share.waiting) * service_time
     }
 
+    /// Service at which a customer with nothing waiting starts.
     fn start(&self, priority: Priority) -> u64 {
         let waiting =
             self.shares.iter().filter(|share| share.waiting > 0 && share.key.0 == priority);
         let min = waiting.map(|share| share.received).min();
-        min.or_else(|| self.granted_at.get(&priority).copied()).unwrap_or_default()
+        min.or_else(|| self.virtual_time.get(&priority).copied()).unwrap_or_default()
     }
 
     fn index(&mut self, key: &ShareKey) -> usize {
@@ -136,7 +137,7 @@
     }
 }
 
-/// Whole microseconds of a duration.
+/// Whole microseconds of a duration. Saturates far below the maximum, so that sums don't overflow.
 pub(crate) fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX / 4)
 }
--- a/crates/admission/src/shortage.rs
+++ b/crates/admission/src/shortage.rs
@@ -6,9 +6,9 @@
 
 use crate::ReportedLoad;
 
-/// How long a sign of shortage counts. Longer than the time between two requests of a box to a
+/// How long a signal of shortage counts. Longer than the time between two requests of a box to a
 /// service under moderate load.
-const SIGN_TTL: Duration = Duration::from_secs(2);
+const SIGNAL_TTL: Duration = Duration::from_secs(2);
 /// A target is short if more than one request for this many slots waits there.
 const SLOTS_PER_WAITING: u32 = 4;
 
@@ -21,20 +21,20 @@
 impl ShortageDetector {
     /// Records that a target refused a request for lack of capacity.
     pub fn record_refusal(&mut self, now: Moment) {
-        self.short_until = now + SIGN_TTL;
+        self.short_until = now + SIGNAL_TTL;
     }
 
     /// Records the load that a target with `slots` slots reported.
     pub fn record_load(&mut self, now: Moment, load: ReportedLoad, slots: u32) {
         if load.waiting > slots.div_ceil(SLOTS_PER_WAITING) {
-            self.short_until = now + SIGN_TTL;
+            self.short_until = now + SIGNAL_TTL;
         }
     }
 
     /// Records whether the box that grants permits sees a shortage.
     pub fn record_reply(&mut self, now: Moment, is_short: bool) {
         if is_short {
-            self.short_until = now + SIGN_TTL;
+            self.short_until = now + SIGNAL_TTL;
         }
     }
 
--- a/crates/admission/src/targets.rs
+++ b/crates/admission/src/targets.rs
@@ -15,8 +15,8 @@
 /// Maximum number of doublings of a backoff; keeps the shift in range.
 const MAX_DOUBLINGS: u32 = 8;
 /// Weight of the newest report in the average of the load without a permit. Reports are older than
-/// the count of permits that they are compared with, so single differences say little. With 0.1 and
-/// reports 50 ms old, a tenth of the capacity left by requests without a permit stayed unused.
+/// the count of permits that they are compared with, so single differences say little.
+/// With a larger weight, part of the capacity would stay unused.
 const UNPERMITTED_SMOOTHING: f64 = 0.03;
 /// How long reports of load without a permit count.
 const REPORT_TTL: Duration = Duration::from_secs(1);
@@ -29,8 +29,10 @@
     unpermitted: f64,
     reported_at: Moment,
     hold_time: SmoothedDuration,
+    /// Consecutive failures.
     failures: u32,
     backoff_until: Moment,
+    /// When a permit was last granted.
     granted_at: Moment,
 }
 
@@ -158,7 +160,7 @@
         }
     }
 
-    /// Ends a permit, of whose request the time at the target is known if it ended.
+    /// Ends a permit. `held` is how long it was held; `None` if that is unknown.
     pub fn release(&mut self, target: &InstanceId, held: Option<Duration>) {
         let Some(target) = self.0.get_mut(target) else { return };
         target.in_use = target.in_use.saturating_sub(1);
--- a/crates/front/src/plain.rs
+++ b/crates/front/src/plain.rs
@@ -21,6 +21,9 @@
 
 /// Timeout of callers that don't send one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of the buffer that is allocated before any byte of a body has arrived, in bytes. A
+/// caller may state a length and send nothing.
+const MAX_INITIAL_CAPACITY: usize = 16 << 10;
 
 /// Why a request body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,9 +42,6 @@
     }
 }
 
-/// Maximum size of the buffer that is allocated before any byte of a body has arrived, in bytes.
-const MAX_INITIAL_CAPACITY: usize = 16 << 10;
-
 /// Reads a complete request body of at most `max_bytes`. Its bytes are reserved in the memory budget
 /// as they arrive, and until the last copy of the body is dropped. While the budget is short of
 /// room for bodies, requests without a body are refused as well, since their responses need room.
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -153,7 +153,11 @@
     }
 }
 
-async fn serve(state: FrontState, sender: Arc<Caller>, request: Request<Incoming>) -> ServeResult {
+async fn serve(
+    state: FrontState,
+    connection: Arc<Caller>,
+    request: Request<Incoming>,
+) -> ServeResult {
     let received = Instant::now();
     let _guard = RequestGuard::new(&state);
     let (head, body) = request.into_parts();
@@ -182,14 +186,14 @@
         return Ok(*refusal);
     }
     let has_body = !body.is_end_stream();
-    let body = match read_body(body, table.limits.body_bytes, memory, &sender).await {
+    let body = match read_body(body, table.limits.body_bytes, memory, &connection).await {
         Ok(body) => body,
         Err(error) => {
             let refusal = refuse_body(&state, error, &head, id.as_deref());
             if !has_body {
                 return Ok(refusal);
             }
-            sender.discard_input();
+            connection.discard_input();
             return Ok(response::close_after(refusal));
         }
     };
--- a/crates/jobs/src/due_order.rs
+++ b/crates/jobs/src/due_order.rs
@@ -77,8 +77,8 @@
             self.order = order;
             return;
         }
-        let current = self.ranked_at.is_some_and(|at| now.since(at) < RANK_INTERVAL);
-        if current && self.order == order && self.all_ranked() {
+        let is_current = self.ranked_at.is_some_and(|at| now.since(at) < RANK_INTERVAL);
+        if is_current && self.order == order && self.all_ranked() {
             return;
         }
         self.order = order;
--- a/crates/jobs/src/urgency.rs
+++ b/crates/jobs/src/urgency.rs
@@ -10,7 +10,7 @@
 
 use ids::Priority;
 
-/// Priority of customers without one, and of requests to engines in normal order.
+/// Priority of customers without one, and of requests to engines that are not urgent.
 pub const DEFAULT_PRIORITY: Priority = Priority::new(5);
 /// Priority at engines of items that have little slack left.
 const URGENT_PRIORITY: Priority = Priority::new(4);
@@ -31,8 +31,8 @@
 /// inexact.
 const LATE_TOLERANCE_MS: f64 = 200.0;
 /// Slack that a job counts as having when it becomes unable to meet its due time; jobs that can meet
-/// theirs and have less come first, and those with more can still wait. In simulated shortages, 8 s
-/// left single steps up to 15 s late, and 0 s made more steps late.
+/// theirs and have less come first, and those with more can still wait. A larger value makes single
+/// steps very late; a smaller one makes more steps late.
 const LATE_RANK_MS: f64 = 3_000.0;
 /// Maximum lateness of a trainer's earlier steps that counts. Also bounds the effect of an outage on
 /// the order after it.
@@ -122,6 +122,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Urgency {
     group: GroupStanding,
+    /// Adjusted slack in milliseconds: the slack less what the trainer's lateness and the priority
+    /// count for. If items are ordered by acceptance, their latest start.
     rank_ms: f64,
 }
 
@@ -143,7 +145,7 @@
             .then(position.cmp(&other_position))
     }
 
-    /// Returns the adjusted slack, to compare with items elsewhere; `None` for groups that the
+    /// Returns the adjusted slack, to compare with items of other shards; `None` for groups that the
     /// trainer doesn't wait for.
     #[expect(clippy::cast_possible_truncation, reason = "float-to-integer conversion saturates")]
     pub fn wanted_slack_ms(self) -> Option<i64> {
--- a/crates/jobs/src/yielding.rs
+++ b/crates/jobs/src/yielding.rs
@@ -12,7 +12,7 @@
 
 use crate::Urgency;
 
-/// Items elsewhere must have this much less slack. A smaller difference is within the error of the
+/// Items of another shard must have this much less slack. A smaller difference is within the error of the
 /// predictions and the age of the reports.
 const MARGIN_MS: i64 = 500;
 /// Reports older than this don't count; the interval of reports is 250 ms.
@@ -25,8 +25,8 @@
 /// Slots are scarce for this time after a shard found none for an item.
 const SCARCE_TIME: Duration = Duration::from_secs(1);
 
-/// Slack of the most urgent waiting item of each model, as reported by the servers of other shards
-/// (`R` identifies the reporter), and the slots yielded to them on behalf of one shard.
+/// Adjusted slack of the most urgent waiting item of each model, as reported by the servers of
+/// shards. `R` identifies the reporter.
 #[derive(Debug)]
 pub struct UrgencyReports<R>(HashMap<R, (Moment, HashMap<String, i64>)>);
 
--- a/crates/jobs/tests/due_order.rs
+++ b/crates/jobs/tests/due_order.rs
@@ -59,7 +59,7 @@
     table.apply(at(now), end);
 }
 
-/// Guards against a change of today's order by due times, priorities or trainers' lateness.
+/// Guards against due times, priorities or trainers' lateness that change the order by acceptance.
 #[test]
 fn accepted_order_ignores_due_times_and_priorities() {
     let orders = [false, true].map(|with_due| {
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -27,10 +27,10 @@
 
 use crate::{LiveSettings, NodeView, WorkRequirements};
 
-/// Targets per cell of a service. A home then grants some thousand permits per second, which takes
-/// about a third of a core.
+/// Targets per cell of a service. Bounds the permits that one home grants per second: a storage box
+/// has a fraction of a core.
 const TARGETS_PER_CELL: usize = 8;
-/// Minimum wait for the first reply: a home whose CPU quota is used up pauses this long.
+/// Minimum wait for the first reply. Covers a short pause of a home whose CPU quota is used up.
 const MIN_REPLY_TIMEOUT: Duration = Duration::from_millis(40);
 /// The wait for the first reply, as a divisor of the route's goal.
 const REPLY_TIMEOUT_DIVISOR: u32 = 4;
@@ -40,13 +40,14 @@
 const HOME_BACKOFF: Duration = Duration::from_secs(1);
 /// Number of storage boxes that may become the home of a service in turn.
 const HOME_CANDIDATES: usize = 3;
-/// Maximum number of results that wait to be reported with the next ask.
+/// Maximum number of results that wait to be reported with the next ask; bounds its size.
 const MAX_REPORTS: usize = 16;
 /// Further tries per thousand requests.
 const RETRIES_PER_THOUSAND: u64 = 100;
 /// Maximum number of further tries in a burst, such as after the loss of a target.
 const MAX_RETRY_BURST: u64 = 10;
-/// Bounds of the time to return that this box names by itself.
+/// Bounds of the time to return that this box chooses by itself. It is random, so that callers don't
+/// return together.
 const LOCAL_RETRY_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
 
 /// Whether requests to services that are short of slots need permits.
@@ -138,7 +139,7 @@
     avoid_until: Moment,
 }
 
-/// State of this box's asks.
+/// Asks for permits, and what this box knows about shortages and homes.
 #[derive(Debug, Default)]
 pub struct AdmissionClient {
     /// The mode at the start.
@@ -227,7 +228,8 @@
         self.homes().remove(home);
     }
 
-    /// Records that a home did not reply. One that refused the ask is avoided immediately.
+    /// Records that a home did not reply as expected. One that refused the ask or sent an invalid
+    /// reply (`has_refused`) is avoided immediately.
     fn record_missed_reply(&self, now: Moment, home: &BoxId, has_refused: bool) {
         let mut homes = self.homes();
         let health = homes.entry(home.clone()).or_default();
@@ -288,7 +290,7 @@
     PermitReport { target: report.target.to_string(), outcome: outcome.into(), load }
 }
 
-/// One cell of a service.
+/// One of the parts into which the targets of a large service are divided.
 struct Cell {
     index: u32,
     count: u32,
@@ -424,6 +426,7 @@
         }
     }
 
+    /// Records that the home did not reply as expected; the box chooses a target by itself.
     fn no_reply(&self, has_refused: bool) -> PermitResult {
         let view = self.view;
         view.metrics.count_outcome("admission", "no reply");
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -84,7 +84,7 @@
     #[arg(long, env = "GANNETWAY_ADMISSION", default_value = "")]
     pub admission: String,
     /// Memory of the box, in MB. Buffered requests and responses may use a quarter of it, jobs a
-    /// third. Empty or 0 does not limit buffered bytes, and limits jobs as 256 does.
+    /// third. Empty or 0: no limit of buffered bytes, and jobs may use a third of 256 MB.
     #[arg(long, env = "GANNETWAY_MEMORY_MB", default_value = "")]
     pub memory_mb: String,
     /// File with lines `NAME=value`, whose values replace those of the environment. It is read
--- a/crates/node/src/target_speed.rs
+++ b/crates/node/src/target_speed.rs
@@ -5,7 +5,7 @@
 
 use crate::NodeView;
 
-/// Slowdown from which a target counts as slow in the metrics.
+/// Slowdown from which a target counts as slow in the metrics; smaller ones are usual.
 const SLOW_FACTOR: f64 = 1.25;
 /// Slowdown from which a target counts as very slow in the metrics.
 const VERY_SLOW_FACTOR: f64 = 2.0;
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -286,6 +286,7 @@
         available.map(|state| (state.record.instance.clone(), state.slots())).collect()
     }
 
+    /// Counts a request to a target as in flight.
     fn start(&mut self, now: Moment, instance: &InstanceId) -> Option<ChosenTarget> {
         let state = self.targets.get_mut(instance)?;
         state.local_in_flight += 1;
@@ -359,6 +360,7 @@
         load_ratio * slowness + self.domain_cost(state)
     }
 
+    /// The cost added to targets of other failure domains.
     fn domain_cost(&self, state: &TargetState) -> f64 {
         if state.record.domain == self.domain { 0.0 } else { REMOTE_DOMAIN_COST }
     }
--- a/crates/routing/tests/uneven/main.rs
+++ b/crates/routing/tests/uneven/main.rs
@@ -3,9 +3,9 @@
 mod choices;
 mod moves;
 mod outliers;
-mod previous_rule;
 mod sim;
 mod steps;
+mod without_reports;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/routing/tests/uneven/steps.rs
+++ b/crates/routing/tests/uneven/steps.rs
@@ -17,16 +17,16 @@
 #[test]
 fn steps_complete_earlier_and_fewer_runs_move() {
     for texts in [40, 52, 60] {
-        let (before, after) = (total(texts, false), total(texts, true));
-        assert!(after.mean_last_ms() < 0.85 * before.mean_last_ms(), "{texts} texts per step");
-        assert!(after.moved_share() < 0.08, "{texts} texts per step");
-        assert!(after.moved_share() < 0.25 * before.moved_share(), "{texts} texts per step");
+        let (without, with) = (total(texts, false), total(texts, true));
+        assert!(with.mean_last_ms() < 0.85 * without.mean_last_ms(), "{texts} texts per step");
+        assert!(with.moved_share() < 0.08, "{texts} texts per step");
+        assert!(with.moved_share() < 0.25 * without.moved_share(), "{texts} texts per step");
     }
 }
 
 /// Guards against a price for fast slots that makes steps of few texts slower.
 #[test]
 fn steps_of_few_texts_complete_no_later() {
-    let (before, after) = (total(24, false), total(24, true));
-    assert!(after.mean_last_ms() < before.mean_last_ms());
+    let (without, with) = (total(24, false), total(24, true));
+    assert!(with.mean_last_ms() < without.mean_last_ms());
 }
--- a/crates/routing/tests/uneven/previous_rule.rs
+++ b/crates/routing/tests/uneven/without_reports.rs
@@ -1,4 +1,5 @@
-//! Compares choices in services without slowdown reports with the rule for such services.
+//! Compares choices in services without slowdown reports with an independent implementation of
+//! their cost rule.
 
 use std::time::Duration;
 
@@ -80,9 +81,10 @@
     }
 }
 
-/// Guards against changed choices in services whose targets never report a slowdown.
+/// Guards against estimates of speed that change choices in services whose targets never report a
+/// slowdown.
 #[test]
-fn services_without_reports_are_chosen_as_before() {
+fn services_without_reports_are_chosen_by_load_and_unit_time() {
     let mut compared = 0;
     for seed in 0..60 {
         let mut table = TargetTable::new("home".parse().expect("valid id"));
--- a/crates/shards/src/admission.rs
+++ b/crates/shards/src/admission.rs
@@ -53,6 +53,7 @@
     }
 }
 
+/// Outcome of an ask.
 type Outcome = Result<Grant, Rejection>;
 
 /// Work of an ask, and when a caller sent it first.
@@ -109,11 +110,12 @@
 #[derive(Debug, Default)]
 pub struct AdmissionHome {
     cells: Mutex<HashMap<CellKey, CellState>>,
-    waiting: Notify,
+    /// Notified after each ask, when there may be requests or permits to check.
+    asked: Notify,
 }
 
-/// How far an ask got.
-enum Place {
+/// First result of an ask.
+enum FirstReply {
     Granted(Grant),
     Queued(TicketId, Duration, oneshot::Receiver<Outcome>),
     Rejected(Rejection),
@@ -136,18 +138,18 @@
         let Ok(service) = ask.service.parse::<ServiceName>() else { return };
         let key = CellKey { service, cell: ask.cell, cells: ask.cells.max(1) };
         let deadline = Instant::now() + Duration::from_millis(u64::from(ask.time_left_ms));
-        let Some(place) = self.place(view, &key, &ask) else { return };
-        let (ticket, receiver) = match place {
-            Place::Granted(grant) => {
+        let Some(first) = self.apply_ask(view, &key, &ask) else { return };
+        let (ticket, receiver) = match first {
+            FirstReply::Granted(grant) => {
                 let ticket = grant.ticket;
                 self.reply(view, &key, &mut sink, Ok(grant)).await;
                 return self.hold(view, &key, ticket, deadline, &cancel).await;
             }
-            Place::Rejected(rejection) => {
+            FirstReply::Rejected(rejection) => {
                 self.reply(view, &key, &mut sink, Err(rejection)).await;
                 return sink.end(ResponseEnd::default()).await;
             }
-            Place::Queued(ticket, expected_wait, receiver) => {
+            FirstReply::Queued(ticket, expected_wait, receiver) => {
                 let queued = AdmissionQueued { expected_wait_ms: millis(expected_wait) };
                 let body = admission_reply::Body::Queued(queued);
                 sink.item(reply_item(AdmissionReply { body: Some(body), short: true })).await;
@@ -175,7 +177,7 @@
     pub async fn run(&self, view: Arc<NodeView>, stop: CancellationToken) {
         loop {
             tokio::select! {
-                () = self.waiting.notified() => {}
+                () = self.asked.notified() => {}
                 () = stop.cancelled() => return,
             }
             while self.poll_all(&view) {
@@ -201,7 +203,7 @@
     }
 
     /// Applies an ask to its queue; `None` if it is malformed.
-    fn place(&self, view: &NodeView, key: &CellKey, ask: &AdmissionAsk) -> Option<Place> {
+    fn apply_ask(&self, view: &NodeView, key: &CellKey, ask: &AdmissionAsk) -> Option<FirstReply> {
         let now = view.now();
         let mut cells = self.cells();
         let cell = cells.entry(key.clone()).or_default();
@@ -217,23 +219,23 @@
         let work = AskedWork { digest, first_arrival: cell.refused.first_arrival(now, digest) };
         let request = admission_request(view, now, work.first_arrival, ask)?;
         let admission = cell.queue.request(now, request, &mut rand::rng());
-        let place = match admission {
-            Admission::Granted(grant) => Place::Granted(grant),
+        let first = match admission {
+            Admission::Granted(grant) => FirstReply::Granted(grant),
             Admission::Rejected(rejection) => {
                 cell.refused.record(now, work.digest, work.first_arrival);
-                Place::Rejected(rejection)
+                FirstReply::Rejected(rejection)
             }
             Admission::Queued { ticket, expected_wait } => {
                 let (outcome, receiver) = oneshot::channel();
                 cell.waiters.insert(ticket, Waiter { work, outcome });
-                Place::Queued(ticket, expected_wait, receiver)
+                FirstReply::Queued(ticket, expected_wait, receiver)
             }
         };
         // Reports may have made room, and the request may have displaced others.
         cell.poll(now);
         drop(cells);
-        self.waiting.notify_one();
-        Some(place)
+        self.asked.notify_one();
+        Some(first)
     }
 
     async fn reply(
--- a/crates/shards/src/engine_assignments.rs
+++ b/crates/shards/src/engine_assignments.rs
@@ -7,8 +7,8 @@
 use routing::TargetTable;
 use swaps::{EngineRanking, divide_engines, needed_engines};
 
-/// Fraction by which a model's peak number of items decays per update. A slow decay avoids reassigning
-/// engines between the steps of a job, which would load weights twice.
+/// Fraction by which a model's peak number of items decays per update. A slow decay avoids
+/// reassigning engines between the steps of a job, which would load weights twice.
 const PEAK_DECAY: f64 = 0.001;
 
 /// Demand of each model for engines.
--- a/crates/shards/src/timings.rs
+++ b/crates/shards/src/timings.rs
@@ -15,7 +15,8 @@
 }
 
 /// Logs a job's timings at its end, in milliseconds since the job was accepted here; -1 stands for
-/// what did not happen. Slacks are negative if late, and 0 if `has_due` is false. The times of the last wanted item and of block reasons are durations.
+/// what did not happen. Slacks are negative if late, and 0 if `has_due` is false. The times of the
+/// last wanted item and of block reasons are durations.
 pub(crate) fn log_timings(keeper: &ShardKeeper, job: &JobId, timings: &StepTimings) {
     let step = keeper.jobs().step(job);
     let (item, last) = timings.last.clone().unwrap_or_default();
--- a/crates/shards/tests/job_order.rs
+++ b/crates/shards/tests/job_order.rs
@@ -9,7 +9,7 @@
 use wire::peer::{Job, JobItem, LogRecord, ModelBacklog, ShardHeartbeat};
 
 const OWN: ShardIndex = ShardIndex::new(0);
-const NEIGHBOUR: ShardIndex = ShardIndex::new(1);
+const OTHER: ShardIndex = ShardIndex::new(1);
 
 fn at(millis: u64) -> Moment {
     Moment::START + Duration::from_millis(millis)
@@ -61,13 +61,13 @@
     let (neighbour, urgent) = blocked_table(3_000);
     let urgencies = UrgencyTable::default();
     urgencies.record_shard(at(0), OWN, &own);
-    urgencies.record_shard(at(0), NEIGHBOUR, &neighbour);
+    urgencies.record_shard(at(0), OTHER, &neighbour);
     let yields = |shard: ShardIndex, spec: &RunSpec| {
         urgencies.no_free_slot(at(0), shard, "m");
         urgencies.should_yield(at(0), shard, "m", spec.urgency.expect("ordered by due time"))
     };
     assert!(yields(OWN, &spec));
-    assert!(!yields(NEIGHBOUR, &urgent));
+    assert!(!yields(OTHER, &urgent));
 }
 
 /// Guards against engines divided by the number of items of boxes that order by due time, and
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,10 +1,10 @@
 //! HTTP connections to targets, with one request at a time on each.
 //!
 //! A connection returns to the pool only if its response was complete, belonged to the request and
-//! was a success or a refusal that the caller of this crate recognises, and neither side wants to
-//! close the connection. In all other cases (a response to
-//! another request, unexpected bytes, an error, a disconnect) the connection is closed. Late bytes
-//! of one request are thus never mistaken for the response to another.
+//! was a success, or a refusal that the [`ReusePolicy`] allows, and neither side wants to close the
+//! connection. In all other cases (a response to another request, unexpected bytes, an error, a
+//! disconnect) the connection is closed. Late bytes of one request are thus never mistaken for the
+//! response to another.
 //!
 //! Bytes of responses are reserved in the box's [`MemoryBudget`] while they are buffered.
 
--- a/crates/upstream/src/memory/budget.rs
+++ b/crates/upstream/src/memory/budget.rs
@@ -33,7 +33,8 @@
     /// [`usize::MAX`] if there is no limit.
     limit: AtomicUsize,
     reserved: AtomicUsize,
-    /// Free bytes that the largest reservation refused since the last report needs.
+    /// Free bytes that the largest reservation needs of those that did not fit since
+    /// [`Self::take_shortage`] was called; 0 if all fitted.
     missing: AtomicUsize,
     /// Number of reservations that wait for room.
     waiting: AtomicUsize,
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Sets which statuses leave the connection usable; successes only by default.
+    /// Sets which responses leave the connection usable; successes only by default.
     #[must_use]
     pub fn reusable_after(self, policy: ReusePolicy) -> Self {
         Self { policy, ..self }
--- a/crates/xtask/src/ablate.rs
+++ b/crates/xtask/src/ablate.rs
@@ -18,7 +18,7 @@
 const ABLATIONS: &[Ablation] = &[
     Ablation {
         name: "shared-admission",
-        without: "boxes choose targets of a short service by themselves; only retries are bound",
+        without: "boxes choose targets of a short service by themselves; only retries are bounded",
         edit: SourceEdit {
             file: "crates/node/src/admission.rs",
             from: "        let is_short = state.shortage.is_short(now);",
