--- a/crates/admission/tests/common/mod.rs
+++ b/crates/admission/tests/common/mod.rs
@@ -25,8 +25,11 @@
 /// Requests per second that three targets of 6 slots serve at 25 ms per request.
 pub const CAPACITY: f64 = 720.0;
 const SLOTS: u32 = 6;
+/// Requests that a target queues.
 const QUEUE: usize = 24;
+/// Mean service time in seconds.
 const MEAN_SERVICE: f64 = 0.025;
+/// Standard deviation of the logarithm of the service time.
 const SIGMA: f64 = 0.5;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time until the home learns that a target is lost.
@@ -92,6 +95,7 @@
 }
 
 impl Caller {
+    /// Whether the last attempt was served within this time from its own start.
     pub fn is_served_within(&self, limit: Duration) -> bool {
         let is_served = self.attempts.last().is_some_and(|(end, _)| *end == End::Served);
         is_served && self.attempts.last().is_some_and(|(_, took)| *took <= limit)
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -14,9 +14,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use node::NodeView;
-use platform::calls::JobSender;
+use platform::calls::{JobCall, JobSender};
 use platform::{calls, headers};
-use routing::RouteKind;
+use routing::{RouteKind, RouteTable};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
@@ -170,17 +170,7 @@
     if let Some(call) = calls::read_call(&head.method, path_of(&head))
         && table.has_job_route(host_of(&head))
     {
-        // Jobs belong to customers, so the key is required even on public routes.
-        let caller = match identify(&state.view, &table, &head, false) {
-            Ok(caller) => caller,
-            Err(refusal) => return Ok(*refusal),
-        };
-        if let Err(error) = memory.check_room(MemoryUse::RequestBody, ByteCount::new(1)) {
-            return Ok(refuse_body(&state, error.into(), &head, id.as_deref()));
-        }
-        let wait = headers::read_wait(&head.headers);
-        let response = jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await;
-        return Ok(response::reserve_body(response, memory));
+        return Ok(serve_job_call(&state, &table, &head, call, id.as_deref()).await);
     }
     if let Err(refusal) = admit(&state.view, &head) {
         return Ok(*refusal);
@@ -213,6 +203,28 @@
     })
 }
 
+/// Serves a call that concerns an accepted job.
+async fn serve_job_call(
+    state: &FrontState,
+    table: &RouteTable,
+    head: &Parts,
+    call: JobCall,
+    id: Option<&str>,
+) -> Response<FrontBody> {
+    let memory = &state.view.memory;
+    // Jobs belong to customers, so the key is required even on public routes.
+    let caller = match identify(&state.view, table, head, false) {
+        Ok(caller) => caller,
+        Err(refusal) => return *refusal,
+    };
+    if let Err(error) = memory.check_room(MemoryUse::RequestBody, ByteCount::new(1)) {
+        return refuse_body(state, error.into(), head, id);
+    }
+    let wait = headers::read_wait(&head.headers);
+    let response = jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await;
+    response::reserve_body(response, memory)
+}
+
 /// Refuses a request whose body was not read completely.
 fn refuse_body(
     state: &FrontState,
--- a/crates/jobs/tests/shortage.rs
+++ b/crates/jobs/tests/shortage.rs
@@ -52,8 +52,11 @@
     };
     let first_late_ms = |steps: &[Step]| steps_of(steps, 0).next().expect("a step").late_ms();
     let (by_acceptance, steps) = (run(StartOrder::Accepted), run(StartOrder::Due));
-    let (before, late) = (first_late_ms(&by_acceptance), first_late_ms(&steps));
-    assert!(late > 0 && late < before / 2, "{late} ms late, {before} ms by acceptance");
+    let (late_by_acceptance, late) = (first_late_ms(&by_acceptance), first_late_ms(&steps));
+    assert!(
+        late > 0 && late < late_by_acceptance / 2,
+        "{late} ms late, {late_by_acceptance} by acceptance"
+    );
     assert!(!is_late_after(&steps, 1), "only the delayed step is late: {steps:?}");
 }
 
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -195,18 +195,22 @@
         record_choice(&ctx.view, work, &slot, Some(predicted.units), speed);
         return Ok(NextStep::Run(SlotGuard::new(&ctx.view, work, slot)));
     }
-    let reason = match targets.no_target_reason(now, &service, &requirements, &mut rng) {
+    let reason = block_reason(targets.no_target_reason(now, &service, &requirements, &mut rng));
+    if spec.urgency.is_some() && matches!(reason, BlockReason::Full | BlockReason::BackedOff) {
+        ctx.urgencies.no_free_slot(now, shard, job_model);
+    }
+    Err(reason)
+}
+
+const fn block_reason(reason: NoTargetReason) -> BlockReason {
+    match reason {
         NoTargetReason::OldVersion => BlockReason::OldWeights,
         NoTargetReason::Loading => BlockReason::Loading,
         NoTargetReason::BackedOff => BlockReason::BackedOff,
         NoTargetReason::Full => BlockReason::Full,
         NoTargetReason::Cold => BlockReason::Cold,
         NoTargetReason::Evacuated => BlockReason::Evacuated,
-    };
-    if spec.urgency.is_some() && matches!(reason, BlockReason::Full | BlockReason::BackedOff) {
-        ctx.urgencies.no_free_slot(now, shard, job_model);
     }
-    Err(reason)
 }
 
 fn spec_work(spec: &RunSpec) -> WorkDigest {
--- a/crates/shards/tests/job_order.rs
+++ b/crates/shards/tests/job_order.rs
@@ -58,10 +58,10 @@
 #[test]
 fn slots_are_left_to_another_shard_of_the_same_box() {
     let (own, spec) = blocked_table(7_500);
-    let (neighbour, urgent) = blocked_table(3_000);
+    let (other, urgent) = blocked_table(3_000);
     let urgencies = UrgencyTable::default();
     urgencies.record_shard(at(0), OWN, &own);
-    urgencies.record_shard(at(0), OTHER, &neighbour);
+    urgencies.record_shard(at(0), OTHER, &other);
     let yields = |shard: ShardIndex, spec: &RunSpec| {
         urgencies.no_free_slot(at(0), shard, "m");
         urgencies.should_yield(at(0), shard, "m", spec.urgency.expect("ordered by due time"))
