Merge a reading of the whole diff; refuse in time what still waits at a home

Beside the merge: a request that still waits for a permit 20 ms before its deadline is refused, since no target has got it; before, it ended as out of time.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -14,9 +14,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use node::NodeView;
-use platform::calls::JobSender;
+use platform::calls::{JobCall, JobSender};
 use platform::{calls, headers};
-use routing::RouteKind;
+use routing::{RouteKind, RouteTable};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
@@ -153,7 +153,11 @@
     }
 }
 
-async fn serve(state: FrontState, sender: Arc<Caller>, request: Request<Incoming>) -> ServeResult {
+async fn serve(
+    state: FrontState,
+    connection: Arc<Caller>,
+    request: Request<Incoming>,
+) -> ServeResult {
     let received = Instant::now();
     let _guard = RequestGuard::new(&state);
     let (head, body) = request.into_parts();
@@ -166,30 +170,20 @@
     if let Some(call) = calls::read_call(&head.method, path_of(&head))
         && table.has_job_route(host_of(&head))
     {
-        // Jobs belong to customers, so the key is required even on public routes.
-        let caller = match identify(&state.view, &table, &head, false) {
-            Ok(caller) => caller,
-            Err(refusal) => return Ok(*refusal),
-        };
-        if let Err(error) = memory.check_room(MemoryUse::RequestBody, ByteCount::new(1)) {
-            return Ok(refuse_body(&state, error.into(), &head, id.as_deref()));
-        }
-        let wait = headers::read_wait(&head.headers);
-        let response = jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await;
-        return Ok(response::reserve_body(response, memory));
+        return Ok(serve_job_call(&state, &table, &head, call, id.as_deref()).await);
     }
     if let Err(refusal) = admit(&state.view, &head) {
         return Ok(*refusal);
     }
     let has_body = !body.is_end_stream();
-    let body = match read_body(body, table.limits.body_bytes, memory, &sender).await {
+    let body = match read_body(body, table.limits.body_bytes, memory, &connection).await {
         Ok(body) => body,
         Err(error) => {
             let refusal = refuse_body(&state, error, &head, id.as_deref());
             if !has_body {
                 return Ok(refusal);
             }
-            sender.discard_input();
+            connection.discard_input();
             return Ok(response::close_after(refusal));
         }
     };
@@ -209,6 +203,28 @@
     })
 }
 
+/// Serves a call that concerns an accepted job.
+async fn serve_job_call(
+    state: &FrontState,
+    table: &RouteTable,
+    head: &Parts,
+    call: JobCall,
+    id: Option<&str>,
+) -> Response<FrontBody> {
+    let memory = &state.view.memory;
+    // Jobs belong to customers, so the key is required even on public routes.
+    let caller = match identify(&state.view, table, head, false) {
+        Ok(caller) => caller,
+        Err(refusal) => return *refusal,
+    };
+    if let Err(error) = memory.check_room(MemoryUse::RequestBody, ByteCount::new(1)) {
+        return refuse_body(state, error.into(), head, id);
+    }
+    let wait = headers::read_wait(&head.headers);
+    let response = jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await;
+    response::reserve_body(response, memory)
+}
+
 /// Refuses a request whose body was not read completely.
 fn refuse_body(
     state: &FrontState,
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -27,28 +27,31 @@
 
 use crate::{LiveSettings, NodeView, WorkRequirements};
 
-/// Targets per cell of a service. A home then grants some thousand permits per second, which takes
-/// about a third of a core.
+/// Targets per cell of a service. Bounds the permits that one home grants per second: a storage box
+/// has a fraction of a core.
 const TARGETS_PER_CELL: usize = 8;
-/// Minimum wait for the first reply: a home whose CPU quota is used up pauses this long.
+/// Minimum wait for the first reply. Covers a short pause of a home whose CPU quota is used up.
 const MIN_REPLY_TIMEOUT: Duration = Duration::from_millis(40);
 /// The wait for the first reply, as a divisor of the route's goal.
 const REPLY_TIMEOUT_DIVISOR: u32 = 4;
 /// A home that did not reply this many times in a row is avoided.
 const MAX_MISSED_REPLIES: u32 = 2;
+/// A request that still waits is refused this long before its deadline; afterwards its caller is gone.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 /// Timeout for connecting to a home that did not reply in time.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a home that does not reply is avoided.
 const HOME_BACKOFF: Duration = Duration::from_secs(1);
 /// Number of storage boxes that may become the home of a service in turn.
 const HOME_CANDIDATES: usize = 3;
-/// Maximum number of results that wait to be reported with the next ask.
+/// Maximum number of results that wait to be reported with the next ask; bounds its size.
 const MAX_REPORTS: usize = 16;
 /// Further tries per thousand requests.
 const RETRIES_PER_THOUSAND: u64 = 100;
 /// Maximum number of further tries in a burst, such as after the loss of a target.
 const MAX_RETRY_BURST: u64 = 10;
-/// Bounds of the time to return that this box names by itself.
+/// Bounds of the time to return that this box chooses by itself. It is random, so that callers don't
+/// return together.
 const LOCAL_RETRY_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(600)];
 
 /// Reason with which a box ends its call to the home after the target has served the request.
@@ -152,7 +155,7 @@
     avoid_until: Moment,
 }
 
-/// State of this box's asks.
+/// Asks for permits, and what this box knows about shortages and homes.
 #[derive(Debug, Default)]
 pub struct AdmissionClient {
     /// The mode at the start.
@@ -243,7 +246,8 @@
         self.homes().remove(home);
     }
 
-    /// Records that a home did not reply. One that refused the ask is avoided immediately.
+    /// Records that a home did not reply as expected to an ask of `asked_at`. One that refused the
+    /// ask or sent an invalid reply (`has_refused`) is avoided immediately.
     fn record_missed_reply(&self, now: Moment, asked_at: Moment, home: &BoxId, has_refused: bool) {
         let mut homes = self.homes();
         let health = homes.entry(home.clone()).or_default();
@@ -310,7 +314,7 @@
     PermitReport { target: report.target.to_string(), outcome: outcome.into(), load }
 }
 
-/// One cell of a service.
+/// One of the parts into which the targets of a large service are divided.
 struct Cell {
     index: u32,
     count: u32,
@@ -464,10 +468,12 @@
                 }
                 None => return self.no_reply(started, true),
             }
-            let time_left = self.requirements.deadline.saturating_duration_since(Instant::now());
-            reply = match next_reply(&mut call, time_left).await {
-                Ok(next) => next,
-                Err(_lost) => return self.no_reply(started, false),
+            let refuse_at = self.requirements.deadline - DEADLINE_MARGIN;
+            reply = match time::timeout_at(refuse_at, next_reply(&mut call, time_left)).await {
+                Ok(Ok(next)) => next,
+                Ok(Err(_lost)) => return self.no_reply(started, false),
+                // No target has got the request, so it can still be refused truthfully.
+                Err(_elapsed) => return self.out_of_time(),
             };
         }
     }
@@ -487,6 +493,19 @@
         });
     }
 
+    fn out_of_time(&self) -> PermitResult {
+        let view = self.view;
+        view.metrics.count_outcome("admission", "out of time");
+        log::info!(
+            target: "targets", request = self.requirements.request_id, service:% = self.service,
+            peer:% = self.home.box_id, outcome = "out of time";
+            "admission refused"
+        );
+        let retry_after = view.admission.local_retry_after().unwrap_or_default();
+        PermitResult::Refused(AdmissionRefusal { retry_after })
+    }
+
+    /// Records that the home did not reply as expected; the box chooses a target by itself.
     fn no_reply(&self, started: Instant, has_refused: bool) -> PermitResult {
         let view = self.view;
         let now = view.now();
--- a/crates/shards/src/admission.rs
+++ b/crates/shards/src/admission.rs
@@ -53,6 +53,7 @@
     }
 }
 
+/// Outcome of an ask.
 type Outcome = Result<Grant, Rejection>;
 
 /// Work of an ask, and when a caller sent it first.
@@ -113,7 +114,8 @@
 #[derive(Debug, Default)]
 pub struct AdmissionHome {
     cells: Mutex<HashMap<CellKey, CellState>>,
-    waiting: Notify,
+    /// Notified after each ask, when there may be requests or permits to check.
+    asked: Notify,
 }
 
 /// A permit in use.
@@ -122,8 +124,8 @@
     deadline: Instant,
 }
 
-/// How far an ask got.
-enum Place {
+/// First result of an ask.
+enum FirstReply {
     Granted(Grant),
     Queued(TicketId, Duration, oneshot::Receiver<Outcome>),
     Rejected(Rejection),
@@ -149,19 +151,19 @@
         if cancel.is_cancelled() {
             return;
         }
-        let Some(place) = self.place(view, &key, &ask) else { return };
-        let (ticket, receiver) = match place {
-            Place::Granted(grant) => {
+        let Some(first) = self.apply_ask(view, &key, &ask) else { return };
+        let (ticket, receiver) = match first {
+            FirstReply::Granted(grant) => {
                 let ticket = grant.ticket;
                 self.reply(view, &key, &mut sink, Ok(grant)).await;
                 let held = HeldPermit { ticket, deadline };
                 return self.hold(view, &key, held, &cancel, &sink).await;
             }
-            Place::Rejected(rejection) => {
+            FirstReply::Rejected(rejection) => {
                 self.reply(view, &key, &mut sink, Err(rejection)).await;
                 return sink.end(ResponseEnd::default()).await;
             }
-            Place::Queued(ticket, expected_wait, receiver) => {
+            FirstReply::Queued(ticket, expected_wait, receiver) => {
                 let queued = AdmissionQueued { expected_wait_ms: millis(expected_wait) };
                 let body = admission_reply::Body::Queued(queued);
                 sink.item(reply_item(AdmissionReply { body: Some(body), short: true })).await;
@@ -190,7 +192,7 @@
     pub async fn run(&self, view: Arc<NodeView>, stop: CancellationToken) {
         loop {
             tokio::select! {
-                () = self.waiting.notified() => {}
+                () = self.asked.notified() => {}
                 () = stop.cancelled() => return,
             }
             while self.poll_all(&view) {
@@ -219,7 +221,7 @@
     }
 
     /// Applies an ask to its queue; `None` if it is malformed.
-    fn place(&self, view: &NodeView, key: &CellKey, ask: &AdmissionAsk) -> Option<Place> {
+    fn apply_ask(&self, view: &NodeView, key: &CellKey, ask: &AdmissionAsk) -> Option<FirstReply> {
         let now = view.now();
         let mut cells = self.cells();
         let cell = cells.entry(key.clone()).or_default();
@@ -236,23 +238,23 @@
         let work = AskedWork { digest, first_arrival: cell.refused.first_arrival(now, digest) };
         let request = admission_request(view, now, work.first_arrival, ask)?;
         let admission = cell.queue.request(now, request, &mut rand::rng());
-        let place = match admission {
-            Admission::Granted(grant) => Place::Granted(grant),
+        let first = match admission {
+            Admission::Granted(grant) => FirstReply::Granted(grant),
             Admission::Rejected(rejection) => {
                 cell.refused.record(now, work.digest, work.first_arrival);
-                Place::Rejected(rejection)
+                FirstReply::Rejected(rejection)
             }
             Admission::Queued { ticket, expected_wait } => {
                 let (outcome, receiver) = oneshot::channel();
                 cell.waiters.insert(ticket, Waiter { work, outcome });
-                Place::Queued(ticket, expected_wait, receiver)
+                FirstReply::Queued(ticket, expected_wait, receiver)
             }
         };
         // Reports may have made room, and the request may have displaced others.
         cell.poll(now);
         drop(cells);
-        self.waiting.notify_one();
-        Some(place)
+        self.asked.notify_one();
+        Some(first)
     }
 
     async fn reply(
