--- a/crates/front/src/search.rs
+++ b/crates/front/src/search.rs
@@ -8,7 +8,8 @@
 
 use ids::ShardIndex;
 
-/// Maximum number of cached job locations.
+/// Maximum number of cached job locations. Covers some minutes at hundreds of trainers' calls per
+/// box, in a few tens of kilobytes.
 const MAX_LOCATIONS: usize = 512;
 
 /// Bounded cache of the shards that hold recently used jobs.
--- a/crates/gannetwayd/src/http/mod.rs
+++ b/crates/gannetwayd/src/http/mod.rs
@@ -20,7 +20,8 @@
 use crate::http::plain::PlainRouter;
 use crate::route::KeeperDirectory;
 
-/// Maximum size of a request body, in bytes.
+/// Maximum size of a request body, in bytes. A step of 8,192 samples in groups of 8 with prompts of
+/// 4 KiB fits.
 const MAX_BODY: usize = 8 << 20;
 
 /// State of the HTTP handlers.
--- a/crates/joblog/src/standby.rs
+++ b/crates/joblog/src/standby.rs
@@ -11,7 +11,7 @@
 
 use crate::StorageBox;
 
-/// Active boxes per failure domain. Enough to replace lost disks and the copies of a lost domain.
+/// Active boxes per failure domain: twice its part in the loss of some disks and of a whole domain.
 const ACTIVE_PER_DOMAIN: usize = 4;
 
 /// Returns the active boxes, the same on every box. `has_assignment` returns whether a plan names
--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -20,7 +20,7 @@
 use crate::messages::OutcomeHint;
 use crate::{AttemptOutcome, KeeperAction, KeeperRefusal, KeptState, Placement};
 
-/// Maximum number of open steps per trainer.
+/// Maximum number of open steps per trainer: the one that it trains on, the next one and a spare.
 const MAX_STEPS: usize = 3;
 /// Limit for samples that wait for their trainer, in bytes, which bounds the memory used for a
 /// trainer that does not pull. Attempts in flight may exceed it slightly.
--- a/crates/ledger/src/spec.rs
+++ b/crates/ledger/src/spec.rs
@@ -5,7 +5,7 @@
 use ids::{ContentDigest, DigestWriter, ModelVersion, SlotIndex, StepNumber, TokenCount};
 use serde::{Deserialize, Serialize};
 
-/// Maximum number of slots in one step.
+/// Maximum number of slots in one step. Four times the two-year size; the bitmap of slots is 4 KiB.
 const MAX_SLOTS: usize = 32_768;
 /// Maximum length of a prompt, in bytes.
 const MAX_PROMPT: usize = 65_536;
--- a/crates/links/src/liveness.rs
+++ b/crates/links/src/liveness.rs
@@ -13,8 +13,8 @@
 const PING_DELAY: Duration = Duration::from_millis(150);
 /// Delay of the ping after a frame without a response, such as a box heartbeat.
 const ONE_WAY_PING_DELAY: Duration = Duration::from_secs(2);
-/// Maximum time between a ping and the next received frame. Allows for a TCP retransmission, the
-/// round trip between distant domains and CPU quota throttling.
+/// Maximum time between a ping and the next received frame. Allows for a TCP retransmission after
+/// 200 ms, a round trip of 40 ms between distant domains and a pause of 100 ms by a CPU quota.
 const PONG_TIMEOUT: Duration = Duration::from_millis(500);
 /// Unused links are closed after this time to free their descriptors and buffers on both sides.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -285,7 +285,8 @@
     }
 }
 
-/// Interval of the log lines about store calls and connections.
+/// Interval of the log lines about store calls and connections: at most two lines per box, however
+/// many calls there are.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Open connections are logged when they reach the limit divided by this.
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -11,7 +11,8 @@
 /// Pause after the second consecutive failure; doubles up to [`MAX_PAUSE`]. The first retry is
 /// immediate, because a watch may be cut while the store is healthy.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Maximum pause after a failed call. Limits how long trainers wait after the store's recovery.
+/// Maximum pause after a failed call. Trainers name their versions as soon as the store is back, and
+/// wait for the engines from then on.
 const MAX_PAUSE: Duration = Duration::from_millis(300);
 /// Pause of a box whose feed source still responds with stale updates. With a call timeout of 0.7 s
 /// the box detects a store that serves it alone within 2.2 s, of the allowed three.
--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -9,7 +9,7 @@
 
 use crate::{ListedObjects, ObjectKey, ObjectKind, ObjectStore, StoreError, StoredObject};
 
-/// Timeout of a call that does not wait for changes.
+/// Timeout of a call that does not wait for changes. A healthy platform responds in milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Additional timeout of a watch beyond its own wait time.
 const WATCH_SLACK: Duration = Duration::from_secs(2);
--- a/crates/replicas/src/lib.rs
+++ b/crates/replicas/src/lib.rs
@@ -12,8 +12,8 @@
 use ids::{DomainId, Moment};
 use serde::{Deserialize, Serialize};
 
-/// How long a domain must lack replicas before an order. Longer than a crashed target is unlisted
-/// while it restarts, since its replacement would have to be drained again.
+/// How long a domain must lack replicas before an order. A crashed target is unlisted for about two
+/// seconds while it restarts, and a replacement ordered meanwhile would have to be drained again.
 const SHORTAGE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Initial delay before an order is repeated, for the replica to start and be listed.
 const MIN_REPEAT_DELAY: Duration = Duration::from_secs(10);
--- a/crates/routing/src/index.rs
+++ b/crates/routing/src/index.rs
@@ -17,7 +17,8 @@
 
 /// Maximum number of sampled targets per choice; recently used targets come on top.
 pub const MAX_CANDIDATES: usize = 64;
-/// Maximum number of recently used targets that are considered as well.
+/// Maximum number of recently used targets that are considered as well: as many as the server of a
+/// shard keeps busy.
 const MAX_RECENT: usize = 128;
 
 #[derive(Debug, Default)]
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -37,13 +37,14 @@
 const MAX_DOUBLINGS: u32 = 8;
 /// Weight of the newest measurement in the moving average of a target's unit time.
 const UNIT_TIME_SMOOTHING: f64 = 0.2;
-/// Cost added to targets of other failure domains, in units of the load ratio.
+/// Cost added to targets of other failure domains, in units of the load ratio. Traffic between
+/// domains costs more than a short wait.
 const REMOTE_DOMAIN_COST: f64 = 0.34;
 /// Weight of the load relative to the unit time for requests that prefer a fast target. Low,
 /// because a full batch slows its requests down less than a slow engine does.
 const FAST_LOAD_WEIGHT: f64 = 0.1;
-/// Cost added in large services to targets without an idle connection. Targets of small services
-/// usually have one.
+/// Cost added in large services to targets without an idle connection. Opening one occupies a slot
+/// there for a moment, less than a running request. Targets of small services usually have one.
 const CONNECT_COST: f64 = 0.1;
 
 /// The listed targets, with their load, failures and backoff as seen by this box.
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -31,7 +31,8 @@
 /// How long a box counts as live after a heartbeat, and the state reported in it as current.
 const LIVE_WINDOW: Duration = Duration::from_millis(700);
 /// How long a box, and its failure domain where possible, is avoided for copies after a failed
-/// call.
+/// call. A box takes about this long to be detected as unresponsive, and a network cut affects its
+/// whole domain.
 const FAILURE_WINDOW: Duration = Duration::from_millis(1_500);
 /// A box with a heartbeat within this time counts as having reported its usage.
 const USAGE_REPORT_WINDOW: Duration = Duration::from_secs(1);
--- a/crates/usage/src/clock.rs
+++ b/crates/usage/src/clock.rs
@@ -35,7 +35,8 @@
 const STEP_WINDOW: Duration = Duration::from_secs(90);
 /// How long a box's reading is used after it was received.
 const READING_TTL: Duration = Duration::from_secs(3);
-/// Number of readings, including this box's own, that make a quorum.
+/// Number of readings, including this box's own, that make a quorum. Only then is the offset
+/// kept against a step.
 const QUORUM: usize = 3;
 
 #[derive(Debug, Clone, Copy)]
