Choose engines for texts by load unless a setting asks for expected times

Change: `--engine-choice` of storage boxes, `load` by default or `expected-time`. Plain requests and the speed estimates are unaffected.

--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -145,6 +145,7 @@
         found.add_fixed("memory-mb for jobs", &self.job_bytes, &new.job_bytes);
         found.add_fixed("load-parts", &self.load_parts, &new.load_parts);
         found.add_fixed("job-order", &self.job_order, &new.job_order);
+        found.add_fixed("engine-choice", &self.engine_choice, &new.engine_choice);
         found.add_fixed("accounts", &self.accounts, &new.accounts);
         found.add_fixed("usage-late-s", &self.usage_late, &new.usage_late);
         found.0
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,7 +8,7 @@
 
 use clap::Args;
 use ids::{BoxId, DomainId};
-use routing::ColdBound;
+use routing::{ColdBound, EngineChoice};
 use upstream::ByteCount;
 use usage::WindowLength;
 use wire::DeploymentKey;
@@ -116,6 +116,16 @@
     }
 }
 
+/// Parses a choice of engines. Empty text is the default. Returns `None` if invalid.
+fn read_engine_choice(text: &str) -> Option<EngineChoice> {
+    match text.trim() {
+        "" => Some(EngineChoice::default()),
+        "load" => Some(EngineChoice::Load),
+        "expected-time" => Some(EngineChoice::ExpectedTime),
+        _ => None,
+    }
+}
+
 /// Unvalidated settings of the storage role.
 #[derive(Debug, Clone, Args)]
 pub struct RawStorageSettings {
@@ -140,6 +150,10 @@
     /// Order in which items of jobs get engines: accepted or due.
     #[arg(long, env = "GANNETWAY_JOB_ORDER", default_value = "accepted")]
     pub job_order: String,
+    /// How engines that report their slowdown are chosen for texts: `load` or `expected-time`; empty
+    /// for `load`.
+    #[arg(long, env = "GANNETWAY_ENGINE_CHOICE", default_value = "")]
+    pub engine_choice: String,
     /// Address of the platform's accounting service for usage reports and replica orders, as
     /// IP:PORT; empty if there is none.
     #[arg(long, env = "GANNETWAY_ACCOUNTS", default_value = "")]
@@ -217,6 +231,8 @@
     pub load_parts: usize,
     /// Order in which items of jobs get engines.
     pub job_order: JobOrder,
+    /// How engines that report their slowdown are chosen for texts.
+    pub engine_choice: EngineChoice,
     /// Address of the platform's accounting service.
     pub accounts: Option<SocketAddr>,
     /// How long after the end of its window a usage report is due.
@@ -412,6 +428,13 @@
                 self.usage_late_s
             ));
         }
+        let engine_choice = read_engine_choice(&self.engine_choice);
+        if engine_choice.is_none() {
+            faults.push(format!(
+                "--engine-choice is `{}`: give load or expected-time",
+                self.engine_choice
+            ));
+        }
         let job_order = read_job_order(&self.job_order);
         if job_order.is_none() {
             faults.push(format!("--job-order is `{}`: give accepted or due", self.job_order));
@@ -428,6 +451,7 @@
             job_bytes: memory.unwrap_or(DEFAULT_STORAGE_MEMORY) / JOB_MEMORY_DIVISOR,
             load_parts: self.load_parts,
             job_order: job_order.unwrap_or_default(),
+            engine_choice: engine_choice.unwrap_or_default(),
             accounts,
             usage_late: late.filter(|late| !late.is_zero()).unwrap_or(DEFAULT_USAGE_LATE),
         })
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,7 +25,8 @@
     CallerLimits, DEFAULT_PRIORITY, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
 };
 pub use target::{
-    ChosenTarget, HeldModel, MoveEstimate, NoTargetReason, PredictedWork, RunProgress,
-    TargetFailure, TargetLoad, TargetRecord, TargetRequirements, TargetSpeed, WorkUnits,
+    ChosenTarget, EngineChoice, HeldModel, MoveEstimate, NoTargetReason, PredictedWork,
+    RunProgress, TargetFailure, TargetLoad, TargetRecord, TargetRequirements, TargetSpeed,
+    WorkUnits,
 };
 pub use target_table::TargetTable;
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -105,6 +105,16 @@
     pub left: PredictedWork,
 }
 
+/// How engines are chosen for texts, in services whose targets report their slowdown.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum EngineChoice {
+    /// By load and smoothed speed, as in other services.
+    #[default]
+    Load,
+    /// By the expected time of the text.
+    ExpectedTime,
+}
+
 /// Why a run should move: its expected remaining times.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MoveEstimate {
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -18,8 +18,8 @@
 use crate::index::TargetIndex;
 use crate::speed::duration_of_ms;
 use crate::target::{
-    ChosenTarget, HeldModel, MoveEstimate, NoTargetReason, RunProgress, TargetFailure, TargetLoad,
-    TargetRecord, TargetRequirements, TargetSpeed,
+    ChosenTarget, EngineChoice, HeldModel, MoveEstimate, NoTargetReason, RunProgress,
+    TargetFailure, TargetLoad, TargetRecord, TargetRequirements, TargetSpeed,
 };
 use crate::target_state::{ServiceRules, TargetState};
 use crate::uneven::SpeedComparison;
@@ -59,6 +59,7 @@
     evacuated: HashSet<DomainId>,
     /// Number of targets that have reported a slowdown, by service.
     reporting: HashMap<ServiceName, usize>,
+    engine_choice: EngineChoice,
     /// See [`Self::generation`].
     generation: u64,
 }
@@ -73,6 +74,7 @@
             cold: HashMap::new(),
             evacuated: HashSet::new(),
             reporting: HashMap::new(),
+            engine_choice: EngineChoice::default(),
             generation: 0,
         }
     }
@@ -182,6 +184,16 @@
         self.reporting.contains_key(service)
     }
 
+    /// Sets how engines are chosen for texts.
+    pub const fn set_engine_choice(&mut self, choice: EngineChoice) {
+        self.engine_choice = choice;
+    }
+
+    /// Whether the service's engines are chosen by the expected times of texts.
+    pub fn expects_times(&self, service: &ServiceName) -> bool {
+        self.engine_choice == EngineChoice::ExpectedTime && self.reports_slowdown(service)
+    }
+
     /// Speed estimates of a target; `None` if its service reports no slowdown.
     pub fn speed(&self, now: Moment, instance: &InstanceId) -> Option<TargetSpeed> {
         let state = self.targets.get(instance)?;
@@ -233,8 +245,11 @@
     ) -> Option<ChosenTarget> {
         let targets = self.candidates(service, requirements, rng);
         let fastest_unit_time = fastest_unit_time(&targets);
-        let comparison =
-            self.reports_slowdown(service).then(|| SpeedComparison::new(now, &targets));
+        let compares_speeds = match requirements.work {
+            Some(_) => self.expects_times(service),
+            None => self.reports_slowdown(service),
+        };
+        let comparison = compares_speeds.then(|| SpeedComparison::new(now, &targets));
         let rules = self.rules(now, service);
         let connect_cost = if self.index.is_large(service) { CONNECT_COST } else { 0.0 };
         let mut best: Option<(bool, f64, &TargetState)> = None;
@@ -400,7 +415,7 @@
     ) -> Option<MoveEstimate> {
         let here = self.targets.get(instance)?;
         let service = &here.record.service;
-        if !self.reports_slowdown(service) {
+        if !self.expects_times(service) {
             return None;
         }
         let rules = self.rules(now, service);
--- a/crates/routing/tests/uneven/main.rs
+++ b/crates/routing/tests/uneven/main.rs
@@ -50,6 +50,7 @@
 /// Creates a table of targets that report no current slowdown, with their usual unit times.
 fn table(targets: &[(&str, u64)]) -> TargetTable {
     let mut table = TargetTable::new("home".parse().expect("valid id"));
+    table.set_engine_choice(routing::EngineChoice::ExpectedTime);
     for (name, millis) in targets {
         table.put(NOW, target(name));
         table.record_load(NOW, &instance(name), load(0, Some(100)));
--- a/crates/routing/tests/uneven/sim.rs
+++ b/crates/routing/tests/uneven/sim.rs
@@ -194,6 +194,7 @@
 
 fn table() -> TargetTable {
     let mut table = TargetTable::new("home".parse().expect("valid id"));
+    table.set_engine_choice(routing::EngineChoice::ExpectedTime);
     for number in 0..ENGINES {
         let record = TargetRecord {
             instance: instance(number),
--- a/crates/routing/tests/uneven/without_reports.rs
+++ b/crates/routing/tests/uneven/without_reports.rs
@@ -62,7 +62,13 @@
 }
 
 /// Records random unit times and loads, without slowdown.
-fn random_reports(now: Moment, table: &mut TargetTable, targets: &mut [Expected], seed: u64) {
+fn random_reports(
+    now: Moment,
+    table: &mut TargetTable,
+    targets: &mut [Expected],
+    seed: u64,
+    slowdown: Option<u32>,
+) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     for (number, expected) in targets.iter_mut().enumerate() {
         let name = instance(&format!("i-{number}"));
@@ -76,7 +82,7 @@
             };
         }
         let running = rng.random_range(0..SLOTS + 3);
-        table.record_load(now, &name, load(running, None));
+        table.record_load(now, &name, load(running, slowdown));
         expected.remote = running.saturating_sub(expected.local);
     }
 }
@@ -85,6 +91,18 @@
 /// slowdown.
 #[test]
 fn services_without_reports_are_chosen_by_load_and_unit_time() {
+    assert_same_choices(None, None);
+}
+
+/// Guards against estimates of speed that change the choices for texts unless they are turned on.
+#[test]
+fn texts_are_chosen_by_load_and_unit_time_by_default() {
+    let units = WorkUnits::new(20.0);
+    assert_same_choices(Some(250), Some(PredictedWork { units, reference: units }));
+}
+
+/// Compares choices with the previous rule, in a service whose targets report this slowdown.
+fn assert_same_choices(slowdown: Option<u32>, work: Option<PredictedWork>) {
     let mut compared = 0;
     for seed in 0..60 {
         let mut table = TargetTable::new("home".parse().expect("valid id"));
@@ -100,9 +118,9 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         for round in 0..20 {
             let now = NOW + Duration::from_secs(round + 1);
-            random_reports(now, &mut table, &mut targets, seed * 100 + round);
+            random_reports(now, &mut table, &mut targets, seed * 100 + round, slowdown);
             for _ in 0..6 {
-                let requirements = random_requirements(&mut rng);
+                let requirements = TargetRequirements { work, ..random_requirements(&mut rng) };
                 let mut same = rng.clone();
                 let chosen = table.choose(now, &service(), &requirements, &mut rng);
                 let expected = expected_choice(&targets, &requirements, &mut same);
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -65,6 +65,7 @@
     tokio::spawn(register(Arc::clone(&ctx)));
     let keepers = Arc::new(KeeperSet::default());
     ctx.view.admission.set_links(ctx.links.clone());
+    ctx.view.target_table().set_engine_choice(ctx.settings.engine_choice);
     tokio::spawn(run_admission(Arc::clone(&ctx), shutdown.clone()));
     let handler = ShardHandler::new(Arc::clone(&ctx), Arc::clone(&keepers));
     tokio::spawn(serve_links(listener, node.key.clone(), handler, shutdown.clone()));
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -246,7 +246,7 @@
         let events = self.spec.events + u32::try_from(self.events.len()).unwrap_or(u32::MAX);
         let factor = if events >= LONG_EVENTS { LONG_MOVE_FACTOR } else { MOVE_FACTOR };
         let requirements = self.requirements();
-        if targets.reports_slowdown(&self.slot.service) {
+        if targets.expects_times(&self.slot.service) {
             let left = predicted_work(&self.spec.forecast, events);
             let run = RunProgress { unit_time, prefill: self.prefill, left };
             let (instance, rng) = (&self.slot.instance, &mut rand::rng());
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -884,7 +884,7 @@
     Mutation {
         name: "uneven: services without reports use the estimates",
         file: "crates/routing/src/target_table.rs",
-        from: "self.reports_slowdown(service).then(|| SpeedComparison",
+        from: "compares_speeds.then(|| SpeedComparison",
         to: "true.then(|| SpeedComparison",
         package: "routing",
         test: "services_without_reports",
