Log the route and priority of refused requests; one default priority

The default priority was defined in two crates.

Change: both kinds of refusal log route, customer and priority. `jobs` uses the constant of `routing`.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -37,7 +37,7 @@
 pub use snapshot::{SnapshotCursor, SnapshotPiece};
 pub use table::JobTable;
 pub use trace::{BlockReason, ItemTimings, StepSlack, StepTimings};
-pub use urgency::{DEFAULT_PRIORITY, GroupStanding, JobStanding, Urgency};
+pub use urgency::{GroupStanding, JobStanding, Urgency};
 pub use yielding::{SlotYield, UrgencyReports};
 
 /// Short names of the reasons why a shard's server refuses a call.
--- a/crates/jobs/src/urgency.rs
+++ b/crates/jobs/src/urgency.rs
@@ -9,9 +9,8 @@
 use std::cmp::Ordering;
 
 use ids::Priority;
+use routing::DEFAULT_PRIORITY;
 
-/// Priority of customers without one, and of requests to engines that are not urgent.
-pub const DEFAULT_PRIORITY: Priority = Priority::new(5);
 /// Priority at engines of items that have little slack left.
 const URGENT_PRIORITY: Priority = Priority::new(4);
 /// Priority at engines of items that have no slack left, counting their trainer's lateness.
--- a/crates/jobs/tests/due_order.rs
+++ b/crates/jobs/tests/due_order.rs
@@ -5,9 +5,10 @@
 use common::{accepted, at, events, job, run, start_all, table, text_of};
 use ids::Priority;
 use jobs::{
-    BlockReason, DEFAULT_PRIORITY, GroupStanding, JobStanding, JobTable, RewardOutcome, RunOutcome,
-    RunSpec, StartOrder, StepSlack,
+    BlockReason, GroupStanding, JobStanding, JobTable, RewardOutcome, RunOutcome, RunSpec,
+    StartOrder, StepSlack,
 };
+use routing::DEFAULT_PRIORITY;
 use wire::peer::{Job, JobItem};
 
 /// A job of `groups` groups of two, with item ids of its own, from its own trainer.
--- a/crates/jobs/tests/shortage/simulation.rs
+++ b/crates/jobs/tests/shortage/simulation.rs
@@ -5,11 +5,11 @@
 
 use ids::{JobId, Moment};
 use jobs::{
-    BlockReason, DEFAULT_PRIORITY, JobTable, RewardOutcome, RunEvent, RunOutcome, RunResult,
-    RunSpec, StartOrder,
+    BlockReason, JobTable, RewardOutcome, RunEvent, RunOutcome, RunResult, RunSpec, StartOrder,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use routing::DEFAULT_PRIORITY;
 use wire::peer::log_record::Body;
 use wire::peer::{Job, JobItem, LogRecord};
 
--- a/crates/jobs/tests/two_shards.rs
+++ b/crates/jobs/tests/two_shards.rs
@@ -5,9 +5,10 @@
 
 use ids::Moment;
 use jobs::{
-    BlockReason, DEFAULT_PRIORITY, JobTable, RewardOutcome, RunEvent, RunOutcome, RunResult,
-    RunSpec, SlotYield, StartOrder, UrgencyReports,
+    BlockReason, JobTable, RewardOutcome, RunEvent, RunOutcome, RunResult, RunSpec, SlotYield,
+    StartOrder, UrgencyReports,
 };
+use routing::DEFAULT_PRIORITY;
 use wire::peer::log_record::Body;
 use wire::peer::{Job, JobItem, LogRecord};
 
--- a/crates/jobs/tests/yielding.rs
+++ b/crates/jobs/tests/yielding.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use ids::Moment;
-use jobs::{DEFAULT_PRIORITY, GroupStanding, JobStanding, SlotYield, Urgency, UrgencyReports};
+use jobs::{GroupStanding, JobStanding, SlotYield, Urgency, UrgencyReports};
+use routing::DEFAULT_PRIORITY;
 
 /// Maximum time for which a slot may stay idle: the interval of heartbeats.
 const HEARTBEAT_MS: u64 = 250;
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -14,7 +14,7 @@
 use admission::{PermitOutcome, RejectReason, ReportedLoad, ShortageDetector, TargetReport};
 use coord::rendezvous;
 use coord::retry::RetryBudget;
-use ids::{BoxId, CustomerName, InstanceId, Moment, ServiceName, whole_millis};
+use ids::{BoxId, CustomerName, InstanceId, Moment, RouteName, ServiceName, whole_millis};
 use joblog::StorageBox;
 use links::{CallError, LinkPool, ResponseStream};
 use rand::Rng;
@@ -364,7 +364,9 @@
         return PermitResult::NotNeeded;
     };
     let ask = ask_message(view, route, service, &cell, goal, requirements);
-    let home_call = HomeCall { view, service, home: &home, requirements, goal };
+    let route = &route.name;
+    let priority = ask.priority;
+    let home_call = HomeCall { view, route, priority, service, home: &home, requirements, goal };
     home_call.request(links, ask).await
 }
 
@@ -414,6 +416,8 @@
 /// One ask at a home.
 struct HomeCall<'a> {
     view: &'a NodeView,
+    route: &'a RouteName,
+    priority: u32,
     service: &'a ServiceName,
     home: &'a StorageBox,
     requirements: &'a WorkRequirements<'a>,
@@ -497,8 +501,10 @@
         let view = self.view;
         view.metrics.count_outcome("admission", "out of time");
         log::info!(
-            target: "targets", request = self.requirements.request_id, service:% = self.service,
-            peer:% = self.home.box_id, outcome = "out of time";
+            target: "targets", request = self.requirements.request_id, route:% = self.route,
+            service:% = self.service,
+            customer = self.requirements.customer.map_or("none", |customer| customer.as_str()),
+            priority = self.priority, peer:% = self.home.box_id, outcome = "out of time";
             "admission refused"
         );
         let retry_after = view.admission.local_retry_after().unwrap_or_default();
@@ -531,9 +537,10 @@
     fn refused(&self, started: Instant, refused: &peer::AdmissionRefused) -> PermitResult {
         self.view.metrics.count_outcome("admission", "refused");
         log::info!(
-            target: "targets", request = self.requirements.request_id, service:% = self.service,
+            target: "targets", request = self.requirements.request_id, route:% = self.route,
+            service:% = self.service,
             customer = self.requirements.customer.map_or("none", |customer| customer.as_str()),
-            peer:% = self.home.box_id, outcome = refused.reason.as_str(),
+            priority = self.priority, peer:% = self.home.box_id, outcome = refused.reason.as_str(),
             waited_ms = whole_millis(started.elapsed()), waiting = refused.waiting,
             expected_wait_ms = refused.expected_wait_ms, retry_after_ms = refused.retry_after_ms;
             "admission refused"
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -10,7 +10,8 @@
 
 use crate::{CallerIdentity, ColdSpec, CustomerTable, KeyDigest};
 
-/// Priority of routes that name none: the middle of the range that targets accept.
+/// Priority of routes and customers that name none, and of requests to engines that are not urgent:
+/// the middle of the range that targets accept.
 pub const DEFAULT_PRIORITY: Priority = Priority::new(5);
 
 /// How the requests of a route may be handled.
--- a/crates/shards/src/job_order.rs
+++ b/crates/shards/src/job_order.rs
@@ -4,9 +4,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use ids::{BoxId, CustomerName, Moment, Priority, ShardIndex};
-use jobs::{DEFAULT_PRIORITY, JobTable, SlotYield, StartOrder, Urgency, UrgencyReports};
+use jobs::{JobTable, SlotYield, StartOrder, Urgency, UrgencyReports};
 use node::JobOrder;
-use routing::RouteTable;
+use routing::{DEFAULT_PRIORITY, RouteTable};
 use wire::peer::{Job, ShardHeartbeat};
 
 /// Who reported the urgency of waiting items.
--- a/crates/shards/tests/job_order.rs
+++ b/crates/shards/tests/job_order.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use ids::{ModelName, Moment, ShardIndex};
-use jobs::{BlockReason, DEFAULT_PRIORITY, JobTable, RunSpec, StartOrder};
+use jobs::{BlockReason, JobTable, RunSpec, StartOrder};
+use routing::DEFAULT_PRIORITY;
 use shards::{BacklogTable, UrgencyTable};
 use wire::peer::log_record::Body;
 use wire::peer::{Job, JobItem, LogRecord, ModelBacklog, ShardHeartbeat};
