Feed cache: never lower the floor of full updates

Cause: once more than 32 gaps are known, prune_gaps forgets the oldest one and raises the floor to its end. prune_removals then assigned the revision of the oldest discarded removal, which may be lower. A box inside the forgotten gap got an incremental update that lacks removals.

Change: prune_removals raises the floor and never lowers it.

Failing before, passing now: node, tests/feed.rs, discarded_removals_do_not_reopen_an_untracked_gap.

--- a/crates/node/src/feed/cache.rs
+++ b/crates/node/src/feed/cache.rs
@@ -181,7 +181,8 @@
             && let Some((revision, name)) = self.removed.pop_first()
         {
             self.removed_at.remove(&name);
-            self.floor = revision;
+            // The floor may already be higher, because a gap is no longer tracked.
+            self.floor = self.floor.max(revision);
         }
     }
 
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -115,6 +115,25 @@
     assert!(cache.since(10).expect("an update").full);
 }
 
+/// Guards against lost removals: once a gap is no longer tracked, boxes inside it need a full
+/// update, also after older removals are discarded.
+#[test]
+fn discarded_removals_do_not_reopen_an_untracked_gap() {
+    let mut cache = listed_cache();
+    for number in 0..500 {
+        cache.apply_changes(&removed(&format!("d-{number}"), 11 + number));
+    }
+    for number in 0..40 {
+        let objects = vec![stored("a", 3), stored("b", 5)];
+        cache.apply_listing(&Listing { objects, revision: 1_000 + 10 * number });
+    }
+    assert!(cache.since(700).expect("an update").full, "inside the first gap");
+    for number in 0..30 {
+        cache.apply_changes(&removed(&format!("e-{number}"), 2_000 + number));
+    }
+    assert!(cache.since(700).expect("an update").full, "after the oldest removals are discarded");
+}
+
 #[test]
 fn update_size_after_compaction_depends_on_changes() {
     let sent_objects = |targets: u64| {
