Step keeper: keep a handed-over step when its open is refused

Any later error of the same call dropped it as well.

The refusal of another body for the same step still comes before that of the limit.

Failing before, passing now: keeping, tests/keeper.rs, a_refused_open_keeps_the_handed_over_step.

--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -203,14 +203,19 @@
             ledger.reopen(&spec)?;
             return self.state(step);
         }
-        let mut ledger = match self.take_adopted(&spec)? {
-            Some(snapshot) => StepLedger::resume(snapshot, token, rule)?,
+        let adopted = self.find_adopted(&spec)?;
+        if self.steps.len() >= MAX_STEPS {
+            return Err(KeeperRefusal::TooManySteps { open: self.steps.len() });
+        }
+        let mut ledger = match adopted {
+            Some(index) => StepLedger::resume(self.adopted[index].clone(), token, rule)?,
             None => StepLedger::open(spec, token, rule)?,
         };
         // A pull without samples records the slots that the trainer holds.
         ledger.pull(&Pull { held: held.clone(), seen, max_samples: 0 })?;
-        if self.steps.len() >= MAX_STEPS {
-            return Err(KeeperRefusal::TooManySteps { open: self.steps.len() });
+        // A refused open leaves the handed-over step for the next one.
+        if let Some(index) = adopted {
+            self.adopted.remove(index);
         }
         self.steps.insert(step, ledger);
         self.starved_until = None;
@@ -392,13 +397,14 @@
         }
     }
 
-    fn take_adopted(&mut self, spec: &StepSpec) -> Result<Option<StepSnapshot>, LedgerError> {
+    /// Returns the index of the previous keeper's snapshot of a step.
+    fn find_adopted(&self, spec: &StepSpec) -> Result<Option<usize>, LedgerError> {
         let found = self.adopted.iter().position(|snapshot| snapshot.spec.step == spec.step);
         let Some(index) = found else { return Ok(None) };
         if self.adopted[index].spec.digest() != spec.digest() {
             return Err(LedgerError::OtherBody { step: spec.step });
         }
-        Ok(Some(self.adopted.remove(index)))
+        Ok(Some(index))
     }
 
     /// Discards samples that have waited too long for a version not yet named.
--- a/crates/keeping/tests/keeper.rs
+++ b/crates/keeping/tests/keeper.rs
@@ -164,6 +164,46 @@
     open(2).unwrap();
 }
 
+/// Guards against a lost step: a refused open must leave the step that the previous keeper handed
+/// over.
+#[test]
+fn a_refused_open_keeps_the_handed_over_step() {
+    let mut previous = keeper("box-9");
+    acquire_lease(&mut previous, at(0));
+    let opened = previous.open(at(1), spec(4), &SlotSet::default(), FencingToken::default());
+    opened.expect("step opens");
+    let placed = previous.poll(at(2)).into_iter().find_map(|action| match action {
+        KeeperAction::Start(placement) => Some(placement),
+        KeeperAction::Lease(_) => None,
+    });
+    let placement = placed.expect("an attempt starts");
+    let span = VersionSpan { version: ModelVersion::new(1), tokens: TokenCount::new(8) };
+    let sample = Sample {
+        slot: placement.assignment.slot,
+        spans: vec![span],
+        text: "x".to_owned(),
+        score: None,
+        engine: placement.target.clone(),
+    };
+    previous.attempt_ended(at(3), &placement, AttemptOutcome::Completed(sample), None);
+    let (snapshots, _release) = previous.hand_over(at(4));
+
+    let mut keeper = keeper("box-1");
+    acquire_lease(&mut keeper, at(0));
+    let open = |keeper: &mut StepKeeper<ChaCha8Rng>, step| {
+        keeper.open(at(5), spec(step), &SlotSet::default(), FencingToken::default())
+    };
+    for step in 1..=3 {
+        open(&mut keeper, step).expect("step opens");
+    }
+    keeper.adopt(at(5), snapshots, FencingToken::new(1));
+    assert!(matches!(open(&mut keeper, 4), Err(KeeperRefusal::TooManySteps { open: 3 })));
+    keeper.close(at(6), StepNumber::new(1), FencingToken::default()).expect("step closes");
+    open(&mut keeper, 4).expect("step opens");
+    let (batch, _) = keeper.pull(at(7), StepNumber::new(4), &pull(1)).expect("pull succeeds");
+    assert_eq!(batch.samples.len(), 1, "the sample of the previous keeper");
+}
+
 #[test]
 fn no_attempts_start_while_the_trainer_does_not_pull() {
     const SAMPLE_BYTES: usize = 20 << 20;
