Object API client: an error response is not a malformed object

Cause: HttpStore::read decoded the body of every response but 404, 429 and 503. A body of another error that is not JSON became BadValue, which tells the operator to fix or delete the object, and one that is valid JSON became an object.

Change: reads, listings and watches require a successful status, as writes do.

Failing before, passing now: objects, tests/http.rs, error_response_is_not_a_bad_value.

--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -56,12 +56,18 @@
     Ok(response)
 }
 
+/// The body of an error response is not an object and may have any format.
+fn require_success(response: Response) -> Result<Response, StoreError> {
+    if response.status().is_success() { Ok(response) } else { Err(StoreError::Unknown) }
+}
+
 impl ObjectStore for HttpStore {
     async fn read(&self, key: &ObjectKey) -> Result<Option<StoredObject>, StoreError> {
         let response = send(self.client.get(self.object_url(key)), CALL_TIMEOUT).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
+        let response = require_success(response)?;
         response.json().await.map(Some).map_err(|error| bad_value(key, &error))
     }
 
@@ -80,15 +86,14 @@
         if response.status() == StatusCode::CONFLICT {
             return Err(StoreError::Conflict { key: key.to_string() });
         }
-        if !response.status().is_success() {
-            return Err(StoreError::Unknown);
-        }
+        let response = require_success(response)?;
         let written: WriteResponse = response.json().await.map_err(|_error| StoreError::Unknown)?;
         Ok(written.version)
     }
 
     async fn list(&self, kind: ObjectKind) -> Result<ListedObjects, StoreError> {
         let response = send(self.client.get(self.kind_url(kind)), CALL_TIMEOUT).await?;
+        let response = require_success(response)?;
         response.json().await.map_err(|_error| StoreError::Unknown)
     }
 
@@ -102,6 +107,7 @@
         let request =
             self.client.get(self.kind_url(kind)).query(&[("after", after), ("wait_ms", wait_ms)]);
         let response = send(request, wait + WATCH_SLACK).await?;
+        let response = require_success(response)?;
         response.json().await.map_err(|_error| StoreError::Unknown)
     }
 }
