Leases: a broken record is a response of the platform

Cause: gannetwayd reported a lease record that can't be parsed as no response. The keeper then took the platform for unavailable and acted without the lease after two terms of refused requests, possibly beside the holder, instead of after six.

Change: ReadOutcome::Unreadable. The claim treats it as before, so the record is never overwritten; the keeper counts it as a response. An object that the store client reports as BadValue is logged and treated likewise.

Failing before, passing now: gannetwayd, tests/lease.rs, broken_record_is_a_response; keeping, tests/keeper.rs, requests_do_not_start_a_second_keeper_early_while_the_record_is_broken (with NoAnswer in place of Unreadable the keeper acts after 2 s).

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -97,6 +97,9 @@
     Found(VersionedLease),
     /// The object does not exist.
     Absent,
+    /// The store responded with an object that is not a lease record. It is never overwritten: an
+    /// operator has to fix or delete it.
+    Unreadable,
     /// The store did not respond.
     NoAnswer,
 }
@@ -330,7 +333,7 @@
                 self.acquire_soon(now, ObjectVersion::default(), FencingToken::new(1));
                 return;
             }
-            ReadOutcome::NoAnswer => {
+            ReadOutcome::Unreadable | ReadOutcome::NoAnswer => {
                 self.next_at = now + self.term / READS_PER_TERM;
                 return;
             }
--- a/crates/gannetwayd/src/lease.rs
+++ b/crates/gannetwayd/src/lease.rs
@@ -28,19 +28,22 @@
     }
 }
 
-/// Converts a read result. An unreadable value counts as no response, so that it is never
-/// overwritten.
+/// Converts a read result.
 fn read_outcome(read: Result<Option<StoredObject>, StoreError>) -> ReadOutcome {
     let object = match read {
         Ok(Some(object)) => object,
         Ok(None) => return ReadOutcome::Absent,
+        Err(error @ StoreError::BadValue { .. }) => {
+            log::error!(target: "lease", error:% = error; "lease object cannot be parsed");
+            return ReadOutcome::Unreadable;
+        }
         Err(_) => return ReadOutcome::NoAnswer,
     };
     match serde_json::from_value::<LeaseRecord>(object.value) {
         Ok(record) => ReadOutcome::Found(VersionedLease { version: object.version, record }),
         Err(error) => {
             log::error!(target: "lease", name:% = object.name, error:% = error; "lease record cannot be parsed");
-            ReadOutcome::NoAnswer
+            ReadOutcome::Unreadable
         }
     }
 }
--- a/crates/keeping/tests/keeper.rs
+++ b/crates/keeping/tests/keeper.rs
@@ -96,6 +96,22 @@
     }
 }
 
+/// Guards against a second keeper beside one that acts: a platform that returns a broken record is
+/// not unavailable.
+#[test]
+fn requests_do_not_start_a_second_keeper_early_while_the_record_is_broken() {
+    let mut keeper = keeper("box-1");
+    for millis in (0..5_000).step_by(100) {
+        let _refused = keeper.pull(at(millis), StepNumber::new(1), &pull(2));
+        for action in keeper.poll(at(millis)) {
+            if action == KeeperAction::Lease(LeaseAction::Read) {
+                keeper.lease_read(at(millis), ReadOutcome::Unreadable);
+            }
+        }
+        assert_eq!(keeper.acting_token(), None, "acts without a lease at {millis} ms");
+    }
+}
+
 #[test]
 fn repeated_requests_are_served_while_the_platform_is_unavailable() {
     let mut keeper = keeper("box-1");
--- a/crates/shards/src/claim.rs
+++ b/crates/shards/src/claim.rs
@@ -207,7 +207,7 @@
                     }),
                     Err(error) => {
                         log::warn!(target: "conductor", error:% = error; "stored lease is invalid");
-                        ReadOutcome::NoAnswer
+                        ReadOutcome::Unreadable
                     }
                 },
                 Ok(None) => ReadOutcome::Absent,
