Step keeper: an idle claim is no sign of an unavailable platform

Cause: a keeper without steps and requests doesn't read its lease, so the platform's last response gets old. A single request of the trainer that reached such a box then started it as a keeper at once, without a read and with a higher token than the holder of the lease.

Change: the time without a response counts from the first refused request if the claim was idle until then. While the platform is down, an idle box now starts after two terms of refused requests, like one that is not idle.

Failing before, passing now: keeping, tests/keeper.rs, a_single_request_to_an_idle_keeper_does_not_start_it_without_a_lease. Passing as before: the tests of keeping, coord and sessions.

--- a/crates/keeping/src/keeper.rs
+++ b/crates/keeping/src/keeper.rs
@@ -75,6 +75,8 @@
     started_at: Moment,
     /// Time of the last response of the platform.
     platform_seen_at: Option<Moment>,
+    /// When reads of the lease last started again after the claim was idle.
+    reading_since: Moment,
     /// Recent requests of the trainer that were refused because this box does not act.
     refused: Option<RefusedRequests>,
     handing_over: bool,
@@ -123,6 +125,7 @@
             in_flight: 0,
             started_at: now,
             platform_seen_at: None,
+            reading_since: now,
             refused: None,
             handing_over: false,
             released: false,
--- a/crates/keeping/src/keeper/acting.rs
+++ b/crates/keeping/src/keeper/acting.rs
@@ -110,6 +110,9 @@
                 // Only the first request expedites the read of an idle claim, so that further
                 // requests do not increase the read rate.
                 self.claim.expedite(now);
+                if self.is_claim_idle(now) {
+                    self.reading_since = now;
+                }
                 now
             }
         };
@@ -129,7 +132,9 @@
             return;
         }
         let Some(refused_for) = self.refused_for(now) else { return };
+        // An idle claim gets no responses, because it sends no reads.
         let unresponsive_since = self.platform_seen_at.unwrap_or(self.started_at);
+        let unresponsive_since = unresponsive_since.max(self.reading_since);
         let unavailable = now.since(unresponsive_since) >= self.settings.term * UNAVAILABLE_TERMS;
         if unavailable || refused_for >= self.settings.term * SLOW_TERMS {
             let last_read =
--- a/crates/keeping/tests/keeper.rs
+++ b/crates/keeping/tests/keeper.rs
@@ -112,6 +112,24 @@
     }
 }
 
+/// Guards against a second keeper beside one that acts: while a claim is idle it reads nothing, so
+/// the platform is not unavailable just because it has not responded for long.
+#[test]
+fn a_single_request_to_an_idle_keeper_does_not_start_it_without_a_lease() {
+    let mut keeper = keeper("box-1");
+    for millis in (0..20_000).step_by(100) {
+        if millis == 10_000 {
+            keeper.pull(at(millis), StepNumber::new(1), &pull(2)).unwrap_err();
+        }
+        for action in keeper.poll(at(millis)) {
+            if action == KeeperAction::Lease(LeaseAction::Read) {
+                keeper.lease_read(at(millis), held_by_other(2, millis + 1));
+            }
+        }
+        assert_eq!(keeper.acting_token(), None, "acts without a lease at {millis} ms");
+    }
+}
+
 #[test]
 fn repeated_requests_are_served_while_the_platform_is_unavailable() {
     let mut keeper = keeper("box-1");
