Connection limit: reserve a connection also on small boxes

Cause: the reserve was the limit divided by 10 and rounded down, so with fewer than 10 connections nothing was reserved. Items then took all of them and left none for the reward calls that complete items.

Change: the reserve is rounded up, to at most half of the limit, so that a single connection remains usable for items.

Failing before, passing now: upstream, tests/limit.rs, few_connections_leave_one_in_reserve.

--- a/crates/upstream/src/limit.rs
+++ b/crates/upstream/src/limit.rs
@@ -47,7 +47,9 @@
 
     /// Whether another item may be started at the current number of connections.
     pub fn has_capacity(&self) -> bool {
-        self.open() < self.max_open - self.max_open / RESERVE_DIVISOR
+        // A small limit reserves at least one connection, unless it is the only one.
+        let reserve = self.max_open.div_ceil(RESERVE_DIVISOR).min(self.max_open / 2);
+        self.open() < self.max_open - reserve
     }
 
     /// Acquires a permit for one connection; returns `None` at the limit.
--- a/crates/upstream/tests/limit.rs
+++ b/crates/upstream/tests/limit.rs
@@ -47,6 +47,22 @@
     assert!(limit.has_capacity(), "completed items release their permits");
 }
 
+/// Guards against a small box whose items leave no connection for the reward calls that complete
+/// them.
+#[test]
+fn few_connections_leave_one_in_reserve() {
+    for descriptors in 4..=40 {
+        let limit = ConnectionLimit::for_descriptors(descriptors);
+        let mut items = Vec::new();
+        while limit.has_capacity() {
+            items.push(limit.try_acquire().expect("a free permit"));
+        }
+        assert!(!items.is_empty(), "{descriptors} descriptors: no item can start");
+        assert!(limit.try_acquire().is_some(), "{descriptors} descriptors: none is reserved");
+    }
+    assert!(ConnectionLimit::for_descriptors(2).has_capacity(), "the only connection is for items");
+}
+
 /// Starts a target that responds to every request and keeps all connections open.
 async fn keep_alive_target() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
