Client: report that work may have run if any attempt broke

Cause: send_with_retries returned the error of the last attempt. If an earlier attempt broke and the last one could not connect, it said "nothing was sent"; if the last one was refused as not run, it said that. Both are untrue, since the earlier attempt may have run.

Change: when the last attempt certainly did not run the work, the error of the latest attempt that may have run it is returned. Permanent refusals (conflict, not open) are returned as before.

--- a/crates/client/src/entry.rs
+++ b/crates/client/src/entry.rs
@@ -53,6 +53,9 @@
     /// `retry_timeout` plus `wait` has passed.
     ///
     /// `wait` is the time for which the box may delay its response.
+    ///
+    /// If the last attempt did not run the work, but an earlier one may have, the error of the
+    /// earlier attempt is returned.
     pub async fn send_with_retries<B: Serialize + Sync, T: DeserializeOwned>(
         &self,
         method: &Method,
@@ -62,6 +65,7 @@
     ) -> Result<T, ClientError> {
         let deadline = Instant::now() + self.settings.retry_timeout + wait;
         let mut retry = 0;
+        let mut uncertain = None;
         loop {
             let error = match self.send_once(method, path, body, wait).await {
                 Ok(response) => return Ok(response),
@@ -75,8 +79,12 @@
                     BACKOFF.delay(retry, rand::rng().random())
                 }
             };
+            let may_have_run = may_have_run(&error);
             if Instant::now() + delay >= deadline {
-                return Err(error);
+                return Err(if may_have_run { error } else { uncertain.unwrap_or(error) });
+            }
+            if may_have_run {
+                uncertain = Some(error);
             }
             time::sleep(delay).await;
             retry += 1;
@@ -119,6 +127,15 @@
     matches!(refusal.kind, ErrorKind::NotRun | ErrorKind::Unknown)
 }
 
+/// Returns whether the work may have run in the attempt that ended with this error.
+const fn may_have_run(error: &ClientError) -> bool {
+    match error {
+        ClientError::NoEntry => false,
+        ClientError::Broken(_) => true,
+        ClientError::Refused(refusal) => matches!(refusal.kind, ErrorKind::Unknown),
+    }
+}
+
 fn send_error(error: &reqwest::Error) -> ClientError {
     if error.is_connect() { ClientError::NoEntry } else { ClientError::Broken(error.to_string()) }
 }
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -5,8 +5,7 @@
 /// Why a request to the entry boxes failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum ClientError {
-    /// The last attempt could not connect to its entry box, or no entry box is configured; that
-    /// attempt sent nothing.
+    /// No attempt could connect to its entry box, or no entry box is configured; nothing was sent.
     #[error("no entry box can be reached, nothing was sent: check the addresses and try again")]
     NoEntry,
     /// The response is incomplete, invalid or does not match its digest; the work may have run.
