Operator API: a missing pool is not found, not "not open"

Cause: GET /v1/pools/NAME answered with the kind "not open", which tells a trainer to open its step again; gannetctl then exited with "not run", which suggests a retry.

A tool of the previous release that reads the new kind reports an unknown format of the error.

Failing before, passing now: demo, tests/processes.rs, operators_and_bad_requests_get_clear_errors.

--- a/crates/api/src/error.rs
+++ b/crates/api/src/error.rs
@@ -14,9 +14,11 @@
     Forbidden,
     /// The request conflicts with the current state; nothing ran.
     Conflict,
-    /// The step is not open at its keeper and must be opened again with the held slots, or the
-    /// pool does not exist; nothing ran.
+    /// The step is not open at its keeper and must be opened again with the held slots; nothing
+    /// ran.
     NotOpen,
+    /// The requested object does not exist; nothing ran.
+    NotFound,
     /// The work did not run and can be retried after the stated time.
     NotRun,
     /// The work may have run.
@@ -30,6 +32,7 @@
             Self::Forbidden => "forbidden",
             Self::Conflict => "conflict",
             Self::NotOpen => "not open",
+            Self::NotFound => "not found",
             Self::NotRun => "not run",
             Self::Unknown => "unknown",
         })
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -6,11 +6,12 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use client::OpenStep;
+use client::{ClientError, OpenStep};
 use demo::fleet::{Fleet, FleetPlan};
 use demo::process::{Signal, program};
 use ids::{ModelVersion, PoolName, StepNumber, TokenCount, TrainerId};
 use ledger::{GroupSpec, SlotSet, StepSpec};
+use reqwest::Method;
 use serde_json::{Value, json};
 use standins::proxy::FaultProxy;
 use tokio::io::AsyncReadExt;
@@ -471,6 +472,16 @@
     let oversized = http.post(format!("{steps}/1/open")).body("x".repeat(9 << 20)).send().await;
     let error: Value = oversized.expect("response").json().await.expect("JSON error");
     assert_eq!(error["kind"], "bad_request", "{error}");
+    // "Not open" tells trainers to open their step again, which does not help here.
+    let missing: Result<Value, ClientError> = fleet
+        .operator()
+        .send_once(&Method::GET, "/v1/pools/no-such-pool", None::<&Value>, Duration::ZERO)
+        .await;
+    let missing = missing.expect_err("refused");
+    assert!(
+        matches!(&missing, ClientError::Refused(error) if error.kind.to_string() == "not found"),
+        "{missing}"
+    );
     // A pool that is not configured creates no lease.
     let lease = "/v1/objects/lease/keeper:no-such-pool:press-1";
     let found = http.get(format!("http://{}{lease}", fleet.platform.address())).send().await;
--- a/crates/gannetwayd/src/http/queries.rs
+++ b/crates/gannetwayd/src/http/queries.rs
@@ -74,7 +74,7 @@
     let config = Arc::clone(&state.ctx.documents.borrow().config);
     let Some(entry) = config.pools.get(&name) else {
         let message = format!("no pool {name} in generation {}: apply it first", config.generation);
-        return Err(ErrorBody::new(ErrorKind::NotOpen, message).into());
+        return Err(ErrorBody::new(ErrorKind::NotFound, message).into());
     };
     json_with_digest(&PoolsBody { generation: config.generation, pools: vec![entry.clone()] })
 }
--- a/crates/gannetwayd/src/http/response.rs
+++ b/crates/gannetwayd/src/http/response.rs
@@ -40,7 +40,7 @@
             ErrorKind::BadRequest => StatusCode::BAD_REQUEST,
             ErrorKind::Forbidden => StatusCode::FORBIDDEN,
             ErrorKind::Conflict => StatusCode::CONFLICT,
-            ErrorKind::NotOpen => StatusCode::NOT_FOUND,
+            ErrorKind::NotOpen | ErrorKind::NotFound => StatusCode::NOT_FOUND,
             ErrorKind::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             ErrorKind::Unknown => StatusCode::BAD_GATEWAY,
         };
