Logs: write info lines of all parts

Cause: the logger passes info lines of listed parts only, and "usage", "accounts" and "links" were not in the list. "gannetctl usage" therefore found no reports in the logs of real processes.

Change: LogPart lists the parts. A test compares the list with the targets of all log calls of the crates that log through it, in both directions; another one reads what a process writes. The added info lines are one per usage window, replica order, loaded baseline and silent connection, none per request. Ruled out: a typed target in each log call, as the macro takes only text.

Failing before, passing now: node, tests/logs.rs, every_log_call_names_a_listed_part and info_lines_of_every_part_are_written.

--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -102,9 +102,69 @@
     let _result = io::stdout().write_all(bytes);
 }
 
-/// Log targets whose level is a setting.
-const PARTS: [&str; 7] = ["config", "conductor", "entry", "jobs", "node", "shard", "targets"];
-/// Level of [`PARTS`].
+/// A part of the product, named by the target of its log calls. Its level is a setting; all other
+/// targets, such as libraries, log only warnings and errors.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogPart {
+    /// Calls to the accounting service.
+    Accounts,
+    /// Weight loads of engines, and leases.
+    Conductor,
+    /// Configuration and settings.
+    Config,
+    /// Requests of callers.
+    Entry,
+    /// Jobs and their items.
+    Jobs,
+    /// Connections between boxes.
+    Links,
+    /// The box itself.
+    Node,
+    /// Shards and their logs.
+    Shard,
+    /// Targets and tries there.
+    Targets,
+    /// Usage counts and reports.
+    Usage,
+}
+
+impl LogPart {
+    /// All parts.
+    pub const ALL: [Self; 10] = [
+        Self::Accounts,
+        Self::Conductor,
+        Self::Config,
+        Self::Entry,
+        Self::Jobs,
+        Self::Links,
+        Self::Node,
+        Self::Shard,
+        Self::Targets,
+        Self::Usage,
+    ];
+
+    /// The target of the part's log calls.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accounts => "accounts",
+            Self::Conductor => "conductor",
+            Self::Config => "config",
+            Self::Entry => "entry",
+            Self::Jobs => "jobs",
+            Self::Links => "links",
+            Self::Node => "node",
+            Self::Shard => "shard",
+            Self::Targets => "targets",
+            Self::Usage => "usage",
+        }
+    }
+
+    fn is_target(target: &str) -> bool {
+        Self::ALL.iter().any(|part| part.as_str() == target)
+    }
+}
+
+/// Level of all [`LogPart`]s.
 static PART_LEVEL: AtomicUsize = AtomicUsize::new(log::LevelFilter::Info as usize);
 
 /// Changes the log level.
@@ -125,12 +185,11 @@
         })
         .level(log::LevelFilter::Warn)
         .chain(output);
-    // All other sources, such as libraries, log only warnings and errors.
-    let dispatch = PARTS
-        .into_iter()
-        .fold(dispatch, |dispatch, part| dispatch.level_for(part, log::LevelFilter::Trace));
+    let dispatch = LogPart::ALL.into_iter().fold(dispatch, |dispatch, part| {
+        dispatch.level_for(part.as_str(), log::LevelFilter::Trace)
+    });
     let dispatch = dispatch.filter(|metadata| {
-        !PARTS.contains(&metadata.target())
+        !LogPart::is_target(metadata.target())
             || metadata.level() as usize <= PART_LEVEL.load(Ordering::Relaxed)
     });
     if dispatch.apply().is_ok() {
