gannetctl usage: order the lines by time

Cause: the tool applied the lines in the order of the files given, so the holder, the last try, the commit and the first acceptance of a window depended on that order when several boxes had sent its report.

Change: the lines of all files are sorted by time before they are applied.

Failing before, passing now: gannetctl, tests/usage.rs, lines_are_ordered_by_time_not_by_file.

--- a/crates/gannetctl/src/usage_windows.rs
+++ b/crates/gannetctl/src/usage_windows.rs
@@ -9,6 +9,11 @@
 use crate::log_lines::{LogLine, for_each_line, unreadable_file};
 use crate::output::{Table, print};
 
+/// Event of a report that was committed, or could not be.
+const COMMITTED: &str = "usage report";
+/// Event of an attempt to send a report.
+const SENT: &str = "usage report sent";
+
 /// State of one window's usage report, from the logs.
 #[derive(Debug, Clone, Default, Serialize)]
 struct WindowSummary {
@@ -31,10 +36,16 @@
 
 /// Prints the windows found in the log files; gaps between them are shown as missing.
 pub fn usage(args: &UsageArgs, output: Output) -> Result<(), CliError> {
-    let mut windows = BTreeMap::new();
+    let mut lines = Vec::new();
     for file in &args.files {
-        for_each_line(file, |line| record_line(&mut windows, &line))
-            .map_err(|error| unreadable_file(file, &error))?;
+        let keep = |line: LogLine| lines.extend(is_about_usage(&line).then_some(line));
+        for_each_line(file, keep).map_err(|error| unreadable_file(file, &error))?;
+    }
+    // Several boxes may have sent the report of a window.
+    lines.sort_by(|a, b| a.time_s.total_cmp(&b.time_s));
+    let mut windows = BTreeMap::new();
+    for line in &lines {
+        record_line(&mut windows, line);
     }
     let (Some(first), Some(last)) =
         (windows.keys().next().copied(), windows.keys().last().copied())
@@ -51,12 +62,14 @@
     Ok(())
 }
 
+fn is_about_usage(line: &LogLine) -> bool {
+    line.event == COMMITTED || line.event == SENT
+}
+
+/// Applies a line that [`is_about_usage`]. Lines must be applied in the order of their times.
 fn record_line(windows: &mut BTreeMap<u64, WindowSummary>, line: &LogLine) {
     let number = |name: &str| line.fields.get(name).and_then(serde_json::Value::as_u64);
-    let is_commit = line.event == "usage report";
-    if !is_commit && line.event != "usage report sent" {
-        return;
-    }
+    let is_commit = line.event == COMMITTED;
     let Some(window) = number("window") else { return };
     let summary = windows.entry(window).or_default();
     let outcome = line.text("outcome").unwrap_or_default();
--- a/crates/gannetctl/tests/usage.rs
+++ b/crates/gannetctl/tests/usage.rs
@@ -31,6 +31,24 @@
     assert_eq!(shown, expected);
 }
 
+/// Guards against a first or last try that depends on the order in which the files are given.
+#[test]
+fn lines_are_ordered_by_time_not_by_file() {
+    let shown =
+        |files: &[&str]| stdout_text(&LogFiles::write("usage-order", files).run(&["usage"]));
+    assert_eq!(shown(&[KEEPERS[1], KEEPERS[0]]), shown(&KEEPERS));
+    // The service accepted the same call twice, at different boxes.
+    let first =
+        r#"{"box":"keep-1","event":"usage report sent","t":130.0,"window":30,"outcome":"taken"}"#;
+    let second =
+        r#"{"box":"keep-2","event":"usage report sent","t":131.0,"window":30,"outcome":"taken"}"#;
+    for files in [[first, second], [second, first]] {
+        let table = shown(&files);
+        let row = table.lines().nth(1).unwrap_or_default();
+        assert!(row.contains("130.00") && row.contains("keep-2"), "{table}");
+    }
+}
+
 #[test]
 fn logs_without_usage_reports_are_an_error() {
     let logs = LogFiles::write("usage-none", &["{\"t\":1.0,\"event\":\"started\"}"]);
