Jobs: a repeated end record frees no bytes twice

Cause: apply_ended dropped the requests of an ended job again and subtracted the size of what is left of them (the ids) from the table's bytes, although that size had been subtracted before. The count of bytes, which bounds what a shard accepts, became too low.

Change: the end of an ended job changes nothing.

Struck off: a reward route with a smaller limit of attempts than the item's route has no effect on giving up. This is meant: a limit says when an item may be given up, which loses its sample, so the larger one counts. The doc comment says so, and smaller_limit_of_the_reward_route_does_not_lose_an_item_early guards it.

Failing before, passing now: jobs, tests/table.rs, repeated_end_of_a_job_frees_no_bytes_twice.

--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -117,7 +117,7 @@
     /// The call succeeded with this score.
     Scored(String),
     /// The target responded with an error; the item may be given up after `attempts` such
-    /// errors.
+    /// errors, or after as many as its own route allows, whichever is more.
     Failed {
         /// Attempts allowed by the reward call's route.
         attempts: u32,
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -236,9 +236,9 @@
 
     fn apply_ended(&mut self, now: Moment, job: &str) {
         let Ok(id) = job.parse::<JobId>() else { return };
-        let Some(state) = self.jobs.get_mut(&id) else { return };
+        let Some(state) = self.jobs.get_mut(&id).filter(|state| !state.ended) else { return };
         let is_late = state.due.due_in_ms(now).is_some_and(|due_in| due_in < 0.0);
-        if !state.ended && !state.trace.has_wanted() && is_late {
+        if !state.trace.has_wanted() && is_late {
             Self::record_lateness(&mut self.lateness, now, state);
         }
         state.ended = true;
--- a/crates/jobs/tests/table.rs
+++ b/crates/jobs/tests/table.rs
@@ -196,6 +196,39 @@
     assert_eq!(reasons(&given_up), [LossReason::RewardFailures]);
 }
 
+/// Guards against losing a sample early. A limit says when an item may be given up, so the larger
+/// one of the item's route and its reward call's route counts.
+#[test]
+fn smaller_limit_of_the_reward_route_does_not_lose_an_item_early() {
+    let mut table = table();
+    table.apply(at(0), accepted(job("j", 1)));
+    let spec = start_all(&mut table, at(1)).remove(0);
+    table.run_ended(at(2), &spec, &run(RunOutcome::Complete, events(1, 1, 3)));
+    for attempt in 1..=3_u64 {
+        assert!(table.give_up(at(attempt * 500)).is_empty(), "attempt {attempt}");
+        table.scored(at(attempt * 500), &spec.item, RewardOutcome::Failed { attempts: 1 });
+        start_all(&mut table, at(attempt * 500 + 400));
+    }
+    table.scored(at(2_000), &spec.item, RewardOutcome::Failed { attempts: 1 });
+    let given_up = table.give_up(at(2_100));
+    assert_eq!(reasons(&given_up), [LossReason::RewardFailures]);
+}
+
+/// Guards against a memory count that falls each time the log is replayed.
+#[test]
+fn repeated_end_of_a_job_frees_no_bytes_twice() {
+    let mut table = table();
+    table.apply(at(0), accepted(job("kept", 1)));
+    table.apply(at(0), accepted(job("ended", 1)));
+    let end = table.end(&id("ended")).expect("a record that ends the job");
+    table.apply(at(1), end.clone());
+    let bytes = table.bytes();
+    for _ in 0..5 {
+        table.apply(at(2), end.clone());
+    }
+    assert_eq!(table.bytes(), bytes);
+}
+
 #[test]
 fn items_are_given_up_only_after_their_maximum_wait() {
     let mut table = table();
