Shards: an engine that left the table holds no version; log the served shards

Cause: while an order's load was awaited, an engine that left the target table counted as loaded, so the order ended with "holds" and the box told other boxes so. A stopping box logged the number of all shards as served.

Failing before, passing now: cluster tests engine_that_leaves_while_it_loads_does_not_hold_the_version and stopping_box_logs_the_number_of_served_shards.

--- a/crates/shards/src/order.rs
+++ b/crates/shards/src/order.rs
@@ -8,7 +8,7 @@
 use ids::{FencingToken, ModelName, ModelVersion};
 use platform::headers;
 use platform::orders::{self, EngineReport, LoadOrder, SwapMode};
-use routing::TargetRecord;
+use routing::{HeldModel, TargetRecord};
 use tokio::time::{self, Instant};
 use upstream::SendError;
 
@@ -49,7 +49,7 @@
     LeaseLost,
     /// The outcome is unknown; the next order resolves it.
     Unknown,
-    /// The address belongs to another instance or incarnation.
+    /// The address belongs to another instance or incarnation, or the engine is no longer listed.
     InstanceGone,
 }
 
@@ -134,15 +134,10 @@
     let until = Instant::now() + LOAD_TIMEOUT;
     time::sleep(MIN_LOAD_DURATION).await;
     while Instant::now() < until {
-        // The response to a sample may have reported the version already.
-        let reported = ctx.view.target_table().record(&spec.target.instance).is_none_or(|record| {
-            record
-                .models
-                .iter()
-                .any(|held| held.model == spec.model && held.version >= spec.version)
-        });
-        if reported {
-            return OrderResult::Loaded;
+        match has_listed_version(ctx, spec) {
+            None => return OrderResult::InstanceGone,
+            Some(true) => return OrderResult::Loaded,
+            Some(false) => {}
         }
         if let Some(report) = read_engine(ctx, spec).await
             && has_version(&report, spec)
@@ -154,6 +149,15 @@
     OrderResult::Unknown
 }
 
+/// Whether the target table has the version, which the response to a sample may have reported;
+/// `None` if the engine is no longer listed.
+fn has_listed_version(ctx: &ShardContext, spec: &OrderSpec) -> Option<bool> {
+    let targets = ctx.view.target_table();
+    let record = targets.record(&spec.target.instance)?;
+    let has = |held: &HeldModel| held.model == spec.model && held.version >= spec.version;
+    Some(record.models.iter().any(has))
+}
+
 fn has_version(report: &EngineReport, spec: &OrderSpec) -> bool {
     report.models.iter().any(|held| held.model == spec.model && held.version >= spec.version)
 }
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -215,7 +215,8 @@
 
 async fn stop_gracefully(ctx: &ShardContext, keepers: &[Arc<ShardKeeper>]) {
     let started = Instant::now();
-    log::info!(target: "shard", served = keepers.len(); "stopping");
+    let served = keepers.iter().filter(|keeper| keeper.served().is_some()).count();
+    log::info!(target: "shard", served = served; "stopping");
     ctx.stopping.cancel();
     hand_over(ctx, keepers).await;
     time::sleep(STOP_DELAY.saturating_sub(started.elapsed())).await;
