--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -87,8 +87,6 @@
     Failed,
     /// The item can never succeed; it is given up.
     Impossible,
-    /// The response does not continue the existing text; the text is discarded.
-    Unusable,
 }
 
 /// Result of a run.
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -307,15 +307,6 @@
         self.appends_suspended = false;
     }
 
-    /// Returns the earliest time after `now` at which a delayed item may start.
-    pub fn next_start(&self, now: Moment) -> Option<Moment> {
-        let open = self.open.iter().filter_map(|id| self.jobs.get(id));
-        let items = open.flat_map(|state| {
-            state.waiting.iter().map(|index| state.items[*index as usize].not_before)
-        });
-        items.filter(|at| *at > now).min()
-    }
-
     /// Returns the item's score if it is cached: from an earlier job or an earlier reward call.
     pub fn cached_score(&self, item: &ItemRef) -> Option<String> {
         let state = self.jobs.get(&item.job)?;
@@ -332,7 +323,7 @@
             return false;
         }
         state.trace.run_ended(now, item.index);
-        if run.outcome == RunOutcome::Unusable || entry.events < spec.events {
+        if entry.events < spec.events {
             entry.clear_text();
         } else {
             // Some of the events may already have been applied from the log.
@@ -362,9 +353,7 @@
                 self.requeue(now, item, Duration::ZERO)
             }
             RunOutcome::Moved => self.requeue(now, item, Duration::ZERO),
-            RunOutcome::Cut | RunOutcome::NotRun | RunOutcome::Unusable => {
-                self.requeue(now, item, RETRY_DELAY)
-            }
+            RunOutcome::Cut | RunOutcome::NotRun => self.requeue(now, item, RETRY_DELAY),
         }
     }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,4 +18,4 @@
 pub use fair::FairShare;
 pub use queue::{Admission, AdmissionRequest, QueueEvent, TargetQueue, TicketId};
 pub use refusal::{NotRun, Refusal};
-pub use replica::{OrderId, OrderOutcome, ReplicaReading, ReplicaState, ReplicaStatus};
+pub use replica::{OrderOutcome, ReplicaReading, ReplicaState, ReplicaStatus};
--- a/crates/placement/src/replica.rs
+++ b/crates/placement/src/replica.rs
@@ -9,29 +9,6 @@
 use ids::{FencingToken, Incarnation, ModelVersion, Moment};
 use serde::{Deserialize, Serialize};
 
-/// Identifies one order, to match it with the engine's report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct OrderId(u64);
-
-impl OrderId {
-    /// Wraps a raw ID.
-    pub const fn new(id: u64) -> Self {
-        Self(id)
-    }
-
-    /// Returns the raw ID.
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-}
-
-impl fmt::Display for OrderId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
 /// Outcome of an order, as observed by the sender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -14,9 +14,6 @@
     /// A field is not a valid ID.
     #[error(transparent)]
     Id(#[from] IdError),
-    /// A required field is missing.
-    #[error("the message lacks field `{0}`: check that both boxes run the same release")]
-    Missing(&'static str),
 }
 
 /// Parses an ID from a field of a message.
