Admission: even cells, and reports for the cell of their target

Cause: the targets of a service with more than 8 were divided into cells by the hash of each one, so cells were uneven (4 and 6 of 10 targets), although each gets the same part of the requests. A box sent its reports to the home of a cell picked at random, which ignores targets of other cells: with c cells, one report in c had an effect.

Change: the targets are ordered by hash and divided into equal ranges, so cells differ by one target at most, and at most one target per cell moves when one joins or leaves (CellLayout). A report waits until the box asks the home of its target's cell, for at most 1 s and 16 for each cell (ReportBuffer). While boxes of two releases run, a home may get a report for a target that it doesn't have, as before. Ruled out: taking target i to cell i modulo the number of cells, since one target that leaves would move most others.

Failing with the former division and the former delivery, passing now: admission, tests/cells.rs, cells_differ_by_at_most_one_target and report_waits_for_the_cell_of_its_target. Passing as before: the cluster tests of admission.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -11,7 +11,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use admission::{PermitOutcome, RejectReason, ReportedLoad, ShortageDetector, TargetReport};
+use admission::{
+    CellLayout, PermitOutcome, RejectReason, ReportBuffer, ReportedLoad, ShortageDetector,
+    TargetReport,
+};
 use coord::rendezvous;
 use coord::retry::RetryBudget;
 use ids::{BoxId, CustomerName, InstanceId, Moment, RouteName, ServiceName, whole_millis};
@@ -27,9 +30,8 @@
 
 use crate::{LiveSettings, NodeView, WorkRequirements};
 
-/// Targets per cell of a service. Bounds the permits that one home grants per second: a storage box
-/// has a fraction of a core.
-const TARGETS_PER_CELL: usize = 8;
+/// How long the cells of a service are used before they are computed again from its targets.
+const CELLS_TTL: Duration = Duration::from_millis(50);
 /// Minimum wait for the first reply. Covers a short pause of a home whose CPU quota is used up.
 const MIN_REPLY_TIMEOUT: Duration = Duration::from_millis(40);
 /// The wait for the first reply, as a divisor of the route's goal.
@@ -44,8 +46,6 @@
 const HOME_BACKOFF: Duration = Duration::from_secs(1);
 /// Number of storage boxes that may become the home of a service in turn.
 const HOME_CANDIDATES: usize = 3;
-/// Maximum number of results that wait to be reported with the next ask; bounds its size.
-const MAX_REPORTS: usize = 16;
 /// Further tries per thousand requests.
 const RETRIES_PER_THOUSAND: u64 = 100;
 /// Maximum number of further tries in a burst, such as after the loss of a target.
@@ -132,16 +132,33 @@
     shortage: ShortageDetector,
     /// Whether the last request needed a permit.
     is_shared: bool,
-    reports: Vec<TargetReport>,
+    reports: ReportBuffer,
+    cells: CellLayout,
+    /// When the cells were computed.
+    cells_at: Option<Moment>,
     retries: RetryBudget,
 }
 
+impl ServiceState {
+    /// Computes the cells of the service, unless that was done recently.
+    fn refresh_cells(&mut self, view: &NodeView, now: Moment, service: &ServiceName) {
+        if self.cells_at.is_none_or(|at| now.since(at) >= CELLS_TTL) {
+            let targets = view.target_table();
+            self.cells =
+                CellLayout::new(targets.of_service(service).map(|listed| &listed.instance));
+            self.cells_at = Some(now);
+        }
+    }
+}
+
 impl Default for ServiceState {
     fn default() -> Self {
         Self {
             shortage: ShortageDetector::default(),
             is_shared: false,
-            reports: Vec::new(),
+            reports: ReportBuffer::default(),
+            cells: CellLayout::default(),
+            cells_at: None,
             retries: RetryBudget::new(RETRIES_PER_THOUSAND, MAX_RETRY_BURST),
         }
     }
@@ -233,10 +250,11 @@
         }
         if !state.shortage.is_short(now) {
             state.reports.clear();
-        } else if state.reports.len() < MAX_REPORTS {
-            let report = TargetReport { target: target.instance.clone(), outcome, load };
-            state.reports.push(report);
+            return;
         }
+        state.refresh_cells(view, now, &target.service);
+        let report = TargetReport { target: target.instance.clone(), outcome, load };
+        state.reports.add(now, &state.cells, report);
     }
 
     fn record_reply(&self, now: Moment, service: &ServiceName, home: &BoxId, is_short: bool) {
@@ -287,10 +305,22 @@
         is_short
     }
 
-    fn take_reports(&self, service: &ServiceName) -> Vec<PermitReport> {
+    /// Picks a cell of the service at random.
+    fn pick_cell(&self, view: &NodeView, service: &ServiceName) -> Cell {
         let mut services = self.services();
-        let reports = services.get_mut(service).map(|state| std::mem::take(&mut state.reports));
-        reports.unwrap_or_default().iter().map(encode_report).collect()
+        let state = services.entry(service.clone()).or_default();
+        state.refresh_cells(view, view.now(), service);
+        let count = state.cells.count();
+        Cell { index: rand::rng().random_range(0..count), count }
+    }
+
+    /// Removes and returns the reports for the home of a cell.
+    fn take_reports(&self, now: Moment, service: &ServiceName, cell: &Cell) -> Vec<PermitReport> {
+        let mut services = self.services();
+        let Some(state) = services.get_mut(service) else { return Vec::new() };
+        let reports = state.reports.take(now, &state.cells, cell.index);
+        drop(services);
+        reports.iter().map(encode_report).collect()
     }
 
     fn is_avoided(&self, now: Moment, home: &BoxId) -> bool {
@@ -320,13 +350,6 @@
     count: u32,
 }
 
-/// Picks a cell of the service at random.
-fn pick_cell(view: &NodeView, service: &ServiceName) -> Cell {
-    let targets = view.target_table().of_service(service).count();
-    let count = u32::try_from(targets.div_ceil(TARGETS_PER_CELL).max(1)).unwrap_or(1);
-    Cell { index: rand::rng().random_range(0..count), count }
-}
-
 /// Selects the home of a cell: the first storage box in rendezvous order that is not avoided.
 fn select_home(view: &NodeView, service: &ServiceName, cell: &Cell) -> Option<StorageBox> {
     let key = format!("{service}/{}", cell.index);
@@ -358,7 +381,7 @@
         return PermitResult::NotNeeded;
     }
     let Some(links) = view.admission.links.get() else { return PermitResult::NotNeeded };
-    let cell = pick_cell(view, service);
+    let cell = view.admission.pick_cell(view, service);
     let Some(home) = select_home(view, service, &cell) else {
         view.metrics.count_outcome("admission", "no home");
         return PermitResult::NotNeeded;
@@ -391,7 +414,7 @@
         time_left_ms: millis(requirements.deadline.saturating_duration_since(now)),
         goal_left_ms: millis((requirements.received + goal).saturating_duration_since(now)),
         avoid: targets_to_avoid(view, service, requirements),
-        reports: view.admission.take_reports(service),
+        reports: view.admission.take_reports(view.now(), service, cell),
         box_id: view.settings.box_id.to_string(),
         work: requirements.work.to_string(),
         goal_ms: millis(goal),
--- a/crates/shards/src/admission.rs
+++ b/crates/shards/src/admission.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use admission::{
-    Admission, AdmissionQueue, AdmissionRequest, Grant, PermitOutcome, QueueEvent, RefusedWork,
-    Rejection, ReportedLoad, TargetReport, TicketId,
+    Admission, AdmissionQueue, AdmissionRequest, CellLayout, Grant, PermitOutcome, QueueEvent,
+    RefusedWork, Rejection, ReportedLoad, TargetReport, TicketId,
 };
 use ids::{BoxId, Generation, InstanceId, Moment, Priority, ServiceName, WorkDigest, whole_millis};
 use links::{ResponseEnd, ResponseSink};
@@ -22,7 +22,6 @@
     self, AdmissionAsk, AdmissionGranted, AdmissionQueued, AdmissionRefused, AdmissionReply,
     PermitReport, ResponseItem, ShardResponse, admission_reply, response_item, shard_response,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Interval at which waiting requests are checked if nothing else happens.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -47,9 +46,13 @@
 }
 
 impl CellKey {
-    fn contains(&self, target: &InstanceId) -> bool {
-        let cells = u64::from(self.cells.max(1));
-        xxh3_64(target.as_str().as_bytes()) % cells == u64::from(self.cell)
+    /// Keeps the targets of the cell.
+    fn retain_targets(&self, view: &NodeView, targets: &mut Vec<(InstanceId, u32)>) {
+        let table = view.target_table();
+        let listed = table.of_service(&self.service).map(|listed| &listed.instance);
+        let layout = CellLayout::with_count(listed, self.cells);
+        drop(table);
+        targets.retain(|(target, _)| layout.cell_of(target) == Some(self.cell));
     }
 }
 
@@ -319,7 +322,7 @@
         if self.targets_read_at.is_none_or(|at| now.since(at) >= TARGETS_INTERVAL) {
             self.targets_read_at = Some(now);
             let mut targets = view.target_table().available(now, &key.service);
-            targets.retain(|(target, _)| key.contains(target));
+            key.retain_targets(view, &mut targets);
             self.queue.set_targets(&targets);
             self.askers.retain(|_, at| now.since(*at) < ASKER_TTL);
         }
