Plain requests and streams: what was never sent ends with 503, not 502

Cause: the time of a try that may be followed by another (three times the route's goal, 450 ms at a goal of 150 ms) is shorter than the time for opening a connection (600 ms). A try at a target that can't be reached, as in a domain that is cut off, ended while its connection was being opened and counted as sent and silent. After such tries, or after one of them and a refusal, the caller got 502 ("it may have run"), or 504 at the deadline. Found by a cluster test with targets to which no connection can be opened: every 502 there followed tries with the outcome "silent" at these targets.

Change: the pool gets the time by which the connection must be open (send_by), 20 ms before the end of the try; after that the try counts as not sent, as if the connection had been refused. Idle connections are closed then, as after a silent try. Ruled out: a longer time for such tries, which would only move the limit. Remaining: a request that was written to a connection which is cut off afterwards, or which the target resets because it has too many, still ends with 502, because the box can't know.

--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -12,8 +12,8 @@
 use http_body_util::{Either, Full};
 use ids::{InstanceId, WorkDigest};
 use node::{
-    NodeView, SlotGuard, TargetChoice, WorkRequirements, choose_target, record_disconnect,
-    request_work, reuse_policy,
+    CONNECT_MARGIN, NodeView, SlotGuard, TargetChoice, WorkRequirements, choose_target,
+    record_disconnect, request_work, reuse_policy,
 };
 use platform::headers;
 use routing::{ChosenTarget, Route, TargetFailure};
@@ -84,7 +84,9 @@
         let time_left = deadline.saturating_duration_since(Instant::now());
         headers::set_time_left(request.headers_mut(), time_left);
         headers::set_instance(request.headers_mut(), &target.instance);
-        let sent = time::timeout_at(deadline, view.pool.send(target.address, request)).await;
+        let connect_by = deadline - CONNECT_MARGIN;
+        let response = view.pool.send_by(target.address, request, connect_by);
+        let sent = time::timeout_at(deadline, response).await;
         let target_response = match sent {
             Ok(Ok(target_response)) => target_response,
             Ok(Err(SendError::NotSent(_))) => {
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -27,6 +27,9 @@
 const TRY_TIMEOUT_GOALS: u32 = 3;
 /// Minimum timeout of one try.
 const MIN_TRY_TIMEOUT: Duration = Duration::from_millis(300);
+/// A connection must be open this long before the end of its try. Otherwise the request is not
+/// sent, and the caller still gets a response that says so.
+pub const CONNECT_MARGIN: Duration = Duration::from_millis(20);
 /// Pause before the next try when no target is available.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(20);
 
@@ -279,7 +282,8 @@
     set_engine_priority(view, call, target, request.headers_mut());
     let (started, sent_at) = (Instant::now(), view.now());
     let sent = async {
-        let response = view.pool.send(target.address, request).await?;
+        let connect_by = started + limit.saturating_sub(CONNECT_MARGIN);
+        let response = view.pool.send_by(target.address, request, connect_by).await?;
         let response = response.reusable_after(reuse_policy(view));
         response.read_full_by(MAX_RESPONSE_BYTES, started + limit).await
     };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod platform;
 pub mod proxy;
 pub mod serve;
+pub mod unreachable;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -136,6 +136,18 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+    ) -> Result<TargetResponse, SendError> {
+        self.send_by(address, request, Instant::now() + CONNECT_TIMEOUT).await
+    }
+
+    /// Like [`Self::send`], but a connection that isn't open at `connect_by` is given up, and
+    /// nothing was sent. A timeout around [`Self::send`] can't tell this from a request that the
+    /// target may run.
+    pub async fn send_by(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        connect_by: Instant,
     ) -> Result<TargetResponse, SendError> {
         let mut request = request;
         while let Some(mut connection) = self.take_idle(address) {
@@ -147,7 +159,7 @@
                 },
             }
         }
-        self.send_on_new_connection(address, request).await
+        self.connect_and_send(address, request, connect_by).await
     }
 
     /// Sends a request on a new connection.
@@ -155,11 +167,25 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+    ) -> Result<TargetResponse, SendError> {
+        self.connect_and_send(address, request, Instant::now() + CONNECT_TIMEOUT).await
+    }
+
+    async fn connect_and_send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        connect_by: Instant,
     ) -> Result<TargetResponse, SendError> {
         let Some(permit) = self.acquire_permit() else { return Err(SendError::LimitReached) };
-        let connected = time::timeout(CONNECT_TIMEOUT, connect(address, permit)).await;
-        let Ok(Some(mut connection)) = connected else {
-            return Err(SendError::NotSent(address));
+        let connect_by = connect_by.min(Instant::now() + CONNECT_TIMEOUT);
+        let mut connection = match time::timeout_at(connect_by, connect(address, permit)).await {
+            Ok(Some(connection)) => connection,
+            Ok(None) => return Err(SendError::NotSent(address)),
+            Err(_elapsed) => {
+                self.close_idle();
+                return Err(SendError::NotSent(address));
+            }
         };
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.target_response(address, connection, response)),
