gannetctl: a missing pool exits with 4, as before

The test gannetctl_applies_pools_runs_a_step_and_calls_services of demo requires 4, which is the documented code for what has not run, so the tool keeps it.

--- a/crates/gannetctl/src/exit.rs
+++ b/crates/gannetctl/src/exit.rs
@@ -35,9 +35,9 @@
             Self::Client(ClientError::NoEntry) => 4,
             Self::Client(ClientError::Broken(_)) => 1,
             Self::Client(ClientError::Refused(refusal)) => match refusal.kind {
-                ErrorKind::BadRequest | ErrorKind::Forbidden | ErrorKind::NotFound => 2,
+                ErrorKind::BadRequest | ErrorKind::Forbidden => 2,
                 ErrorKind::Conflict => 3,
-                ErrorKind::NotRun | ErrorKind::NotOpen => 4,
+                ErrorKind::NotRun | ErrorKind::NotOpen | ErrorKind::NotFound => 4,
                 ErrorKind::Unknown => 1,
             },
         };
