--- a/crates/gannetctl/src/exit.rs
+++ b/crates/gannetctl/src/exit.rs
@@ -37,7 +37,7 @@
             Self::Client(ClientError::Refused(refusal)) => match refusal.kind {
                 ErrorKind::BadRequest | ErrorKind::Forbidden => 2,
                 ErrorKind::Conflict => 3,
-                ErrorKind::NotRun | ErrorKind::NotOpen => 4,
+                ErrorKind::NotRun | ErrorKind::NotOpen | ErrorKind::NotFound => 4,
                 ErrorKind::Unknown => 1,
             },
         };
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -87,8 +87,6 @@
     Failed,
     /// The item can never succeed; it is given up.
     Impossible,
-    /// The response does not continue the existing text; the text is discarded.
-    Unusable,
 }
 
 /// Result of a run.
@@ -117,7 +115,7 @@
     /// The call succeeded with this score.
     Scored(String),
     /// The target responded with an error; the item may be given up after `attempts` such
-    /// errors.
+    /// errors, or after as many as its own route allows, whichever is more.
     Failed {
         /// Attempts allowed by the reward call's route.
         attempts: u32,
--- a/crates/keeping/tests/keeper.rs
+++ b/crates/keeping/tests/keeper.rs
@@ -96,6 +96,40 @@
     }
 }
 
+/// Guards against a second keeper beside one that acts: a platform that returns a broken record is
+/// not unavailable.
+#[test]
+fn requests_do_not_start_a_second_keeper_early_while_the_record_is_broken() {
+    let mut keeper = keeper("box-1");
+    for millis in (0..5_000).step_by(100) {
+        let _refused = keeper.pull(at(millis), StepNumber::new(1), &pull(2));
+        for action in keeper.poll(at(millis)) {
+            if action == KeeperAction::Lease(LeaseAction::Read) {
+                keeper.lease_read(at(millis), ReadOutcome::Unreadable);
+            }
+        }
+        assert_eq!(keeper.acting_token(), None, "acts without a lease at {millis} ms");
+    }
+}
+
+/// Guards against a second keeper beside one that acts: while a claim is idle it reads nothing, so
+/// the platform is not unavailable just because it has not responded for long.
+#[test]
+fn a_single_request_to_an_idle_keeper_does_not_start_it_without_a_lease() {
+    let mut keeper = keeper("box-1");
+    for millis in (0..20_000).step_by(100) {
+        if millis == 10_000 {
+            keeper.pull(at(millis), StepNumber::new(1), &pull(2)).unwrap_err();
+        }
+        for action in keeper.poll(at(millis)) {
+            if action == KeeperAction::Lease(LeaseAction::Read) {
+                keeper.lease_read(at(millis), held_by_other(2, millis + 1));
+            }
+        }
+        assert_eq!(keeper.acting_token(), None, "acts without a lease at {millis} ms");
+    }
+}
+
 #[test]
 fn repeated_requests_are_served_while_the_platform_is_unavailable() {
     let mut keeper = keeper("box-1");
@@ -164,6 +198,46 @@
     open(2).unwrap();
 }
 
+/// Guards against a lost step: a refused open must leave the step that the previous keeper handed
+/// over.
+#[test]
+fn a_refused_open_keeps_the_handed_over_step() {
+    let mut previous = keeper("box-9");
+    acquire_lease(&mut previous, at(0));
+    let opened = previous.open(at(1), spec(4), &SlotSet::default(), FencingToken::default());
+    opened.expect("step opens");
+    let placed = previous.poll(at(2)).into_iter().find_map(|action| match action {
+        KeeperAction::Start(placement) => Some(placement),
+        KeeperAction::Lease(_) => None,
+    });
+    let placement = placed.expect("an attempt starts");
+    let span = VersionSpan { version: ModelVersion::new(1), tokens: TokenCount::new(8) };
+    let sample = Sample {
+        slot: placement.assignment.slot,
+        spans: vec![span],
+        text: "x".to_owned(),
+        score: None,
+        engine: placement.target.clone(),
+    };
+    previous.attempt_ended(at(3), &placement, AttemptOutcome::Completed(sample), None);
+    let (snapshots, _release) = previous.hand_over(at(4));
+
+    let mut keeper = keeper("box-1");
+    acquire_lease(&mut keeper, at(0));
+    let open = |keeper: &mut StepKeeper<ChaCha8Rng>, step| {
+        keeper.open(at(5), spec(step), &SlotSet::default(), FencingToken::default())
+    };
+    for step in 1..=3 {
+        open(&mut keeper, step).expect("step opens");
+    }
+    keeper.adopt(at(5), snapshots, FencingToken::new(1));
+    assert!(matches!(open(&mut keeper, 4), Err(KeeperRefusal::TooManySteps { open: 3 })));
+    keeper.close(at(6), StepNumber::new(1), FencingToken::default()).expect("step closes");
+    open(&mut keeper, 4).expect("step opens");
+    let (batch, _) = keeper.pull(at(7), StepNumber::new(4), &pull(1)).expect("pull succeeds");
+    assert_eq!(batch.samples.len(), 1, "the sample of the previous keeper");
+}
+
 #[test]
 fn no_attempts_start_while_the_trainer_does_not_pull() {
     const SAMPLE_BYTES: usize = 20 << 20;
