Job log: shards bound to a region

Cause: all copies of a restricted job must be in regions that the job allows, but the copies of a shard may be on any box.

Change: a layout names the regions of a deployment that has several, and each has one more shard after the general ones. The bound shard of a restricted job is chosen among the allowed regions by rendezvous hash of host and model. Rendezvous hashing takes any text id as a member. A layout without regions is stored as before.

Ruled out: a plan per region within each shard, since the index of a shard is the key of plans, files and heartbeats.

Tested: joblog, coord.

--- a/crates/coord/src/rendezvous.rs
+++ b/crates/coord/src/rendezvous.rs
@@ -5,12 +5,11 @@
 
 use std::cmp::Reverse;
 
-use ids::BoxId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-fn weight(key: &str, member: &BoxId) -> u64 {
+fn weight(key: &str, member: &impl AsRef<str>) -> u64 {
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
-    xxh3_64_with_seed(member.as_str().as_bytes(), seed)
+    xxh3_64_with_seed(member.as_ref().as_bytes(), seed)
 }
 
 /// Returns the member that `key` belongs to, or `None` if there are no members.
@@ -25,17 +24,20 @@
 /// assert_eq!(owner("engine-7", boxes.iter().rev()).cloned(), home);
 /// # Ok::<(), ids::IdError>(())
 /// ```
-pub fn owner<'a>(key: &str, members: impl IntoIterator<Item = &'a BoxId>) -> Option<&'a BoxId> {
+pub fn owner<'a, M: Ord + AsRef<str>>(
+    key: &str,
+    members: impl IntoIterator<Item = &'a M>,
+) -> Option<&'a M> {
     members.into_iter().max_by_key(|member| (weight(key, member), Reverse(*member)))
 }
 
 /// Returns the `count` members ranked highest for `key`, best first.
-pub fn ranked<'a>(
+pub fn ranked<'a, M: Ord + AsRef<str>>(
     key: &str,
-    members: impl IntoIterator<Item = &'a BoxId>,
+    members: impl IntoIterator<Item = &'a M>,
     count: usize,
-) -> Vec<&'a BoxId> {
-    let mut all: Vec<&BoxId> = members.into_iter().collect();
+) -> Vec<&'a M> {
+    let mut all: Vec<&M> = members.into_iter().collect();
     all.sort_by_key(|member| (Reverse(weight(key, member)), *member));
     all.truncate(count);
     all
--- a/crates/ids/src/text.rs
+++ b/crates/ids/src/text.rs
@@ -54,6 +54,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl TryFrom<String> for $name {
             type Error = IdError;
 
@@ -84,6 +90,10 @@
     /// ID of a failure domain.
     DomainId, "failure domain id"
 }
+text_id! {
+    /// ID of a region, a group of failure domains.
+    RegionId, "region id"
+}
 text_id! {
     /// ID of a target: a model engine, a plain service or a scorer.
     TargetId, "target id"
--- a/crates/joblog/src/takeover.rs
+++ b/crates/joblog/src/takeover.rs
@@ -22,7 +22,12 @@
 ///
 /// All jobs of a trainer are in one shard, so that a job can use text left over by an earlier one.
 pub fn shard_of_job(host: &str, model: &str, shards: u32) -> ShardIndex {
-    shard_of(&format!("{} {model}", host.to_ascii_lowercase()), shards)
+    shard_of(&trainer_key(host, model), shards)
+}
+
+/// Returns the key of a trainer, which is the same however the host is capitalized.
+pub(crate) fn trainer_key(host: &str, model: &str) -> String {
+    format!("{} {model}", host.to_ascii_lowercase())
 }
 
 /// Returns the shard of a key, such as a service whose engines the shard's server orders.
--- a/crates/joblog/tests/layout.rs
+++ b/crates/joblog/tests/layout.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use ids::ShardIndex;
+use ids::{RegionId, ShardIndex};
 use joblog::{ShardLayout, StorageBox, rank_initial_servers, shard_of_job};
 
 fn shard_count(boxes: usize, losses: usize) -> u32 {
@@ -75,3 +75,94 @@
         }
     }
 }
+
+fn regions(names: &[&str]) -> Vec<RegionId> {
+    names.iter().map(|name| name.parse().expect("valid id")).collect()
+}
+
+fn regional_layout(names: &[&str]) -> ShardLayout {
+    ShardLayout::general(2).with_regions(&regions(names))
+}
+
+#[test]
+fn each_of_several_regions_has_a_bound_shard() {
+    let layout = regional_layout(&["kolkata", "durgapur", "kolkata"]);
+    assert_eq!(layout.regions, regions(&["durgapur", "kolkata"]), "sorted");
+    assert_eq!((layout.shards, layout.total()), (2, 4));
+    let bound: Vec<u32> = layout.bound().map(ShardIndex::get).collect();
+    assert_eq!(bound, [2, 3]);
+    let region_of = |shard| layout.region_of(ShardIndex::new(shard)).map(RegionId::as_str);
+    assert_eq!(
+        [0, 1, 2, 3, 4].map(region_of),
+        [None, None, Some("durgapur"), Some("kolkata"), None]
+    );
+}
+
+/// Guards against more plans and logs in deployments that need none: a single region has no bound
+/// shard.
+#[test]
+fn a_single_region_changes_no_layout() {
+    for names in [&[][..], &["kolkata"], &["kolkata", "kolkata"]] {
+        assert_eq!(regional_layout(names), ShardLayout::general(2));
+    }
+    let stored = serde_json::to_string(&ShardLayout::general(2)).expect("plain data");
+    assert_eq!(stored, r#"{"shards":2}"#, "as earlier releases write it");
+}
+
+#[test]
+fn a_layout_of_an_earlier_release_has_no_bound_shards() {
+    let layout: ShardLayout = serde_json::from_str(r#"{"shards":3}"#).expect("a layout");
+    assert_eq!(layout, ShardLayout::general(3));
+    assert_eq!(layout.bound_shard("press.example", "m", |_| true), None);
+    let stored = serde_json::to_string(&regional_layout(&["a", "b"])).expect("plain data");
+    assert_eq!(
+        serde_json::from_str::<ShardLayout>(&stored).ok(),
+        Some(regional_layout(&["a", "b"]))
+    );
+}
+
+/// Guards against a copy of a restricted job in another region, or on a box whose region the
+/// settings don't name.
+#[test]
+fn only_boxes_of_its_region_may_hold_a_bound_shard() {
+    let layout = regional_layout(&["durgapur", "kolkata"]);
+    let [durgapur, kolkata] = [&layout.regions[0], &layout.regions[1]];
+    let may_hold = |shard, region| layout.may_hold(ShardIndex::new(shard), region);
+    for shard in [0, 1] {
+        assert!(may_hold(shard, Some(durgapur)) && may_hold(shard, None), "general shards");
+    }
+    assert!(may_hold(2, Some(durgapur)) && may_hold(3, Some(kolkata)));
+    assert!(!may_hold(2, Some(kolkata)) && !may_hold(3, Some(durgapur)));
+    assert!(!may_hold(2, None) && !may_hold(3, None));
+    assert!(!may_hold(4, Some(kolkata)) && !may_hold(4, None), "unknown shard");
+}
+
+/// Guards against a repeated submission in another shard, which would run the job twice: boxes that
+/// parse the layout on their own choose the same shard, however the host is capitalized.
+#[test]
+fn every_box_chooses_the_same_bound_shard() {
+    let layout = regional_layout(&["asansol", "durgapur", "kolkata"]);
+    let other: ShardLayout =
+        serde_json::from_str(r#"{"shards":2,"regions":["asansol","durgapur","kolkata"]}"#)
+            .expect("a layout");
+    let allowed = regions(&["kolkata", "asansol"]);
+    let mut used = HashSet::new();
+    for model in 0..40 {
+        let model = format!("m-{model}");
+        let shard = layout.bound_shard("press.example", &model, |region| allowed.contains(region));
+        let again = other.bound_shard("Press.Example", &model, |region| allowed.contains(region));
+        assert_eq!(shard, again);
+        let shard = shard.expect("allowed regions have shards");
+        assert!(layout.region_of(shard).is_some_and(|region| allowed.contains(region)));
+        used.insert(shard);
+    }
+    assert_eq!(used.len(), 2, "the jobs are spread over the allowed regions");
+}
+
+#[test]
+fn no_shard_is_chosen_if_no_allowed_region_has_one() {
+    let layout = regional_layout(&["durgapur", "kolkata"]);
+    let nowhere = regions(&["atlantis"]);
+    assert_eq!(layout.bound_shard("press.example", "m", |region| nowhere.contains(region)), None);
+    assert_eq!(layout.bound_shard("press.example", "m", |_| false), None);
+}
