Regions: scopes of routes and customers, and targets by region

Cause: operators restrict routes and customers to regions, and nothing read the restriction.

Change: `allowed_regions` of a route and of a customer becomes a RegionScope; RouteTable::region_scope gives the regions that both allow. GANNETWAY_REGIONS holds the region of each failure domain. A target fits a request only in a region of TargetRequirements::regions, and NoTargetReason::OutsideRegions and BlockReason::OutsideRegions say so. No caller sets the requirement yet. Targets are indexed by region as well, since a sample of a large service often has none of a small region.

A name that is not a valid region id counts as an unknown region.

Ruled out: rejecting a configuration for an unknown region, which would hold up all other changes; filtering the sample after it is drawn.

--- a/crates/gannetctl/src/step_timings.rs
+++ b/crates/gannetctl/src/step_timings.rs
@@ -7,13 +7,14 @@
 use crate::log_lines::LogLine;
 
 /// Log fields with the time that items of a step were blocked, and the reasons as printed.
-const BLOCK_REASONS: [(&str, &str); 10] = [
+const BLOCK_REASONS: [(&str, &str); 11] = [
     ("old_ms", "engine of an older version"),
     ("loading_ms", "engines that load"),
     ("resting_ms", "engines at rest"),
     ("full_ms", "full engines"),
     ("cold_ms", "cold engines"),
     ("evacuated_ms", "engines of domains to be emptied"),
+    ("regions_ms", "engines of the allowed regions"),
     ("no_route_ms", "a route"),
     ("connections_ms", "connections of its server"),
     ("condemned_ms", "an item that ends engines"),
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -23,7 +23,7 @@
 };
 pub use text::{
     BoxId, CustomerName, DomainId, IdError, InstanceId, ItemId, JobId, ModelName, PoolName,
-    RequestId, RouteName, ServiceName, SoftwareVersion, TargetId, TrainerId,
+    RegionId, RequestId, RouteName, ServiceName, SoftwareVersion, TargetId, TrainerId,
 };
 pub use window::VersionWindow;
 pub use work::WorkDigest;
--- a/crates/ids/src/text.rs
+++ b/crates/ids/src/text.rs
@@ -84,6 +84,10 @@
     /// ID of a failure domain.
     DomainId, "failure domain id"
 }
+text_id! {
+    /// ID of a region, a group of failure domains.
+    RegionId, "region id"
+}
 text_id! {
     /// ID of a target: a model engine, a plain service or a scorer.
     TargetId, "target id"
--- a/crates/jobs/src/trace.rs
+++ b/crates/jobs/src/trace.rs
@@ -27,6 +27,8 @@
     Cold,
     /// The suitable engines are in failure domains that are being evacuated.
     Evacuated,
+    /// The suitable engines are outside of the regions in which the item may be handled.
+    OutsideRegions,
     /// This box has reached its connection limit.
     NoConnections,
     /// The item is quarantined because it crashes its targets. It doesn't block other items.
@@ -37,7 +39,7 @@
 
 impl BlockReason {
     /// All reasons, in reporting order.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::NoRoute,
         Self::OldWeights,
         Self::Loading,
@@ -45,6 +47,7 @@
         Self::Full,
         Self::Cold,
         Self::Evacuated,
+        Self::OutsideRegions,
         Self::NoConnections,
         Self::Quarantined,
         Self::Yielded,
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -106,6 +106,7 @@
         found.add("admission", false, &self.admission, &new.admission);
         found.add_fixed("box-id", &self.box_id, &new.box_id);
         found.add_fixed("domain", &self.domain, &new.domain);
+        found.add_fixed("regions", &self.regions, &new.regions);
         found.add_fixed("ip", &self.ip, &new.ip);
         found.add_fixed("front", &self.front, &new.front);
         found.add_fixed("ready", &self.ready, &new.ready);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,7 +8,7 @@
 
 use clap::Args;
 use ids::{BoxId, DomainId};
-use routing::{ColdBound, EngineChoice};
+use routing::{ColdBound, EngineChoice, RegionMap};
 use upstream::ByteCount;
 use usage::WindowLength;
 use wire::DeploymentKey;
@@ -24,6 +24,9 @@
     /// This box's failure domain.
     #[arg(long, env = "GANNETWAY_DOMAIN")]
     pub domain: String,
+    /// Region of each failure domain, as a JSON object; empty if there are no regions.
+    #[arg(long, env = "GANNETWAY_REGIONS", default_value = "")]
+    pub regions: String,
     /// Address of the box.
     #[arg(long, env = "GANNETWAY_IP")]
     pub ip: IpAddr,
@@ -170,6 +173,8 @@
     pub box_id: BoxId,
     /// Failure domain of this box.
     pub domain: DomainId,
+    /// Regions of the failure domains.
+    pub regions: RegionMap,
     /// Address of this box.
     pub ip: IpAddr,
     /// Listen address for callers.
@@ -321,6 +326,10 @@
         if domain.is_err() {
             faults.push(format!("--domain is `{}`: {name}", self.domain));
         }
+        let regions = self.regions.parse::<RegionMap>();
+        if let Err(error) = &regions {
+            faults.push(format!("--regions: {error}"));
+        }
         let key = DeploymentKey::new(&self.key);
         if let Err(error) = &key {
             faults.push(format!("--key: {error}"));
@@ -367,6 +376,7 @@
         Ok(NodeSettings {
             box_id,
             domain,
+            regions: regions.unwrap_or_default(),
             ip: self.ip,
             front: self.front,
             ready: self.ready,
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -7,7 +7,7 @@
 
 use ids::{ModelName, ModelVersion, Moment, ServiceName};
 use platform::{Kind, ObjectStore};
-use routing::{ColdLimit, RouteTable, TargetTable};
+use routing::{ColdLimit, RegionMap, RouteTable, TargetTable};
 use suspects::SuspectTable;
 use tokio::sync::{Notify, watch};
 use upstream::{ConnectionLimit, MemoryBudget, TargetPool};
@@ -65,7 +65,8 @@
 impl NodeView {
     /// Creates an empty state.
     pub fn new(settings: NodeSettings, store: ObjectStore) -> Self {
-        let target_table = TargetTable::new(settings.domain.clone());
+        let target_table =
+            TargetTable::new(settings.domain.clone()).with_regions(settings.regions.clone());
         let limit = ConnectionLimit::for_descriptors(settings.max_fds);
         let usage = UsageTracker::new(settings.box_id.clone(), settings.usage_window);
         let admission = AdmissionClient::new(settings.admission, Arc::clone(&settings.live));
@@ -100,6 +101,11 @@
         self.clock.now()
     }
 
+    /// Regions of the failure domains.
+    pub const fn regions(&self) -> &RegionMap {
+        &self.settings.regions
+    }
+
     /// The configuration in force.
     pub fn table(&self) -> Arc<RouteTable> {
         Arc::clone(&self.table.read().unwrap_or_else(PoisonError::into_inner))
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -45,6 +45,19 @@
     StorageCli::parse_from(arguments).storage.check().expect("valid settings")
 }
 
+/// Guards against a box that takes an unreadable table for a deployment without regions: it would
+/// refuse all restricted requests.
+#[test]
+fn regions_may_be_empty_but_not_invalid() {
+    assert!(check(&[]).expect("valid settings").regions.is_empty());
+    assert!(check(&["--regions", ""]).expect("valid settings").regions.is_empty());
+    let settings = check(&["--regions", r#"{"hall":"kolkata"}"#]).expect("valid settings");
+    let region = settings.regions.region_of(&settings.domain);
+    assert_eq!(region.map(ToString::to_string).as_deref(), Some("kolkata"));
+    let error = check(&["--regions", "kolkata"]).expect_err("not a table");
+    assert!(error.to_string().contains("--regions"), "{error}");
+}
+
 #[test]
 fn buffers_may_use_a_quarter_of_the_memory() {
     let limit = |text: &str| check(&["--memory-mb", text]).map(|settings| settings.memory_limit);
--- a/crates/routing/src/customers.rs
+++ b/crates/routing/src/customers.rs
@@ -16,6 +16,8 @@
 use ids::{CustomerName, Priority};
 use sha2::{Digest, Sha256};
 
+use crate::RegionScope;
+
 /// Maximum length of a key in bytes; longer keys might not fit into the request head.
 const MAX_KEY_BYTES: usize = 1_024;
 
@@ -73,6 +75,8 @@
     pub name: CustomerName,
     /// Priority, 0 is the highest; overrides the priority of a route.
     pub priority: Option<u8>,
+    /// Regions in which the customer's requests may be handled.
+    pub regions: RegionScope,
     /// Digests of the keys, or why a key is invalid.
     pub keys: Vec<Result<KeyDigest, KeyFault>>,
 }
@@ -84,6 +88,8 @@
     pub name: CustomerName,
     /// Priority, 0 is the highest; overrides the priority of a route.
     pub priority: Option<u8>,
+    /// Regions in which the customer's requests may be handled.
+    pub regions: RegionScope,
 }
 
 /// An invalid customer entry of a configuration.
@@ -150,6 +156,8 @@
     by_key: HashMap<KeyDigest, Option<Arc<Customer>>>,
     /// Priorities of the customers that have one.
     priorities: HashMap<CustomerName, Priority>,
+    /// Scopes of the customers that are restricted to regions.
+    scopes: HashMap<CustomerName, RegionScope>,
     faults: Vec<CustomerFault>,
     count: usize,
 }
@@ -165,6 +173,9 @@
             Some((customer.name.clone(), Priority::new(customer.priority?)))
         });
         table.priorities = priorities.collect();
+        let restricted = customers.values().filter(|customer| customer.regions.is_restricted());
+        let scopes = restricted.map(|customer| (customer.name.clone(), customer.regions.clone()));
+        table.scopes = scopes.collect();
         for spec in specs {
             let Some(customer) = customers.get(&spec.name) else { continue };
             for key in spec.keys {
@@ -207,6 +218,16 @@
         self.priorities.get(customer).copied()
     }
 
+    /// Regions to which a customer is restricted, if it is.
+    pub fn regions(&self, customer: &CustomerName) -> Option<&RegionScope> {
+        self.scopes.get(customer)
+    }
+
+    /// Whether any customer is restricted to regions.
+    pub fn restricts_regions(&self) -> bool {
+        !self.scopes.is_empty()
+    }
+
     /// Invalid entries found in the configuration, to be logged.
     pub fn faults(&self) -> &[CustomerFault] {
         &self.faults
@@ -223,17 +244,19 @@
     }
 }
 
-/// Merges entries of the same customer; the higher priority wins.
+/// Merges entries of the same customer: the higher priority wins, and only regions that all entries
+/// allow are allowed.
 fn merge(specs: &[CustomerSpec]) -> (HashMap<CustomerName, Arc<Customer>>, Vec<CustomerFault>) {
     let mut customers: HashMap<CustomerName, Arc<Customer>> = HashMap::new();
     let mut faults = Vec::new();
     for spec in specs {
-        let mut priority = spec.priority;
+        let (mut priority, mut regions) = (spec.priority, spec.regions.clone());
         if let Some(earlier) = customers.get(&spec.name) {
             faults.push(CustomerFault::NamedTwice(spec.name.clone()));
             priority = [earlier.priority, priority].into_iter().flatten().min();
+            regions = earlier.regions.intersect(&regions);
         }
-        let customer = Customer { name: spec.name.clone(), priority };
+        let customer = Customer { name: spec.name.clone(), priority, regions };
         customers.insert(spec.name.clone(), Arc::new(customer));
     }
     (customers, faults)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,8 @@
 mod cold;
 mod customers;
 mod index;
+mod regional_index;
+mod regions;
 mod speed;
 mod table;
 mod target;
@@ -20,6 +22,7 @@
     CallerIdentity, Customer, CustomerFault, CustomerSpec, CustomerTable, KeyDigest, KeyFault,
 };
 pub use index::MAX_CANDIDATES;
+pub use regions::{RegionMap, RegionMapError, RegionScope};
 pub use speed::Slowdown;
 pub use table::{
     CallerLimits, DEFAULT_PRIORITY, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -8,7 +8,7 @@
 
 use replicas::ReplicaLimits;
 
-use crate::{CallerIdentity, ColdSpec, CustomerTable, KeyDigest};
+use crate::{CallerIdentity, ColdSpec, CustomerTable, KeyDigest, RegionScope};
 
 /// Priority of routes and customers that name none, and of requests to engines that are not urgent:
 /// the middle of the range that targets accept.
@@ -65,6 +65,8 @@
     pub public: bool,
     /// Priority of its requests, unless the customer has one.
     pub priority: Priority,
+    /// Regions in which its requests may be handled.
+    pub regions: RegionScope,
 }
 
 impl Route {
@@ -132,6 +134,8 @@
     /// Routes by host, longest prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
     priorities: HashMap<RouteName, Priority>,
+    /// Scopes of the routes that are restricted to regions.
+    scopes: HashMap<RouteName, RegionScope>,
 }
 
 impl RouteTable {
@@ -143,6 +147,12 @@
         services: Vec<ServiceSpec>,
     ) -> Self {
         let priorities = routes.iter().map(|route| (route.name.clone(), route.priority)).collect();
+        let restricted = routes.iter().filter(|route| route.regions.is_restricted());
+        let mut scopes: HashMap<RouteName, RegionScope> = HashMap::new();
+        for route in restricted {
+            let scope = scopes.entry(route.name.clone()).or_default();
+            *scope = scope.intersect(&route.regions);
+        }
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -151,7 +161,7 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
-        Self { version, limits, customers: None, services, hosts, priorities }
+        Self { version, limits, customers: None, services, hosts, priorities, scopes }
     }
 
     /// Requires a customer's key on all routes that are not public.
@@ -216,6 +226,23 @@
         own.or_else(|| self.priorities.get(route).copied())
     }
 
+    /// Regions in which a customer's requests on a route may be handled: those that both allow.
+    pub fn region_scope(&self, route: &RouteName, customer: Option<&CustomerName>) -> RegionScope {
+        let customers = self.customers.as_ref();
+        let of_customer = customer.and_then(|customer| customers?.regions(customer));
+        match (self.scopes.get(route), of_customer) {
+            (Some(of_route), Some(of_customer)) => of_route.intersect(of_customer),
+            (Some(scope), None) | (None, Some(scope)) => scope.clone(),
+            (None, None) => RegionScope::Any,
+        }
+    }
+
+    /// Whether any route or customer is restricted to regions.
+    pub fn restricts_regions(&self) -> bool {
+        !self.scopes.is_empty()
+            || self.customers.as_ref().is_some_and(CustomerTable::restricts_regions)
+    }
+
     /// Looks up a service by name.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(name)
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -8,7 +8,7 @@
     TargetIncarnation,
 };
 
-use crate::{ColdSender, Slowdown};
+use crate::{ColdSender, RegionScope, Slowdown};
 
 /// A model version that a target holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -173,6 +173,8 @@
     pub sender: Option<ColdSender>,
     /// Targets to exclude, usually because they were tried already.
     pub avoid: &'a [InstanceId],
+    /// Regions in which the request may be handled; `None` for all.
+    pub regions: Option<&'a RegionScope>,
 }
 
 /// Why no target was found for a request that can be deferred.
@@ -180,6 +182,8 @@
 pub enum NoTargetReason {
     /// No available target holds a new enough version of the model.
     OldVersion,
+    /// All targets are outside of the allowed regions.
+    OutsideRegions,
     /// The remaining targets are loading weights.
     Loading,
     /// The remaining targets are backed off after failures or refusals.
--- a/crates/routing/src/target_state.rs
+++ b/crates/routing/src/target_state.rs
@@ -6,6 +6,7 @@
 use ids::{DomainId, ModelName, ModelVersion, Moment};
 
 use crate::cold::{ColdLimit, SendWindow};
+use crate::regions::RegionMap;
 use crate::speed::SpeedEstimate;
 use crate::target::{TargetRecord, TargetRequirements};
 
@@ -51,6 +52,7 @@
     pub now: Moment,
     pub cold: Option<&'a ColdLimit>,
     pub evacuated: &'a HashSet<DomainId>,
+    pub regions: &'a RegionMap,
 }
 
 impl TargetState {
@@ -114,10 +116,21 @@
         rules: &ServiceRules<'_>,
         requirements: &TargetRequirements<'_>,
     ) -> bool {
-        rules.evacuated.contains(&self.record.domain)
+        !self.is_in_scope(rules, requirements)
+            || rules.evacuated.contains(&self.record.domain)
             || self.is_over_cold_limit(rules, requirements)
     }
 
+    /// Whether the target is in a region in which the request may be handled.
+    pub fn is_in_scope(
+        &self,
+        rules: &ServiceRules<'_>,
+        requirements: &TargetRequirements<'_>,
+    ) -> bool {
+        let scope = requirements.regions;
+        scope.is_none_or(|scope| scope.allows_domain(rules.regions, &self.record.domain))
+    }
+
     /// Whether the target is cold and this sender has used up its quota there.
     pub fn is_over_cold_limit(
         &self,
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -15,7 +15,8 @@
 use rand::Rng;
 
 use crate::cold::ColdLimit;
-use crate::index::TargetIndex;
+use crate::regional_index::RegionalIndex;
+use crate::regions::{RegionMap, RegionScope};
 use crate::speed::duration_of_ms;
 use crate::target::{
     ChosenTarget, EngineChoice, HeldModel, MoveEstimate, NoTargetReason, RunProgress,
@@ -52,7 +53,8 @@
 pub struct TargetTable {
     domain: DomainId,
     targets: HashMap<InstanceId, TargetState>,
-    index: TargetIndex,
+    regions: RegionMap,
+    index: RegionalIndex,
     /// Limits for cold targets, by service; services without a limit are missing.
     cold: HashMap<ServiceName, ColdLimit>,
     /// Failure domains that get no requests.
@@ -70,7 +72,8 @@
         Self {
             domain,
             targets: HashMap::new(),
-            index: TargetIndex::default(),
+            regions: RegionMap::default(),
+            index: RegionalIndex::default(),
             cold: HashMap::new(),
             evacuated: HashSet::new(),
             reporting: HashMap::new(),
@@ -79,6 +82,13 @@
         }
     }
 
+    /// Sets the regions of the failure domains, before any target is added.
+    #[must_use]
+    pub fn with_regions(mut self, regions: RegionMap) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// Replaces the limits for cold targets.
     pub fn limit_cold(&mut self, limits: HashMap<ServiceName, ColdLimit>) {
         self.cold = limits;
@@ -119,7 +129,12 @@
     }
 
     fn rules(&self, now: Moment, service: &ServiceName) -> ServiceRules<'_> {
-        ServiceRules { now, cold: self.cold.get(service), evacuated: &self.evacuated }
+        ServiceRules {
+            now,
+            cold: self.cold.get(service),
+            evacuated: &self.evacuated,
+            regions: &self.regions,
+        }
     }
 
     /// Adds or updates a target from the platform's listing.
@@ -135,7 +150,8 @@
         }
         // A new incarnation inherits neither models nor failures of the previous one.
         self.remove(&instance);
-        self.index.insert(&record.service, &instance, &record.models);
+        let region = self.regions.region_of(&record.domain);
+        self.index.insert(region, &record.service, &instance, &record.models);
         self.generation += 1;
         let state = TargetState::new(now, record);
         self.targets.insert(instance, state);
@@ -145,9 +161,14 @@
     fn update(&mut self, now: Moment, record: TargetRecord) {
         let Some(state) = self.targets.get_mut(&record.instance) else { return };
         let previous = &state.record;
-        if previous.models != record.models || previous.service != record.service {
-            self.index.remove(&previous.service, &record.instance, &previous.models);
-            self.index.insert(&record.service, &record.instance, &record.models);
+        if previous.models != record.models
+            || previous.service != record.service
+            || previous.domain != record.domain
+        {
+            let region = self.regions.region_of(&previous.domain);
+            self.index.remove(region, &previous.service, &record.instance, &previous.models);
+            let region = self.regions.region_of(&record.domain);
+            self.index.insert(region, &record.service, &record.instance, &record.models);
         }
         self.generation += u64::from(state.record.leaving != record.leaving);
         state.mark_cold(now + record.cold_left);
@@ -162,7 +183,8 @@
     /// Removes a target; requests in flight there continue.
     pub fn remove(&mut self, instance: &InstanceId) {
         let Some(state) = self.targets.remove(instance) else { return };
-        self.index.remove(&state.record.service, instance, &state.record.models);
+        let region = self.regions.region_of(&state.record.domain);
+        self.index.remove(region, &state.record.service, instance, &state.record.models);
         if state.speed.has_reported() {
             self.stop_counting_reports(&state.record.service);
         }
@@ -330,7 +352,7 @@
         let mut eligible = self.candidates(service, requirements, rng);
         eligible.retain(|state| state.is_eligible(requirements));
         if eligible.is_empty() {
-            return NoTargetReason::OldVersion;
+            return self.no_eligible_reason(service, requirements, rng);
         }
         eligible.retain(|state| !rules.evacuated.contains(&state.record.domain));
         if eligible.is_empty() {
@@ -351,6 +373,20 @@
         }
     }
 
+    /// Explains why no target is eligible: by the targets of the other regions if there are any.
+    fn no_eligible_reason(
+        &self,
+        service: &ServiceName,
+        requirements: &TargetRequirements<'_>,
+        rng: &mut impl Rng,
+    ) -> NoTargetReason {
+        let anywhere = TargetRequirements { regions: None, ..*requirements };
+        let others = self.candidates(service, &anywhere, rng);
+        let is_outside = requirements.regions.is_some_and(RegionScope::is_restricted)
+            && others.iter().any(|state| state.is_eligible(&anywhere));
+        if is_outside { NoTargetReason::OutsideRegions } else { NoTargetReason::OldVersion }
+    }
+
     /// The states of the targets to compare for a request.
     fn candidates(
         &self,
@@ -483,7 +519,8 @@
         state.refusals = 0;
         state.backoff_until = Moment::START;
         state.last_success = Some(now);
-        self.index.record_success(&state.record.service, instance);
+        let region = self.regions.region_of(&state.record.domain);
+        self.index.record_success(region, &state.record.service, instance);
     }
 
     /// Records a failure.
@@ -538,8 +575,9 @@
             return;
         }
         let service = &state.record.service;
-        self.index.remove(service, instance, &state.record.models);
-        self.index.insert(service, instance, &merged);
+        let region = self.regions.region_of(&state.record.domain);
+        self.index.remove(region, service, instance, &state.record.models);
+        self.index.insert(region, service, instance, &merged);
         state.record.models = merged;
     }
 }
--- a/crates/routing/tests/customers.rs
+++ b/crates/routing/tests/customers.rs
@@ -1,7 +1,7 @@
 //! Lookup of customers by key and handling of invalid entries.
 
 use ids::CustomerName;
-use routing::{CustomerFault, CustomerSpec, CustomerTable, KeyDigest, KeyFault};
+use routing::{CustomerFault, CustomerSpec, CustomerTable, KeyDigest, KeyFault, RegionScope};
 
 fn name(text: &str) -> CustomerName {
     text.parse().expect("valid name")
@@ -9,7 +9,7 @@
 
 fn spec(customer: &str, priority: Option<u8>, keys: &[&str]) -> CustomerSpec {
     let keys = keys.iter().map(|key| KeyDigest::of(key)).collect();
-    CustomerSpec { name: name(customer), priority, keys }
+    CustomerSpec { name: name(customer), priority, regions: RegionScope::Any, keys }
 }
 
 fn holder(table: &CustomerTable, key: &str) -> Option<String> {
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -29,6 +29,7 @@
         single_version: false,
         public: false,
         priority: routing::DEFAULT_PRIORITY,
+        regions: routing::RegionScope::Any,
     }
 }
 
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -171,6 +171,7 @@
         work: Some(predicted),
         sender: Some(ColdSender { shard, shards: ctx.view.shards().unwrap_or(1) }),
         avoid: &excluded,
+        regions: None,
     };
     let now = ctx.view.now();
     let mut rng = rand::rng();
@@ -210,6 +211,7 @@
         NoTargetReason::Full => BlockReason::Full,
         NoTargetReason::Cold => BlockReason::Cold,
         NoTargetReason::Evacuated => BlockReason::Evacuated,
+        NoTargetReason::OutsideRegions => BlockReason::OutsideRegions,
     }
 }
 
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -269,6 +269,7 @@
             // Runs don't move to cold engines.
             sender: None,
             avoid: &[],
+            regions: None,
         }
     }
 
--- a/crates/shards/src/timings.rs
+++ b/crates/shards/src/timings.rs
@@ -39,6 +39,7 @@
         old_ms = blocked(BlockReason::OldWeights), loading_ms = blocked(BlockReason::Loading),
         resting_ms = blocked(BlockReason::BackedOff), full_ms = blocked(BlockReason::Full),
         cold_ms = blocked(BlockReason::Cold), evacuated_ms = blocked(BlockReason::Evacuated),
+        regions_ms = blocked(BlockReason::OutsideRegions),
         no_route_ms = blocked(BlockReason::NoRoute),
         connections_ms = blocked(BlockReason::NoConnections),
         condemned_ms = blocked(BlockReason::Quarantined),
