Jobs: bound shards, and items within the regions in force

Cause: jobs, their log copies and the runs of their items ignored the regions of their route and customer.

Change: a job whose scope excludes a region of the deployment goes to the bound shard of an allowed region, or is refused with 503. One type, ShardHosts, decides which boxes may hold a shard; the first server, the choice of copies and a box that is sent a copy use it. The server checks the copies of its plan against its own configuration before it stores a job. Runs and moves use targets that the scope in force allows. A bound shard gets its first plan once the configuration restricts regions and after the time in which all boxes use that configuration, so that no entry box reports a job of it as unknown. Without restrictions there is no such plan.

Ruled out: a scope in the job's record, since the configuration in force decides; a plan as soon as the configuration changes, which some entry boxes would not expect.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -9,15 +9,16 @@
 use futures::stream::FuturesUnordered;
 use http::{Response, StatusCode};
 use ids::{CustomerName, ShardIndex};
-use joblog::{EpochId, StorageBox, shard_of_job};
+use joblog::{EpochId, StorageBox};
 use jobs::{reason, unpack_text};
 use links::{CallError, LinkPool};
-use node::NodeView;
+use node::{NodeView, job_scope};
 use platform::calls::{self, JobCall, JobSender};
 use rand::seq::SliceRandom;
+use routing::{RegionMap, RegionScope, RouteTable};
 use tokio::time;
 use wire::peer::{
-    ItemBodyRead, JobEnd, JobRead, JobSubmit, RefusedKind, ServedQuery, ShardResponse,
+    ItemBodyRead, Job, JobEnd, JobRead, JobSubmit, RefusedKind, ServedQuery, ShardResponse,
     response_item, shard_request, shard_response,
 };
 
@@ -42,6 +43,8 @@
 /// Maximum size of the texts in one page, in bytes. It leaves room for ids and JSON escapes within
 /// a page of one megabyte.
 const MAX_PAGE_BYTES: u32 = 600_000;
+/// Reason and outcome of a job for which no shard is within the allowed regions.
+const OUTSIDE_REGIONS: &str = "outside the allowed regions";
 
 /// Sends calls to the servers of the job shards.
 #[derive(Debug, Clone)]
@@ -212,6 +215,36 @@
         boxes.into_iter().map(|copy| copy.address.clone()).collect()
     }
 
+    /// Returns the shard of a submitted job: a general one if the job may be handled in every region,
+    /// otherwise that of one of the allowed regions. The choice depends only on the agreed layout,
+    /// the regions of the settings and the job, so it is the same at every box.
+    fn shard_for(
+        &self,
+        host: &str,
+        model: &str,
+        scope: &RegionScope,
+    ) -> Result<ShardIndex, ShardFault> {
+        // `None` until the boxes have agreed on the shards.
+        let layout = self.view.layout().ok_or(ShardFault::NotServed)?;
+        let shard = if scope_covers(scope, self.view.regions()) {
+            Some(layout.general_shard(host, model))
+        } else {
+            layout.bound_shard(host, model, |region| scope.allows(region))
+        };
+        shard
+            .filter(|shard| self.has_copies_within(*shard, scope))
+            .ok_or(ShardFault::OutsideRegions)
+    }
+
+    /// Returns whether all copies of a shard are in allowed regions. The settings of the boxes may
+    /// differ, and a domain may be missing in them.
+    fn has_copies_within(&self, shard: ShardIndex, scope: &RegionScope) -> bool {
+        let assignments = self.view.assignments();
+        let copies = assignments.plan(shard).map(|observed| &observed.plan.copies);
+        let mut copies = copies.into_iter().flatten();
+        copies.all(|copy| scope.allows_domain(self.view.regions(), &copy.domain))
+    }
+
     fn copy_addresses(&self, shard: ShardIndex) -> Vec<String> {
         let assignments = self.view.assignments();
         let copies = assignments.plan(shard).map(|observed| observed.plan.copies.clone());
@@ -232,7 +265,7 @@
         }
         if let Some(shard) = self.locate(job).await {
             match self.call(shard, job, time, &body(shard)).await {
-                Err(ShardFault::NoJob) if self.view.shards() != Some(1) => {
+                Err(ShardFault::NoJob) if self.view.job_shards().len() != 1 => {
                     self.locations().forget(job);
                 }
                 ended => return ended,
@@ -243,15 +276,15 @@
 
     /// Returns the shard that holds a job, from the cache or by querying the servers.
     async fn locate(&self, job: &str) -> Option<ShardIndex> {
-        let shards = self.view.shards()?;
-        if shards == 1 {
+        let shards = self.view.job_shards();
+        if let [only] = shards[..] {
             // Don't query the only server: it would delay first calls while the server is down.
-            return Some(ShardIndex::default());
+            return Some(only);
         }
         if let Some(shard) = self.locations().shard(job) {
             return Some(shard);
         }
-        let queries = (0..shards).map(ShardIndex::new).map(|shard| async move {
+        let queries = shards.into_iter().map(|shard| async move {
             let address = self.copy_addresses(shard).into_iter().next()?;
             let body = ServedQuery { shard: shard.get(), job: job.to_owned() };
             let reply = self.links.call_shard_unary(
@@ -283,9 +316,7 @@
         time: Duration,
         body: impl Fn(ShardIndex) -> shard_request::Body,
     ) -> Result<shard_response::Body, ShardFault> {
-        let shards = self.view.shards().unwrap_or_default();
-        let calls = (0..shards).map(|number| {
-            let shard = ShardIndex::new(number);
+        let calls = self.view.job_shards().into_iter().map(|shard| {
             let body = body(shard);
             async move { self.call(shard, id, time, &body).await }
         });
@@ -310,7 +341,10 @@
     body: &shard_request::Body,
     result: Result<shard_response::Body, ShardFault>,
 ) -> Result<shard_response::Body, ShardFault> {
-    let reported_not_run = matches!(result, Err(ShardFault::NotServed | ShardFault::Full));
+    let reported_not_run = matches!(
+        result,
+        Err(ShardFault::NotServed | ShardFault::Full | ShardFault::OutsideRegions)
+    );
     if is_retry && reported_not_run && !is_read(body) { Err(ShardFault::Unknown) } else { result }
 }
 
@@ -326,6 +360,7 @@
             (RefusedKind::BadRequest, reason::NO_JOB) => ShardFault::NoJob,
             (RefusedKind::BadRequest, reason::NO_ITEM) => ShardFault::NoItem,
             (RefusedKind::NotRun, reason::FULL) => ShardFault::Full,
+            (RefusedKind::NotRun, reason::OUTSIDE_REGIONS) => ShardFault::OutsideRegions,
             (RefusedKind::Conflict, reason::TAKEN) => ShardFault::Taken,
             (RefusedKind::Unknown, _) => ShardFault::Unknown,
             _ => ShardFault::NotServed,
@@ -349,11 +384,12 @@
         }
     };
     let items = job.items.len();
-    // `None` until the boxes have agreed on the number of shards.
-    let Some(shards) = client.view.shards() else {
-        return response::not_run("shard not served", Some(id));
+    let scope = submit_scope(&client.view.table(), sender, &job);
+    let shard = match client.shard_for(sender.host, &job.model, &scope) {
+        Ok(shard) => shard,
+        Err(ShardFault::OutsideRegions) => return refuse_for_regions(client, id, items, &scope),
+        Err(_) => return response::not_run("shard not served", Some(id)),
     };
-    let shard = shard_of_job(sender.host, &job.model, shards);
     let call = shard_request::Body::Submit(JobSubmit { shard: shard.get(), job: Some(job) });
     let result = client.call(shard, id, SUBMIT_TIMEOUT, &call).await;
     if result.is_ok() {
@@ -361,6 +397,7 @@
     }
     let outcome = match &result {
         Ok(_) => "accepted",
+        Err(ShardFault::OutsideRegions) => OUTSIDE_REGIONS,
         Err(ShardFault::NotServed) => "not served",
         Err(ShardFault::Full) => "full",
         Err(ShardFault::Taken) => "id taken",
@@ -378,6 +415,7 @@
         }
         Err(ShardFault::NotServed) => response::not_run("shard not served", Some(id)),
         Err(ShardFault::Full) => response::not_run("shard full", Some(id)),
+        Err(ShardFault::OutsideRegions) => response::not_run(OUTSIDE_REGIONS, Some(id)),
         Err(ShardFault::Taken) => {
             let remedy = "it was not taken: send it under an id of its own";
             response::refuse(StatusCode::CONFLICT, "id taken", remedy, Some(id))
@@ -386,6 +424,35 @@
     }
 }
 
+/// Returns the regions that the configuration in force allows for a submitted job: those of the
+/// route and customer of its submission and of all requests in it.
+fn submit_scope(table: &RouteTable, sender: JobSender<'_>, job: &Job) -> RegionScope {
+    let submission = table.region_scope(&sender.route.name, sender.customer);
+    submission.intersect(&job_scope(table, job))
+}
+
+/// Returns whether a scope allows every region of the deployment. Without known regions, only an
+/// unrestricted scope does.
+fn scope_covers(scope: &RegionScope, map: &RegionMap) -> bool {
+    let allows_all = || map.regions().into_iter().all(|region| scope.allows(region));
+    !scope.is_restricted() || (!map.is_empty() && allows_all())
+}
+
+/// Refuses a job because no shard is within its regions.
+fn refuse_for_regions(
+    client: &ShardClient,
+    id: &str,
+    items: usize,
+    scope: &RegionScope,
+) -> Response<FrontBody> {
+    client.view.metrics.count_outcome("job", OUTSIDE_REGIONS);
+    log::info!(
+        target: "entry", job = id, items = items, regions:% = scope, outcome = OUTSIDE_REGIONS;
+        "job refused"
+    );
+    response::not_run(OUTSIDE_REGIONS, Some(id))
+}
+
 fn unknown_outcome(id: Option<&str>) -> Response<FrontBody> {
     let remedy = "it may be kept: send it again under the same id";
     response::refuse(StatusCode::BAD_GATEWAY, "outcome unknown", remedy, id)
--- a/crates/front/src/search.rs
+++ b/crates/front/src/search.rs
@@ -62,6 +62,8 @@
     Full,
     /// The id belongs to another customer's job.
     Taken,
+    /// No shard is entirely within the regions in which the job may be handled.
+    OutsideRegions,
 }
 
 /// Combines the faults of several shards into one result.
@@ -90,7 +92,7 @@
 const fn uncertainty(fault: ShardFault) -> u8 {
     match fault {
         ShardFault::NoJob => 0,
-        ShardFault::Full | ShardFault::Taken => 1,
+        ShardFault::Full | ShardFault::Taken | ShardFault::OutsideRegions => 1,
         ShardFault::NotServed => 2,
         ShardFault::Unknown => 3,
         // Reported by the shard that holds the job, so it overrides all others.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -50,4 +50,6 @@
     pub const FULL: &str = "full";
     /// The id is used by a job of another customer.
     pub const TAKEN: &str = "id_taken";
+    /// A copy of the shard is outside of the regions in which the job may be handled.
+    pub const OUTSIDE_REGIONS: &str = "outside_regions";
 }
--- a/crates/node/src/assignments.rs
+++ b/crates/node/src/assignments.rs
@@ -71,8 +71,8 @@
     }
 
     /// The layout that the boxes agreed on.
-    pub const fn layout(&self) -> Option<ShardLayout> {
-        self.layout
+    pub const fn layout(&self) -> Option<&ShardLayout> {
+        self.layout.as_ref()
     }
 
     /// The last shard that has a plan.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod plain;
 mod probe;
+mod regions;
 mod reload;
 mod settings;
 mod settings_file;
@@ -36,6 +37,7 @@
 pub use metrics::{NodeMetrics, StoreCall, log_counters, serve_metrics};
 pub use plain::{PlainCall, PlainOutcome, call_plain, reuse_policy};
 pub use probe::ProbeBackoff;
+pub use regions::job_scope;
 pub use reload::{LiveSettings, ReloadableSettings, SettingChange, SettingsReloader};
 pub use settings::{
     JobOrder, NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
-use ids::{ModelName, ModelVersion, Moment, ServiceName};
+use ids::{ModelName, ModelVersion, Moment, ServiceName, ShardIndex};
+use joblog::ShardLayout;
 use platform::{Kind, ObjectStore};
 use routing::{ColdLimit, RegionMap, RouteTable, TargetTable};
 use suspects::SuspectTable;
@@ -175,12 +176,38 @@
         self.suspects_notify.notified().await;
     }
 
-    /// Number of shards, from the settings or the layout that the boxes agreed on.
-    pub fn shards(&self) -> Option<u32> {
+    /// The shards of the deployment, from the settings or the layout that the boxes agreed on. The
+    /// shards of the settings are all general.
+    pub fn layout(&self) -> Option<ShardLayout> {
         if self.settings.shards > 0 {
-            return Some(self.settings.shards);
+            return Some(ShardLayout::general(self.settings.shards));
         }
-        self.assignments().layout().map(|layout| layout.shards)
+        self.assignments().layout().cloned()
+    }
+
+    /// Number of general shards.
+    pub fn shards(&self) -> Option<u32> {
+        self.layout().map(|layout| layout.shards)
+    }
+
+    /// Shards that may hold jobs: the general ones, and the bound ones if the configuration
+    /// restricts regions or they have a plan.
+    pub fn job_shards(&self) -> Vec<ShardIndex> {
+        let Some(layout) = self.layout() else { return Vec::new() };
+        let restricts = self.table().restricts_regions();
+        let assignments = self.assignments();
+        let in_use = |shard: &ShardIndex| {
+            layout.region_of(*shard).is_none() || restricts || assignments.plan(*shard).is_some()
+        };
+        layout.all().filter(in_use).collect()
+    }
+
+    /// Number of shards that share the rate of cold targets: all shards once a bound one has a plan.
+    pub fn cold_senders(&self) -> u32 {
+        let Some(layout) = self.layout() else { return 1 };
+        let assignments = self.assignments();
+        let has_bound = layout.bound().any(|shard| assignments.plan(shard).is_some());
+        if has_bound { layout.total() } else { layout.shards }
     }
 
     /// Sets the named version of a model. Versions only increase.
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -15,6 +15,7 @@
 use crate::admission::AdmissionHome;
 use crate::backlog::BacklogTable;
 use crate::copies::OpenCopies;
+use crate::hosts::ShardHosts;
 use crate::job_order::{UrgencyTable, start_order};
 use crate::loads::LoadTable;
 use crate::peers::PeerTable;
@@ -143,9 +144,11 @@
     pub fn choose_copies(&self, shard: ShardIndex) -> Option<Vec<StorageBox>> {
         let now = self.view.now();
         let retiring = self.retiring().clone();
+        let hosts = ShardHosts::new(&self.view, shard);
         let assignments = self.view.assignments();
         let boxes = assignments.boxes().filter(|copy| {
             copy.box_id != self.me.box_id
+                && hosts.includes(copy)
                 && !retiring.contains(&copy.box_id)
                 && self.peers.can_host_copy(now, &copy.box_id)
         });
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -7,7 +7,7 @@
 use jobs::{BlockReason, RewardOutcome, RunOutcome, RunResult, RunSpec, StartOrder};
 use node::{SlotGuard, WorkAdmission, item_work, record_choice, wall_time};
 use rand::Rng;
-use routing::{ColdSender, NoTargetReason, TargetRequirements};
+use routing::{ColdSender, NoTargetReason, RegionScope, TargetRequirements};
 use tokio::time;
 use wire::peer::{LogRecord, log_record};
 
@@ -154,7 +154,7 @@
     if !ctx.view.pool.has_capacity() {
         return Err(BlockReason::NoConnections);
     }
-    let service = item_service(ctx, spec).ok_or(BlockReason::NoRoute)?;
+    let (service, regions) = item_route(ctx, spec).ok_or(BlockReason::NoRoute)?;
     let work = spec_work(spec);
     let WorkAdmission::Open(excluded) = ctx.view.admit_work(work, &service, true) else {
         return Err(BlockReason::Quarantined);
@@ -169,9 +169,9 @@
         skip_backed_off: false,
         fast: true,
         work: Some(predicted),
-        sender: Some(ColdSender { shard, shards: ctx.view.shards().unwrap_or(1) }),
+        sender: Some(ColdSender { shard, shards: ctx.view.cold_senders() }),
         avoid: &excluded,
-        regions: None,
+        regions: Some(&regions),
     };
     let now = ctx.view.now();
     let mut rng = rand::rng();
@@ -222,11 +222,20 @@
     item_work(&spec.job.host, path, id, body)
 }
 
-/// Returns the service that the current configuration names for an item.
-fn item_service(ctx: &ShardContext, spec: &RunSpec) -> Option<ServiceName> {
+/// Returns the service that the configuration in force names for an item, and the regions that it
+/// allows for it.
+fn item_route(ctx: &ShardContext, spec: &RunSpec) -> Option<(ServiceName, RegionScope)> {
     let table = ctx.view.table();
     let route = table.find(&spec.job.host, &spec.request()?.path)?;
-    route.service(rand::rng().random()).cloned()
+    let service = route.service(rand::rng().random()).cloned()?;
+    let customer = spec.job.customer.parse().ok();
+    Some((service, table.region_scope(&route.name, customer.as_ref())))
+}
+
+/// Returns the regions that the configuration in force allows for an item; all of them without a
+/// route, since nothing is sent then.
+pub(crate) fn item_scope(ctx: &ShardContext, spec: &RunSpec) -> RegionScope {
+    item_route(ctx, spec).map(|(_service, regions)| regions).unwrap_or_default()
 }
 
 async fn reward_item(ctx: &Arc<ShardContext>, keeper: &Arc<ShardKeeper>, spec: &RunSpec) {
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -8,7 +8,7 @@
 use jobs::{ResultsPage, reason};
 use links::{PeerHandler, ResponseEnd, ResponseSink};
 use node::feed::serve_feed;
-use node::wall_time;
+use node::{job_scope, wall_time};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
 use wire::peer::{
@@ -19,6 +19,7 @@
 };
 
 use crate::context::ShardContext;
+use crate::hosts::ShardHosts;
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
 use crate::loads::apply_loads;
@@ -226,6 +227,7 @@
         if keeper.jobs().contains(&id) {
             return submit_response(keeper, &id, &job.customer, true);
         }
+        self.check_regions(keeper.shard(), &job)?;
         let bytes: usize = job.items.iter().map(|item| item.body.len()).sum();
         // The limit covers all shards of the box, since it may come to serve any of them.
         let held: usize = self.keepers.all().iter().map(|keeper| keeper.jobs().bytes()).sum();
@@ -247,6 +249,29 @@
         submit_response(keeper, &id, &customer, false)
     }
 
+    /// Refuses a job if any copy of the shard is outside of the regions that the configuration in
+    /// force allows for it. The entry box may have chosen the shard by an earlier configuration.
+    fn check_regions(&self, shard: ShardIndex, job: &Job) -> Result<(), Refused> {
+        let view = &self.ctx.view;
+        let scope = job_scope(&view.table(), job);
+        if !scope.is_restricted() {
+            return Ok(());
+        }
+        let assignments = view.assignments();
+        let copies = assignments.plan(shard).map(|observed| &observed.plan.copies);
+        let mut copies = copies.into_iter().flatten();
+        if copies.all(|copy| scope.allows_domain(view.regions(), &copy.domain)) {
+            return Ok(());
+        }
+        drop(assignments);
+        log::warn!(
+            target: "jobs", job = job.id.as_str(), shard = shard.get(), regions:% = scope,
+            outcome = "outside regions"; "job refused"
+        );
+        let message = "copies of this shard are outside of the job's regions: send the job later";
+        Err(refused(RefusedKind::NotRun, reason::OUTSIDE_REGIONS, message))
+    }
+
     async fn read(&self, read: JobRead) -> HandlerResult {
         let keeper = self.served(read.shard)?;
         let id: JobId = read.job.parse().map_err(|_error| job_not_found())?;
@@ -364,6 +389,10 @@
     async fn copy(&self, copy: LogCopy) -> HandlerResult {
         let epoch = parse_epoch(&copy.epoch)?;
         let shard = ShardIndex::new(copy.shard);
+        if !ShardHosts::new(&self.ctx.view, shard).includes(&self.ctx.me) {
+            let message = "this box is outside of the shard's region: configure the same regions on all boxes";
+            return Err(refused(RefusedKind::NotRun, reason::OUTSIDE_REGIONS, message));
+        }
         if self.ctx.is_leaving() {
             return Err(refused(
                 RefusedKind::NotRun,
--- a/crates/shards/src/keepers.rs
+++ b/crates/shards/src/keepers.rs
@@ -37,22 +37,23 @@
 
     /// Waits for the shard count and creates a keeper for each shard.
     pub async fn start(&self, ctx: &Arc<ShardContext>) -> &[Arc<ShardKeeper>] {
-        let count = agreed_shard_count(ctx).await;
-        let shards = (0..count).map(ShardIndex::new);
-        let keepers = shards.map(|shard| Arc::new(ShardKeeper::new(Arc::clone(ctx), shard)));
-        log::info!(target: "shard", shards = count; "shard count agreed");
+        let layout = agreed_layout(ctx).await;
+        let keepers = layout.all().map(|shard| Arc::new(ShardKeeper::new(Arc::clone(ctx), shard)));
+        log::info!(
+            target: "shard", shards = layout.shards, regions = layout.regions.len();
+            "shard count agreed"
+        );
         self.0.get_or_init(|| keepers.collect())
     }
 }
 
-/// Returns the shard count from the settings or the stored layout; proposes a layout if there is
-/// none.
-async fn agreed_shard_count(ctx: &ShardContext) -> u32 {
+/// Returns the shards from the settings or the stored layout; proposes a layout if there is none.
+async fn agreed_layout(ctx: &ShardContext) -> ShardLayout {
     let started = Instant::now();
     let mut changes = ctx.view.changes();
     loop {
-        if let Some(shards) = ctx.view.shards() {
-            return shards;
+        if let Some(layout) = ctx.view.layout() {
+            return layout;
         }
         if let Some(layout) = layout_to_propose(ctx, started.elapsed()) {
             propose_layout(ctx, layout).await;
@@ -69,15 +70,16 @@
     if !assignments.is_read() {
         return None;
     }
-    // An existing deployment keeps its shard count.
+    // An existing deployment keeps its shard count. It started with a release without bound shards.
     if let Some(last) = assignments.last_shard() {
-        return Some(ShardLayout { shards: last.get() + 1 });
+        return Some(ShardLayout::general(last.get() + 1));
     }
     let boxes: Vec<_> = assignments.boxes().map(|copy| copy.box_id.clone()).collect();
     let ranked = coord::rendezvous::ranked(LAYOUT_NAME, &boxes, boxes.len());
     let rank = ranked.iter().position(|box_id| **box_id == ctx.me.box_id)?;
     let delay = PROPOSAL_DELAY + TAKEOVER_TIMEOUT * u32::try_from(rank).unwrap_or(u32::MAX);
-    let layout = ShardLayout::for_boxes(boxes.len(), ctx.settings.copies);
+    let layout = ShardLayout::for_boxes(boxes.len(), ctx.settings.copies)
+        .with_regions(ctx.view.regions().regions());
     (waited >= delay).then_some(layout)
 }
 
@@ -86,7 +88,7 @@
     ctx.view.metrics.store_call(Kind::ClusterState, StoreCall::Write);
     let written = ctx.view.store.create(Kind::ClusterState, LAYOUT_NAME, &layout).await;
     log::info!(
-        target: "shard", shards = layout.shards,
+        target: "shard", shards = layout.shards, regions = layout.regions.len(),
         outcome = match &written { Ok(_) => "written", Err(StoreError::Conflict(_)) => "another is there", Err(_) => "unknown" };
         "layout proposed"
     );
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -17,6 +17,7 @@
 mod dispatch;
 mod engine_assignments;
 mod handler;
+mod hosts;
 mod job_order;
 mod keeper;
 mod keepers;
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -11,12 +11,14 @@
 use platform::events::EventReader;
 use platform::headers;
 use routing::{
-    ChosenTarget, MoveEstimate, PredictedWork, RunProgress, TargetRequirements, WorkUnits,
+    ChosenTarget, MoveEstimate, PredictedWork, RegionScope, RunProgress, TargetRequirements,
+    WorkUnits,
 };
 use tokio::time::{self, Instant};
 use upstream::{SendError, TargetResponse};
 
 use crate::context::ShardContext;
+use crate::dispatch::item_scope;
 use crate::keeper::ShardKeeper;
 use crate::run_reason::RunReason;
 
@@ -241,11 +243,12 @@
         self.rate_measured_at = Some((now, self.events.len()));
         let unit_time = now.duration_since(since) / events;
         let view = &self.ctx.view;
+        let regions = item_scope(self.ctx, self.spec);
         let mut targets = view.target_table();
         targets.record_unit_time(view.now(), &self.slot.instance, unit_time);
         let events = self.spec.events + u32::try_from(self.events.len()).unwrap_or(u32::MAX);
         let factor = if events >= LONG_EVENTS { LONG_MOVE_FACTOR } else { MOVE_FACTOR };
-        let requirements = self.requirements();
+        let requirements = self.requirements(&regions);
         if targets.expects_times(&self.slot.service) {
             let left = predicted_work(&self.spec.forecast, events);
             let run = RunProgress { unit_time, prefill: self.prefill, left };
@@ -258,7 +261,7 @@
         targets.has_faster(view.now(), &self.slot.instance, faster, &requirements, &mut rand::rng())
     }
 
-    fn requirements(&self) -> TargetRequirements<'_> {
+    fn requirements<'a>(&'a self, regions: &'a RegionScope) -> TargetRequirements<'a> {
         let floor = ModelVersion::new(self.spec.job.min_version);
         TargetRequirements {
             model: self.model.as_ref().map(|model| (model, floor)),
@@ -269,7 +272,7 @@
             // Runs don't move to cold engines.
             sender: None,
             avoid: &[],
-            regions: None,
+            regions: Some(regions),
         }
     }
 
--- a/crates/shards/src/takeover.rs
+++ b/crates/shards/src/takeover.rs
@@ -21,6 +21,7 @@
 use crate::context::ShardContext;
 use crate::copies::on_disk;
 use crate::copying::{ResultLocations, copy_jobs};
+use crate::hosts::ShardHosts;
 use crate::keeper::{ServedEpoch, ShardKeeper};
 use crate::log_writer::{EpochLog, QUEUE_CAPACITY, write_log};
 
@@ -82,8 +83,16 @@
 ) -> bool {
     let shard = keeper.shard();
     let now = ctx.view.now();
+    let hosts = ShardHosts::new(&ctx.view, shard);
+    if !hosts.includes(&ctx.me) {
+        return false;
+    }
     let assignments = ctx.view.assignments();
     let observed = assignments.plan(shard);
+    if observed.is_none() && hosts.is_bound() && !bound_shard_due(ctx, &hosts, &assignments) {
+        *no_plan_since = None;
+        return false;
+    }
     // Concurrent takeovers slow each other down.
     if observed.is_some_and(|observed| higher_rank_takes_over(ctx, shard, &observed.plan))
         && !keeper.is_takeover_requested()
@@ -94,7 +103,13 @@
         *no_plan_since = None;
         Duration::ZERO
     } else {
-        now.since(*no_plan_since.get_or_insert(now))
+        let first_plan_delay =
+            if hosts.is_bound() { ctx.view.settings.propagation_bound } else { Duration::ZERO };
+        let since = *no_plan_since.get_or_insert(now) + first_plan_delay;
+        if now < since {
+            return false;
+        }
+        now.since(since)
     };
     let plan = observed.map(|observed| &observed.plan);
     let server = plan.and_then(ShardPlan::server);
@@ -107,7 +122,7 @@
             .map(|observed| server_unresponsive_for(ctx, shard, observed))
             .unwrap_or_default(),
         server_restarts: server.is_some_and(|server| ctx.peers.is_restarting(&server.box_id)),
-        first_rank: if plan.is_none() { first_rank(ctx, shard, &assignments) } else { 0 },
+        first_rank: if plan.is_none() { first_rank(ctx, shard, &hosts, &assignments) } else { 0 },
         no_plan_for,
         preference: if keeper.take_takeover_request() {
             TakeoverPreference::Requested
@@ -120,9 +135,27 @@
     decide_takeover(&view) == TakeoverDecision::TakeOver
 }
 
+/// Returns whether a bound shard without a plan should get one: the configuration in force restricts
+/// regions, and enough boxes of the region are registered for all copies. Without this check, boxes
+/// of a region that is too small would read the plan from the store again and again.
+fn bound_shard_due(
+    ctx: &ShardContext,
+    hosts: &ShardHosts<'_>,
+    assignments: &AssignmentTable,
+) -> bool {
+    let host_count = assignments.boxes().filter(|copy| hosts.includes(copy)).count();
+    ctx.view.table().restricts_regions() && host_count >= ctx.settings.copies
+}
+
 /// Rank of this box among the candidates for a shard without a plan.
-fn first_rank(ctx: &ShardContext, shard: ShardIndex, assignments: &AssignmentTable) -> usize {
-    let boxes: Vec<StorageBox> = assignments.active_boxes().into_iter().cloned().collect();
+fn first_rank(
+    ctx: &ShardContext,
+    shard: ShardIndex,
+    hosts: &ShardHosts<'_>,
+    assignments: &AssignmentTable,
+) -> usize {
+    let boxes = assignments.active_boxes().into_iter().filter(|copy| hosts.includes(copy));
+    let boxes: Vec<StorageBox> = boxes.cloned().collect();
     let ranked = rank_initial_servers(shard, &boxes);
     ranked.iter().position(|copy| copy.box_id == ctx.me.box_id).unwrap_or(boxes.len())
 }
