Regions: requests and streams honour their scope

Cause: a scope was known, but no choice of a target asked for it.

Change: each choice of a target for a plain request or a stream looks up the scope in the configuration in force, also after a wait for a permit or for isolation. If no target of the allowed regions can serve, the request is refused at once with 503 and a time to return, and a log line names the regions and the reason. Targets to which no connection could be opened are recorded as such, and restricted requests skip them during their backoff, so that a region that is cut off does not cost each request several connection timeouts. Requests without a restriction still try them last. A restricted request also tries the other services of its route: a service with a small weight may be the only one in its regions.

Admission cells of restricted requests hold only the targets of their regions (AdmissionAsk.scope), their homes are storage boxes there, and the asking box checks the granted target against the scope again, since a home of an earlier release ignores the field. Without such a home the box chooses by itself. A home gets no request body, as before.

Ruled out: the scope of the arrival for the whole request, by which a waiting request would be sent out of its regions after a change; refusing during every backoff, by which one broken connection to the only target of a region would refuse requests that it could serve.

--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -12,8 +12,8 @@
 use http_body_util::{Either, Full};
 use ids::{InstanceId, WorkDigest};
 use node::{
-    NodeView, SlotGuard, TargetChoice, WorkRequirements, choose_target, record_disconnect,
-    request_work, reuse_policy,
+    NO_TARGET_IN_REGIONS, NodeView, SlotGuard, TargetChoice, WorkRequirements, choose_target,
+    record_disconnect, request_work, reuse_policy,
 };
 use platform::headers;
 use routing::{ChosenTarget, Route, TargetFailure};
@@ -66,6 +66,7 @@
         let slot = match choose_target(view, route, &requirements).await {
             TargetChoice::Target(slot) => slot,
             TargetChoice::None => break,
+            TargetChoice::NoneInRegions => return not_run(view, route, &id, NO_TARGET_IN_REGIONS),
             TargetChoice::Quarantined => return quarantined(view, route, &id, work),
             TargetChoice::Refused(refusal) => {
                 view.metrics.count_outcome("stream", "not run");
@@ -88,7 +89,7 @@
         let target_response = match sent {
             Ok(Ok(target_response)) => target_response,
             Ok(Err(SendError::NotSent(_))) => {
-                record_broken(view, target);
+                record_unreachable(view, target);
                 tried.push(target.instance.clone());
                 if view.admission.try_retry(&target.service) {
                     continue;
@@ -135,10 +136,14 @@
         }
         return forward_stream(view, slot, target_response, work);
     }
+    not_run(view, route, &id, "no target free")
+}
+
+fn not_run(view: &NodeView, route: &Route, id: &str, reason: &str) -> Response<FrontBody> {
     view.metrics.count_outcome("stream", "not run");
-    log::info!(target: "entry", request = id.as_str(), route:% = route.name, outcome = "not run"; "request ended");
+    log::info!(target: "entry", request = id, route:% = route.name, outcome = "not run"; "request ended");
     let retry_after = view.admission.local_retry_after().unwrap_or(response::RETRY_DELAY);
-    response::not_run_until("no target free", retry_after, Some(&id))
+    response::not_run_until(reason, retry_after, Some(id))
 }
 
 fn quarantined(view: &NodeView, route: &Route, id: &str, work: WorkDigest) -> Response<FrontBody> {
@@ -165,7 +170,13 @@
     )
 }
 
-/// Records that a target was unreachable or unresponsive, or broke the connection.
+/// Records that no connection to a target could be opened.
+fn record_unreachable(view: &NodeView, target: &ChosenTarget) {
+    record_failure(view, target, TargetFailure::Unreachable);
+    view.admission.record_result(view, target, PermitOutcome::Broken, None);
+}
+
+/// Records that a target was unresponsive or broke the connection.
 fn record_broken(view: &NodeView, target: &ChosenTarget) {
     record_failure(view, target, TargetFailure::Broken);
     view.admission.record_result(view, target, PermitOutcome::Broken, None);
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -14,11 +14,13 @@
 use admission::{PermitOutcome, RejectReason, ReportedLoad, ShortageDetector, TargetReport};
 use coord::rendezvous;
 use coord::retry::RetryBudget;
-use ids::{BoxId, CustomerName, InstanceId, Moment, RouteName, ServiceName, whole_millis};
+use ids::{
+    BoxId, CustomerName, InstanceId, Moment, RegionId, RouteName, ServiceName, whole_millis,
+};
 use joblog::StorageBox;
 use links::{CallError, LinkPool, ResponseStream};
 use rand::Rng;
-use routing::{ChosenTarget, DEFAULT_PRIORITY, Route, TargetLoad};
+use routing::{ChosenTarget, DEFAULT_PRIORITY, RegionScope, Route, TargetLoad};
 use tokio::time::{self, Instant};
 use wire::peer::{
     self, AdmissionAsk, AdmissionReply, PermitReport, ServedQuery, ShardResponse, admission_reply,
@@ -287,10 +289,24 @@
         is_short
     }
 
-    fn take_reports(&self, service: &ServiceName) -> Vec<PermitReport> {
+    /// Takes the reports about targets in `scope`. Its home ignores those about other targets.
+    fn take_reports(
+        &self,
+        view: &NodeView,
+        service: &ServiceName,
+        scope: &RegionScope,
+    ) -> Vec<PermitReport> {
+        let in_scope = |report: &TargetReport| {
+            let targets = view.target_table();
+            let record = targets.record(&report.target);
+            // Reports about targets that are gone would only take the place of others.
+            record.is_none_or(|record| scope.allows_domain(view.regions(), &record.domain))
+        };
+        let take_all = !scope.is_restricted();
         let mut services = self.services();
-        let reports = services.get_mut(service).map(|state| std::mem::take(&mut state.reports));
-        reports.unwrap_or_default().iter().map(encode_report).collect()
+        let Some(state) = services.get_mut(service) else { return Vec::new() };
+        let reports = state.reports.extract_if(.., |report| take_all || in_scope(report));
+        reports.map(|report| encode_report(&report)).collect()
     }
 
     fn is_avoided(&self, now: Moment, home: &BoxId) -> bool {
@@ -314,28 +330,38 @@
     PermitReport { target: report.target.to_string(), outcome: outcome.into(), load }
 }
 
-/// One of the parts into which the targets of a large service are divided.
-struct Cell {
+/// One of the parts into which the targets of a large service are divided. Restricted requests have
+/// cells of their own, which hold only the targets of their regions.
+struct Cell<'a> {
     index: u32,
     count: u32,
+    scope: &'a RegionScope,
 }
 
-/// Picks a cell of the service at random.
-fn pick_cell(view: &NodeView, service: &ServiceName) -> Cell {
-    let targets = view.target_table().of_service(service).count();
+/// Picks a cell of the service's targets in `scope` at random.
+fn pick_cell<'a>(view: &NodeView, service: &ServiceName, scope: &'a RegionScope) -> Cell<'a> {
+    let targets = view.target_table();
+    let in_scope = targets
+        .of_service(service)
+        .filter(|record| scope.allows_domain(view.regions(), &record.domain));
+    let targets = in_scope.count();
     let count = u32::try_from(targets.div_ceil(TARGETS_PER_CELL).max(1)).unwrap_or(1);
-    Cell { index: rand::rng().random_range(0..count), count }
+    Cell { index: rand::rng().random_range(0..count), count, scope }
 }
 
-/// Selects the home of a cell: the first storage box in rendezvous order that is not avoided.
-fn select_home(view: &NodeView, service: &ServiceName, cell: &Cell) -> Option<StorageBox> {
-    let key = format!("{service}/{}", cell.index);
+/// Selects the home of a cell: the first storage box of its regions in rendezvous order that is not
+/// avoided.
+fn select_home(view: &NodeView, service: &ServiceName, cell: &Cell<'_>) -> Option<StorageBox> {
+    let key = match cell.scope {
+        RegionScope::Any => format!("{service}/{}", cell.index),
+        scope @ RegionScope::Only(_) => format!("{service}/{}/{scope}", cell.index),
+    };
     let assignments = view.assignments();
-    let ranked = rendezvous::ranked(
-        &key,
-        assignments.boxes().map(|storage_box| &storage_box.box_id),
-        HOME_CANDIDATES,
-    );
+    let in_scope = assignments
+        .boxes()
+        .filter(|storage_box| cell.scope.allows_domain(view.regions(), &storage_box.domain));
+    let in_scope = in_scope.map(|storage_box| &storage_box.box_id);
+    let ranked = rendezvous::ranked(&key, in_scope, HOME_CANDIDATES);
     let home = ranked.into_iter().find(|home| !view.admission.is_avoided(view.now(), home))?;
     assignments.boxes().find(|storage_box| storage_box.box_id == *home).cloned()
 }
@@ -345,6 +371,7 @@
     view: &NodeView,
     route: &Route,
     service: &ServiceName,
+    scope: &RegionScope,
     goal: Duration,
     requirements: &WorkRequirements<'_>,
 ) -> PermitResult {
@@ -358,7 +385,7 @@
         return PermitResult::NotNeeded;
     }
     let Some(links) = view.admission.links.get() else { return PermitResult::NotNeeded };
-    let cell = pick_cell(view, service);
+    let cell = pick_cell(view, service, scope);
     let Some(home) = select_home(view, service, &cell) else {
         view.metrics.count_outcome("admission", "no home");
         return PermitResult::NotNeeded;
@@ -366,7 +393,8 @@
     let ask = ask_message(view, route, service, &cell, goal, requirements);
     let route = &route.name;
     let priority = ask.priority;
-    let home_call = HomeCall { view, route, priority, service, home: &home, requirements, goal };
+    let home_call =
+        HomeCall { view, route, priority, service, scope, home: &home, requirements, goal };
     home_call.request(links, ask).await
 }
 
@@ -374,7 +402,7 @@
     view: &NodeView,
     route: &Route,
     service: &ServiceName,
-    cell: &Cell,
+    cell: &Cell<'_>,
     goal: Duration,
     requirements: &WorkRequirements<'_>,
 ) -> AdmissionAsk {
@@ -390,23 +418,32 @@
         priority: u32::from(priority.unwrap_or(DEFAULT_PRIORITY).get()),
         time_left_ms: millis(requirements.deadline.saturating_duration_since(now)),
         goal_left_ms: millis((requirements.received + goal).saturating_duration_since(now)),
-        avoid: targets_to_avoid(view, service, requirements),
-        reports: view.admission.take_reports(service),
+        avoid: targets_to_avoid(view, service, cell.scope, requirements),
+        reports: view.admission.take_reports(view, service, cell.scope),
         box_id: view.settings.box_id.to_string(),
         work: requirements.work.to_string(),
         goal_ms: millis(goal),
+        scope: encode_scope(cell.scope),
     }
 }
 
+fn encode_scope(scope: &RegionScope) -> Option<peer::AdmissionScope> {
+    let RegionScope::Only(regions) = scope else { return None };
+    Some(peer::AdmissionScope { regions: regions.iter().map(RegionId::to_string).collect() })
+}
+
 /// Targets that were tried already, unless all of them were and may be tried again.
 fn targets_to_avoid(
     view: &NodeView,
     service: &ServiceName,
+    scope: &RegionScope,
     requirements: &WorkRequirements<'_>,
 ) -> Vec<String> {
     let tried = requirements.tried;
     let targets = view.target_table();
-    let mut others = targets.of_service(service).filter(|listed| !tried.contains(&listed.instance));
+    let mut others = targets.of_service(service).filter(|listed| {
+        scope.allows_domain(view.regions(), &listed.domain) && !tried.contains(&listed.instance)
+    });
     if requirements.allow_tried && others.next().is_none() {
         return Vec::new();
     }
@@ -419,6 +456,7 @@
     route: &'a RouteName,
     priority: u32,
     service: &'a ServiceName,
+    scope: &'a RegionScope,
     home: &'a StorageBox,
     requirements: &'a WorkRequirements<'a>,
     goal: Duration,
@@ -484,7 +522,8 @@
 
     /// Whether this box lists a target that may get the request.
     fn has_targets(&self) -> bool {
-        !self.view.target_table().available(self.view.now(), self.service).is_empty()
+        let now = self.view.now();
+        !self.view.target_table().available(now, self.service, self.scope).is_empty()
     }
 
     /// Completes a connection to the home that the ask gave up, for later asks.
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -5,7 +5,7 @@
 
 use ids::{CustomerName, InstanceId, ServiceName, WorkDigest, whole_millis};
 use rand::Rng;
-use routing::{ChosenTarget, Route, TargetRequirements};
+use routing::{ChosenTarget, RegionScope, Route, TargetRequirements};
 use tokio::time::{self, Instant};
 
 use crate::admission::{PermitResult, request_permit};
@@ -44,6 +44,8 @@
     Target(SlotGuard),
     /// No target is available now.
     None,
+    /// The request is restricted to regions, and none of their targets can serve it now.
+    NoneInRegions,
     /// The work is quarantined because it crashes targets.
     Quarantined,
     /// The service is short of slots, and the work would not be served in time.
@@ -72,8 +74,14 @@
     let mut has_waited = false;
     loop {
         let can_wait = Instant::now() < wait_until;
-        if let Some(choice) = choose_now(view, service, requirements, can_wait) {
-            return choice;
+        // Looked up each time, since the configuration may change while the work waits.
+        let scope = view.region_scope(route, requirements.customer);
+        match choose_now(view, service, &scope, requirements, can_wait) {
+            Some(TargetChoice::None) if scope.is_restricted() => {
+                return choose_other_service(view, route, service, &scope, requirements);
+            }
+            Some(choice) => return choice,
+            None => {}
         }
         if !has_waited {
             has_waited = true;
@@ -93,7 +101,8 @@
     goal: Duration,
     requirements: &WorkRequirements<'_>,
 ) -> Option<TargetChoice> {
-    let permit = match request_permit(view, route, service, goal, requirements).await {
+    let scope = view.region_scope(route, requirements.customer);
+    let permit = match request_permit(view, route, service, &scope, goal, requirements).await {
         PermitResult::Granted(permit) => permit,
         PermitResult::Refused(refusal) => return Some(TargetChoice::Refused(refusal)),
         PermitResult::NotNeeded => return None,
@@ -102,13 +111,72 @@
     if view.suspects().crash_count(requirements.work) > 0 {
         return None;
     }
+    // The configuration may have changed while the request waited.
+    let scope = view.region_scope(route, requirements.customer);
     // Bound to a variable, since the lock of the table must not be held below.
-    let target = view.target_table().acquire(view.now(), &permit.target);
+    let target = view.target_table().acquire(view.now(), &permit.target, &scope);
     let target = target?;
     view.pool.limit_idle(target.address, permit.max_idle);
     Some(TargetChoice::Target(SlotGuard::new(view, requirements.work, target).with_permit(permit)))
 }
 
+/// Chooses a target of another service of the route for a restricted request, if the service that
+/// was drawn has none in the allowed regions: a small share of the route may be the only one there.
+fn choose_other_service(
+    view: &Arc<NodeView>,
+    route: &Route,
+    drawn: Option<&ServiceName>,
+    scope: &RegionScope,
+    requirements: &WorkRequirements<'_>,
+) -> TargetChoice {
+    let others = route.backends.iter().filter(|backend| backend.weight > 0);
+    for other in others.filter(|backend| Some(&backend.service) != drawn) {
+        let choice = choose_now(view, Some(&other.service), scope, requirements, false);
+        if let Some(choice @ (TargetChoice::Target(_) | TargetChoice::Quarantined)) = choice {
+            return choice;
+        }
+    }
+    if has_target_in_regions(view, route, scope) {
+        return TargetChoice::None;
+    }
+    log_none_in_regions(view, route, drawn, scope, requirements);
+    TargetChoice::NoneInRegions
+}
+
+/// Whether a target in the allowed regions could serve a request now, if it had not been tried or
+/// run suspected work.
+fn has_target_in_regions(view: &NodeView, route: &Route, scope: &RegionScope) -> bool {
+    let requirements = TargetRequirements { regions: Some(scope), ..TargetRequirements::default() };
+    let targets = view.target_table();
+    let mut services = route.backends.iter().map(|backend| &backend.service);
+    services
+        .any(|service| targets.has_fitting(view.now(), service, &requirements, &mut rand::rng()))
+}
+
+fn log_none_in_regions(
+    view: &NodeView,
+    route: &Route,
+    service: Option<&ServiceName>,
+    scope: &RegionScope,
+    requirements: &WorkRequirements<'_>,
+) {
+    let target_requirements =
+        TargetRequirements { regions: Some(scope), ..TargetRequirements::default() };
+    let reason = service.map_or("no service", |service| {
+        let targets = view.target_table();
+        let rng = &mut rand::rng();
+        targets.no_target_reason(view.now(), service, &target_requirements, rng).as_str()
+    });
+    view.metrics.count_outcome("regions", reason);
+    log::info!(
+        target: "targets", request = requirements.request_id, work:% = requirements.work,
+        route:% = route.name, service = service.map_or("none", ServiceName::as_str),
+        customer = requirements.customer.map_or("none", CustomerName::as_str),
+        regions:% = scope, outcome = reason, config = view.table().version.get();
+        "no target in the allowed regions"
+    );
+}
+
 fn log_wait(view: &NodeView, route: &Route, work: WorkDigest, wait_until: Instant) {
     let suspects = view.suspects();
     let (crashes, anti_affinity) =
@@ -127,6 +195,7 @@
 fn choose_now(
     view: &Arc<NodeView>,
     service: Option<&ServiceName>,
+    scope: &RegionScope,
     requirements: &WorkRequirements<'_>,
     can_wait: bool,
 ) -> Option<TargetChoice> {
@@ -146,8 +215,12 @@
     let now = view.now();
     let mut targets = view.target_table();
     let mut choose = |avoid: &[InstanceId]| -> Option<ChosenTarget> {
-        let target_requirements =
-            TargetRequirements { avoid, skip_backed_off, ..TargetRequirements::default() };
+        let target_requirements = TargetRequirements {
+            avoid,
+            skip_backed_off,
+            regions: Some(scope),
+            ..TargetRequirements::default()
+        };
         targets.choose(now, service, &target_requirements, &mut rng)
     };
     // Prefers untried targets without other suspected work, then other untried ones, then tried
@@ -171,6 +244,7 @@
     let may_become_free = targets.of_service(service).any(|record| {
         let instance = &record.instance;
         !excluded.contains(instance)
+            && scope.allows_domain(view.regions(), &record.domain)
             && (requirements.allow_tried || !requirements.tried.contains(instance))
     });
     let waits = skip_backed_off && may_become_free;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,7 +34,7 @@
 pub use clock::ClockSource;
 pub use disconnects::record_disconnect;
 pub use metrics::{NodeMetrics, StoreCall, log_counters, serve_metrics};
-pub use plain::{PlainCall, PlainOutcome, call_plain, reuse_policy};
+pub use plain::{NO_TARGET_IN_REGIONS, PlainCall, PlainOutcome, call_plain, reuse_policy};
 pub use probe::ProbeBackoff;
 pub use reload::{LiveSettings, ReloadableSettings, SettingChange, SettingsReloader};
 pub use settings::{
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -30,6 +30,12 @@
 /// Pause before the next try when no target is available.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time to return after a refusal because no target in the allowed regions can serve a request. The
+/// refusal takes no time, so background calls would otherwise repeat it without a pause.
+const REGIONS_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Reason of the refusal if no target in the allowed regions can serve a request.
+pub const NO_TARGET_IN_REGIONS: &str = "no target in the allowed regions";
+
 /// A plain request.
 #[derive(Debug)]
 pub struct PlainCall<'a> {
@@ -194,7 +200,14 @@
                 let retry_after = Some(refusal.retry_after);
                 return PlainOutcome::NotRun { reason: "no slot in time", retry_after };
             }
-            TargetChoice::Quarantined | TargetChoice::Refused(_) => break,
+            TargetChoice::NoneInRegions if run_count == 0 => {
+                let retry_after = view.admission.local_retry_after();
+                let retry_after = Some(retry_after.unwrap_or(REGIONS_RETRY_DELAY));
+                return PlainOutcome::NotRun { reason: NO_TARGET_IN_REGIONS, retry_after };
+            }
+            TargetChoice::Quarantined | TargetChoice::Refused(_) | TargetChoice::NoneInRegions => {
+                break;
+            }
         };
         let is_last = run_count + 1 >= call.route.attempts || !repeatable;
         let result = try_once(view, &call, work, slot.target(), is_last).await;
@@ -416,7 +429,7 @@
             targets.record_unit_time(view.now(), &target.instance, took);
         }
         TryResult::NotRun if outcome == TryOutcome::NotSent => {
-            targets.failed(view.now(), &target.instance, TargetFailure::Broken);
+            targets.failed(view.now(), &target.instance, TargetFailure::Unreachable);
         }
         // An error of the target, or a refusal that `classify_response` has recorded.
         TryResult::Answered(_) | TryResult::NotRun => {}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
-use ids::{ModelName, ModelVersion, Moment, ServiceName};
+use ids::{CustomerName, ModelName, ModelVersion, Moment, ServiceName};
 use platform::{Kind, ObjectStore};
-use routing::{ColdLimit, RegionMap, RouteTable, TargetTable};
+use routing::{ColdLimit, RegionMap, RegionScope, Route, RouteTable, TargetTable};
 use suspects::SuspectTable;
 use tokio::sync::{Notify, watch};
 use upstream::{ConnectionLimit, MemoryBudget, TargetPool};
@@ -106,6 +106,14 @@
         &self.settings.regions
     }
 
+    /// Regions in which a request may be handled, by the configuration in force. While a request
+    /// runs its route may be removed; then the regions of the route that it was admitted on apply.
+    pub fn region_scope(&self, route: &Route, customer: Option<&CustomerName>) -> RegionScope {
+        let table = self.table();
+        let scope = table.region_scope(&route.name, customer);
+        if table.has_route(&route.name) { scope } else { scope.intersect(&route.regions) }
+    }
+
     /// The configuration in force.
     pub fn table(&self) -> Arc<RouteTable> {
         Arc::clone(&self.table.read().unwrap_or_else(PoisonError::into_inner))
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -237,6 +237,11 @@
         }
     }
 
+    /// Whether a route is configured.
+    pub fn has_route(&self, route: &RouteName) -> bool {
+        self.priorities.contains_key(route)
+    }
+
     /// Whether any route or customer is restricted to regions.
     pub fn restricts_regions(&self) -> bool {
         !self.scopes.is_empty()
--- a/crates/routing/src/target.rs
+++ b/crates/routing/src/target.rs
@@ -148,8 +148,10 @@
 /// How a request at a target failed, as far as it affects later choices.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TargetFailure {
-    /// The target was unreachable or unresponsive, or the connection broke.
+    /// The target was unresponsive, or the connection broke.
     Broken,
+    /// No connection to the target could be opened.
+    Unreachable,
     /// The target refused the request for now, usually because it is full or loads weights.
     Full,
     /// The target is gone, or restarted as another incarnation.
@@ -173,7 +175,9 @@
     pub sender: Option<ColdSender>,
     /// Targets to exclude, usually because they were tried already.
     pub avoid: &'a [InstanceId],
-    /// Regions in which the request may be handled; `None` for all.
+    /// Regions in which the request may be handled; `None` for all. If restricted, a target that
+    /// could not be reached is skipped during its backoff: with the regions cut off, the request is
+    /// refused at once instead of after a connection timeout.
     pub regions: Option<&'a RegionScope>,
 }
 
@@ -196,6 +200,21 @@
     Evacuated,
 }
 
+impl NoTargetReason {
+    /// Stable name, for logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OldVersion => "old version",
+            Self::OutsideRegions => "outside regions",
+            Self::Loading => "loading",
+            Self::BackedOff => "backed off",
+            Self::Full => "full",
+            Self::Cold => "cold",
+            Self::Evacuated => "evacuated",
+        }
+    }
+}
+
 /// A target chosen for one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ChosenTarget {
--- a/crates/routing/src/target_state.rs
+++ b/crates/routing/src/target_state.rs
@@ -6,7 +6,7 @@
 use ids::{DomainId, ModelName, ModelVersion, Moment};
 
 use crate::cold::{ColdLimit, SendWindow};
-use crate::regions::RegionMap;
+use crate::regions::{RegionMap, RegionScope};
 use crate::speed::SpeedEstimate;
 use crate::target::{TargetRecord, TargetRequirements};
 
@@ -31,6 +31,8 @@
     /// Used instead of `unit_time_ms` in services whose targets report their slowdown.
     pub speed: SpeedEstimate,
     pub failures: u32,
+    /// The last failure was that no connection could be opened.
+    pub unreachable: bool,
     /// Refusals for lack of capacity since the last success.
     pub refusals: u32,
     pub backoff_until: Moment,
@@ -69,6 +71,7 @@
             unit_time_ms: 0.0,
             speed: SpeedEstimate::default(),
             failures: 0,
+            unreachable: false,
             refusals: 0,
             backoff_until: Moment::START,
             loading_until: Moment::START,
@@ -103,7 +106,9 @@
         {
             return false;
         }
-        if requirements.skip_backed_off && now < self.backoff_until {
+        let is_restricted = requirements.regions.is_some_and(RegionScope::is_restricted);
+        let skips_backoff = requirements.skip_backed_off || (is_restricted && self.unreachable);
+        if skips_backoff && now < self.backoff_until {
             return false;
         }
         // Work that can be deferred needs a free slot at a target that is not backed off.
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -306,19 +306,32 @@
 
     /// Counts a request to a target that another box chose, as [`Self::choose`] does. Returns
     /// `None` if the target must get no request now.
-    pub fn acquire(&mut self, now: Moment, instance: &InstanceId) -> Option<ChosenTarget> {
+    pub fn acquire(
+        &mut self,
+        now: Moment,
+        instance: &InstanceId,
+        scope: &RegionScope,
+    ) -> Option<ChosenTarget> {
         let state = self.targets.get(instance)?;
         let rules = self.rules(now, &state.record.service);
-        if !state.fits(&rules, &TargetRequirements::default()) {
+        let requirements =
+            TargetRequirements { regions: Some(scope), ..TargetRequirements::default() };
+        if !state.fits(&rules, &requirements) {
             return None;
         }
         self.start(now, instance)
     }
 
-    /// Targets of a service that may get requests, with their slots.
-    pub fn available(&self, now: Moment, service: &ServiceName) -> Vec<(InstanceId, u32)> {
+    /// Targets of a service that may get requests of this scope, with their slots.
+    pub fn available(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        scope: &RegionScope,
+    ) -> Vec<(InstanceId, u32)> {
         let rules = self.rules(now, service);
-        let requirements = TargetRequirements::default();
+        let requirements =
+            TargetRequirements { regions: Some(scope), ..TargetRequirements::default() };
         let states = self.index.of_service(service).filter_map(|id| self.targets.get(id));
         let available = states.filter(|state| state.fits(&rules, &requirements));
         available.map(|state| (state.record.instance.clone(), state.slots())).collect()
@@ -516,6 +529,7 @@
     pub fn succeeded(&mut self, now: Moment, instance: &InstanceId) {
         let Some(state) = self.targets.get_mut(instance) else { return };
         state.failures = 0;
+        state.unreachable = false;
         state.refusals = 0;
         state.backoff_until = Moment::START;
         state.last_success = Some(now);
@@ -526,6 +540,7 @@
     /// Records a failure.
     pub fn failed(&mut self, now: Moment, instance: &InstanceId, failure: TargetFailure) {
         let Some(state) = self.targets.get_mut(instance) else { return };
+        state.unreachable = failure == TargetFailure::Unreachable;
         match failure {
             TargetFailure::Gone => state.gone = true,
             // A burst of requests is refused together; it counts as one refusal.
@@ -536,7 +551,7 @@
                 state.backoff_until = now + backoff.min(MAX_FULL_BACKOFF);
                 state.refusals = state.refusals.saturating_add(1);
             }
-            TargetFailure::Broken => {
+            TargetFailure::Broken | TargetFailure::Unreachable => {
                 // The target may restart, and be cold, before the listing shows it.
                 if let Some(limit) = self.cold.get(&state.record.service) {
                     state.mark_cold(now + limit.time);
--- a/crates/routing/tests/regions.rs
+++ b/crates/routing/tests/regions.rs
@@ -184,3 +184,30 @@
     table.remove(&"only".parse().expect("an id"));
     assert_eq!(choose(&mut table, &only(&["durgapur"])), None);
 }
+
+/// Guards against a permit from a box with an older configuration that leads out of the regions.
+#[test]
+fn a_granted_target_outside_of_the_scope_is_not_used() {
+    let mut table = table(&[("near", "kol-a"), ("far", "dgp-a")]);
+    let (near, scope) = ("near".parse().expect("an id"), only(&["durgapur"]));
+    assert_eq!(table.acquire(NOW, &near, &scope), None);
+    assert!(table.acquire(NOW, &near, &RegionScope::Any).is_some());
+    let available = table.available(NOW, &service(), &scope);
+    assert_eq!(available.iter().map(|(id, _)| id.as_str()).collect::<Vec<_>>(), ["far"]);
+}
+
+/// Guards against restricted requests that each wait for a connection timeout while their regions
+/// are cut off, and against requests without a restriction that are refused for it.
+#[test]
+fn unreachable_targets_are_skipped_by_restricted_requests_only() {
+    let mut table = table(&[("far", "dgp-a")]);
+    let (far, scope) = ("far".parse().expect("an id"), only(&["durgapur"]));
+    table.failed(NOW, &far, TargetFailure::Broken);
+    assert!(choose(&mut table, &scope).is_some(), "a broken connection may be the only one");
+    table.failed(NOW, &far, TargetFailure::Unreachable);
+    assert_eq!(choose(&mut table, &scope), None);
+    assert_eq!(reason(&table, &scope), NoTargetReason::BackedOff);
+    assert!(choose(&mut table, &RegionScope::Any).is_some());
+    table.succeeded(NOW, &far);
+    assert!(choose(&mut table, &scope).is_some());
+}
--- a/crates/shards/src/admission.rs
+++ b/crates/shards/src/admission.rs
@@ -15,6 +15,7 @@
 use ids::{BoxId, Generation, InstanceId, Moment, Priority, ServiceName, WorkDigest, whole_millis};
 use links::{ResponseEnd, ResponseSink};
 use node::{NodeView, PERMIT_SERVED};
+use routing::RegionScope;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
@@ -44,6 +45,8 @@
     service: ServiceName,
     cell: u32,
     cells: u32,
+    /// Regions of the targets. Requests of another scope have other targets, so their own queue.
+    scope: RegionScope,
 }
 
 impl CellKey {
@@ -146,7 +149,8 @@
         cancel: CancellationToken,
     ) {
         let Ok(service) = ask.service.parse::<ServiceName>() else { return };
-        let key = CellKey { service, cell: ask.cell, cells: ask.cells.max(1) };
+        let scope = decode_scope(ask.scope.as_ref());
+        let key = CellKey { service, cell: ask.cell, cells: ask.cells.max(1), scope };
         let deadline = Instant::now() + Duration::from_millis(u64::from(ask.time_left_ms));
         if cancel.is_cancelled() {
             return;
@@ -318,7 +322,7 @@
     fn refresh(&mut self, view: &NodeView, key: &CellKey, now: Moment) {
         if self.targets_read_at.is_none_or(|at| now.since(at) >= TARGETS_INTERVAL) {
             self.targets_read_at = Some(now);
-            let mut targets = view.target_table().available(now, &key.service);
+            let mut targets = view.target_table().available(now, &key.service, &key.scope);
             targets.retain(|(target, _)| key.contains(target));
             self.queue.set_targets(&targets);
             self.askers.retain(|_, at| now.since(*at) < ASKER_TTL);
@@ -364,6 +368,12 @@
     })
 }
 
+/// Names that are not valid are those of unknown regions, which contain nothing.
+fn decode_scope(scope: Option<&peer::AdmissionScope>) -> RegionScope {
+    let Some(scope) = scope else { return RegionScope::Any };
+    RegionScope::Only(scope.regions.iter().filter_map(|name| name.parse().ok()).collect())
+}
+
 fn decode_report(report: &PermitReport) -> Option<TargetReport> {
     let outcome = match report.outcome() {
         peer::PermitOutcome::Served => PermitOutcome::Served,
