--- a/crates/front/src/plain.rs
+++ b/crates/front/src/plain.rs
@@ -125,6 +125,7 @@
         deadline,
         is_background: false,
         customer: admitted.caller.customer().cloned(),
+        parent: None,
     };
     let result = time::timeout_at(deadline, call_plain(view, call)).await;
     let (outcome, response) = match result {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -62,6 +62,7 @@
             allow_tried: false,
             is_background: false,
             deadline,
+            parent: None,
         };
         let slot = match choose_target(view, route, &requirements).await {
             TargetChoice::Target(slot) => slot,
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -9,7 +9,8 @@
 use tokio::time::{self, Instant};
 
 use crate::admission::{PermitResult, request_permit};
-use crate::{AdmissionRefusal, NodeView, SlotGuard, WorkAdmission, record_choice};
+use crate::regions::request_scope;
+use crate::{AdmissionRefusal, NodeView, ParentRequest, SlotGuard, WorkAdmission, record_choice};
 
 /// Goal of routes without one.
 pub(crate) const DEFAULT_GOAL: Duration = Duration::from_millis(500);
@@ -35,6 +36,15 @@
     pub received: Instant,
     /// When the caller stops waiting.
     pub deadline: Instant,
+    /// The request on whose behalf an internal call is made.
+    pub parent: Option<ParentRequest<'a>>,
+}
+
+impl WorkRequirements<'_> {
+    /// Regions in which the request may be handled, by the configuration in force.
+    fn scope(&self, view: &NodeView, route: &Route) -> RegionScope {
+        request_scope(view, route, self.customer, self.parent)
+    }
 }
 
 /// Result of [`choose_target`].
@@ -75,7 +85,7 @@
     loop {
         let can_wait = Instant::now() < wait_until;
         // Looked up each time, since the configuration may change while the work waits.
-        let scope = view.region_scope(route, requirements.customer);
+        let scope = requirements.scope(view, route);
         match choose_now(view, service, &scope, requirements, can_wait) {
             Some(TargetChoice::None) if scope.is_restricted() => {
                 return choose_other_service(view, route, service, &scope, requirements);
@@ -101,7 +111,7 @@
     goal: Duration,
     requirements: &WorkRequirements<'_>,
 ) -> Option<TargetChoice> {
-    let scope = view.region_scope(route, requirements.customer);
+    let scope = requirements.scope(view, route);
     let permit = match request_permit(view, route, service, &scope, goal, requirements).await {
         PermitResult::Granted(permit) => permit,
         PermitResult::Refused(refusal) => return Some(TargetChoice::Refused(refusal)),
@@ -112,7 +122,7 @@
         return None;
     }
     // The configuration may have changed while the request waited.
-    let scope = view.region_scope(route, requirements.customer);
+    let scope = requirements.scope(view, route);
     // Bound to a variable, since the lock of the table must not be held below.
     let target = view.target_table().acquire(view.now(), &permit.target, &scope);
     let target = target?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,7 +37,7 @@
 pub use metrics::{NodeMetrics, StoreCall, log_counters, serve_metrics};
 pub use plain::{NO_TARGET_IN_REGIONS, PlainCall, PlainOutcome, call_plain, reuse_policy};
 pub use probe::ProbeBackoff;
-pub use regions::job_scope;
+pub use regions::{ParentRequest, job_scope};
 pub use reload::{LiveSettings, ReloadableSettings, SettingChange, SettingsReloader};
 pub use settings::{
     JobOrder, NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -15,7 +15,8 @@
 
 use crate::choice::DEFAULT_GOAL;
 use crate::{
-    NodeView, TargetChoice, WorkRequirements, choose_target, record_disconnect, request_work,
+    NodeView, ParentRequest, TargetChoice, WorkRequirements, choose_target, record_disconnect,
+    request_work,
 };
 
 /// Maximum size of a response, in bytes.
@@ -57,6 +58,9 @@
     pub is_background: bool,
     /// The customer, for usage counts; the headers name it to the target.
     pub customer: Option<CustomerName>,
+    /// The request on whose behalf this internal call is made; its restriction to regions applies to
+    /// the call too.
+    pub parent: Option<ParentRequest<'a>>,
 }
 
 impl PlainCall<'_> {
@@ -177,6 +181,7 @@
             allow_tried: true,
             is_background: call.is_background,
             deadline: call.deadline,
+            parent: call.parent,
         };
         if let Some(service) = &tried_service
             && !view.admission.try_retry(service)
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use ids::{ModelName, ModelVersion, ServiceName, ShardIndex, WorkDigest};
 use jobs::{BlockReason, RewardOutcome, RunOutcome, RunResult, RunSpec, StartOrder};
-use node::{SlotGuard, WorkAdmission, item_work, record_choice, wall_time};
+use node::{ParentRequest, SlotGuard, WorkAdmission, item_work, record_choice, wall_time};
 use rand::Rng;
 use routing::{ColdSender, NoTargetReason, RegionScope, TargetRequirements};
 use tokio::time;
@@ -244,7 +244,13 @@
     let outcome = match (cached, reward) {
         (Some(score), _) => RewardOutcome::Scored(score),
         (None, None) => RewardOutcome::Scored(String::new()),
-        (None, Some(reward)) => call_reward(ctx, reward).await,
+        (None, Some(reward)) => {
+            let customer = spec.job.customer.parse().ok();
+            let path = spec.request().map_or("", |request| request.path.as_str());
+            let host = spec.job.host.as_str();
+            let parent = ParentRequest { host, path, customer: customer.as_ref() };
+            call_reward(ctx, reward, parent).await
+        }
     };
     let failed = matches!(outcome, RewardOutcome::Failed { .. });
     let record = keeper.jobs().scored(ctx.view.now(), &spec.item, outcome);
--- a/crates/shards/src/reward.rs
+++ b/crates/shards/src/reward.rs
@@ -8,7 +8,7 @@
 use futures::stream::FuturesUnordered;
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use jobs::{RewardHedgePlan, RewardOutcome};
-use node::{PlainCall, PlainOutcome, call_plain};
+use node::{ParentRequest, PlainCall, PlainOutcome, call_plain};
 use platform::headers;
 use routing::Route;
 use tokio::time::{self, Instant};
@@ -44,7 +44,13 @@
 
 /// Makes one reward call, hedged at a second and a third target if it takes long. The first
 /// successful response counts.
-pub async fn call_reward(ctx: &ShardContext, reward: &RewardCall) -> RewardOutcome {
+///
+/// The restrictions of the sample's request, its `parent`, apply to every call.
+pub async fn call_reward(
+    ctx: &ShardContext,
+    reward: &RewardCall,
+    parent: ParentRequest<'_>,
+) -> RewardOutcome {
     let table = ctx.view.table();
     let Some(route) = table.find(&reward.host, &reward.path) else {
         log::info!(target: "jobs", request = reward.id.as_str(), config = table.version.get(); "no route for a reward call");
@@ -54,7 +60,7 @@
     let started = Instant::now();
     let deadline = started + plan.limit();
     let mut calls = FuturesUnordered::new();
-    calls.push(call_once(ctx, reward, route, deadline));
+    calls.push(call_once(ctx, reward, parent, route, deadline));
     ctx.hedge_limiter.record_call();
     let mut made = 1;
     let mut worst = RewardOutcome::Missed;
@@ -73,7 +79,7 @@
                 made += 1;
                 // If all calls have failed, the caller decides whether to retry.
                 if !calls.is_empty() && ctx.hedge_limiter.try_hedge() {
-                    calls.push(call_once(ctx, reward, route, deadline));
+                    calls.push(call_once(ctx, reward, parent, route, deadline));
                 }
             }
         }
@@ -84,6 +90,7 @@
 async fn call_once(
     ctx: &ShardContext,
     reward: &RewardCall,
+    parent: ParentRequest<'_>,
     route: &Route,
     deadline: Instant,
 ) -> RewardOutcome {
@@ -110,6 +117,7 @@
         is_background: true,
         // An internal call: it needs neither a key nor a customer.
         customer: None,
+        parent: Some(parent),
     };
     match call_plain(&ctx.view, call).await {
         PlainOutcome::Answered(response) if response.status.is_success() => {
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -33,6 +33,54 @@
 }
 
 const MUTATIONS: &[Mutation] = &[
+    Mutation {
+        name: "regions: a box of any known region may hold a bound shard",
+        file: "crates/joblog/src/layout.rs",
+        from: "self.region_of(shard).is_some_and(|bound| region == Some(bound))",
+        to: "self.region_of(shard).is_some()",
+        package: "joblog",
+        test: "only_boxes_of_its_region",
+    },
+    Mutation {
+        name: "regions: copies of a bound shard are on boxes of other regions",
+        file: "crates/shards/src/context.rs",
+        from: "                && hosts.includes(copy)\n",
+        to: "",
+        package: "platform-standin",
+        test: "restricted_job_stays_in_its_region",
+    },
+    Mutation {
+        name: "regions: a bound shard gets a plan without a restriction",
+        file: "crates/shards/src/takeover.rs",
+        from: "    ctx.view.table().restricts_regions() && host_count",
+        to: "    host_count",
+        package: "platform-standin",
+        test: "no_bound_shard_has_a_plan",
+    },
+    Mutation {
+        name: "regions: the server stores a job whose copies are outside of its regions",
+        file: "crates/shards/src/handler.rs",
+        from: "        self.check_regions(keeper.shard(), &job)?;\n",
+        to: "",
+        package: "platform-standin",
+        test: "shard_refuses_job",
+    },
+    Mutation {
+        name: "regions: reward calls leave the regions of their item",
+        file: "crates/shards/src/reward.rs",
+        from: "        parent: Some(parent),",
+        to: "        parent: None,",
+        package: "platform-standin",
+        test: "job_regions::items_of_running_jobs",
+    },
+    Mutation {
+        name: "regions: items run outside of the regions in force",
+        file: "crates/shards/src/dispatch.rs",
+        from: "        regions: Some(&regions),",
+        to: "        regions: None,",
+        package: "platform-standin",
+        test: "items_of_running_jobs",
+    },
     Mutation {
         name: "admission: a permit outlives the box that holds it",
         file: "crates/shards/src/admission.rs",
