Jobs: one run per job across scopes, and services in the allowed regions

Cause: a submission that is repeated after its customer was restricted went to another shard and ran again there. An item drew one service by weight; if only a service with a small share has engines in the allowed regions, the item waited for many draws.

Change: while some shards are bound, the entry box asks the shards for the id before it submits to another shard than the holder's, and acknowledges a job that is held. An item without a target in its regions tries the other services of its route.

Ruled out: a submission without items to the holder, which would store an empty job if the holder had dropped it.

Tested: cluster job_regions.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -236,6 +236,26 @@
             .ok_or(ShardFault::OutsideRegions)
     }
 
+    /// Returns whether a shard other than `shard` holds this customer's job. It accepted the job under
+    /// an earlier scope; repeated in `shard`, the job would run twice. Queries the shards only if
+    /// some are bound to regions.
+    async fn is_held_elsewhere(&self, id: &str, customer: &str, shard: ShardIndex) -> bool {
+        let general = self.view.shards().unwrap_or_default();
+        if self.view.job_shards().iter().all(|shard| shard.get() < general) {
+            return false;
+        }
+        let Some(holder) = self.locate(id).await.filter(|holder| *holder != shard) else {
+            return false;
+        };
+        let read = shard_request::Body::Read(JobRead {
+            shard: holder.get(),
+            job: id.to_owned(),
+            customer: customer.to_owned(),
+            ..JobRead::default()
+        });
+        self.call(holder, id, CALL_TIMEOUT, &read).await.is_ok()
+    }
+
     /// Returns whether all copies of a shard are in allowed regions. The settings of the boxes may
     /// differ, and a domain may be missing in them.
     fn has_copies_within(&self, shard: ShardIndex, scope: &RegionScope) -> bool {
@@ -390,6 +410,10 @@
         Err(ShardFault::OutsideRegions) => return refuse_for_regions(client, id, items, &scope),
         Err(_) => return response::not_run("shard not served", Some(id)),
     };
+    if client.is_held_elsewhere(id, &job.customer, shard).await {
+        log::info!(target: "entry", job = id, outcome = "held under an earlier scope"; "job submitted");
+        return accepted();
+    }
     let call = shard_request::Body::Submit(JobSubmit { shard: shard.get(), job: Some(job) });
     let result = client.call(shard, id, SUBMIT_TIMEOUT, &call).await;
     if result.is_ok() {
@@ -410,9 +434,7 @@
         "job submitted"
     );
     match result {
-        Ok(_) => {
-            response::full(StatusCode::ACCEPTED, "application/json", Bytes::from_static(b"{}"))
-        }
+        Ok(_) => accepted(),
         Err(ShardFault::NotServed) => response::not_run("shard not served", Some(id)),
         Err(ShardFault::Full) => response::not_run("shard full", Some(id)),
         Err(ShardFault::OutsideRegions) => response::not_run(OUTSIDE_REGIONS, Some(id)),
@@ -424,6 +446,10 @@
     }
 }
 
+fn accepted() -> Response<FrontBody> {
+    response::full(StatusCode::ACCEPTED, "application/json", Bytes::from_static(b"{}"))
+}
+
 /// Returns the regions that the configuration in force allows for a submitted job: those of the
 /// route and customer of its submission and of all requests in it.
 fn submit_scope(table: &RouteTable, sender: JobSender<'_>, job: &Job) -> RegionScope {
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -7,7 +7,7 @@
 use jobs::{BlockReason, RewardOutcome, RunOutcome, RunResult, RunSpec, StartOrder};
 use node::{ParentRequest, SlotGuard, WorkAdmission, item_work, record_choice, wall_time};
 use rand::Rng;
-use routing::{ColdSender, NoTargetReason, RegionScope, TargetRequirements};
+use routing::{ColdSender, NoTargetReason, RegionScope, Route, TargetRequirements};
 use tokio::time;
 use wire::peer::{LogRecord, log_record};
 
@@ -154,9 +154,32 @@
     if !ctx.view.pool.has_capacity() {
         return Err(BlockReason::NoConnections);
     }
-    let (service, regions) = item_route(ctx, spec).ok_or(BlockReason::NoRoute)?;
+    let route = item_route(ctx, spec).ok_or(BlockReason::NoRoute)?;
+    let service = route.service(rand::rng().random()).ok_or(BlockReason::NoRoute)?;
+    let regions = route_scope(ctx, spec, &route);
+    match choose_engine(ctx, shard, spec, service, &regions) {
+        Err(BlockReason::OutsideRegions) => {
+            // A service with a small share of the route may be the only one in the allowed regions.
+            let others = route.backends.iter().filter(|other| other.weight > 0);
+            let others = others.filter(|other| other.service != *service);
+            let mut chosen = others
+                .filter_map(|other| choose_engine(ctx, shard, spec, &other.service, &regions).ok());
+            chosen.next().ok_or(BlockReason::OutsideRegions)
+        }
+        chosen => chosen,
+    }
+}
+
+/// Chooses an engine of a service in the allowed regions, and acquires a slot.
+fn choose_engine(
+    ctx: &ShardContext,
+    shard: ShardIndex,
+    spec: &RunSpec,
+    service: &ServiceName,
+    regions: &RegionScope,
+) -> Result<NextStep, BlockReason> {
     let work = spec_work(spec);
-    let WorkAdmission::Open(excluded) = ctx.view.admit_work(work, &service, true) else {
+    let WorkAdmission::Open(excluded) = ctx.view.admit_work(work, service, true) else {
         return Err(BlockReason::Quarantined);
     };
     let anti_affinity = ctx.view.suspects().anti_affinity(ctx.view.now(), work);
@@ -171,7 +194,7 @@
         work: Some(predicted),
         sender: Some(ColdSender { shard, shards: ctx.view.cold_senders() }),
         avoid: &excluded,
-        regions: Some(&regions),
+        regions: Some(regions),
     };
     let now = ctx.view.now();
     let mut rng = rand::rng();
@@ -179,7 +202,7 @@
     let job_model = spec.job.model.as_str();
     if let Some(urgency) = spec.urgency
         && ctx.urgencies.is_outranked(now, shard, job_model, urgency)
-        && targets.has_fitting(now, &service, &requirements, &mut rng)
+        && targets.has_fitting(now, service, &requirements, &mut rng)
         && ctx.urgencies.should_yield(now, shard, job_model, urgency)
     {
         ctx.view.metrics.count_outcome("slot", "yielded");
@@ -188,15 +211,15 @@
     // Prefer targets that run no other suspect work.
     let preferred = [excluded.as_slice(), anti_affinity.targets.as_slice()].concat();
     let preferred = TargetRequirements { avoid: &preferred, ..requirements };
-    let slot = targets.choose(now, &service, &preferred, &mut rng);
-    let slot = slot.or_else(|| targets.choose(now, &service, &requirements, &mut rng));
+    let slot = targets.choose(now, service, &preferred, &mut rng);
+    let slot = slot.or_else(|| targets.choose(now, service, &requirements, &mut rng));
     if let Some(slot) = slot {
         let speed = targets.speed(now, &slot.instance);
         drop(targets);
         record_choice(&ctx.view, work, &slot, Some(predicted.units), speed);
         return Ok(NextStep::Run(SlotGuard::new(&ctx.view, work, slot)));
     }
-    let reason = block_reason(targets.no_target_reason(now, &service, &requirements, &mut rng));
+    let reason = block_reason(targets.no_target_reason(now, service, &requirements, &mut rng));
     if spec.urgency.is_some() && matches!(reason, BlockReason::Full | BlockReason::BackedOff) {
         ctx.urgencies.no_free_slot(now, shard, job_model);
     }
@@ -222,20 +245,20 @@
     item_work(&spec.job.host, path, id, body)
 }
 
-/// Returns the service that the configuration in force names for an item, and the regions that it
-/// allows for it.
-fn item_route(ctx: &ShardContext, spec: &RunSpec) -> Option<(ServiceName, RegionScope)> {
-    let table = ctx.view.table();
-    let route = table.find(&spec.job.host, &spec.request()?.path)?;
-    let service = route.service(rand::rng().random()).cloned()?;
+/// Returns the route of an item in the configuration in force.
+fn item_route(ctx: &ShardContext, spec: &RunSpec) -> Option<Arc<Route>> {
+    ctx.view.table().find(&spec.job.host, &spec.request()?.path).cloned()
+}
+
+fn route_scope(ctx: &ShardContext, spec: &RunSpec, route: &Route) -> RegionScope {
     let customer = spec.job.customer.parse().ok();
-    Some((service, table.region_scope(&route.name, customer.as_ref())))
+    ctx.view.region_scope(route, customer.as_ref())
 }
 
 /// Returns the regions that the configuration in force allows for an item; all of them without a
 /// route, since nothing is sent then.
 pub(crate) fn item_scope(ctx: &ShardContext, spec: &RunSpec) -> RegionScope {
-    item_route(ctx, spec).map(|(_service, regions)| regions).unwrap_or_default()
+    item_route(ctx, spec).map(|route| route_scope(ctx, spec, &route)).unwrap_or_default()
 }
 
 async fn reward_item(ctx: &Arc<ShardContext>, keeper: &Arc<ShardKeeper>, spec: &RunSpec) {
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -65,6 +65,14 @@
         package: "platform-standin",
         test: "shard_refuses_job",
     },
+    Mutation {
+        name: "regions: a job runs again in the shard of its later scope",
+        file: "crates/front/src/jobs_api.rs",
+        from: "    if client.is_held_elsewhere(id, &job.customer, shard).await {",
+        to: "    if false {",
+        package: "platform-standin",
+        test: "submitted_again_under_another_scope",
+    },
     Mutation {
         name: "regions: reward calls leave the regions of their item",
         file: "crates/shards/src/reward.rs",
@@ -76,10 +84,10 @@
     Mutation {
         name: "regions: items run outside of the regions in force",
         file: "crates/shards/src/dispatch.rs",
-        from: "        regions: Some(&regions),",
+        from: "        regions: Some(regions),",
         to: "        regions: None,",
         package: "platform-standin",
-        test: "items_of_running_jobs",
+        test: "job_regions::items_of_running_jobs",
     },
     Mutation {
         name: "admission: a permit outlives the box that holds it",
