Targets: other regions cost more than other domains

Cause: a target of another region cost as much as one of another domain of the same region (0.34 of the load ratio), so traffic crossed regions while the near one had free slots.

Change: REMOTE_REGION_COST (1.0) replaces the domain cost for targets of another region. An idle far target is chosen once the near targets have a request for each of their slots. Requests that prefer a fast target weigh it like the load, by FAST_LOAD_WEIGHT: a far engine is worth it if it is more than a tenth faster. Without regions, and for domains whose region is not known, nothing changes. Moves of runs, texts chosen by expected time and grants of an admission home are as before.

Ruled out: the sum of both costs, by which the domain cost of 0.34 could not be changed without moving the point at which traffic crosses regions.

Tested: routing (spread of 6 and 20 requests over two near targets and a far one; texts). The value is chosen by the rule above; nothing has been measured with it.

--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -11,7 +11,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use ids::{DomainId, InstanceId, ModelName, ModelVersion, Moment, ServiceName};
+use ids::{DomainId, InstanceId, ModelName, ModelVersion, Moment, RegionId, ServiceName};
 use rand::Rng;
 
 use crate::cold::ColdLimit;
@@ -41,6 +41,11 @@
 /// Cost added to targets of other failure domains, in units of the load ratio. Traffic between
 /// domains costs more than a short wait.
 const REMOTE_DOMAIN_COST: f64 = 0.34;
+/// Cost added instead to targets of other regions, in the same units. Traffic between regions takes
+/// tens of milliseconds more, shares a link and is priced by the byte: at this cost an idle target of
+/// another region is chosen once the near ones have a request for each of their slots. Chosen by this
+/// rule, not measured.
+const REMOTE_REGION_COST: f64 = 1.0;
 /// Weight of the load relative to the unit time for requests that prefer a fast target. Low,
 /// because a full batch slows its requests down less than a slow engine does.
 const FAST_LOAD_WEIGHT: f64 = 0.1;
@@ -54,6 +59,8 @@
     domain: DomainId,
     targets: HashMap<InstanceId, TargetState>,
     regions: RegionMap,
+    /// Region of this box.
+    region: Option<RegionId>,
     index: RegionalIndex,
     /// Limits for cold targets, by service; services without a limit are missing.
     cold: HashMap<ServiceName, ColdLimit>,
@@ -73,6 +80,7 @@
             domain,
             targets: HashMap::new(),
             regions: RegionMap::default(),
+            region: None,
             index: RegionalIndex::default(),
             cold: HashMap::new(),
             evacuated: HashSet::new(),
@@ -85,6 +93,7 @@
     /// Sets the regions of the failure domains, before any target is added.
     #[must_use]
     pub fn with_regions(mut self, regions: RegionMap) -> Self {
+        self.region = regions.region_of(&self.domain).cloned();
         self.regions = regions;
         self
     }
@@ -420,14 +429,24 @@
         };
         let load_ratio = f64::from(state.load(now) + 1) / f64::from(state.slots());
         if fast {
-            return slowness + FAST_LOAD_WEIGHT * load_ratio;
+            return slowness + FAST_LOAD_WEIGHT * (load_ratio + self.region_cost(state));
         }
         load_ratio * slowness + self.domain_cost(state)
     }
 
-    /// The cost added to targets of other failure domains.
+    /// The cost added to targets of other failure domains and regions.
     fn domain_cost(&self, state: &TargetState) -> f64 {
-        if state.record.domain == self.domain { 0.0 } else { REMOTE_DOMAIN_COST }
+        let domain_cost = if state.record.domain == self.domain { 0.0 } else { REMOTE_DOMAIN_COST };
+        domain_cost.max(self.region_cost(state))
+    }
+
+    /// The cost added to targets of other regions; zero if either region is not known.
+    fn region_cost(&self, state: &TargetState) -> f64 {
+        let own = self.region.as_ref().filter(|_| state.record.domain != self.domain);
+        let other = own.and_then(|own| {
+            self.regions.region_of(&state.record.domain).filter(|region| *region != own)
+        });
+        if other.is_some() { REMOTE_REGION_COST } else { 0.0 }
     }
 
     /// Whether a request running at `instance` should move: another target fits, is not backed off
--- a/crates/routing/tests/regions.rs
+++ b/crates/routing/tests/regions.rs
@@ -211,3 +211,46 @@
     table.succeeded(NOW, &far);
     assert!(choose(&mut table, &scope).is_some());
 }
+
+/// Number of requests at each target after `count` choices without an end, in order of the targets.
+fn spread(table: &mut TargetTable, names: &[&str], fast: bool, count: usize) -> Vec<usize> {
+    let mut rng = rng();
+    let requirements = TargetRequirements { fast, ..TargetRequirements::default() };
+    let chosen: Vec<InstanceId> = (0..count)
+        .filter_map(|_| table.choose(NOW, &service(), &requirements, &mut rng))
+        .map(|chosen| chosen.instance)
+        .collect();
+    names.iter().map(|name| chosen.iter().filter(|id| id.as_str() == *name).count()).collect()
+}
+
+/// Guards against traffic between regions while the near one has free slots, and against a near
+/// region that is overloaded while the other is idle.
+#[test]
+fn another_region_gets_requests_once_the_near_one_is_full() {
+    let names = ["near-a", "near-b", "far"];
+    let listed = [("near-a", "kol-a"), ("near-b", "kol-b"), ("far", "dgp-a")];
+    // Each has four slots. The domain of the box costs less than the other one of its region.
+    assert_eq!(spread(&mut table(&listed), &names, false, 6)[2], 0);
+    let overloaded = spread(&mut table(&listed), &names, false, 20);
+    assert!((3..=5).contains(&overloaded[2]), "{overloaded:?}");
+    // Without regions the far target is another domain like `kol-b`.
+    let mut unknown = TargetTable::new("kol-a".parse().expect("a domain"));
+    for (name, domain) in listed {
+        unknown.put(NOW, record(name, domain));
+    }
+    let without = spread(&mut unknown, &names, false, 20);
+    assert!(without[1].abs_diff(without[2]) <= 1, "{without:?}");
+}
+
+/// Guards against texts that go to a far engine although a near one is as fast.
+#[test]
+fn texts_prefer_the_near_region_among_equally_fast_engines() {
+    let names = ["near", "far"];
+    let listed = [("near", "kol-b"), ("far", "dgp-a")];
+    assert_eq!(spread(&mut table(&listed), &names, true, 3), [3, 0]);
+    let mut table = table(&listed);
+    for (name, millis) in [("near", 30), ("far", 20)] {
+        table.record_unit_time(NOW, &name.parse().expect("an id"), Duration::from_millis(millis));
+    }
+    assert_eq!(spread(&mut table, &names, true, 3), [0, 3], "a faster engine is worth it");
+}
