Merge regions of routes and customers

Cells of admission are divided by scope: each scope that restricted requests had since the shortage began has a layout and a buffer of reports of its own. A connection that isn't open in time no longer closes the idle connections to other targets: it says nothing about them.

--- a/crates/admission/src/reports.rs
+++ b/crates/admission/src/reports.rs
@@ -43,11 +43,6 @@
         taken.into_iter().map(|(_, report)| report).collect()
     }
 
-    /// Drops all reports.
-    pub fn clear(&mut self) {
-        self.reports.clear();
-    }
-
     fn drop_expired(&mut self, now: Moment) {
         while self.reports.front().is_some_and(|(at, _)| now.since(*at) >= REPORT_MAX_AGE) {
             self.reports.pop_front();
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -17,11 +17,13 @@
 };
 use coord::rendezvous;
 use coord::retry::RetryBudget;
-use ids::{BoxId, CustomerName, InstanceId, Moment, RouteName, ServiceName, whole_millis};
+use ids::{
+    BoxId, CustomerName, InstanceId, Moment, RegionId, RouteName, ServiceName, whole_millis,
+};
 use joblog::StorageBox;
 use links::{CallError, LinkPool, ResponseStream};
 use rand::Rng;
-use routing::{ChosenTarget, DEFAULT_PRIORITY, Route, TargetLoad};
+use routing::{ChosenTarget, DEFAULT_PRIORITY, RegionScope, Route, TargetLoad};
 use tokio::time::{self, Instant};
 use wire::peer::{
     self, AdmissionAsk, AdmissionReply, PermitReport, ServedQuery, ShardResponse, admission_reply,
@@ -132,22 +134,39 @@
     shortage: ShortageDetector,
     /// Whether the last request needed a permit.
     is_shared: bool,
-    reports: ReportBuffer,
+    /// Cells of requests without restriction, and of each scope that restricted requests had since
+    /// the shortage began.
+    divisions: HashMap<RegionScope, CellDivision>,
+    retries: RetryBudget,
+}
+
+/// The cells of a service's targets in one scope, and the reports for their homes.
+#[derive(Debug, Default)]
+struct CellDivision {
     cells: CellLayout,
     /// When the cells were computed.
-    cells_at: Option<Moment>,
-    retries: RetryBudget,
+    computed_at: Option<Moment>,
+    reports: ReportBuffer,
 }
 
-impl ServiceState {
-    /// Computes the cells of the service, unless that was done recently.
-    fn refresh_cells(&mut self, view: &NodeView, now: Moment, service: &ServiceName) {
-        if self.cells_at.is_none_or(|at| now.since(at) >= CELLS_TTL) {
-            let targets = view.target_table();
-            self.cells =
-                CellLayout::new(targets.of_service(service).map(|listed| &listed.instance));
-            self.cells_at = Some(now);
+impl CellDivision {
+    /// Computes the cells, unless that was done recently.
+    fn refresh(
+        &mut self,
+        view: &NodeView,
+        now: Moment,
+        service: &ServiceName,
+        scope: &RegionScope,
+    ) {
+        if self.computed_at.is_some_and(|at| now.since(at) < CELLS_TTL) {
+            return;
         }
+        let targets = view.target_table();
+        let in_scope = targets
+            .of_service(service)
+            .filter(|record| scope.allows_domain(view.regions(), &record.domain));
+        self.cells = CellLayout::new(in_scope.map(|record| &record.instance));
+        self.computed_at = Some(now);
     }
 }
 
@@ -156,9 +175,7 @@
         Self {
             shortage: ShortageDetector::default(),
             is_shared: false,
-            reports: ReportBuffer::default(),
-            cells: CellLayout::default(),
-            cells_at: None,
+            divisions: HashMap::new(),
             retries: RetryBudget::new(RETRIES_PER_THOUSAND, MAX_RETRY_BURST),
         }
     }
@@ -249,12 +266,15 @@
             state.shortage.record_load(now, load, slots);
         }
         if !state.shortage.is_short(now) {
-            state.reports.clear();
+            state.divisions.clear();
             return;
         }
-        state.refresh_cells(view, now, &target.service);
-        let report = TargetReport { target: target.instance.clone(), outcome, load };
-        state.reports.add(now, &state.cells, report);
+        state.divisions.entry(RegionScope::Any).or_default();
+        for (scope, division) in &mut state.divisions {
+            division.refresh(view, now, &target.service, scope);
+            let report = TargetReport { target: target.instance.clone(), outcome, load };
+            division.reports.add(now, &division.cells, report);
+        }
     }
 
     fn record_reply(&self, now: Moment, service: &ServiceName, home: &BoxId, is_short: bool) {
@@ -294,7 +314,7 @@
             return is_short;
         }
         if !is_short {
-            state.reports.clear();
+            state.divisions.clear();
         }
         drop(services);
         if is_short {
@@ -305,20 +325,33 @@
         is_short
     }
 
-    /// Picks a cell of the service at random.
-    fn pick_cell(&self, view: &NodeView, service: &ServiceName) -> Cell {
+    /// Picks a cell of the service's targets in `scope` at random.
+    fn pick_cell<'a>(
+        &self,
+        view: &NodeView,
+        service: &ServiceName,
+        scope: &'a RegionScope,
+    ) -> Cell<'a> {
         let mut services = self.services();
         let state = services.entry(service.clone()).or_default();
-        state.refresh_cells(view, view.now(), service);
-        let count = state.cells.count();
-        Cell { index: rand::rng().random_range(0..count), count }
+        let division = state.divisions.entry(scope.clone()).or_default();
+        division.refresh(view, view.now(), service, scope);
+        let count = division.cells.count();
+        Cell { index: rand::rng().random_range(0..count), count, scope }
     }
 
     /// Removes and returns the reports for the home of a cell.
-    fn take_reports(&self, now: Moment, service: &ServiceName, cell: &Cell) -> Vec<PermitReport> {
+    fn take_reports(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        cell: &Cell<'_>,
+    ) -> Vec<PermitReport> {
         let mut services = self.services();
-        let Some(state) = services.get_mut(service) else { return Vec::new() };
-        let reports = state.reports.take(now, &state.cells, cell.index);
+        let division =
+            services.get_mut(service).and_then(|state| state.divisions.get_mut(cell.scope));
+        let Some(division) = division else { return Vec::new() };
+        let reports = division.reports.take(now, &division.cells, cell.index);
         drop(services);
         reports.iter().map(encode_report).collect()
     }
@@ -344,21 +377,27 @@
     PermitReport { target: report.target.to_string(), outcome: outcome.into(), load }
 }
 
-/// One of the parts into which the targets of a large service are divided.
-struct Cell {
+/// One of the parts into which the targets of a large service are divided. Restricted requests have
+/// cells of their own, which hold only the targets of their regions.
+struct Cell<'a> {
     index: u32,
     count: u32,
+    scope: &'a RegionScope,
 }
 
-/// Selects the home of a cell: the first storage box in rendezvous order that is not avoided.
-fn select_home(view: &NodeView, service: &ServiceName, cell: &Cell) -> Option<StorageBox> {
-    let key = format!("{service}/{}", cell.index);
+/// Selects the home of a cell: the first storage box of its regions in rendezvous order that is not
+/// avoided.
+fn select_home(view: &NodeView, service: &ServiceName, cell: &Cell<'_>) -> Option<StorageBox> {
+    let key = match cell.scope {
+        RegionScope::Any => format!("{service}/{}", cell.index),
+        scope @ RegionScope::Only(_) => format!("{service}/{}/{scope}", cell.index),
+    };
     let assignments = view.assignments();
-    let ranked = rendezvous::ranked(
-        &key,
-        assignments.boxes().map(|storage_box| &storage_box.box_id),
-        HOME_CANDIDATES,
-    );
+    let in_scope = assignments
+        .boxes()
+        .filter(|storage_box| cell.scope.allows_domain(view.regions(), &storage_box.domain));
+    let in_scope = in_scope.map(|storage_box| &storage_box.box_id);
+    let ranked = rendezvous::ranked(&key, in_scope, HOME_CANDIDATES);
     let home = ranked.into_iter().find(|home| !view.admission.is_avoided(view.now(), home))?;
     assignments.boxes().find(|storage_box| storage_box.box_id == *home).cloned()
 }
@@ -368,6 +407,7 @@
     view: &NodeView,
     route: &Route,
     service: &ServiceName,
+    scope: &RegionScope,
     goal: Duration,
     requirements: &WorkRequirements<'_>,
 ) -> PermitResult {
@@ -381,7 +421,7 @@
         return PermitResult::NotNeeded;
     }
     let Some(links) = view.admission.links.get() else { return PermitResult::NotNeeded };
-    let cell = view.admission.pick_cell(view, service);
+    let cell = view.admission.pick_cell(view, service, scope);
     let Some(home) = select_home(view, service, &cell) else {
         view.metrics.count_outcome("admission", "no home");
         return PermitResult::NotNeeded;
@@ -389,7 +429,8 @@
     let ask = ask_message(view, route, service, &cell, goal, requirements);
     let route = &route.name;
     let priority = ask.priority;
-    let home_call = HomeCall { view, route, priority, service, home: &home, requirements, goal };
+    let home_call =
+        HomeCall { view, route, priority, service, scope, home: &home, requirements, goal };
     home_call.request(links, ask).await
 }
 
@@ -397,7 +438,7 @@
     view: &NodeView,
     route: &Route,
     service: &ServiceName,
-    cell: &Cell,
+    cell: &Cell<'_>,
     goal: Duration,
     requirements: &WorkRequirements<'_>,
 ) -> AdmissionAsk {
@@ -413,23 +454,32 @@
         priority: u32::from(priority.unwrap_or(DEFAULT_PRIORITY).get()),
         time_left_ms: millis(requirements.deadline.saturating_duration_since(now)),
         goal_left_ms: millis((requirements.received + goal).saturating_duration_since(now)),
-        avoid: targets_to_avoid(view, service, requirements),
+        avoid: targets_to_avoid(view, service, cell.scope, requirements),
         reports: view.admission.take_reports(view.now(), service, cell),
         box_id: view.settings.box_id.to_string(),
         work: requirements.work.to_string(),
         goal_ms: millis(goal),
+        scope: encode_scope(cell.scope),
     }
 }
 
+fn encode_scope(scope: &RegionScope) -> Option<peer::AdmissionScope> {
+    let RegionScope::Only(regions) = scope else { return None };
+    Some(peer::AdmissionScope { regions: regions.iter().map(RegionId::to_string).collect() })
+}
+
 /// Targets that were tried already, unless all of them were and may be tried again.
 fn targets_to_avoid(
     view: &NodeView,
     service: &ServiceName,
+    scope: &RegionScope,
     requirements: &WorkRequirements<'_>,
 ) -> Vec<String> {
     let tried = requirements.tried;
     let targets = view.target_table();
-    let mut others = targets.of_service(service).filter(|listed| !tried.contains(&listed.instance));
+    let mut others = targets.of_service(service).filter(|listed| {
+        scope.allows_domain(view.regions(), &listed.domain) && !tried.contains(&listed.instance)
+    });
     if requirements.allow_tried && others.next().is_none() {
         return Vec::new();
     }
@@ -442,6 +492,7 @@
     route: &'a RouteName,
     priority: u32,
     service: &'a ServiceName,
+    scope: &'a RegionScope,
     home: &'a StorageBox,
     requirements: &'a WorkRequirements<'a>,
     goal: Duration,
@@ -507,7 +558,8 @@
 
     /// Whether this box lists a target that may get the request.
     fn has_targets(&self) -> bool {
-        !self.view.target_table().available(self.view.now(), self.service).is_empty()
+        let now = self.view.now();
+        !self.view.target_table().available(now, self.service, self.scope).is_empty()
     }
 
     /// Completes a connection to the home that the ask gave up, for later asks.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod plain;
 mod probe;
+mod regions;
 mod reload;
 mod settings;
 mod settings_file;
@@ -34,8 +35,11 @@
 pub use clock::ClockSource;
 pub use disconnects::record_disconnect;
 pub use metrics::{NodeMetrics, StoreCall, log_counters, serve_metrics};
-pub use plain::{CONNECT_MARGIN, PlainCall, PlainOutcome, call_plain, reuse_policy};
+pub use plain::{
+    CONNECT_MARGIN, NO_TARGET_IN_REGIONS, PlainCall, PlainOutcome, call_plain, reuse_policy,
+};
 pub use probe::ProbeBackoff;
+pub use regions::{ParentRequest, job_scope};
 pub use reload::{LiveSettings, ReloadableSettings, SettingChange, SettingsReloader};
 pub use settings::{
     JobOrder, NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings,
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -15,7 +15,8 @@
 
 use crate::choice::DEFAULT_GOAL;
 use crate::{
-    NodeView, TargetChoice, WorkRequirements, choose_target, record_disconnect, request_work,
+    NodeView, ParentRequest, TargetChoice, WorkRequirements, choose_target, record_disconnect,
+    request_work,
 };
 
 /// Maximum size of a response, in bytes.
@@ -33,6 +34,12 @@
 /// Pause before the next try when no target is available.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time to return after a refusal because no target in the allowed regions can serve a request. The
+/// refusal takes no time, so background calls would otherwise repeat it without a pause.
+const REGIONS_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Reason of the refusal if no target in the allowed regions can serve a request.
+pub const NO_TARGET_IN_REGIONS: &str = "no target in the allowed regions";
+
 /// A plain request.
 #[derive(Debug)]
 pub struct PlainCall<'a> {
@@ -54,6 +61,9 @@
     pub is_background: bool,
     /// The customer, for usage counts; the headers name it to the target.
     pub customer: Option<CustomerName>,
+    /// The request on whose behalf this internal call is made; its restriction to regions applies to
+    /// the call too.
+    pub parent: Option<ParentRequest<'a>>,
 }
 
 impl PlainCall<'_> {
@@ -174,6 +184,7 @@
             allow_tried: true,
             is_background: call.is_background,
             deadline: call.deadline,
+            parent: call.parent,
         };
         if let Some(service) = &tried_service
             && !view.admission.try_retry(service)
@@ -197,7 +208,14 @@
                 let retry_after = Some(refusal.retry_after);
                 return PlainOutcome::NotRun { reason: "no slot in time", retry_after };
             }
-            TargetChoice::Quarantined | TargetChoice::Refused(_) => break,
+            TargetChoice::NoneInRegions if run_count == 0 => {
+                let retry_after = view.admission.local_retry_after();
+                let retry_after = Some(retry_after.unwrap_or(REGIONS_RETRY_DELAY));
+                return PlainOutcome::NotRun { reason: NO_TARGET_IN_REGIONS, retry_after };
+            }
+            TargetChoice::Quarantined | TargetChoice::Refused(_) | TargetChoice::NoneInRegions => {
+                break;
+            }
         };
         let is_last = run_count + 1 >= call.route.attempts || !repeatable;
         let result = try_once(view, &call, work, slot.target(), is_last).await;
@@ -420,7 +438,7 @@
             targets.record_unit_time(view.now(), &target.instance, took);
         }
         TryResult::NotRun if outcome == TryOutcome::NotSent => {
-            targets.failed(view.now(), &target.instance, TargetFailure::Broken);
+            targets.failed(view.now(), &target.instance, TargetFailure::Unreachable);
         }
         // An error of the target, or a refusal that `classify_response` has recorded.
         TryResult::Answered(_) | TryResult::NotRun => {}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
-use ids::{ModelName, ModelVersion, Moment, ServiceName};
+use ids::{CustomerName, ModelName, ModelVersion, Moment, ServiceName, ShardIndex};
+use joblog::ShardLayout;
 use platform::{Kind, ObjectStore};
-use routing::{ColdLimit, RouteTable, TargetTable};
+use routing::{ColdLimit, RegionMap, RegionScope, Route, RouteTable, TargetTable};
 use suspects::SuspectTable;
 use tokio::sync::{Notify, watch};
 use upstream::{ConnectionLimit, MemoryBudget, TargetPool};
@@ -65,7 +66,8 @@
 impl NodeView {
     /// Creates an empty state.
     pub fn new(settings: NodeSettings, store: ObjectStore) -> Self {
-        let target_table = TargetTable::new(settings.domain.clone());
+        let target_table =
+            TargetTable::new(settings.domain.clone()).with_regions(settings.regions.clone());
         let limit = ConnectionLimit::for_descriptors(settings.max_fds);
         let usage = UsageTracker::new(settings.box_id.clone(), settings.usage_window);
         let admission = AdmissionClient::new(settings.admission, Arc::clone(&settings.live));
@@ -100,6 +102,19 @@
         self.clock.now()
     }
 
+    /// Regions of the failure domains.
+    pub const fn regions(&self) -> &RegionMap {
+        &self.settings.regions
+    }
+
+    /// Regions in which a request may be handled, by the configuration in force. While a request
+    /// runs its route may be removed; then the regions of the route that it was admitted on apply.
+    pub fn region_scope(&self, route: &Route, customer: Option<&CustomerName>) -> RegionScope {
+        let table = self.table();
+        let scope = table.region_scope(&route.name, customer);
+        if table.has_route(&route.name) { scope } else { scope.intersect(&route.regions) }
+    }
+
     /// The configuration in force.
     pub fn table(&self) -> Arc<RouteTable> {
         Arc::clone(&self.table.read().unwrap_or_else(PoisonError::into_inner))
@@ -169,12 +184,38 @@
         self.suspects_notify.notified().await;
     }
 
-    /// Number of shards, from the settings or the layout that the boxes agreed on.
-    pub fn shards(&self) -> Option<u32> {
+    /// The shards of the deployment, from the settings or the layout that the boxes agreed on. The
+    /// shards of the settings are all general.
+    pub fn layout(&self) -> Option<ShardLayout> {
         if self.settings.shards > 0 {
-            return Some(self.settings.shards);
+            return Some(ShardLayout::general(self.settings.shards));
         }
-        self.assignments().layout().map(|layout| layout.shards)
+        self.assignments().layout().cloned()
+    }
+
+    /// Number of general shards.
+    pub fn shards(&self) -> Option<u32> {
+        self.layout().map(|layout| layout.shards)
+    }
+
+    /// Shards that may hold jobs: the general ones, and the bound ones if the configuration
+    /// restricts regions or they have a plan.
+    pub fn job_shards(&self) -> Vec<ShardIndex> {
+        let Some(layout) = self.layout() else { return Vec::new() };
+        let restricts = self.table().restricts_regions();
+        let assignments = self.assignments();
+        let in_use = |shard: &ShardIndex| {
+            layout.region_of(*shard).is_none() || restricts || assignments.plan(*shard).is_some()
+        };
+        layout.all().filter(in_use).collect()
+    }
+
+    /// Number of shards that share the rate of cold targets: all shards once a bound one has a plan.
+    pub fn cold_senders(&self) -> u32 {
+        let Some(layout) = self.layout() else { return 1 };
+        let assignments = self.assignments();
+        let has_bound = layout.bound().any(|shard| assignments.plan(shard).is_some());
+        if has_bound { layout.total() } else { layout.shards }
     }
 
     /// Sets the named version of a model. Versions only increase.
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -11,11 +11,12 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use ids::{DomainId, InstanceId, ModelName, ModelVersion, Moment, ServiceName};
+use ids::{DomainId, InstanceId, ModelName, ModelVersion, Moment, RegionId, ServiceName};
 use rand::Rng;
 
 use crate::cold::ColdLimit;
-use crate::index::TargetIndex;
+use crate::regional_index::RegionalIndex;
+use crate::regions::{RegionMap, RegionScope};
 use crate::speed::duration_of_ms;
 use crate::target::{
     ChosenTarget, EngineChoice, HeldModel, MoveEstimate, NoTargetReason, RunProgress,
@@ -40,6 +41,11 @@
 /// Cost added to targets of other failure domains, in units of the load ratio. Traffic between
 /// domains costs more than a short wait.
 const REMOTE_DOMAIN_COST: f64 = 0.34;
+/// Cost added instead to targets of other regions, in the same units. Traffic between regions takes
+/// tens of milliseconds more, shares a link and is priced by the byte: at this cost an idle target of
+/// another region is chosen once the near ones have a request for each of their slots. Chosen by this
+/// rule, not measured.
+const REMOTE_REGION_COST: f64 = 1.0;
 /// Weight of the load relative to the unit time for requests that prefer a fast target. Low,
 /// because a full batch slows its requests down less than a slow engine does.
 const FAST_LOAD_WEIGHT: f64 = 0.1;
@@ -52,7 +58,10 @@
 pub struct TargetTable {
     domain: DomainId,
     targets: HashMap<InstanceId, TargetState>,
-    index: TargetIndex,
+    regions: RegionMap,
+    /// Region of this box.
+    region: Option<RegionId>,
+    index: RegionalIndex,
     /// Limits for cold targets, by service; services without a limit are missing.
     cold: HashMap<ServiceName, ColdLimit>,
     /// Failure domains that get no requests.
@@ -70,7 +79,9 @@
         Self {
             domain,
             targets: HashMap::new(),
-            index: TargetIndex::default(),
+            regions: RegionMap::default(),
+            region: None,
+            index: RegionalIndex::default(),
             cold: HashMap::new(),
             evacuated: HashSet::new(),
             reporting: HashMap::new(),
@@ -79,6 +90,14 @@
         }
     }
 
+    /// Sets the regions of the failure domains, before any target is added.
+    #[must_use]
+    pub fn with_regions(mut self, regions: RegionMap) -> Self {
+        self.region = regions.region_of(&self.domain).cloned();
+        self.regions = regions;
+        self
+    }
+
     /// Replaces the limits for cold targets.
     pub fn limit_cold(&mut self, limits: HashMap<ServiceName, ColdLimit>) {
         self.cold = limits;
@@ -119,7 +138,12 @@
     }
 
     fn rules(&self, now: Moment, service: &ServiceName) -> ServiceRules<'_> {
-        ServiceRules { now, cold: self.cold.get(service), evacuated: &self.evacuated }
+        ServiceRules {
+            now,
+            cold: self.cold.get(service),
+            evacuated: &self.evacuated,
+            regions: &self.regions,
+        }
     }
 
     /// Adds or updates a target from the platform's listing.
@@ -135,7 +159,8 @@
         }
         // A new incarnation inherits neither models nor failures of the previous one.
         self.remove(&instance);
-        self.index.insert(&record.service, &instance, &record.models);
+        let region = self.regions.region_of(&record.domain);
+        self.index.insert(region, &record.service, &instance, &record.models);
         self.generation += 1;
         let state = TargetState::new(now, record);
         self.targets.insert(instance, state);
@@ -145,9 +170,14 @@
     fn update(&mut self, now: Moment, record: TargetRecord) {
         let Some(state) = self.targets.get_mut(&record.instance) else { return };
         let previous = &state.record;
-        if previous.models != record.models || previous.service != record.service {
-            self.index.remove(&previous.service, &record.instance, &previous.models);
-            self.index.insert(&record.service, &record.instance, &record.models);
+        if previous.models != record.models
+            || previous.service != record.service
+            || previous.domain != record.domain
+        {
+            let region = self.regions.region_of(&previous.domain);
+            self.index.remove(region, &previous.service, &record.instance, &previous.models);
+            let region = self.regions.region_of(&record.domain);
+            self.index.insert(region, &record.service, &record.instance, &record.models);
         }
         self.generation += u64::from(state.record.leaving != record.leaving);
         state.mark_cold(now + record.cold_left);
@@ -162,7 +192,8 @@
     /// Removes a target; requests in flight there continue.
     pub fn remove(&mut self, instance: &InstanceId) {
         let Some(state) = self.targets.remove(instance) else { return };
-        self.index.remove(&state.record.service, instance, &state.record.models);
+        let region = self.regions.region_of(&state.record.domain);
+        self.index.remove(region, &state.record.service, instance, &state.record.models);
         if state.speed.has_reported() {
             self.stop_counting_reports(&state.record.service);
         }
@@ -284,19 +315,32 @@
 
     /// Counts a request to a target that another box chose, as [`Self::choose`] does. Returns
     /// `None` if the target must get no request now.
-    pub fn acquire(&mut self, now: Moment, instance: &InstanceId) -> Option<ChosenTarget> {
+    pub fn acquire(
+        &mut self,
+        now: Moment,
+        instance: &InstanceId,
+        scope: &RegionScope,
+    ) -> Option<ChosenTarget> {
         let state = self.targets.get(instance)?;
         let rules = self.rules(now, &state.record.service);
-        if !state.fits(&rules, &TargetRequirements::default()) {
+        let requirements =
+            TargetRequirements { regions: Some(scope), ..TargetRequirements::default() };
+        if !state.fits(&rules, &requirements) {
             return None;
         }
         self.start(now, instance)
     }
 
-    /// Targets of a service that may get requests, with their slots.
-    pub fn available(&self, now: Moment, service: &ServiceName) -> Vec<(InstanceId, u32)> {
+    /// Targets of a service that may get requests of this scope, with their slots.
+    pub fn available(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        scope: &RegionScope,
+    ) -> Vec<(InstanceId, u32)> {
         let rules = self.rules(now, service);
-        let requirements = TargetRequirements::default();
+        let requirements =
+            TargetRequirements { regions: Some(scope), ..TargetRequirements::default() };
         let states = self.index.of_service(service).filter_map(|id| self.targets.get(id));
         let available = states.filter(|state| state.fits(&rules, &requirements));
         available.map(|state| (state.record.instance.clone(), state.slots())).collect()
@@ -330,7 +374,7 @@
         let mut eligible = self.candidates(service, requirements, rng);
         eligible.retain(|state| state.is_eligible(requirements));
         if eligible.is_empty() {
-            return NoTargetReason::OldVersion;
+            return self.no_eligible_reason(service, requirements, rng);
         }
         eligible.retain(|state| !rules.evacuated.contains(&state.record.domain));
         if eligible.is_empty() {
@@ -351,6 +395,20 @@
         }
     }
 
+    /// Explains why no target is eligible: by the targets of the other regions if there are any.
+    fn no_eligible_reason(
+        &self,
+        service: &ServiceName,
+        requirements: &TargetRequirements<'_>,
+        rng: &mut impl Rng,
+    ) -> NoTargetReason {
+        let anywhere = TargetRequirements { regions: None, ..*requirements };
+        let others = self.candidates(service, &anywhere, rng);
+        let is_outside = requirements.regions.is_some_and(RegionScope::is_restricted)
+            && others.iter().any(|state| state.is_eligible(&anywhere));
+        if is_outside { NoTargetReason::OutsideRegions } else { NoTargetReason::OldVersion }
+    }
+
     /// The states of the targets to compare for a request.
     fn candidates(
         &self,
@@ -371,14 +429,24 @@
         };
         let load_ratio = f64::from(state.load(now) + 1) / f64::from(state.slots());
         if fast {
-            return slowness + FAST_LOAD_WEIGHT * load_ratio;
+            return slowness + FAST_LOAD_WEIGHT * (load_ratio + self.region_cost(state));
         }
         load_ratio * slowness + self.domain_cost(state)
     }
 
-    /// The cost added to targets of other failure domains.
+    /// The cost added to targets of other failure domains and regions.
     fn domain_cost(&self, state: &TargetState) -> f64 {
-        if state.record.domain == self.domain { 0.0 } else { REMOTE_DOMAIN_COST }
+        let domain_cost = if state.record.domain == self.domain { 0.0 } else { REMOTE_DOMAIN_COST };
+        domain_cost.max(self.region_cost(state))
+    }
+
+    /// The cost added to targets of other regions; zero if either region is not known.
+    fn region_cost(&self, state: &TargetState) -> f64 {
+        let own = self.region.as_ref().filter(|_| state.record.domain != self.domain);
+        let other = own.and_then(|own| {
+            self.regions.region_of(&state.record.domain).filter(|region| *region != own)
+        });
+        if other.is_some() { REMOTE_REGION_COST } else { 0.0 }
     }
 
     /// Whether a request running at `instance` should move: another target fits, is not backed off
@@ -480,15 +548,18 @@
     pub fn succeeded(&mut self, now: Moment, instance: &InstanceId) {
         let Some(state) = self.targets.get_mut(instance) else { return };
         state.failures = 0;
+        state.unreachable = false;
         state.refusals = 0;
         state.backoff_until = Moment::START;
         state.last_success = Some(now);
-        self.index.record_success(&state.record.service, instance);
+        let region = self.regions.region_of(&state.record.domain);
+        self.index.record_success(region, &state.record.service, instance);
     }
 
     /// Records a failure.
     pub fn failed(&mut self, now: Moment, instance: &InstanceId, failure: TargetFailure) {
         let Some(state) = self.targets.get_mut(instance) else { return };
+        state.unreachable = failure == TargetFailure::Unreachable;
         match failure {
             TargetFailure::Gone => state.gone = true,
             // A burst of requests is refused together; it counts as one refusal.
@@ -499,7 +570,7 @@
                 state.backoff_until = now + backoff.min(MAX_FULL_BACKOFF);
                 state.refusals = state.refusals.saturating_add(1);
             }
-            TargetFailure::Broken => {
+            TargetFailure::Broken | TargetFailure::Unreachable => {
                 // The target may restart, and be cold, before the listing shows it.
                 if let Some(limit) = self.cold.get(&state.record.service) {
                     state.mark_cold(now + limit.time);
@@ -538,8 +609,9 @@
             return;
         }
         let service = &state.record.service;
-        self.index.remove(service, instance, &state.record.models);
-        self.index.insert(service, instance, &merged);
+        let region = self.regions.region_of(&state.record.domain);
+        self.index.remove(region, service, instance, &state.record.models);
+        self.index.insert(region, service, instance, &merged);
         state.record.models = merged;
     }
 }
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -179,13 +179,9 @@
     ) -> Result<TargetResponse, SendError> {
         let Some(permit) = self.acquire_permit() else { return Err(SendError::LimitReached) };
         let connect_by = connect_by.min(Instant::now() + CONNECT_TIMEOUT);
-        let mut connection = match time::timeout_at(connect_by, connect(address, permit)).await {
-            Ok(Some(connection)) => connection,
-            Ok(None) => return Err(SendError::NotSent(address)),
-            Err(_elapsed) => {
-                self.close_idle();
-                return Err(SendError::NotSent(address));
-            }
+        let connected = time::timeout_at(connect_by, connect(address, permit)).await;
+        let Ok(Some(mut connection)) = connected else {
+            return Err(SendError::NotSent(address));
         };
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.target_response(address, connection, response)),
