Job log: segments in the plan, round markers, steps of a change of epoch

Cause: each change of epoch wrote the whole job table to three new copies before the shard was served again, 2 to 16 s.

Change: a plan lists sealed segments; a change of epoch seals the committed prefix of the open segment and copies only the rest. Round markers in the log tell a box that reads its copy which prefix is on all copies. A server changes the epoch between two rounds without stopping, and appends the records of a failed round again in the new epoch. Modules of the log are in shards/src/log; fetching missing segments returns 'not available' for now.

Ruled out: reading the plan again before a change by the server itself: the write is conditional.

--- a/crates/joblog/src/copy.rs
+++ b/crates/joblog/src/copy.rs
@@ -2,14 +2,18 @@
 //!
 //! All calls block on disk I/O; async callers must run them on a blocking thread.
 
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 
-use ids::{RecordLocation, ShardIndex};
+use ids::{FencingToken, RecordLocation, ShardIndex};
 use wire::peer::LogRecord;
+use wire::peer::log_record::Body;
 
-use crate::{EpochId, decode_records};
+use crate::{EpochId, SealedSegment, ShardPlan, decode_records};
 
 /// Bytes read at a time, so that a large copy is not buffered in full.
 const READ_BYTES: u64 = 1 << 20;
@@ -32,6 +36,12 @@
         /// Expected offset of the record, in bytes.
         offset: u64,
     },
+    /// No segment of the log has the token.
+    #[error("no segment of the log has the token {token}: its records were moved")]
+    NoSegment {
+        /// Token of the segment.
+        token: FencingToken,
+    },
     /// An append does not start at the end of the copy.
     #[error("the copy has {held} bytes but the append starts at {offset}: start a new epoch")]
     Gap {
@@ -42,6 +52,28 @@
     },
 }
 
+/// What a copy contains.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CopySummary {
+    /// Number of records.
+    pub records: usize,
+    /// Length of the complete records in bytes.
+    pub len: u64,
+    /// Offset of the last round marker, or zero without one: the bytes before it are on all copies
+    /// of the epoch.
+    pub committed: u64,
+}
+
+impl CopySummary {
+    fn add(&mut self, record: &LogRecord, len: u32) {
+        if matches!(record.body, Some(Body::Round(_))) {
+            self.committed = self.len;
+        }
+        self.records += 1;
+        self.len += u64::from(len);
+    }
+}
+
 /// The folder with all copies on this box.
 #[derive(Debug, Clone)]
 pub struct CopyFolder {
@@ -78,48 +110,96 @@
     }
 
     /// Calls `visit` with each record of a copy and its location, up to the first incomplete
-    /// record. Returns the number of records.
+    /// record.
     pub fn read(
         &self,
         shard: ShardIndex,
         epoch: &EpochId,
+        visit: impl FnMut(LogRecord, RecordLocation),
+    ) -> Result<CopySummary, CopyError> {
+        self.read_until(shard, epoch, u64::MAX, visit)
+    }
+
+    /// Calls `visit` with each record of a sealed segment and its location.
+    pub fn read_sealed(
+        &self,
+        shard: ShardIndex,
+        segment: &SealedSegment,
+        visit: impl FnMut(LogRecord, RecordLocation),
+    ) -> Result<CopySummary, CopyError> {
+        let summary = self.read_until(shard, &segment.epoch, segment.len, visit)?;
+        if summary.len < segment.len {
+            return Err(CopyError::NoRecord { offset: summary.len });
+        }
+        Ok(summary)
+    }
+
+    fn read_until(
+        &self,
+        shard: ShardIndex,
+        epoch: &EpochId,
+        end: u64,
         mut visit: impl FnMut(LogRecord, RecordLocation),
-    ) -> Result<usize, CopyError> {
-        let mut file = File::open(self.path(shard, epoch))?;
+    ) -> Result<CopySummary, CopyError> {
+        let mut file = File::open(self.path(shard, epoch))?.take(end);
         let mut bytes = Vec::new();
-        let mut count = 0;
-        let mut offset = 0;
+        let mut summary = CopySummary::default();
         loop {
-            let bytes_read = Read::by_ref(&mut file).take(READ_BYTES).read_to_end(&mut bytes)?;
+            let bytes_read = file.by_ref().take(READ_BYTES).read_to_end(&mut bytes)?;
             let (records, decoded_len) = decode_records(&bytes);
             bytes.drain(..decoded_len);
-            count += records.len();
             for (record, len) in records {
-                visit(record, RecordLocation { offset, len });
-                offset += u64::from(len);
+                let offset = summary.len;
+                summary.add(&record, len);
+                visit(record, RecordLocation { segment: epoch.token, offset, len });
             }
             if bytes_read == 0 {
-                return Ok(count);
+                return Ok(summary);
             }
         }
     }
 
-    /// Reads single records of a copy, in the order of `locations`.
-    pub fn load(
+    /// Reads the bytes of a copy in a range, which must be complete.
+    pub fn read_bytes(
         &self,
         shard: ShardIndex,
         epoch: &EpochId,
+        range: Range<u64>,
+    ) -> Result<Vec<u8>, CopyError> {
+        let mut file = File::open(self.path(shard, epoch))?;
+        file.seek(SeekFrom::Start(range.start))?;
+        let mut bytes = Vec::new();
+        file.take(range.end - range.start).read_to_end(&mut bytes)?;
+        let end = range.start + bytes.len() as u64;
+        if end < range.end { Err(CopyError::NoRecord { offset: end }) } else { Ok(bytes) }
+    }
+
+    /// Returns whether this box has all bytes of a sealed segment.
+    pub fn has_sealed(&self, shard: ShardIndex, segment: &SealedSegment) -> bool {
+        let file = fs::metadata(self.path(shard, &segment.epoch));
+        file.is_ok_and(|file| file.len() >= segment.len)
+    }
+
+    /// Reads single records, in the order of `locations`. `segments` are the epochs of the log's
+    /// segments; other epochs with the same tokens are not part of it.
+    pub fn load(
+        &self,
+        shard: ShardIndex,
+        segments: &[EpochId],
         locations: &[RecordLocation],
     ) -> Result<Vec<LogRecord>, CopyError> {
-        let mut file = File::open(self.path(shard, epoch))?;
+        let mut files = HashMap::new();
         let mut records = Vec::with_capacity(locations.len());
         for location in locations {
-            let mut bytes = vec![0; location.len as usize];
-            file.seek(SeekFrom::Start(location.offset))?;
-            file.read_exact(&mut bytes)?;
-            let (mut read, _) = decode_records(&bytes);
-            let error = CopyError::NoRecord { offset: location.offset };
-            records.push(read.pop().map(|(record, _)| record).ok_or(error)?);
+            let file = match files.entry(location.segment) {
+                Entry::Occupied(open) => open.into_mut(),
+                Entry::Vacant(entry) => {
+                    let epoch = segments.iter().find(|epoch| epoch.token == location.segment);
+                    let epoch = epoch.ok_or(CopyError::NoSegment { token: location.segment })?;
+                    entry.insert(File::open(self.path(shard, epoch))?)
+                }
+            };
+            records.push(load_record(file, location)?);
         }
         Ok(records)
     }
@@ -137,13 +217,31 @@
         Ok(epochs)
     }
 
-    /// Deletes the copy of an epoch that no plan names any longer.
-    pub fn remove(&self, shard: ShardIndex, epoch: &EpochId) -> Result<(), CopyError> {
-        fs::remove_file(self.path(shard, epoch))?;
-        Ok(())
+    /// Deletes the copies that neither `plan`, which the store must have confirmed, nor any later
+    /// plan can name. Returns their epochs.
+    pub fn remove_unused(
+        &self,
+        shard: ShardIndex,
+        plan: &ShardPlan,
+    ) -> Result<Vec<EpochId>, CopyError> {
+        let mut unused = self.epochs(shard)?;
+        unused.retain(|epoch| plan.excludes(epoch));
+        for epoch in &unused {
+            fs::remove_file(self.path(shard, epoch))?;
+        }
+        Ok(unused)
     }
 }
 
+fn load_record(file: &mut File, location: &RecordLocation) -> Result<LogRecord, CopyError> {
+    let mut bytes = vec![0; location.len as usize];
+    file.seek(SeekFrom::Start(location.offset))?;
+    file.read_exact(&mut bytes)?;
+    let (mut read, _) = decode_records(&bytes);
+    let error = CopyError::NoRecord { offset: location.offset };
+    read.pop().map(|(record, _)| record).ok_or(error)
+}
+
 /// A copy that is open for appends.
 #[derive(Debug)]
 pub struct LogCopyFile {
--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -21,16 +21,20 @@
 mod layout;
 mod plan;
 mod record;
+mod segments;
 mod standby;
 mod takeover;
 
-pub use copy::{CopyError, CopyFolder, LogCopyFile};
+pub use copy::{CopyError, CopyFolder, CopySummary, LogCopyFile};
 pub use epoch_takeover::{
     EpochTakeover, PlanWriteOutcome, TakeoverError, TakeoverStep, VersionedPlan,
 };
 pub use layout::ShardLayout;
-pub use plan::{EpochError, EpochId, ShardPlan, StorageBox};
+pub use plan::{EpochError, EpochId, SealedSegment, ShardPlan, StorageBox};
 pub use record::{decode_records, encode_record};
+pub use segments::{
+    LoadedLog, MAX_SEALED_SEGMENTS, MIN_SEALED_BYTES, SEGMENT_BYTES, SegmentContent,
+};
 pub use standby::active_boxes;
 pub use takeover::{
     LEAVING_DELAY, RESTART_GRACE, TAKEOVER_TIMEOUT, TakeoverDecision, TakeoverPreference,
--- a/crates/joblog/src/plan.rs
+++ b/crates/joblog/src/plan.rs
@@ -68,13 +68,28 @@
     pub domain: DomainId,
 }
 
-/// The server of a shard and the boxes with copies of its log.
+/// A segment of a shard's log that accepts no more appends: the file of an earlier epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SealedSegment {
+    /// The epoch that wrote the segment.
+    pub epoch: EpochId,
+    /// Number of bytes that belong to the log; the rest of the file is ignored.
+    pub len: u64,
+    /// The boxes that held all of these bytes when the segment was sealed or last copied.
+    pub copies: Vec<StorageBox>,
+}
+
+/// The server of a shard, and the boxes with copies of its log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardPlan {
-    /// The current epoch.
+    /// The current epoch, which appends to the open segment.
     pub epoch: EpochId,
-    /// All boxes with a copy; the first one serves the shard.
+    /// All boxes with a copy of the open segment; the first one serves the shard.
     pub copies: Vec<StorageBox>,
+    /// The earlier segments of the log, oldest first. Plans of releases that kept the log in one
+    /// file have none.
+    #[serde(default)]
+    pub sealed: Vec<SealedSegment>,
 }
 
 impl ShardPlan {
@@ -87,4 +102,19 @@
     pub fn rank(&self, box_id: &BoxId) -> Option<usize> {
         self.copies.iter().position(|copy| copy.box_id == *box_id)
     }
+
+    /// Returns whether neither this plan nor any later one can name a segment of `epoch`. Later
+    /// plans derive from this one by conditional writes and have higher tokens.
+    pub fn excludes(&self, epoch: &EpochId) -> bool {
+        if epoch.token == self.epoch.token {
+            return *epoch != self.epoch;
+        }
+        epoch.token < self.epoch.token && self.sealed.iter().all(|sealed| sealed.epoch != *epoch)
+    }
+
+    /// Returns the epochs of all segments, oldest first.
+    pub fn segments(&self) -> Vec<EpochId> {
+        let sealed = self.sealed.iter().map(|sealed| &sealed.epoch);
+        sealed.chain([&self.epoch]).cloned().collect()
+    }
 }
--- a/crates/joblog/src/record.rs
+++ b/crates/joblog/src/record.rs
@@ -1,6 +1,6 @@
 //! Encoding of log records on disk and on the wire: length, digest, message.
 
-use ids::RecordLocation;
+use ids::{FencingToken, RecordLocation};
 use prost::Message;
 use wire::peer::LogRecord;
 use xxhash_rust::xxh3::xxh3_64;
@@ -10,8 +10,13 @@
 /// Size of a record's digest, in bytes.
 const DIGEST_BYTES: usize = 8;
 
-/// Appends an encoded record to `out` and returns its location there.
-pub fn encode_record(record: &LogRecord, out: &mut Vec<u8>) -> RecordLocation {
+/// Appends an encoded record to `out` and returns its location, with offsets counted from the start
+/// of `out`.
+pub fn encode_record(
+    record: &LogRecord,
+    segment: FencingToken,
+    out: &mut Vec<u8>,
+) -> RecordLocation {
     let offset = out.len();
     let body = record.encode_to_vec();
     let len = u32::try_from(body.len()).unwrap_or(u32::MAX);
@@ -19,7 +24,7 @@
     out.extend_from_slice(&xxh3_64(&body).to_le_bytes());
     out.extend_from_slice(&body);
     let len = u32::try_from(out.len() - offset).unwrap_or(u32::MAX);
-    RecordLocation { offset: offset as u64, len }
+    RecordLocation { segment, offset: offset as u64, len }
 }
 
 /// Decodes the complete records at the start of `bytes`.
--- a/crates/joblog/src/takeover.rs
+++ b/crates/joblog/src/takeover.rs
@@ -51,6 +51,9 @@
     pub plan: Option<&'a ShardPlan>,
     /// Whether this box has the plan's copy on its disk.
     pub has_copy: bool,
+    /// Whether this box lacks sealed segments of the plan. It waits longer, because it has to fetch
+    /// them before it can serve.
+    pub lacks_segments: bool,
     /// Number of copies ahead of this box's in the plan that their boxes report as lost. The
     /// takeover does not wait for these.
     pub lost_before: usize,
@@ -89,6 +92,8 @@
                 let restart = if view.server_restarts { RESTART_GRACE } else { Duration::ZERO };
                 let rank = rank.saturating_sub(view.lost_before);
                 let extra = if rank > 0 { extra + restart } else { extra };
+                let fetch = if view.lacks_segments { TAKEOVER_TIMEOUT } else { Duration::ZERO };
+                let extra = extra + fetch;
                 let timeout = TAKEOVER_TIMEOUT * u32::try_from(rank).unwrap_or(u32::MAX) + extra;
                 view.preference == TakeoverPreference::Requested
                     || view.server_unresponsive_for >= timeout
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use ids::{JobId, Moment};
+use ids::{FencingToken, JobId, Moment};
 use wire::peer::log_record::Body;
 use wire::peer::{ItemProgress, Job, JobItem, LogRecord};
 
@@ -178,6 +178,9 @@
     pub versions: Vec<u64>,
     pub complete: bool,
     pub score: Option<String>,
+    /// The oldest segment of the log that is needed to replay the text, if an earlier job left the
+    /// text over.
+    pub carried_from: Option<FencingToken>,
 }
 
 impl ItemState {
@@ -195,6 +198,7 @@
             versions: Vec::new(),
             complete: false,
             score: None,
+            carried_from: None,
         }
     }
 
@@ -227,6 +231,7 @@
         self.versions = Vec::new();
         self.complete = false;
         self.score = None;
+        self.carried_from = None;
     }
 
     /// Whether the job allows a sample with these versions.
--- a/crates/jobs/src/snapshot.rs
+++ b/crates/jobs/src/snapshot.rs
@@ -16,6 +16,13 @@
     record: usize,
 }
 
+impl SnapshotCursor {
+    /// Returns whether all pieces were returned.
+    pub const fn is_done(&self) -> bool {
+        self.job >= self.jobs.len()
+    }
+}
+
 /// One piece of a snapshot.
 #[derive(Debug, Default)]
 pub struct SnapshotPiece {
@@ -34,7 +41,8 @@
         SnapshotCursor { jobs, job: 0, record: 0 }
     }
 
-    /// Returns the next records of a snapshot, about `max_bytes` in total; none at the end. No
+    /// Returns the next records of a snapshot, about `max_bytes` in total; none at the end, as
+    /// [`SnapshotCursor::is_done`] tells. No
     /// record may be applied between two pieces.
     pub fn snapshot_piece(&self, cursor: &mut SnapshotCursor, max_bytes: usize) -> SnapshotPiece {
         let mut piece = SnapshotPiece::default();
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -86,20 +86,20 @@
         self.apply_at(now, record, None);
     }
 
-    /// Like [`Self::apply`], for a record stored at `location` in this box's copy. Texts that are
+    /// Like [`Self::apply`], for a record stored at `location` on this box's disk. Texts that are
     /// no longer in memory are read from there.
     pub fn apply_at(&mut self, now: Moment, record: LogRecord, location: Option<RecordLocation>) {
         match record.body {
-            Some(Body::Accepted(job)) => self.apply_accepted(now, job),
+            Some(Body::Accepted(job)) => self.apply_accepted(now, job, location),
             Some(Body::Listed(listed)) => self.apply_listed(now, listed, location),
             Some(Body::Ended(ended)) => self.apply_ended(now, &ended.job),
             Some(Body::Dropped(dropped)) => self.apply_dropped(&dropped.job),
             Some(Body::Progress(progress)) => self.apply_progress(&progress),
-            None => {}
+            Some(Body::Round(_)) | None => {}
         }
     }
 
-    fn apply_accepted(&mut self, now: Moment, job: Job) {
+    fn apply_accepted(&mut self, now: Moment, job: Job, location: Option<RecordLocation>) {
         let Ok(id) = job.id.parse::<JobId>() else { return };
         if self.jobs.contains_key(&id) {
             return;
@@ -126,6 +126,7 @@
         let state = JobState {
             job,
             accepted_at: now,
+            accepted_in: location,
             items,
             waiting: order.into(),
             listed: Vec::new(),
@@ -174,6 +175,7 @@
         if !same_reward {
             state.score = None;
         }
+        state.carried_from = Some(earlier.segment_of(entry));
         (!state.versions.is_empty() && ItemState::versions_fit(&state.versions, job))
             .then_some(state)
     }
@@ -513,15 +515,4 @@
         });
         dropped.collect()
     }
-
-    /// Sets the locations of results in a new copy, by job and position.
-    pub fn relocate(&mut self, locations: &[(JobId, u32, RecordLocation)]) {
-        for (id, position, location) in locations {
-            let listed =
-                self.jobs.get_mut(id).and_then(|job| job.listed.get_mut(*position as usize));
-            if let Some(listed) = listed {
-                listed.location = Some(*location);
-            }
-        }
-    }
 }
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -14,9 +14,9 @@
 
 use crate::admission::AdmissionHome;
 use crate::backlog::BacklogTable;
-use crate::copies::OpenCopies;
 use crate::job_order::{UrgencyTable, start_order};
 use crate::loads::LoadTable;
+use crate::log::copies::OpenCopies;
 use crate::peers::PeerTable;
 use crate::reports::UsageSync;
 use crate::reward::HedgeLimiter;
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ids::{FencingToken, JobId, Moment, RecordLocation, ShardIndex};
-use joblog::EpochId;
+use joblog::{EpochId, LoadedLog};
 use jobs::JobTable;
 use node::wall_time;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -14,8 +14,10 @@
 use wire::peer::LogRecord;
 
 use crate::context::ShardContext;
-use crate::copies::on_disk;
-use crate::log_writer::LogWork;
+use crate::log::copies::on_disk;
+use crate::log::copying::Relocation;
+use crate::log::epoch_change::NewEpoch;
+use crate::log::log_writer::{EpochLog, LogWork};
 
 /// How long a confirmation is valid. Without a newer one another box may serve the shard, so reads
 /// are refused and no items are started.
@@ -52,12 +54,20 @@
     runs: Mutex<HashMap<JobId, CancellationToken>>,
     /// Set when the shard's server requests that this box take over.
     takeover_requested: Mutex<bool>,
-    /// The epoch whose acknowledged records the job table contains.
-    jobs_epoch: Mutex<Option<EpochId>>,
+    /// The log that the job table contains.
+    log: Mutex<Option<KeptLog>>,
     /// Set while copies of a new epoch are written.
     taking_over: AtomicBool,
 }
 
+/// The log that a job table contains.
+#[derive(Debug, Clone)]
+struct KeptLog {
+    loaded: LoadedLog,
+    /// Epochs of the segments that hold the records of the table.
+    segments: Vec<EpochId>,
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -81,7 +91,7 @@
             changed: watch::Sender::new(0),
             runs: Mutex::default(),
             takeover_requested: Mutex::new(false),
-            jobs_epoch: Mutex::default(),
+            log: Mutex::default(),
             taking_over: AtomicBool::new(false),
         }
     }
@@ -100,17 +110,17 @@
     pub fn reset(&self) {
         self.cancel_all_runs();
         *self.jobs() = new_table(&self.ctx);
-        self.set_jobs_epoch(None);
+        *lock(&self.log) = None;
     }
 
-    /// The epoch whose acknowledged records the job table contains.
-    pub fn jobs_epoch(&self) -> Option<EpochId> {
-        lock(&self.jobs_epoch).clone()
+    /// The log that the job table contains.
+    pub fn loaded(&self) -> Option<LoadedLog> {
+        lock(&self.log).as_ref().map(|log| log.loaded.clone())
     }
 
-    /// Sets the epoch whose acknowledged records the job table contains.
-    pub fn set_jobs_epoch(&self, epoch: Option<EpochId>) {
-        *lock(&self.jobs_epoch) = epoch;
+    /// Sets the log that the job table contains, and the epochs of its segments.
+    pub fn set_log(&self, loaded: LoadedLog, segments: Vec<EpochId>) {
+        *lock(&self.log) = Some(KeptLog { loaded, segments });
     }
 
     /// Returns whether copies of a new epoch are being written.
@@ -125,16 +135,48 @@
         self.ctx.heartbeat_due.notify_one();
     }
 
-    /// Starts to serve an epoch; `locations` are those of the results in its copy.
-    pub fn start_serving(&self, served: ServedEpoch, locations: &[(JobId, u32, RecordLocation)]) {
-        *lock(&self.confirmed_at) = None;
-        self.set_jobs_epoch(Some(served.epoch.clone()));
-        let mut jobs = self.jobs();
-        jobs.relocate(locations);
-        jobs.resume_appends();
-        drop(jobs);
+    /// Starts to serve an epoch. Returns its log.
+    pub fn start_serving(
+        &self,
+        new: NewEpoch,
+        log: mpsc::Sender<LogWork>,
+        ended: CancellationToken,
+    ) -> EpochLog {
+        *lock(&self.confirmed_at) = new.confirmed_at;
+        let served = ServedEpoch { epoch: new.log.epoch.clone(), log, ended };
+        let log = self.adopt(new);
+        self.jobs().resume_appends();
         *lock(&self.serving) = Some(served);
         self.wake();
+        log
+    }
+
+    /// Continues to serve the shard under a new epoch. Returns its log.
+    pub fn continue_serving(&self, new: NewEpoch) -> EpochLog {
+        if new.confirmed_at.is_some() {
+            *lock(&self.confirmed_at) = new.confirmed_at;
+        }
+        let log = self.adopt(new);
+        if let Some(served) = lock(&self.serving).as_mut() {
+            served.epoch = log.epoch.clone();
+        }
+        log
+    }
+
+    /// Takes over the segments of a new epoch, and deletes the files that it made obsolete.
+    fn adopt(&self, new: NewEpoch) -> EpochLog {
+        let mut jobs = self.jobs();
+        match &new.moved {
+            Relocation::None => {}
+            Relocation::Tail { of, from, to } => jobs.relocate_tail(*of, *from, *to),
+            Relocation::Snapshot(moved) => jobs.relocate(moved),
+        }
+        self.set_log(new.loaded, new.plan.segments());
+        drop(jobs);
+        // Service does not wait for the deletion.
+        let (copies, shard) = (self.ctx.copies.clone(), self.shard);
+        tokio::spawn(async move { copies.clean(shard, new.plan).await });
+        new.log
     }
 
     /// Stops serving. Returns whether the shard was served.
@@ -166,8 +208,9 @@
         self.served_token().is_some()
     }
 
-    /// Applies records that all copies acknowledged, with their locations in this box's copy.
-    pub fn apply(&self, records: Vec<(LogRecord, RecordLocation)>) {
+    /// Applies records that all copies acknowledged, with their locations on this box's disk. `len`
+    /// is the length of the open segment with them.
+    pub fn apply(&self, records: Vec<(LogRecord, RecordLocation)>, len: u64) {
         let now = self.ctx.view.now();
         let first = lock(&self.confirmed_at).replace(now).is_none();
         if first {
@@ -177,6 +220,9 @@
             return;
         }
         let mut jobs = self.jobs();
+        if let Some(log) = lock(&self.log).as_mut() {
+            (log.loaded.committed, log.loaded.len) = (len, len);
+        }
         for (record, location) in records {
             jobs.apply_at(now, record, Some(location));
         }
@@ -186,14 +232,14 @@
         self.wake();
     }
 
-    /// Reads full records from this box's copy; `None` when they can't be read.
+    /// Reads full records from this box's disk; `None` when they can't be read.
     pub async fn load(&self, locations: Vec<RecordLocation>) -> Option<Vec<LogRecord>> {
         if locations.is_empty() {
             return Some(Vec::new());
         }
         let (folder, shard) = (self.ctx.copies.folder().clone(), self.shard);
-        let epoch = self.jobs_epoch()?;
-        on_disk(shard, "read results", move || folder.load(shard, &epoch, &locations)).await
+        let segments = lock(&self.log).as_ref().map(|log| log.segments.clone())?;
+        on_disk(shard, "read results", move || folder.load(shard, &segments, &locations)).await
     }
 
     /// Queues records for the log without waiting. Drops them while the shard is not served; the
--- a/crates/shards/src/copies.rs
+++ b/crates/shards/src/log/copies.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use ids::ShardIndex;
-use joblog::{CopyError, CopyFolder, EpochId, LogCopyFile};
+use joblog::{CopyError, CopyFolder, EpochId, LogCopyFile, ShardPlan};
 use tokio::task;
 
 /// A copy that accepts appends.
@@ -136,21 +136,21 @@
         }
     }
 
-    /// Removes copies of a shard with a lower token than `keep`'s, and other epochs with the same
-    /// token.
-    pub async fn clean(&self, shard: ShardIndex, keep: EpochId) {
-        let (folder, open) = (self.folder.clone(), Arc::clone(&self.open));
-        let cleaned = on_disk(shard, "remove old copies", move || {
-            for epoch in folder.epochs(shard)? {
-                if epoch != keep && epoch.token <= keep.token {
-                    lock(&open).remove(&(shard, epoch.clone()));
-                    folder.remove(shard, &epoch)?;
-                }
-            }
-            Ok(())
-        });
-        // Remaining copies are removed with the next epoch.
-        let _logged = cleaned.await;
+    /// Closes earlier epochs and deletes the copies that no plan can name any more. The store must
+    /// have confirmed `plan`.
+    pub async fn clean(&self, shard: ShardIndex, plan: ShardPlan) {
+        let is_current = |(of, epoch): &(ShardIndex, EpochId)| {
+            *of != shard || *epoch == plan.epoch || epoch.token > plan.epoch.token
+        };
+        lock(&self.open).retain(|key, _| is_current(key));
+        lock(&self.receiving).retain(|key, _| is_current(key));
+        let folder = self.folder.clone();
+        let cleaned =
+            on_disk(shard, "remove old copies", move || folder.remove_unused(shard, &plan));
+        // Remaining copies are removed with the next plan.
+        for epoch in cleaned.await.unwrap_or_default() {
+            log::info!(target: "shard", shard = shard.get(), epoch:% = epoch; "copy removed");
+        }
     }
 }
 
--- /dev/null
+++ b/crates/shards/src/log/epoch_change.rs
@@ -0,0 +1,287 @@
+//! Performs the steps of [`EpochTakeover`]: reads the log if necessary, writes the new segment and
+//! the plan.
+
+use std::sync::Arc;
+
+use ids::{Moment, ShardIndex};
+use joblog::{
+    EpochId, EpochTakeover, LoadedLog, PlanWriteOutcome, SealedSegment, SegmentContent, ShardPlan,
+    StorageBox, TakeoverError, TakeoverStep, VersionedPlan,
+};
+use node::StoreCall;
+use node::assignments::{ObservedPlan, shard_object};
+use platform::{Kind, StoreError};
+use rand::Rng;
+use tokio::time;
+
+use crate::context::ShardContext;
+use crate::keeper::ShardKeeper;
+use crate::log::copies::on_disk;
+use crate::log::copying::{NewCopy, Relocation, write_segment};
+use crate::log::fetch::fetch_segments;
+use crate::log::log_writer::EpochLog;
+use crate::log::retry_delay::RetryDelay;
+
+/// How a box starts a new epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EpochChange {
+    /// It serves the shard and continues with the jobs in memory. Jobs may change meanwhile, but no
+    /// record is applied.
+    WhileServed,
+    /// It does not serve the shard.
+    TakeOver,
+}
+
+/// Why a new epoch was not started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum EpochChangeError {
+    /// The takeover failed.
+    #[error(transparent)]
+    Takeover(#[from] TakeoverError),
+    /// The change needs steps that are possible only while the shard is not served.
+    #[error("the shard cannot be served meanwhile")]
+    NotWhileServed,
+}
+
+impl EpochChangeError {
+    /// Returns whether the earlier epoch is certainly in force still: no plan was written.
+    pub const fn keeps_epoch(self) -> bool {
+        matches!(
+            self,
+            Self::NotWhileServed
+                | Self::Takeover(
+                    TakeoverError::NoPartners | TakeoverError::CopyFailed | TakeoverError::NoCopy
+                )
+        )
+    }
+}
+
+/// A new epoch, whose plan is in force.
+#[derive(Debug)]
+pub struct NewEpoch {
+    /// The copies to append to.
+    pub log: EpochLog,
+    /// The plan.
+    pub plan: ShardPlan,
+    /// The log as in memory.
+    pub loaded: LoadedLog,
+    /// Records that are in another segment now.
+    pub moved: Relocation,
+    /// A time before which no later plan was written; `None` if unknown.
+    pub confirmed_at: Option<Moment>,
+}
+
+/// Starts a new epoch that this box serves.
+pub async fn change_epoch(
+    ctx: &Arc<ShardContext>,
+    keeper: &Arc<ShardKeeper>,
+    change: EpochChange,
+) -> Result<NewEpoch, EpochChangeError> {
+    let number = u64::from(rand::rng().random::<u32>());
+    let mut takeover = EpochTakeover::new(ctx.me.clone(), number, keeper.loaded());
+    // The conditional write detects that the known plan is stale, so it need not be read again.
+    if change == EpochChange::WhileServed
+        && let Some(known) = known_plan(ctx, keeper)
+    {
+        takeover.plan_read(Ok(Some(known)));
+    }
+    let mut runner =
+        ChangeRunner { ctx, keeper, copy: None, delay: RetryDelay::new(), confirmed_at: None };
+    loop {
+        if takeover.needs_partners() {
+            if change == EpochChange::TakeOver {
+                keeper.jobs().suspend_appends();
+            }
+            let oldest = keeper.jobs().oldest_segment();
+            takeover.set_partners(ctx.choose_copies(keeper.shard()), oldest);
+        }
+        match takeover.step() {
+            TakeoverStep::Serve { revision, plan } => return runner.finish(revision, plan),
+            TakeoverStep::Fail(error) => return Err(error.into()),
+            step if change == EpochChange::WhileServed && !is_possible_while_served(&step) => {
+                return Err(EpochChangeError::NotWhileServed);
+            }
+            step => runner.perform(&mut takeover, step).await,
+        }
+    }
+}
+
+/// Returns the plan of the epoch in memory, as this box last read it.
+fn known_plan(ctx: &ShardContext, keeper: &ShardKeeper) -> Option<VersionedPlan> {
+    let loaded = keeper.loaded()?;
+    let assignments = ctx.view.assignments();
+    let observed = assignments.plan(keeper.shard())?;
+    let plan = observed.plan.clone();
+    (plan.epoch == loaded.epoch).then_some(VersionedPlan { revision: observed.revision, plan })
+}
+
+/// Returns whether a step leaves the jobs in memory as they are. Jobs must not change while a
+/// snapshot is written.
+const fn is_possible_while_served(step: &TakeoverStep) -> bool {
+    match step {
+        TakeoverStep::Copy { content, .. } => !matches!(content, SegmentContent::Snapshot),
+        TakeoverStep::WritePlan { .. } | TakeoverStep::CheckPlan => true,
+        _ => false,
+    }
+}
+
+struct ChangeRunner<'a> {
+    ctx: &'a Arc<ShardContext>,
+    keeper: &'a Arc<ShardKeeper>,
+    copy: Option<NewCopy>,
+    delay: RetryDelay,
+    /// When the plan write that succeeded was started.
+    confirmed_at: Option<Moment>,
+}
+
+impl ChangeRunner<'_> {
+    async fn perform(&mut self, takeover: &mut EpochTakeover, step: TakeoverStep) {
+        match step {
+            TakeoverStep::ReadPlan => takeover.plan_read(self.read_plan().await),
+            TakeoverStep::BeginEmpty => {
+                self.keeper.reset();
+                takeover.emptied();
+            }
+            TakeoverStep::FetchSegments(segments) => {
+                takeover.segments_fetched(self.fetch(segments).await);
+            }
+            TakeoverStep::CloseAndRead { epoch, sealed } => {
+                self.keeper.set_taking_over(true);
+                let loaded = close_and_read(self.ctx, self.keeper, epoch, sealed).await;
+                self.keeper.set_taking_over(false);
+                takeover.log_read(loaded);
+            }
+            TakeoverStep::Copy { epoch, partners, content } => {
+                self.keeper.set_taking_over(true);
+                self.copy = write_segment(self.ctx, self.keeper, &epoch, &partners, &content).await;
+                self.keeper.set_taking_over(false);
+                takeover.copies_written(self.copy.is_some());
+            }
+            TakeoverStep::WritePlan { base, plan } => {
+                takeover.plan_written(self.write_plan(base, &plan).await);
+            }
+            TakeoverStep::CheckPlan => {
+                let read = self.read_plan().await;
+                if read.is_err() {
+                    time::sleep(self.delay.next()).await;
+                }
+                takeover.plan_read(read);
+            }
+            TakeoverStep::Serve { .. } | TakeoverStep::Fail(_) => {}
+        }
+    }
+
+    fn finish(self, revision: u64, plan: ShardPlan) -> Result<NewEpoch, EpochChangeError> {
+        let copy = self.copy.ok_or(TakeoverError::CopyFailed)?;
+        let shard = self.keeper.shard();
+        record_plan(self.ctx, shard, VersionedPlan { revision, plan: plan.clone() });
+        let loaded = copy.loaded(plan.epoch.clone());
+        let partners: Vec<StorageBox> = plan.copies.iter().skip(1).cloned().collect();
+        let log = EpochLog { epoch: plan.epoch.clone(), file: Some(copy.file), partners };
+        let (moved, confirmed_at) = (copy.moved, self.confirmed_at);
+        Ok(NewEpoch { log, plan, loaded, moved, confirmed_at })
+    }
+
+    async fn fetch(&self, segments: Vec<SealedSegment>) -> bool {
+        let shard = self.keeper.shard();
+        let copies = &self.ctx.copies;
+        let missing: Vec<SealedSegment> = segments
+            .into_iter()
+            .filter(|segment| !copies.folder().has_sealed(shard, segment))
+            .collect();
+        let fetched = fetch_segments(copies, &self.ctx.links, shard, &missing).await;
+        if let Err(error) = &fetched {
+            log::warn!(target: "shard", shard = shard.get(), error:% = error; "segments not fetched");
+        }
+        fetched.is_ok()
+    }
+
+    async fn read_plan(&self) -> Result<Option<VersionedPlan>, ()> {
+        let (ctx, shard) = (self.ctx, self.keeper.shard());
+        ctx.view.metrics.store_call(Kind::ClusterState, StoreCall::Read);
+        let stored = ctx.view.store.get(Kind::ClusterState, &shard_object(shard)).await;
+        let stored = stored.map_err(|error| {
+            log::debug!(target: "shard", shard = shard.get(), error:% = error; "plan not read");
+        })?;
+        let Some(stored) = stored else { return Ok(None) };
+        let plan = stored.parse().map_err(|error| {
+            log::warn!(target: "shard", shard = shard.get(), error:% = error; "stored plan is invalid");
+        })?;
+        let read = VersionedPlan { revision: stored.revision, plan };
+        record_plan(ctx, shard, read.clone());
+        Ok(Some(read))
+    }
+
+    /// Writes the plan if `base` is still the stored revision.
+    async fn write_plan(&mut self, base: Option<u64>, plan: &ShardPlan) -> PlanWriteOutcome {
+        let (ctx, shard) = (self.ctx, self.keeper.shard());
+        let name = shard_object(shard);
+        let started = ctx.view.now();
+        ctx.view.metrics.store_call(Kind::ClusterState, StoreCall::Write);
+        let written = match base {
+            Some(base) => ctx.view.store.replace(Kind::ClusterState, &name, base, plan).await,
+            None => ctx.view.store.create(Kind::ClusterState, &name, plan).await,
+        };
+        match written {
+            Ok(revision) => {
+                self.confirmed_at = Some(started);
+                PlanWriteOutcome::Done(revision)
+            }
+            Err(StoreError::Conflict(_)) => PlanWriteOutcome::Conflict,
+            Err(error) => {
+                log::warn!(target: "shard", shard = shard.get(), error:% = error; "plan not written");
+                time::sleep(self.delay.next()).await;
+                PlanWriteOutcome::NoAnswer
+            }
+        }
+    }
+}
+
+fn record_plan(ctx: &ShardContext, shard: ShardIndex, read: VersionedPlan) {
+    let seen_at = ctx.view.now();
+    let observed = ObservedPlan { revision: read.revision, plan: read.plan, seen_at };
+    ctx.view.assignments().put_plan(shard, observed);
+}
+
+/// Closes this box's copy of the open segment and loads the log into the job table.
+async fn close_and_read(
+    ctx: &ShardContext,
+    keeper: &Arc<ShardKeeper>,
+    epoch: EpochId,
+    sealed: Vec<SealedSegment>,
+) -> Option<LoadedLog> {
+    let shard = keeper.shard();
+    ctx.copies.close(shard, &epoch).await;
+    keeper.reset();
+    let (folder, open) = (ctx.copies.folder().clone(), epoch.clone());
+    let segments = sealed.iter().map(|segment| segment.epoch.clone()).chain([epoch.clone()]);
+    let segments: Vec<EpochId> = segments.collect();
+    let (now, table) = (ctx.view.now(), Arc::clone(keeper));
+    let read = on_disk(shard, "read own copy", move || {
+        let mut jobs = table.jobs();
+        let mut records = 0;
+        for segment in &sealed {
+            let read = folder.read_sealed(shard, segment, |record, location| {
+                jobs.apply_at(now, record, Some(location));
+            });
+            records += read?.records;
+        }
+        let read = folder.read(shard, &open, |record, location| {
+            jobs.apply_at(now, record, Some(location));
+        })?;
+        Ok((records + read.records, read))
+    });
+    let Some((records, read)) = read.await else {
+        // The table may contain a part of the log.
+        keeper.reset();
+        return None;
+    };
+    log::info!(
+        target: "shard", shard = shard.get(), epoch:% = epoch, records = records,
+        segments = segments.len(), bytes = read.len, tail = read.len - read.committed;
+        "copy closed and read"
+    );
+    let loaded = LoadedLog { epoch, committed: read.committed, len: read.len };
+    keeper.set_log(loaded.clone(), segments);
+    Some(loaded)
+}
--- /dev/null
+++ b/crates/shards/src/log/mod.rs
@@ -0,0 +1,8 @@
+//! The logs of shards: copies on this box's disk, new segments, appends to all copies.
+
+pub mod copies;
+pub mod copying;
+pub mod epoch_change;
+pub mod fetch;
+pub mod log_writer;
+pub mod retry_delay;
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -21,12 +21,12 @@
 
 use crate::accounting::run_accounting;
 use crate::context::ShardContext;
-use crate::copies::OpenCopies;
 use crate::dispatch::dispatch_items;
 use crate::handler::ShardHandler;
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
 use crate::loads::publish_loads;
+use crate::log::copies::OpenCopies;
 use crate::peers::run_heartbeats;
 use crate::rollout::coordinate_rollouts;
 use crate::takeover::run_shard;
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -219,7 +219,7 @@
     },
     Mutation {
         name: "platform: a slow copy ends the epoch during a store outage",
-        file: "crates/shards/src/log_writer.rs",
+        file: "crates/shards/src/log/log_writer.rs",
         from: "let retry = !refused && !ctx.view.store_state().up;",
         to: "let retry = false && !refused;",
         package: "platform-standin",
