--- a/crates/joblog/src/epoch_takeover.rs
+++ b/crates/joblog/src/epoch_takeover.rs
@@ -88,6 +88,15 @@
     CopyFailed,
 }
 
+impl TakeoverError {
+    /// Returns whether no plan was written, so that the plan that was read is not replaced by this
+    /// attempt. Otherwise a server must not continue with its earlier epoch: a plan that seals it
+    /// may be in force.
+    pub const fn is_before_plan_write(self) -> bool {
+        matches!(self, Self::NoCopy | Self::NoSegment | Self::NoPartners | Self::CopyFailed)
+    }
+}
+
 /// Outcome of the conditional write of a plan.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlanWriteOutcome {
--- a/crates/shards/src/log/epoch_change.rs
+++ b/crates/shards/src/log/epoch_change.rs
@@ -43,19 +43,6 @@
     NotWhileServed,
 }
 
-impl EpochChangeError {
-    /// Returns whether the earlier epoch is certainly in force still: no plan was written.
-    pub const fn keeps_epoch(self) -> bool {
-        matches!(
-            self,
-            Self::NotWhileServed
-                | Self::Takeover(
-                    TakeoverError::NoPartners | TakeoverError::CopyFailed | TakeoverError::NoCopy
-                )
-        )
-    }
-}
-
 /// A new epoch, whose plan is in force.
 #[derive(Debug)]
 pub struct NewEpoch {
--- a/crates/shards/src/log/fetch.rs
+++ b/crates/shards/src/log/fetch.rs
@@ -16,7 +16,6 @@
 
 /// Fetches sealed segments that aren't on this box's disk, oldest first, from the boxes that they
 /// name.
-#[expect(clippy::unused_async, reason = "no request reads a segment of another box yet")]
 pub async fn fetch_segments(
     _copies: &OpenCopies,
     _links: &LinkPool,
--- a/crates/shards/src/log/log_writer.rs
+++ b/crates/shards/src/log/log_writer.rs
@@ -83,7 +83,7 @@
         }
         match change_served_epoch(&ctx, &keeper, &mut log, why).await {
             Ok(()) => delay = Duration::ZERO,
-            Err(error) if error.keeps_epoch() && error != EpochChangeError::NotWhileServed => {
+            Err(EpochChangeError::Takeover(error)) if error.is_before_plan_write() => {
                 change_due_at = ctx.view.now() + CHANGE_RETRY_DELAY;
             }
             Err(_unknown) => return why,
