--- a/crates/joblog/tests/takeover.rs
+++ b/crates/joblog/tests/takeover.rs
@@ -27,13 +27,23 @@
     lost_before: usize,
     server_unresponsive_for: Duration,
     restarts: bool,
+) -> bool {
+    decides_to_take_over(me, lost_before, server_unresponsive_for, restarts, false)
+}
+
+fn decides_to_take_over(
+    me: &str,
+    lost_before: usize,
+    server_unresponsive_for: Duration,
+    restarts: bool,
+    lacks_segments: bool,
 ) -> bool {
     let (me, plan) = (box_id(me), plan());
     let view = TakeoverView {
         me: &me,
         plan: Some(&plan),
         has_copy: true,
-        lacks_segments: false,
+        lacks_segments,
         lost_before,
         server_unresponsive_for,
         server_restarts: restarts,
@@ -70,3 +80,13 @@
     assert!(!takes_over("c", 1, TAKEOVER_TIMEOUT, true), "the box in between may still serve");
     assert!(takes_over("c", 1, TAKEOVER_TIMEOUT + RESTART_GRACE, true));
 }
+
+/// Guards against a takeover by a box that has to fetch segments first while another box has them.
+#[test]
+fn a_box_that_lacks_segments_waits_longer() {
+    let lacking = |me, after| decides_to_take_over(me, 0, after, false, true);
+    assert!(!lacking("a", Duration::ZERO));
+    assert!(lacking("a", TAKEOVER_TIMEOUT));
+    assert!(!lacking("b", TAKEOVER_TIMEOUT));
+    assert!(lacking("b", 2 * TAKEOVER_TIMEOUT));
+}
