--- a/crates/gannetctl/src/explain.rs
+++ b/crates/gannetctl/src/explain.rs
@@ -18,8 +18,9 @@
 use crate::output::{Table, print};
 
 /// Events about the server and the copies of a shard.
-const SHARD_EVENTS: [&str; 5] = [
+const SHARD_EVENTS: [&str; 6] = [
     "serving",
+    "epoch changed",
     "not serving",
     "plan in force",
     "takeover failed",
