--- a/crates/jobs/tests/segments.rs
+++ b/crates/jobs/tests/segments.rs
@@ -12,12 +12,12 @@
     text.parse().expect("valid job id")
 }
 
-fn location(segment: u64, offset: u64) -> Option<RecordLocation> {
-    Some(RecordLocation { segment: FencingToken::new(segment), offset, len: 9 })
+const fn location(segment: u64, offset: u64) -> RecordLocation {
+    RecordLocation { segment: FencingToken::new(segment), offset, len: 9 }
 }
 
 fn accept(table: &mut JobTable, name: &str, segment: u64, offset: u64) {
-    table.apply_at(at(1), accepted(job(name, 1)), location(segment, offset));
+    table.apply_at(at(1), accepted(job(name, 1)), Some(location(segment, offset)));
 }
 
 fn oldest(table: &JobTable) -> Option<u64> {
@@ -40,7 +40,7 @@
     accept(&mut table, "first", 3, 0);
     let mut other = job("second", 1);
     other.items.iter_mut().for_each(|item| item.id.push_str("-b"));
-    table.apply_at(at(1), accepted(other), location(5, 0));
+    table.apply_at(at(1), accepted(other), Some(location(5, 0)));
     assert_eq!(oldest(&table), Some(3));
     drop_job(&mut table, "first");
     assert_eq!(oldest(&table), Some(5));
@@ -78,7 +78,7 @@
         assert!(table.run_ended(at(21), &spec, &ended));
         let scored = RewardOutcome::Scored("s".to_owned());
         let listed = table.scored(at(22), &spec.item, scored).expect("a record");
-        table.apply_at(at(23), listed, location(5, 100));
+        table.apply_at(at(23), listed, Some(location(5, 100)));
     }
     assert!(text_of(&table, "second").contains(&"e1\ne2\ne3".to_owned()));
     assert_eq!(oldest(&table), Some(5), "listed results don't need the earlier text");
@@ -104,7 +104,7 @@
     let mut cursor = table.snapshot_cursor();
     let piece = table.snapshot_piece(&mut cursor, usize::MAX);
     assert!(cursor.is_done());
-    let new = location(9, 0).expect("a location");
+    let new = location(9, 0);
     let moved: Vec<MovedRecord> =
         piece.records.iter().filter_map(|record| MovedRecord::new(record, new)).collect();
     table.relocate(&moved);
