Job log: model store outages; lock the job table for each record read

Cause: no interleaving ended a change of epoch after a plan write with unknown outcome, so the mutation 'a server continues with an epoch that a plan may have sealed' was not noticed. The job table was locked while the whole log was read, which would stop heartbeats.

Change: the model's store has outages longer than the repeated writes of a takeover. The table is locked for each record. Segments are looked up on disk only once a takeover is due otherwise.

--- a/crates/joblog/tests/epochs.rs
+++ b/crates/joblog/tests/epochs.rs
@@ -40,6 +40,7 @@
     assert!(total.served > 20_000, "{total:?}");
     assert!(total.changed_while_served > 10_000, "{total:?}");
     assert!(total.continued > 1_000, "{total:?}");
+    assert!(total.without_store > 1_000, "{total:?}");
     assert!(total.sealed > 10_000, "{total:?}");
     assert!(total.tails > 1_000, "{total:?}");
     assert!(total.snapshots > 40, "{total:?}");
--- a/crates/joblog/tests/epochs/store.rs
+++ b/crates/joblog/tests/epochs/store.rs
@@ -11,8 +11,13 @@
     revision: u64,
     /// Writes whose response was lost, applied later if their condition still holds.
     pub late: Vec<(Option<u64>, ShardPlan)>,
+    /// Number of calls that still get no response: more than a takeover repeats its write.
+    outage: u32,
 }
 
+/// Calls without a response in an outage.
+const OUTAGE_CALLS: u32 = 12;
+
 impl Store {
     pub fn revision(&self) -> Option<u64> {
         self.plan.as_ref().map(|read| read.revision)
@@ -27,6 +32,21 @@
         PlanWriteOutcome::Done(self.revision)
     }
 
+    pub const fn start_outage(&mut self) {
+        self.outage = OUTAGE_CALLS;
+    }
+
+    /// Reads the plan, unless the response is lost.
+    pub fn read(&mut self, rng: &mut ChaCha8Rng) -> Result<Option<VersionedPlan>, ()> {
+        if self.is_out() || rng.random_ratio(1, 10) { Err(()) } else { Ok(self.plan.clone()) }
+    }
+
+    fn is_out(&mut self) -> bool {
+        let is_out = self.outage > 0;
+        self.outage = self.outage.saturating_sub(1);
+        is_out
+    }
+
     /// Writes the plan, unless the request or its response is lost or late.
     pub fn write(
         &mut self,
@@ -34,7 +54,8 @@
         base: Option<u64>,
         plan: &ShardPlan,
     ) -> PlanWriteOutcome {
-        match rng.random_range(0..10) {
+        let fate = rng.random_range(0..if self.is_out() { 3 } else { 10 });
+        match fate {
             0 => PlanWriteOutcome::NoAnswer,
             1 => {
                 self.apply(base, plan);
--- a/crates/joblog/tests/epochs/world.rs
+++ b/crates/joblog/tests/epochs/world.rs
@@ -24,6 +24,8 @@
     pub changed_while_served: usize,
     /// Failed changes after which the server continued with its epoch.
     pub continued: usize,
+    /// Takeovers and changes that ended after a plan write whose outcome is unknown.
+    pub without_store: usize,
     pub sealed: usize,
     /// Segments that begin with records that may not be on all copies of the earlier one.
     pub tails: usize,
@@ -42,6 +44,7 @@
         self.served += other.served;
         self.changed_while_served += other.changed_while_served;
         self.continued += other.continued;
+        self.without_store += other.without_store;
         self.sealed += other.sealed;
         self.tails += other.tails;
         self.snapshots += other.snapshots;
@@ -105,7 +108,7 @@
         if !self.rng.random_ratio(self.faults, 12) {
             return self.work(box_index);
         }
-        match self.rng.random_range(0..18) {
+        match self.rng.random_range(0..19) {
             0..4 => self.start_takeover(box_index),
             4..8 => self.boxes[box_index].restart(),
             8..11 => self.wipe(box_index),
@@ -113,6 +116,7 @@
             13..15 => self.lose_power(box_index),
             15 => self.start_change(box_index),
             16 => self.observe(box_index),
+            17 if self.rng.random_ratio(1, 8) => self.store.start_outage(),
             _ => self.clean(box_index),
         }
     }
@@ -122,8 +126,8 @@
         match self.rng.random_range(0..100) {
             0..45 => self.step(box_index),
             45..78 => self.append(box_index),
-            78..80 => self.start_takeover(box_index),
-            80..82 => self.start_change(box_index),
+            78..81 => self.start_takeover(box_index),
+            81..82 => self.start_change(box_index),
             82..90 => self.pull(box_index),
             90..94 => self.rewrite_plan(box_index),
             94..97 => self.observe(box_index),
@@ -175,11 +179,11 @@
         }
         match takeover.step() {
             TakeoverStep::ReadPlan | TakeoverStep::CheckPlan => {
-                let lost = self.rng.random_ratio(1, 10);
-                if !lost {
+                let read = self.store.read(&mut self.rng);
+                if read.is_ok() {
                     self.observe(box_index);
                 }
-                takeover.plan_read(if lost { Err(()) } else { Ok(self.store.plan.clone()) });
+                takeover.plan_read(read);
             }
             TakeoverStep::BeginEmpty => {
                 self.boxes[box_index].reset();
@@ -224,6 +228,8 @@
         if error == TakeoverError::Superseded {
             me.reset();
         }
+        self.counts.without_store +=
+            usize::from(error == TakeoverError::NoStore && me.copied.take().is_some());
         // The server continues with its epoch if nothing else can have replaced it.
         let continues = me.serving.as_ref().is_some_and(|serving| {
             error.is_before_plan_write() && serving.unacknowledged.is_empty()
--- a/crates/shards/src/log/epoch_change.rs
+++ b/crates/shards/src/log/epoch_change.rs
@@ -245,17 +245,13 @@
     let segments: Vec<EpochId> = segments.collect();
     let (now, table) = (ctx.view.now(), Arc::clone(keeper));
     let read = on_disk(shard, "read own copy", move || {
-        let mut jobs = table.jobs();
+        // The table is locked for each record only: heartbeats need it too.
+        let apply = |record, location| table.jobs().apply_at(now, record, Some(location));
         let mut records = 0;
         for segment in &sealed {
-            let read = folder.read_sealed(shard, segment, |record, location| {
-                jobs.apply_at(now, record, Some(location));
-            });
-            records += read?.records;
+            records += folder.read_sealed(shard, segment, apply)?.records;
         }
-        let read = folder.read(shard, &open, |record, location| {
-            jobs.apply_at(now, record, Some(location));
-        })?;
+        let read = folder.read(shard, &open, apply)?;
         Ok((records + read.records, read))
     });
     let Some((records, read)) = read.await else {
--- a/crates/shards/src/takeover.rs
+++ b/crates/shards/src/takeover.rs
@@ -108,7 +108,7 @@
         me: &ctx.me.box_id,
         plan,
         has_copy: plan.is_some_and(|plan| ctx.copies.folder().has(shard, &plan.epoch)),
-        lacks_segments: plan.is_some_and(|plan| lacks_segments(ctx, shard, plan)),
+        lacks_segments: false,
         lost_before: plan.map_or(0, |plan| lost_before(ctx, shard, plan)),
         server_unresponsive_for: observed
             .map(|observed| server_unresponsive_for(ctx, shard, observed))
@@ -124,7 +124,12 @@
             TakeoverPreference::Neutral
         },
     };
-    decide_takeover(&view) == TakeoverDecision::TakeOver
+    if decide_takeover(&view) == TakeoverDecision::Wait {
+        return false;
+    }
+    // Checked last, because it looks up a file for each segment.
+    let lacks_segments = plan.is_some_and(|plan| lacks_segments(ctx, shard, plan));
+    decide_takeover(&TakeoverView { lacks_segments, ..view }) == TakeoverDecision::TakeOver
 }
 
 /// Returns whether a sealed segment of the plan is not on this box's disk.
