--- a/crates/joblog/tests/takeover.rs
+++ b/crates/joblog/tests/takeover.rs
@@ -19,7 +19,7 @@
         domain: "domain-1".parse().expect("valid domain"),
     });
     let epoch = EpochId { token: FencingToken::new(3), number: 1, by: box_id("a") };
-    ShardPlan { epoch, copies: copies.into() }
+    ShardPlan { epoch, copies: copies.into(), sealed: Vec::new() }
 }
 
 fn takes_over(
@@ -27,12 +27,23 @@
     lost_before: usize,
     server_unresponsive_for: Duration,
     restarts: bool,
+) -> bool {
+    decides_to_take_over(me, lost_before, server_unresponsive_for, restarts, false)
+}
+
+fn decides_to_take_over(
+    me: &str,
+    lost_before: usize,
+    server_unresponsive_for: Duration,
+    restarts: bool,
+    lacks_segments: bool,
 ) -> bool {
     let (me, plan) = (box_id(me), plan());
     let view = TakeoverView {
         me: &me,
         plan: Some(&plan),
         has_copy: true,
+        lacks_segments,
         lost_before,
         server_unresponsive_for,
         server_restarts: restarts,
@@ -69,3 +80,13 @@
     assert!(!takes_over("c", 1, TAKEOVER_TIMEOUT, true), "the box in between may still serve");
     assert!(takes_over("c", 1, TAKEOVER_TIMEOUT + RESTART_GRACE, true));
 }
+
+/// Guards against a takeover by a box that has to fetch segments first while another box has them.
+#[test]
+fn a_box_that_lacks_segments_waits_longer() {
+    let lacking = |me, after| decides_to_take_over(me, 0, after, false, true);
+    assert!(!lacking("a", Duration::ZERO));
+    assert!(lacking("a", TAKEOVER_TIMEOUT));
+    assert!(!lacking("b", TAKEOVER_TIMEOUT));
+    assert!(lacking("b", 2 * TAKEOVER_TIMEOUT));
+}
