Job log: planner for missing copies of sealed segments

Cause: a box that replaces another one in a plan holds only the open segment. Nothing copies the sealed segments to it.

Change: joblog/repair.rs decides which box pulls which segment from which box, when the plan names new holders, and the order of the copies in a plan. joblog/segment_file.rs receives a segment under a temporary name and gives it its own name once it is synced and checked. A box counts as assigned while a plan names it for a sealed segment, so that it stays active and its retirement waits. A gauge for segments with missing copies.

Ruled out: naming each new holder as soon as it has the segment. That is one write to the store per box and segment, and the entries would exceed the number of copies.

--- a/crates/joblog/src/copy.rs
+++ b/crates/joblog/src/copy.rs
@@ -55,11 +55,15 @@
         Ok(Self { folder: folder.to_owned() })
     }
 
-    fn path(&self, shard: ShardIndex, epoch: &EpochId) -> PathBuf {
+    pub(crate) fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    pub(crate) fn path(&self, shard: ShardIndex, epoch: &EpochId) -> PathBuf {
         self.folder.join(format!("shard-{shard}-{epoch}{EXTENSION}"))
     }
 
-    fn sync_folder(&self) -> Result<(), CopyError> {
+    pub(crate) fn sync_folder(&self) -> Result<(), CopyError> {
         File::open(&self.folder)?.sync_all()?;
         Ok(())
     }
--- a/crates/joblog/src/epoch_takeover.rs
+++ b/crates/joblog/src/epoch_takeover.rs
@@ -166,7 +166,7 @@
 
     fn plan(&self) -> ShardPlan {
         let copies = std::iter::once(self.me.clone()).chain(self.partners.iter().cloned());
-        ShardPlan { epoch: self.epoch(), copies: copies.collect() }
+        ShardPlan { epoch: self.epoch(), copies: copies.collect(), sealed: Vec::new() }
     }
 
     fn fail(&mut self, error: TakeoverError) {
--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -21,6 +21,8 @@
 mod layout;
 mod plan;
 mod record;
+mod repair;
+mod segment_file;
 mod standby;
 mod takeover;
 
@@ -29,8 +31,13 @@
     EpochTakeover, PlanWriteOutcome, TakeoverError, TakeoverStep, VersionedPlan,
 };
 pub use layout::ShardLayout;
-pub use plan::{EpochError, EpochId, ShardPlan, StorageBox};
+pub use plan::{EpochError, EpochId, SealedSegment, ShardPlan, StorageBox};
 pub use record::{decode_records, encode_record};
+pub use repair::{
+    RetryPause, incomplete_segments, missing_segments, order_partners, segment_sources,
+    updated_plan,
+};
+pub use segment_file::{IncomingSegment, SegmentBytes};
 pub use standby::active_boxes;
 pub use takeover::{
     LEAVING_DELAY, RESTART_GRACE, TAKEOVER_TIMEOUT, TakeoverDecision, TakeoverPreference,
--- a/crates/joblog/src/plan.rs
+++ b/crates/joblog/src/plan.rs
@@ -68,6 +68,17 @@
     pub domain: DomainId,
 }
 
+/// An earlier epoch's file, of which a prefix belongs to the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SealedSegment {
+    /// The epoch that wrote the file.
+    pub epoch: EpochId,
+    /// Length of the prefix that belongs to the log, in bytes.
+    pub len: u64,
+    /// The boxes that hold the prefix.
+    pub copies: Vec<StorageBox>,
+}
+
 /// The server of a shard and the boxes with copies of its log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardPlan {
@@ -75,6 +86,9 @@
     pub epoch: EpochId,
     /// All boxes with a copy; the first one serves the shard.
     pub copies: Vec<StorageBox>,
+    /// Earlier segments of the log, oldest first.
+    #[serde(default)]
+    pub sealed: Vec<SealedSegment>,
 }
 
 impl ShardPlan {
@@ -87,4 +101,14 @@
     pub fn rank(&self, box_id: &BoxId) -> Option<usize> {
         self.copies.iter().position(|copy| copy.box_id == *box_id)
     }
+
+    /// Returns all boxes with a copy of any segment. A box may appear several times.
+    pub fn boxes(&self) -> impl Iterator<Item = &StorageBox> {
+        self.copies.iter().chain(self.sealed.iter().flat_map(|segment| &segment.copies))
+    }
+
+    /// Returns whether a box has a copy of any segment.
+    pub fn names(&self, box_id: &BoxId) -> bool {
+        self.boxes().any(|copy| copy.box_id == *box_id)
+    }
 }
--- a/crates/joblog/tests/takeover.rs
+++ b/crates/joblog/tests/takeover.rs
@@ -19,7 +19,7 @@
         domain: "domain-1".parse().expect("valid domain"),
     });
     let epoch = EpochId { token: FencingToken::new(3), number: 1, by: box_id("a") };
-    ShardPlan { epoch, copies: copies.into() }
+    ShardPlan { epoch, copies: copies.into(), sealed: Vec::new() }
 }
 
 fn takes_over(
--- a/crates/node/src/assignments.rs
+++ b/crates/node/src/assignments.rs
@@ -1,7 +1,7 @@
 //! The cluster state in the store: the storage boxes, the number of shards and the plan of each
 //! shard. [`AssignmentSink`] also applies the records of suspected work, which are stored with it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use ids::{BoxId, Moment, ShardIndex};
@@ -57,7 +57,10 @@
 
     /// Storage boxes that are active. The others are on standby.
     pub fn active_boxes(&self) -> Vec<&StorageBox> {
-        active_boxes(self.boxes(), |storage_box| self.has_assignment(&storage_box.box_id))
+        // A plan may name each box once per segment, so the names are collected once.
+        let named = self.plans.values().flat_map(|observed| observed.plan.boxes());
+        let named: HashSet<&BoxId> = named.map(|storage_box| &storage_box.box_id).collect();
+        active_boxes(self.boxes(), |storage_box| named.contains(&storage_box.box_id))
     }
 
     /// The plan of a shard.
@@ -65,6 +68,11 @@
         self.plans.get(&shard)
     }
 
+    /// The plans of all shards.
+    pub fn plans(&self) -> impl Iterator<Item = (ShardIndex, &ObservedPlan)> {
+        self.plans.iter().map(|(shard, observed)| (*shard, observed))
+    }
+
     /// Servers of all shards by the plans in force; a box appears once per shard.
     pub fn servers(&self) -> impl Iterator<Item = &StorageBox> {
         self.plans.values().filter_map(|observed| observed.plan.server())
@@ -85,9 +93,9 @@
         self.is_listed
     }
 
-    /// Whether any plan includes a box.
+    /// Whether any plan names a box, for the open segment or for a sealed one.
     pub fn has_assignment(&self, box_id: &BoxId) -> bool {
-        self.plans.values().any(|observed| observed.plan.rank(box_id).is_some())
+        self.plans.values().any(|observed| observed.plan.names(box_id))
     }
 
     /// Stores a plan unless a newer revision is present.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -98,6 +98,7 @@
     buffered_bytes: Gauge,
     entries_refused: Gauge,
     window_reported: Gauge,
+    incomplete_segments: Gauge,
 }
 
 impl fmt::Debug for NodeMetrics {
@@ -122,6 +123,12 @@
         let buffered_bytes = Gauge::default();
         let entries_refused = Gauge::default();
         let window_reported = Gauge::default();
+        let incomplete_segments = Gauge::default();
+        registry.register(
+            "incomplete_segments",
+            "Sealed segments of shards served here that not every box of the plan holds",
+            incomplete_segments.clone(),
+        );
         registry.register(
             "usage_window_reported",
             "Number of the last window of use whose report this box sent and was taken",
@@ -197,6 +204,7 @@
             buffered_bytes,
             entries_refused,
             window_reported,
+            incomplete_segments,
         }
     }
 }
@@ -262,6 +270,11 @@
         self.window_reported.set(i64::try_from(window).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of sealed segments with missing copies, of all shards served here.
+    pub fn incomplete_segments(&self, count: usize) {
+        self.incomplete_segments.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of invalid target entries.
     pub fn entries_refused(&self, count: usize) {
         self.entries_refused.set(i64::try_from(count).unwrap_or(i64::MAX));
