--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -23,10 +23,11 @@
 mod record;
 mod repair;
 mod segment_file;
+mod segments;
 mod standby;
 mod takeover;
 
-pub use copy::{CopyError, CopyFolder, LogCopyFile};
+pub use copy::{CopyError, CopyFolder, CopySummary, LogCopyFile};
 pub use epoch_takeover::{
     EpochTakeover, PlanWriteOutcome, TakeoverError, TakeoverStep, VersionedPlan,
 };
@@ -38,6 +39,9 @@
     updated_plan,
 };
 pub use segment_file::{IncomingSegment, SegmentBytes};
+pub use segments::{
+    LoadedLog, MAX_SEALED_SEGMENTS, MIN_SEALED_BYTES, SEGMENT_BYTES, SegmentContent,
+};
 pub use standby::active_boxes;
 pub use takeover::{
     LEAVING_DELAY, RESTART_GRACE, TAKEOVER_TIMEOUT, TakeoverDecision, TakeoverPreference,
--- a/crates/joblog/src/segment_file.rs
+++ b/crates/joblog/src/segment_file.rs
@@ -9,7 +9,7 @@
 
 use ids::ShardIndex;
 
-use crate::{CopyError, CopyFolder, EpochId, SealedSegment, decode_records};
+use crate::{CopyError, CopyFolder, EpochId, decode_records};
 
 /// File name extension of a segment that is being received.
 const INCOMING_EXTENSION: &str = ".part";
@@ -30,12 +30,6 @@
 }
 
 impl CopyFolder {
-    /// Returns whether this box has all bytes of a sealed segment.
-    pub fn has_sealed(&self, shard: ShardIndex, segment: &SealedSegment) -> bool {
-        let file = fs::metadata(self.path(shard, &segment.epoch));
-        file.is_ok_and(|file| file.len() >= segment.len)
-    }
-
     /// Reads at most `max_bytes` bytes of an epoch's file from `offset`. `None` if there is no such
     /// file or it has no bytes there.
     pub fn read_segment(
--- a/crates/joblog/tests/segment_files.rs
+++ b/crates/joblog/tests/segment_files.rs
@@ -39,7 +39,7 @@
     let mut bytes = Vec::new();
     for number in 0..count {
         let ended = log_record::Body::Ended(JobRef { job: format!("job-{number}") });
-        encode_record(&LogRecord { body: Some(ended) }, &mut bytes);
+        encode_record(&LogRecord { body: Some(ended) }, epoch().token, &mut bytes);
     }
     bytes
 }
--- a/crates/joblog/tests/takeover.rs
+++ b/crates/joblog/tests/takeover.rs
@@ -33,6 +33,7 @@
         me: &me,
         plan: Some(&plan),
         has_copy: true,
+        lacks_segments: false,
         lost_before,
         server_unresponsive_for,
         server_restarts: restarts,
