Job log: missing copies of sealed segments are pulled in the background

Cause: a box that replaces another one in a plan never gets the sealed segments, so each further loss leaves fewer copies of them.

Heartbeats list the segments held under the plan's token. Partners of a new epoch that hold all segments come first in the plan. Reads and writes of plans move to log/plan_store.rs, since two modules use them.

Ruled out: continuing a pull at another source in the middle of a segment. A damaged piece could not be attributed to its source.

Tested: builds, joblog tests; cluster tests follow.

--- a/crates/joblog/src/repair.rs
+++ b/crates/joblog/src/repair.rs
@@ -32,16 +32,20 @@
 
 /// Returns the boxes from which `me` pulls a segment, best first.
 ///
-/// Boxes of its own failure domain come first, because bytes between domains are priced. Among
-/// them the shard's server is last, because it sends the appends.
+/// Boxes in `failing` come last. Boxes of its own failure domain come first, because bytes between
+/// domains are priced. Among them the shard's server is last, because it sends the appends.
 pub fn segment_sources<'a>(
     plan: &ShardPlan,
     segment: &'a SealedSegment,
     me: &StorageBox,
+    failing: &[BoxId],
 ) -> Vec<&'a StorageBox> {
     let others = segment.copies.iter().filter(|copy| copy.box_id != me.box_id);
     let mut sources: Vec<&StorageBox> = others.collect();
-    sources.sort_by_key(|copy| (copy.domain != me.domain, plan.rank(&copy.box_id) == Some(0)));
+    sources.sort_by_key(|copy| {
+        let is_server = plan.rank(&copy.box_id) == Some(0);
+        (failing.contains(&copy.box_id), copy.domain != me.domain, is_server)
+    });
     sources
 }
 
--- a/crates/joblog/tests/repair.rs
+++ b/crates/joblog/tests/repair.rs
@@ -79,7 +79,7 @@
         let Some(held) = self.disks.get(&me.box_id) else { return false };
         let missing = missing_segments(&self.plan, &me.box_id, held);
         let Some(segment) = missing.first() else { return false };
-        let sources = segment_sources(&self.plan, segment, &me);
+        let sources = segment_sources(&self.plan, segment, &me, &[]);
         let token = segment.epoch.token;
         let found = sources.iter().any(|source| self.holds(&source.box_id, token));
         if found && let Some(disk) = self.disks.get_mut(&me.box_id) {
@@ -201,10 +201,14 @@
 #[test]
 fn sources_of_the_own_domain_come_first_and_the_server_last() {
     let plan = plan(&[0, 2, 4], &[(2, &[0, 1, 2, 3])]);
-    let sources = segment_sources(&plan, &plan.sealed[0], &storage_box(4));
+    let sources = segment_sources(&plan, &plan.sealed[0], &storage_box(4), &[]);
     let sources: Vec<StorageBox> = sources.into_iter().cloned().collect();
     assert_eq!(numbers(&sources), [2, 0, 1, 3]);
-    let sources = segment_sources(&plan, &plan.sealed[0], &storage_box(2));
+    let failing = [storage_box(2).box_id, storage_box(0).box_id];
+    let sources = segment_sources(&plan, &plan.sealed[0], &storage_box(4), &failing);
+    let sources: Vec<StorageBox> = sources.into_iter().cloned().collect();
+    assert_eq!(numbers(&sources), [1, 3, 2, 0], "failing boxes are last");
+    let sources = segment_sources(&plan, &plan.sealed[0], &storage_box(2), &[]);
     assert!(sources.iter().all(|source| source.box_id != storage_box(2).box_id));
 }
 
--- a/crates/links/tests/unresponsive_links.rs
+++ b/crates/links/tests/unresponsive_links.rs
@@ -14,8 +14,8 @@
 use tokio_util::sync::CancellationToken;
 use wire::DeploymentKey;
 use wire::peer::{
-    BoxHeartbeat, PlainPart, Request, ResponseItem, ServedQuery, ShardHeartbeat, ShardResponse,
-    response_item, shard_request, shard_response,
+    BoxHeartbeat, PlainPart, Request, ResponseItem, ServedQuery, ShardResponse, response_item,
+    shard_request, shard_response,
 };
 
 /// Upper bound for any response; a test that reaches it fails.
@@ -41,7 +41,7 @@
         let body = match request.body {
             Some(wire::peer::request::Body::Shard(_)) => {
                 response_item::Body::Shard(ShardResponse {
-                    body: Some(shard_response::Body::Heartbeat(ShardHeartbeat::default())),
+                    body: Some(shard_response::Body::Heartbeat(Box::default())),
                 })
             }
             _ => response_item::Body::PlainPart(PlainPart { status: 200, ..PlainPart::default() }),
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use ids::{BoxId, FencingToken, ShardIndex};
-use joblog::{StorageBox, choose_healthy_partners};
+use joblog::{StorageBox, choose_healthy_partners, order_partners};
 use jobs::StartOrder;
 use links::{CallError, LinkPool};
 use node::{NodeView, StorageSettings};
@@ -17,6 +17,7 @@
 use crate::job_order::{UrgencyTable, start_order};
 use crate::loads::LoadTable;
 use crate::log::copies::OpenCopies;
+use crate::log::held::HeldTable;
 use crate::peers::PeerTable;
 use crate::reports::UsageSync;
 use crate::reward::HedgeLimiter;
@@ -50,6 +51,8 @@
     pub usage_sync: UsageSync,
     /// Cancelled when the box starts to stop.
     pub stopping: CancellationToken,
+    /// Sealed segments on this box's disk.
+    pub held: Arc<HeldTable>,
     retiring: Mutex<HashSet<BoxId>>,
     leases: Mutex<HashMap<String, HeldLease>>,
     /// Notified when heartbeats should be sent immediately.
@@ -85,6 +88,7 @@
             admission: AdmissionHome::default(),
             usage_sync: UsageSync::default(),
             stopping: CancellationToken::new(),
+            held: Arc::default(),
             retiring: Mutex::default(),
             leases: Mutex::default(),
             heartbeat_due: Notify::new(),
@@ -153,10 +157,17 @@
         let failing = self.peers.recently_failed(now);
         let count = self.settings.copies.saturating_sub(1);
         let chosen = choose_healthy_partners(shard, &self.me.domain, &eligible, &failing, count);
-        if chosen.is_none() {
+        let Some(chosen) = chosen else {
             self.peers.call_standby(now);
-        }
-        chosen
+            return None;
+        };
+        let Some(base) = assignments.plan(shard).map(|observed| &observed.plan) else {
+            return Some(chosen);
+        };
+        let holds = |box_id: &BoxId, segment: FencingToken| {
+            self.peers.holds_segment(now, (shard, box_id), base.epoch.token, segment)
+        };
+        Some(order_partners(base, chosen, holds))
     }
 
     /// Sends a request to another storage box.
--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -14,14 +14,15 @@
 use wire::peer::{
     BoxHeartbeat, ItemBody, ItemBodyRead, Job, JobAccepted, JobEnd, JobEnded, JobPage, JobRead,
     ListedResult, LogAppend, LogCopy, LogRecord, LogSynced, Refused, RefusedKind, Request,
-    ResponseItem, ShardHandOver, ShardResponse, WeightLoad, log_record, request, response_item,
-    shard_request, shard_response,
+    ResponseItem, SegmentRead, ShardHandOver, ShardResponse, WeightLoad, log_record, request,
+    response_item, shard_request, shard_response,
 };
 
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
 use crate::loads::apply_loads;
+use crate::log::segment_read::read_piece;
 use crate::peers::{handle_peer_heartbeat, local_heartbeat};
 use crate::timings::log_timings;
 
@@ -188,10 +189,12 @@
             shard_request::Body::End(end) => self.end(&end).await,
             shard_request::Body::Append(append) => self.append(append).await,
             shard_request::Body::Copy(copy) => self.copy(copy).await,
+            shard_request::Body::SegmentRead(read) => self.read_segment(&read).await,
             shard_request::Body::Heartbeat(heartbeat) => {
                 handle_peer_heartbeat(&self.ctx, &heartbeat);
                 self.apply_loads(&heartbeat.loads);
-                Ok(shard_response::Body::Heartbeat(local_heartbeat(&self.ctx, self.keepers.all())))
+                let own = local_heartbeat(&self.ctx, self.keepers.all());
+                Ok(shard_response::Body::Heartbeat(Box::new(own)))
             }
             shard_request::Body::HandOver(hand_over) => self.hand_over(&hand_over),
             shard_request::Body::Served(query) => {
@@ -376,6 +379,15 @@
         synced_response(received)
     }
 
+    async fn read_segment(&self, read: &SegmentRead) -> HandlerResult {
+        let epoch = parse_epoch(&read.epoch)?;
+        let piece = read_piece(self.ctx.copies.folder(), epoch, read).await;
+        piece.map(shard_response::Body::SegmentPiece).ok_or_else(|| {
+            let message = "this box does not have the segment: read it from another box";
+            refused(RefusedKind::NotRun, "no segment", message)
+        })
+    }
+
     fn hand_over(&self, hand_over: &ShardHandOver) -> HandlerResult {
         let keeper = self.keeper(hand_over.shard)?;
         log::info!(target: "shard", shard = hand_over.shard, token = hand_over.token; "takeover requested");
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -22,6 +22,7 @@
 mod log;
 mod order;
 mod peers;
+mod plan_update;
 mod replicas;
 mod reports;
 mod reward;
--- a/crates/shards/src/log/epoch_change.rs
+++ b/crates/shards/src/log/epoch_change.rs
@@ -3,14 +3,11 @@
 
 use std::sync::Arc;
 
-use ids::{Moment, ShardIndex};
+use ids::Moment;
 use joblog::{
     EpochId, EpochTakeover, LoadedLog, PlanWriteOutcome, SealedSegment, SegmentContent, ShardPlan,
-    StorageBox, TakeoverError, TakeoverStep, VersionedPlan,
+    StorageBox, TakeoverError, TakeoverStep, VersionedPlan, segment_sources,
 };
-use node::StoreCall;
-use node::assignments::{ObservedPlan, shard_object};
-use platform::{Kind, StoreError};
 use rand::Rng;
 use tokio::time;
 
@@ -18,8 +15,9 @@
 use crate::keeper::ShardKeeper;
 use crate::log::copies::on_disk;
 use crate::log::copying::{NewCopy, Relocation, write_segment};
-use crate::log::fetch::fetch_segments;
+use crate::log::fetch::{MissingSegment, SegmentFetcher};
 use crate::log::log_writer::EpochLog;
+use crate::log::plan_store::{read_plan, record_plan, write_plan};
 use crate::log::retry_delay::RetryDelay;
 
 /// How a box starts a new epoch.
@@ -137,13 +135,19 @@
 impl ChangeRunner<'_> {
     async fn perform(&mut self, takeover: &mut EpochTakeover, step: TakeoverStep) {
         match step {
-            TakeoverStep::ReadPlan => takeover.plan_read(self.read_plan().await),
+            TakeoverStep::ReadPlan => {
+                takeover.plan_read(read_plan(&self.ctx.view, self.keeper.shard()).await);
+            }
             TakeoverStep::BeginEmpty => {
                 self.keeper.reset();
                 takeover.emptied();
             }
-            TakeoverStep::FetchSegments(segments) => {
-                takeover.segments_fetched(self.fetch(segments).await);
+            TakeoverStep::FetchSegments(_) => {
+                let fetched = match takeover.base() {
+                    Some(base) => self.fetch(&base.plan).await,
+                    None => true,
+                };
+                takeover.segments_fetched(fetched);
             }
             TakeoverStep::CloseAndRead { epoch, sealed } => {
                 self.keeper.set_taking_over(true);
@@ -161,7 +165,7 @@
                 takeover.plan_written(self.write_plan(base, &plan).await);
             }
             TakeoverStep::CheckPlan => {
-                let read = self.read_plan().await;
+                let read = read_plan(&self.ctx.view, self.keeper.shard()).await;
                 if read.is_err() {
                     time::sleep(self.delay.next()).await;
                 }
@@ -174,7 +178,7 @@
     fn finish(self, revision: u64, plan: ShardPlan) -> Result<NewEpoch, EpochChangeError> {
         let copy = self.copy.ok_or(TakeoverError::CopyFailed)?;
         let shard = self.keeper.shard();
-        record_plan(self.ctx, shard, VersionedPlan { revision, plan: plan.clone() });
+        record_plan(&self.ctx.view, shard, VersionedPlan { revision, plan: plan.clone() });
         let loaded = copy.loaded(plan.epoch.clone());
         let partners: Vec<StorageBox> = plan.copies.iter().skip(1).cloned().collect();
         let log = EpochLog { epoch: plan.epoch.clone(), file: Some(copy.file), partners };
@@ -182,67 +186,38 @@
         Ok(NewEpoch { log, plan, loaded, moved, confirmed_at })
     }
 
-    async fn fetch(&self, segments: Vec<SealedSegment>) -> bool {
-        let shard = self.keeper.shard();
-        let copies = &self.ctx.copies;
-        let missing: Vec<SealedSegment> = segments
-            .into_iter()
-            .filter(|segment| !copies.folder().has_sealed(shard, segment))
-            .collect();
-        let fetched = fetch_segments(copies, &self.ctx.links, shard, &missing).await;
-        if let Err(error) = &fetched {
+    /// Fetches the sealed segments of `base` that aren't on this box's disk.
+    async fn fetch(&self, base: &ShardPlan) -> bool {
+        let (ctx, shard) = (self.ctx, self.keeper.shard());
+        let failing = ctx.peers.recently_failed(ctx.view.now());
+        let lacking =
+            base.sealed.iter().filter(|segment| !ctx.copies.folder().has_sealed(shard, segment));
+        let missing = lacking.map(|segment| {
+            let sources = segment_sources(base, segment, &ctx.me, &failing);
+            let sources = sources.into_iter().cloned().collect();
+            MissingSegment { segment: segment.clone(), sources }
+        });
+        let missing: Vec<MissingSegment> = missing.collect();
+        let fetcher = SegmentFetcher::new(ctx.copies.clone(), ctx.links.clone(), shard, None);
+        let result = fetcher.fetch_all(&missing).await;
+        if let Err(error) = &result {
             log::warn!(target: "shard", shard = shard.get(), error:% = error; "segments not fetched");
         }
-        fetched.is_ok()
+        result.is_ok()
     }
 
-    async fn read_plan(&self) -> Result<Option<VersionedPlan>, ()> {
-        let (ctx, shard) = (self.ctx, self.keeper.shard());
-        ctx.view.metrics.store_call(Kind::ClusterState, StoreCall::Read);
-        let stored = ctx.view.store.get(Kind::ClusterState, &shard_object(shard)).await;
-        let stored = stored.map_err(|error| {
-            log::debug!(target: "shard", shard = shard.get(), error:% = error; "plan not read");
-        })?;
-        let Some(stored) = stored else { return Ok(None) };
-        let plan = stored.parse().map_err(|error| {
-            log::warn!(target: "shard", shard = shard.get(), error:% = error; "stored plan is invalid");
-        })?;
-        let read = VersionedPlan { revision: stored.revision, plan };
-        record_plan(ctx, shard, read.clone());
-        Ok(Some(read))
-    }
-
-    /// Writes the plan if `base` is still the stored revision.
     async fn write_plan(&mut self, base: Option<u64>, plan: &ShardPlan) -> PlanWriteOutcome {
-        let (ctx, shard) = (self.ctx, self.keeper.shard());
-        let name = shard_object(shard);
-        let started = ctx.view.now();
-        ctx.view.metrics.store_call(Kind::ClusterState, StoreCall::Write);
-        let written = match base {
-            Some(base) => ctx.view.store.replace(Kind::ClusterState, &name, base, plan).await,
-            None => ctx.view.store.create(Kind::ClusterState, &name, plan).await,
-        };
+        let started = self.ctx.view.now();
+        let written = write_plan(&self.ctx.view, self.keeper.shard(), base, plan).await;
         match written {
-            Ok(revision) => {
-                self.confirmed_at = Some(started);
-                PlanWriteOutcome::Done(revision)
-            }
-            Err(StoreError::Conflict(_)) => PlanWriteOutcome::Conflict,
-            Err(error) => {
-                log::warn!(target: "shard", shard = shard.get(), error:% = error; "plan not written");
-                time::sleep(self.delay.next()).await;
-                PlanWriteOutcome::NoAnswer
-            }
+            PlanWriteOutcome::Done(_) => self.confirmed_at = Some(started),
+            PlanWriteOutcome::Conflict => {}
+            PlanWriteOutcome::NoAnswer => time::sleep(self.delay.next()).await,
         }
+        written
     }
 }
 
-fn record_plan(ctx: &ShardContext, shard: ShardIndex, read: VersionedPlan) {
-    let seen_at = ctx.view.now();
-    let observed = ObservedPlan { revision: read.revision, plan: read.plan, seen_at };
-    ctx.view.assignments().put_plan(shard, observed);
-}
-
 /// Closes this box's copy of the open segment and loads the log into the job table.
 async fn close_and_read(
     ctx: &ShardContext,
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -21,6 +21,7 @@
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
 use crate::loads::loads_for_peer;
+use crate::log::held::HeldReport;
 
 /// Interval between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -65,6 +66,8 @@
     takeovers: HashMap<(ShardIndex, BoxId), Moment>,
     /// When a box last reported a missing copy of a shard, and under which token.
     missing_copies: HashMap<(ShardIndex, BoxId), (FencingToken, Moment)>,
+    /// The sealed segments that a box last reported to hold.
+    held_segments: HashMap<(ShardIndex, BoxId), (HeldReport, Moment)>,
     /// When a call to a box last failed.
     failed: HashMap<BoxId, Moment>,
     /// When a box last called this one.
@@ -107,6 +110,10 @@
             let key = (ShardIndex::new(missing.shard), box_id.clone());
             states.missing_copies.insert(key, (FencingToken::new(missing.token), now));
         }
+        for held in &heartbeat.held_segments {
+            let key = (ShardIndex::new(held.shard), box_id.clone());
+            states.held_segments.insert(key, (HeldReport::from(held), now));
+        }
         for held in &heartbeat.leases {
             let token = FencingToken::new(held.token);
             let previous = states.lease_reports.get(&held.name);
@@ -209,6 +216,21 @@
         reported.is_some_and(|(missing, at)| missing == token && now.since(at) < LIVE_WINDOW)
     }
 
+    /// Returns whether a box has recently reported that it holds a sealed segment of the plan with
+    /// token `plan`.
+    pub fn holds_segment(
+        &self,
+        now: Moment,
+        (shard, box_id): (ShardIndex, &BoxId),
+        plan: FencingToken,
+        segment: FencingToken,
+    ) -> bool {
+        let states = self.lock();
+        let reported = states.held_segments.get(&(shard, box_id.clone()));
+        reported
+            .is_some_and(|(report, at)| report.holds(plan, segment) && now.since(*at) < LIVE_WINDOW)
+    }
+
     /// Returns how long a box has not reported that it serves a shard under `token` or a later
     /// one.
     pub fn unreported_for(
@@ -245,6 +267,7 @@
     ShardHeartbeat {
         box_id: ctx.me.box_id.to_string(),
         missing_copies: missing_copies.collect(),
+        held_segments: ctx.held.to_wire(),
         served: served.collect(),
         leaving: ctx.is_leaving(),
         domain: ctx.me.domain.to_string(),
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -27,7 +27,9 @@
 use crate::keepers::KeeperSet;
 use crate::loads::publish_loads;
 use crate::log::copies::OpenCopies;
+use crate::log::repair::SegmentRepair;
 use crate::peers::run_heartbeats;
+use crate::plan_update::update_plans;
 use crate::rollout::coordinate_rollouts;
 use crate::takeover::run_shard;
 
@@ -54,6 +56,7 @@
     let node = settings.node.clone();
     let store = ObjectStore::new(&node.store.to_string()).map_err(io::Error::other)?;
     let folder = CopyFolder::open(&settings.data_dir).map_err(io::Error::other)?;
+    folder.remove_incoming().map_err(io::Error::other)?;
     let view = Arc::new(NodeView::new(node.clone(), store));
     let shutdown = CancellationToken::new();
     let link_settings = LinkSettings { me: node.box_id.clone(), key: node.key.clone() };
@@ -71,6 +74,8 @@
     tokio::spawn(serve_links(listener, node.key.clone(), handler, shutdown.clone()));
     tokio::spawn(run_heartbeats(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(publish_loads(Arc::clone(&ctx), Arc::clone(&keepers)));
+    tokio::spawn(update_plans(Arc::clone(&ctx), Arc::clone(&keepers)));
+    tokio::spawn(segment_repair(&ctx).run());
     tokio::spawn(start_shards(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(coordinate_rollouts(Arc::clone(&ctx), Arc::clone(&keepers)));
     tokio::spawn(run_accounting(Arc::clone(&ctx), Arc::clone(&keepers)));
@@ -86,6 +91,16 @@
     Ok(())
 }
 
+fn segment_repair(ctx: &ShardContext) -> SegmentRepair {
+    SegmentRepair::new(
+        ctx.me.clone(),
+        Arc::clone(&ctx.view),
+        ctx.copies.clone(),
+        ctx.links.clone(),
+        Arc::clone(&ctx.held),
+    )
+}
+
 async fn run_admission(ctx: Arc<ShardContext>, shutdown: CancellationToken) {
     ctx.admission.run(Arc::clone(&ctx.view), shutdown).await;
 }
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -90,6 +90,8 @@
             ".gannetway.peer.PlainPart.body",
             ".gannetway.peer.FeedObject.value",
         ])
+        // The variant is several times larger than the others of its enum.
+        .boxed(".gannetway.peer.ShardResponse.body.heartbeat")
         .out_dir(out)
         .compile_fds(files)?;
     Ok(())
