--- a/crates/joblog/src/repair.rs
+++ b/crates/joblog/src/repair.rs
@@ -104,11 +104,13 @@
 /// Orders the partners of the epoch that follows `base`: boxes that hold all segments come first,
 /// since the order decides who takes over first and a box without them has to fetch them.
 ///
-/// `holds` is as in [`updated_plan`].
+/// `reported` returns whether a box holds a segment according to its report, and `None` without a
+/// report under this plan's token. The plan decides then. A report is preferred because the plan
+/// still names a box whose disk was lost.
 pub fn order_partners(
     base: &ShardPlan,
     mut partners: Vec<StorageBox>,
-    holds: impl Fn(&BoxId, FencingToken) -> bool,
+    reported: impl Fn(&BoxId, FencingToken) -> Option<bool>,
 ) -> Vec<StorageBox> {
     let holds_all = |copy: &StorageBox| {
         let is_named = |segment: &SealedSegment| {
@@ -116,10 +118,9 @@
         };
         // The segment of the base epoch is held by the boxes of its plan.
         base.rank(&copy.box_id).is_some()
-            && base
-                .sealed
-                .iter()
-                .all(|segment| is_named(segment) || holds(&copy.box_id, segment.epoch.token))
+            && base.sealed.iter().all(|segment| {
+                reported(&copy.box_id, segment.epoch.token).unwrap_or_else(|| is_named(segment))
+            })
     };
     partners.sort_by_key(|copy| !holds_all(copy));
     partners
--- a/crates/joblog/tests/repair.rs
+++ b/crates/joblog/tests/repair.rs
@@ -230,11 +230,14 @@
 #[test]
 fn partners_with_all_segments_come_first() {
     let base = plan(&[0, 1, 2, 3], &[(2, &[0, 2]), (5, &[0, 1, 2, 3])]);
-    let reported = |box_id: &BoxId, segment: FencingToken| {
-        *box_id == storage_box(3).box_id && segment == token(2)
-    };
+    let reported =
+        |box_id: &BoxId, _: FencingToken| (*box_id == storage_box(3).box_id).then_some(true);
     let ordered = order_partners(&base, boxes(&[4, 1, 3, 2]), reported);
     assert_eq!(numbers(&ordered), [3, 2, 4, 1], "box 1 lacks segment 2, box 4 lacks all");
+    let wiped =
+        |box_id: &BoxId, _: FencingToken| (*box_id == storage_box(2).box_id).then_some(false);
+    let ordered = order_partners(&base, boxes(&[1, 2, 0]), wiped);
+    assert_eq!(numbers(&ordered), [0, 1, 2], "the plan still names the wiped box 2");
 }
 
 #[test]
--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -164,10 +164,10 @@
         let Some(base) = assignments.plan(shard).map(|observed| &observed.plan) else {
             return Some(chosen);
         };
-        let holds = |box_id: &BoxId, segment: FencingToken| {
-            self.peers.holds_segment(now, (shard, box_id), base.epoch.token, segment)
+        let reported = |box_id: &BoxId, segment: FencingToken| {
+            self.peers.reported_segment(now, (shard, box_id), base.epoch.token, segment)
         };
-        Some(order_partners(base, chosen, holds))
+        Some(order_partners(base, chosen, reported))
     }
 
     /// Sends a request to another storage box.
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -38,4 +38,5 @@
 pub use job_order::UrgencyTable;
 pub use keeper::ShardKeeper;
 pub use loads::{LoadTable, apply_loads};
+pub use log::held::HeldReport;
 pub use role::run_storage;
--- a/crates/shards/src/log/held.rs
+++ b/crates/shards/src/log/held.rs
@@ -24,9 +24,10 @@
         Self { plan: plan.epoch.token, segments }
     }
 
-    /// Returns whether the box holds a segment of the plan with token `plan`.
-    pub fn holds(&self, plan: FencingToken, segment: FencingToken) -> bool {
-        self.plan == plan && self.segments.contains(&segment)
+    /// Returns whether the box holds a segment of the plan with token `plan`; `None` if the report
+    /// is about another plan.
+    pub fn holds(&self, plan: FencingToken, segment: FencingToken) -> Option<bool> {
+        (self.plan == plan).then(|| self.segments.contains(&segment))
     }
 }
 
@@ -51,9 +52,15 @@
         *self.lock() = reports;
     }
 
-    /// Returns whether this box holds a segment of the plan with token `plan`.
-    pub fn holds(&self, shard: ShardIndex, plan: FencingToken, segment: FencingToken) -> bool {
-        self.lock().get(&shard).is_some_and(|report| report.holds(plan, segment))
+    /// Returns whether this box holds a segment of the plan with token `plan`; `None` if the last
+    /// report is about another plan.
+    pub fn holds(
+        &self,
+        shard: ShardIndex,
+        plan: FencingToken,
+        segment: FencingToken,
+    ) -> Option<bool> {
+        self.lock().get(&shard)?.holds(plan, segment)
     }
 
     /// Returns the reports as sent in heartbeats.
--- a/crates/shards/src/log/repair.rs
+++ b/crates/shards/src/log/repair.rs
@@ -12,7 +12,7 @@
 use tokio::time::{self, Instant};
 
 use crate::log::copies::OpenCopies;
-use crate::log::fetch::{FetchError, MissingSegment, SegmentFetcher};
+use crate::log::fetch::{MissingSegment, SegmentFetcher};
 use crate::log::held::{HeldReport, HeldTable};
 
 /// Interval at which the plans are compared with the disk.
@@ -29,7 +29,16 @@
     not_before: Option<Instant>,
 }
 
-/// Repairs the sealed segments of this box, one at a time.
+impl ShardRetries {
+    /// Records a failure and returns the pause before the next attempt.
+    fn record_failure(&mut self) -> Duration {
+        let pause = self.pause.record_failure();
+        self.not_before = Some(Instant::now() + pause);
+        pause
+    }
+}
+
+/// Repairs the sealed segments of this box.
 #[derive(Debug)]
 pub struct SegmentRepair {
     me: StorageBox,
@@ -37,52 +46,64 @@
     copies: OpenCopies,
     links: LinkPool,
     held: Arc<HeldTable>,
-    retries: HashMap<ShardIndex, ShardRetries>,
 }
 
 impl SegmentRepair {
     /// Creates the repair task of box `me`.
-    pub fn new(
+    pub const fn new(
         me: StorageBox,
         view: Arc<NodeView>,
         copies: OpenCopies,
         links: LinkPool,
         held: Arc<HeldTable>,
     ) -> Self {
-        Self { me, view, copies, links, held, retries: HashMap::new() }
+        Self { me, view, copies, links, held }
     }
 
     /// Runs until the box stops.
-    pub async fn run(mut self) {
+    pub async fn run(self) {
+        // Reports stay current during a pull, which takes seconds.
+        tokio::join!(self.report_held(), self.pull_missing());
+    }
+
+    /// Compares the plans with the disk at intervals, for heartbeats.
+    async fn report_held(&self) {
+        loop {
+            self.held.replace(self.scan(&self.plans()).await);
+            time::sleep(SCAN_INTERVAL).await;
+        }
+    }
+
+    /// Pulls missing segments, one at a time.
+    async fn pull_missing(&self) {
+        let mut retries = HashMap::new();
         loop {
             let plans = self.plans();
             let held = self.scan(&plans).await;
-            let missing = self.next_missing(&plans, &held);
-            self.held.replace(held);
-            match missing {
-                Some((shard, missing)) => self.pull(shard, &missing).await,
+            match self.next_missing(&plans, &held, &retries) {
+                Some((shard, missing)) => self.pull(shard, &missing, &mut retries).await,
                 None => time::sleep(SCAN_INTERVAL).await,
             }
         }
     }
 
+    /// Returns the plans that name this box, for the open segment or for a sealed one.
     fn plans(&self) -> BTreeMap<ShardIndex, ShardPlan> {
         let assignments = self.view.assignments();
-        assignments.plans().map(|(shard, observed)| (shard, observed.plan.clone())).collect()
+        let named =
+            assignments.plans().filter(|(_, observed)| observed.plan.names(&self.me.box_id));
+        named.map(|(shard, observed)| (shard, observed.plan.clone())).collect()
     }
 
-    /// Reads which segments this box holds, for the plans that name it.
+    /// Reads which segments of these plans this box holds.
     async fn scan(
         &self,
         plans: &BTreeMap<ShardIndex, ShardPlan>,
     ) -> BTreeMap<ShardIndex, HeldReport> {
-        let named = plans.iter().filter(|(_, plan)| plan.names(&self.me.box_id));
-        let named: Vec<(ShardIndex, ShardPlan)> =
-            named.map(|(shard, plan)| (*shard, plan.clone())).collect();
-        let folder = self.copies.folder().clone();
+        let (folder, plans) = (self.copies.folder().clone(), plans.clone());
         let scanned = task::spawn_blocking(move || {
             let read = |(shard, plan)| (shard, HeldReport::read(&folder, shard, &plan));
-            named.into_iter().map(read).collect()
+            plans.into_iter().map(read).collect()
         });
         // Without a result the box reports no segments, which only delays an update of the plan.
         scanned.await.unwrap_or_default()
@@ -93,9 +114,14 @@
         &self,
         plans: &BTreeMap<ShardIndex, ShardPlan>,
         held: &BTreeMap<ShardIndex, HeldReport>,
+        retries: &HashMap<ShardIndex, ShardRetries>,
     ) -> Option<(ShardIndex, MissingSegment)> {
         let now = Instant::now();
-        plans.iter().filter(|(shard, _)| self.may_pull(now, **shard)).find_map(|(shard, plan)| {
+        let may_pull = |shard: &ShardIndex| {
+            let not_before = retries.get(shard).and_then(|retries| retries.not_before);
+            not_before.is_none_or(|not_before| now >= not_before)
+        };
+        plans.iter().filter(|(shard, _)| may_pull(shard)).find_map(|(shard, plan)| {
             let held = &held.get(shard)?.segments;
             let segment = *missing_segments(plan, &self.me.box_id, held).first()?;
             let sources = segment_sources(plan, segment, &self.me, &[]);
@@ -104,33 +130,26 @@
         })
     }
 
-    fn may_pull(&self, now: Instant, shard: ShardIndex) -> bool {
-        let retries = self.retries.get(&shard);
-        retries.and_then(|retries| retries.not_before).is_none_or(|not_before| now >= not_before)
-    }
-
-    async fn pull(&mut self, shard: ShardIndex, missing: &MissingSegment) {
-        let fetcher = SegmentFetcher::new(
-            self.copies.clone(),
-            self.links.clone(),
-            shard,
-            Some(REPAIR_BYTES_PER_SECOND),
-        );
+    async fn pull(
+        &self,
+        shard: ShardIndex,
+        missing: &MissingSegment,
+        retries: &mut HashMap<ShardIndex, ShardRetries>,
+    ) {
+        let (copies, links) = (self.copies.clone(), self.links.clone());
+        let fetcher = SegmentFetcher::new(copies, links, shard, Some(REPAIR_BYTES_PER_SECOND));
         match fetcher.fetch(missing).await {
             Ok(()) => {
-                self.retries.remove(&shard);
+                retries.remove(&shard);
+            }
+            Err(error) => {
+                let pause = retries.entry(shard).or_default().record_failure();
+                log::warn!(
+                    target: "shard", shard = shard.get(), error:% = error,
+                    pause_ms = whole_millis(pause);
+                    "segment not pulled"
+                );
             }
-            Err(error) => self.record_failure(shard, &error),
         }
     }
-
-    fn record_failure(&mut self, shard: ShardIndex, error: &FetchError) {
-        let retries = self.retries.entry(shard).or_default();
-        let pause = retries.pause.record_failure();
-        retries.not_before = Some(Instant::now() + pause);
-        log::warn!(
-            target: "shard", shard = shard.get(), error:% = error, pause_ms = whole_millis(pause);
-            "segment not pulled"
-        );
-    }
 }
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -216,19 +216,18 @@
         reported.is_some_and(|(missing, at)| missing == token && now.since(at) < LIVE_WINDOW)
     }
 
-    /// Returns whether a box has recently reported that it holds a sealed segment of the plan with
-    /// token `plan`.
-    pub fn holds_segment(
+    /// Returns whether a box holds a sealed segment of the plan with token `plan` according to its
+    /// report; `None` without a recent report about this plan.
+    pub fn reported_segment(
         &self,
         now: Moment,
         (shard, box_id): (ShardIndex, &BoxId),
         plan: FencingToken,
         segment: FencingToken,
-    ) -> bool {
+    ) -> Option<bool> {
         let states = self.lock();
-        let reported = states.held_segments.get(&(shard, box_id.clone()));
-        reported
-            .is_some_and(|(report, at)| report.holds(plan, segment) && now.since(*at) < LIVE_WINDOW)
+        let (report, at) = states.held_segments.get(&(shard, box_id.clone()))?;
+        if now.since(*at) < LIVE_WINDOW { report.holds(plan, segment) } else { None }
     }
 
     /// Returns how long a box has not reported that it serves a shard under `token` or a later
--- a/crates/shards/src/plan_update.rs
+++ b/crates/shards/src/plan_update.rs
@@ -44,11 +44,12 @@
     let (shard, plan) = (keeper.shard(), &observed.plan);
     let (now, token) = (ctx.view.now(), plan.epoch.token);
     let holds = |box_id: &BoxId, segment: FencingToken| {
-        if *box_id == ctx.me.box_id {
+        let reported = if *box_id == ctx.me.box_id {
             ctx.held.holds(shard, token, segment)
         } else {
-            ctx.peers.holds_segment(now, (shard, box_id), token, segment)
-        }
+            ctx.peers.reported_segment(now, (shard, box_id), token, segment)
+        };
+        reported == Some(true)
     };
     let incomplete = incomplete_segments(plan, holds);
     let oldest = keeper.jobs().oldest_segment();
