Job log: pull segments from any box of the plan

Cause: a segment names its holders as last written to the plan. If all of them are lost after the server has pulled the segment and before another box has, the other boxes of the plan find no source for ever, and the server's disk stays the only copy.

Change: the other boxes of the plan are asked after the boxes that the segment names. A box without the segment refuses; a file of the epoch has the same bytes on each box. A takeover asks boxes without a recent heartbeat last.

Ruled out: naming the server at once. It costs a write for each segment and leaves the same gap until the write succeeds.

Tested: joblog/tests/repair.rs (segments_are_pulled_from_a_server_that_they_do_not_name).

--- a/crates/joblog/src/repair.rs
+++ b/crates/joblog/src/repair.rs
@@ -32,19 +32,26 @@
 
 /// Returns the boxes from which `me` pulls a segment, best first.
 ///
-/// Boxes in `failing` come last. Boxes of its own failure domain come first, because bytes between
+/// These are the boxes that the segment names, then the other boxes of the plan: a server holds all
+/// segments, also if every box that a segment names was lost before the plan was updated. A box
+/// without the segment refuses.
+///
+/// Boxes in `failing` come last. Boxes of the own failure domain come first, because bytes between
 /// domains are priced. Among them the shard's server is last, because it sends the appends.
 pub fn segment_sources<'a>(
-    plan: &ShardPlan,
+    plan: &'a ShardPlan,
     segment: &'a SealedSegment,
     me: &StorageBox,
     failing: &[BoxId],
 ) -> Vec<&'a StorageBox> {
-    let others = segment.copies.iter().filter(|copy| copy.box_id != me.box_id);
-    let mut sources: Vec<&StorageBox> = others.collect();
+    let is_named =
+        |copy: &StorageBox| segment.copies.iter().any(|holder| holder.box_id == copy.box_id);
+    let unnamed = plan.copies.iter().filter(|copy| !is_named(copy));
+    let others = segment.copies.iter().chain(unnamed);
+    let mut sources: Vec<&StorageBox> = others.filter(|copy| copy.box_id != me.box_id).collect();
     sources.sort_by_key(|copy| {
         let is_server = plan.rank(&copy.box_id) == Some(0);
-        (failing.contains(&copy.box_id), copy.domain != me.domain, is_server)
+        (failing.contains(&copy.box_id), !is_named(copy), copy.domain != me.domain, is_server)
     });
     sources
 }
--- a/crates/joblog/tests/repair.rs
+++ b/crates/joblog/tests/repair.rs
@@ -149,6 +149,20 @@
     assert_eq!(numbers(&deployment.plan.sealed[0].copies), [0, 4, 5]);
 }
 
+/// Guards against segments that stay on a single disk: the boxes that they name were lost after the
+/// server had pulled them and before the other box of the plan had.
+#[test]
+fn segments_are_pulled_from_a_server_that_they_do_not_name() {
+    let mut deployment = Deployment::new(plan(&[3, 4, 5], &[(2, &[0, 1, 2])]));
+    deployment.disks.get_mut(&storage_box(3).box_id).expect("a disk").insert(token(2));
+    for lost in 0..3 {
+        deployment.disks.remove(&storage_box(lost).box_id);
+    }
+    deployment.repair();
+    assert!(deployment.is_complete());
+    assert_eq!(numbers(&deployment.plan.sealed[0].copies), [3, 4, 5]);
+}
+
 /// Guards against a retirement that is reported while the plan needs the retired box's disk.
 #[test]
 fn a_retired_box_is_named_until_its_segments_are_copied() {
@@ -200,14 +214,14 @@
 /// Guards against bytes between domains, which are priced, and load on the server.
 #[test]
 fn sources_of_the_own_domain_come_first_and_the_server_last() {
-    let plan = plan(&[0, 2, 4], &[(2, &[0, 1, 2, 3])]);
+    let plan = plan(&[0, 2, 4, 5], &[(2, &[0, 1, 2, 3])]);
     let sources = segment_sources(&plan, &plan.sealed[0], &storage_box(4), &[]);
     let sources: Vec<StorageBox> = sources.into_iter().cloned().collect();
-    assert_eq!(numbers(&sources), [2, 0, 1, 3]);
+    assert_eq!(numbers(&sources), [2, 0, 1, 3, 5], "box 5 is in the plan only");
     let failing = [storage_box(2).box_id, storage_box(0).box_id];
     let sources = segment_sources(&plan, &plan.sealed[0], &storage_box(4), &failing);
     let sources: Vec<StorageBox> = sources.into_iter().cloned().collect();
-    assert_eq!(numbers(&sources), [1, 3, 2, 0], "failing boxes are last");
+    assert_eq!(numbers(&sources), [1, 3, 5, 2, 0], "failing boxes are last");
     let sources = segment_sources(&plan, &plan.sealed[0], &storage_box(2), &[]);
     assert!(sources.iter().all(|source| source.box_id != storage_box(2).box_id));
 }
--- a/crates/shards/src/log/epoch_change.rs
+++ b/crates/shards/src/log/epoch_change.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use ids::Moment;
+use ids::{BoxId, Moment};
 use joblog::{
     EpochId, EpochTakeover, LoadedLog, PlanWriteOutcome, SealedSegment, SegmentContent, ShardPlan,
     StorageBox, TakeoverError, TakeoverStep, VersionedPlan, segment_sources,
@@ -189,7 +189,9 @@
     /// Fetches the sealed segments of `base` that aren't on this box's disk.
     async fn fetch(&self, base: &ShardPlan) -> bool {
         let (ctx, shard) = (self.ctx, self.keeper.shard());
-        let failing = ctx.peers.recently_failed(ctx.view.now());
+        let now = ctx.view.now();
+        let failing = base.boxes().filter(|copy| !ctx.peers.is_live(now, &copy.box_id));
+        let failing: Vec<BoxId> = failing.map(|copy| copy.box_id.clone()).collect();
         let lacking =
             base.sealed.iter().filter(|segment| !ctx.copies.folder().has_sealed(shard, segment));
         let missing = lacking.map(|segment| {
--- a/crates/shards/src/peers.rs
+++ b/crates/shards/src/peers.rs
@@ -188,6 +188,13 @@
         failing.map(|(box_id, _)| box_id.clone()).collect()
     }
 
+    /// Returns whether a box sent a heartbeat recently.
+    pub fn is_live(&self, now: Moment, box_id: &BoxId) -> bool {
+        let states = self.lock();
+        let state = states.peers.get(box_id);
+        state.is_some_and(|state| now.since(state.last_heartbeat) < LIVE_WINDOW)
+    }
+
     /// Returns whether a box may receive a copy.
     pub fn can_host_copy(&self, now: Moment, box_id: &BoxId) -> bool {
         let states = self.lock();
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -529,6 +529,14 @@
         package: "joblog",
         test: "a_replaced_box_is_filled_and_then_named",
     },
+    Mutation {
+        name: "platform: segments are pulled only from the boxes that they name",
+        file: "crates/joblog/src/repair.rs",
+        from: "segment.copies.iter().chain(unnamed)",
+        to: "segment.copies.iter().chain(unnamed.take(0))",
+        package: "joblog",
+        test: "segments_are_pulled_from_a_server",
+    },
     Mutation {
         name: "platform: segments of dropped jobs stay in updated plans",
         file: "crates/joblog/src/repair.rs",
