--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -21,6 +21,8 @@
 mod layout;
 mod plan;
 mod record;
+mod repair;
+mod segment_file;
 mod segments;
 mod standby;
 mod takeover;
@@ -32,6 +34,11 @@
 pub use layout::ShardLayout;
 pub use plan::{EpochError, EpochId, SealedSegment, ShardPlan, StorageBox};
 pub use record::{decode_records, encode_record};
+pub use repair::{
+    RetryPause, incomplete_segments, missing_segments, order_partners, segment_sources,
+    updated_plan,
+};
+pub use segment_file::{IncomingSegment, SegmentBytes};
 pub use segments::{
     LoadedLog, MAX_SEALED_SEGMENTS, MIN_SEALED_BYTES, SEGMENT_BYTES, SegmentContent,
 };
--- a/crates/joblog/src/plan.rs
+++ b/crates/joblog/src/plan.rs
@@ -103,6 +103,16 @@
         self.copies.iter().position(|copy| copy.box_id == *box_id)
     }
 
+    /// Returns all boxes with a copy of any segment. A box may appear several times.
+    pub fn boxes(&self) -> impl Iterator<Item = &StorageBox> {
+        self.copies.iter().chain(self.sealed.iter().flat_map(|segment| &segment.copies))
+    }
+
+    /// Returns whether a box has a copy of any segment.
+    pub fn names(&self, box_id: &BoxId) -> bool {
+        self.boxes().any(|copy| copy.box_id == *box_id)
+    }
+
     /// Returns whether neither this plan nor any later one can name a segment of `epoch`. Later
     /// plans derive from this one by conditional writes and have higher tokens.
     pub fn excludes(&self, epoch: &EpochId) -> bool {
--- a/crates/shards/src/takeover.rs
+++ b/crates/shards/src/takeover.rs
@@ -99,6 +99,11 @@
         *no_plan_since = None;
         return false;
     }
+    if observed.is_some_and(|observed| observed.plan.rank(&ctx.me.box_id).is_none()) {
+        // A request of an earlier server must not take effect under a later plan.
+        let _outdated = keeper.take_takeover_request();
+        return false;
+    }
     // Concurrent takeovers slow each other down.
     if observed.is_some_and(|observed| higher_rank_takes_over(ctx, shard, &observed.plan))
         && !keeper.is_takeover_requested()
