Job log: repeat an append while the connection or the store is lost

Cause: a lost connection to a copy, or a store that refuses only this box, ended the epoch at once.

Change: an append is repeated over a new connection within the timeout of the round, and, before a copy is given up, the server checks whether the store responds to it. Appends may be repeated: an epoch has one writer. Ruled out: to try the change of epoch first, since after a plan write without a response the earlier epoch can't be continued.

--- a/crates/shards/src/log/log_writer.rs
+++ b/crates/shards/src/log/log_writer.rs
@@ -7,6 +7,9 @@
 use ids::{FencingToken, RecordLocation, ShardIndex, whole_millis};
 use joblog::{EpochId, LogCopyFile, SEGMENT_BYTES, StorageBox, encode_record};
 use links::CallError;
+use node::StoreCall;
+use node::assignments::shard_object;
+use platform::Kind;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time;
 use wire::peer::{LogAppend, LogRecord, RoundStart, log_record, shard_request, shard_response};
@@ -22,7 +25,10 @@
 /// Delay after a change of epoch failed that is not urgent.
 const CHANGE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Delay before an append is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Timeout of the check whether the store responds, before a copy is given up. Longer than a slow
+/// response of a store in another region.
+const STORE_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval of empty rounds, which confirm that all copies still accept appends under this epoch.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
 /// Size in bytes from which a round accepts no further records.
@@ -234,9 +240,11 @@
     written.await
 }
 
-/// Appends to another box's copy. Retries failed appends while the store is unavailable, since no
-/// new epoch can be created then. Stops when the box refuses because it has closed the copy.
+/// Appends to another box's copy. Retries over a new connection if the old one was lost, and as long
+/// as the store doesn't respond to this box, since no new epoch can be created then. Stops when the
+/// box refuses because it has closed the copy.
 async fn append_at(ctx: &ShardContext, partner: &StorageBox, append: LogAppend) -> bool {
+    let started = time::Instant::now();
     loop {
         let body = shard_request::Body::Append(append.clone());
         let error = match ctx.call_box(&partner.address, ROUND_TIMEOUT, body).await {
@@ -245,8 +253,11 @@
             Err(error) => error,
         };
         ctx.peers.record_failure(ctx.view.now(), &partner.box_id);
-        let refused = matches!(error, CallError::Refused(_));
-        let retry = !refused && !ctx.view.store_state().up;
+        let retry = match &error {
+            CallError::Refused(_) => false,
+            CallError::LinkLost if started.elapsed() < ROUND_TIMEOUT => true,
+            _ => !store_responds(ctx, ShardIndex::new(append.shard)).await,
+        };
         log::warn!(
             target: "shard", shard = append.shard, epoch = append.epoch.as_str(),
             peer:% = partner.box_id, offset = append.offset, error:% = error, again = retry;
@@ -258,3 +269,14 @@
         time::sleep(RETRY_DELAY).await;
     }
 }
+
+/// Returns whether the store responds to this box now. It may refuse some boxes and serve others.
+async fn store_responds(ctx: &ShardContext, shard: ShardIndex) -> bool {
+    if !ctx.view.store_state().up {
+        return false;
+    }
+    ctx.view.metrics.store_call(Kind::ClusterState, StoreCall::Read);
+    let name = shard_object(shard);
+    let read = ctx.view.store.get(Kind::ClusterState, &name);
+    time::timeout(STORE_CHECK_TIMEOUT, read).await.is_ok_and(|read| read.is_ok())
+}
