--- a/crates/gannetctl/src/explain.rs
+++ b/crates/gannetctl/src/explain.rs
@@ -28,6 +28,11 @@
 /// Events about the suspicion of a piece of work; included regardless of their time.
 const WORK_EVENTS: [&str; 4] =
     ["target probed", "work under suspicion", "work refused", "suspicion cleared"];
+/// Events that say why no target got a request. They decide, rather than the line about its end
+/// that follows.
+const REFUSAL_EVENTS: [&str; 2] = ["admission refused", "no target in the allowed regions"];
+/// Event of the end of a request at its entry box.
+const END_EVENT: &str = "request ended";
 /// Shard events are included up to this time before the first and after the last line about the
 /// id, in seconds.
 const SHARD_EVENT_MARGIN_S: f64 = 5.0;
@@ -36,7 +41,8 @@
 struct Explanation {
     id: String,
     lines: Vec<LogLine>,
-    /// The last line about the id itself that has an outcome or a reason.
+    /// The last line about the id itself that has an outcome or a reason; a refusal rather than the
+    /// end that it led to.
     deciding: Option<LogLine>,
     read: Vec<FileSpan>,
 }
@@ -101,14 +107,20 @@
     });
     lines.extend(shard_lines);
     lines.sort_by(|a, b| a.time_s.total_cmp(&b.time_s));
-    let deciding = lines
-        .iter()
-        .rev()
-        .find(|line| line.has_id_in(&requested_ids) && line.has_outcome())
-        .cloned();
+    let outcomes =
+        lines.iter().rev().filter(|line| line.has_id_in(&requested_ids) && line.has_outcome());
+    let deciding = deciding_line(outcomes).cloned();
     Ok(Explanation { id: args.id.clone(), lines, deciding, read })
 }
 
+/// Returns the line that decided, of the lines with an outcome, the latest first.
+fn deciding_line<'a>(mut outcomes: impl Iterator<Item = &'a LogLine>) -> Option<&'a LogLine> {
+    let last = outcomes.next()?;
+    let before = outcomes.next().filter(|_| last.event == END_EVENT);
+    let refusal = before.filter(|line| REFUSAL_EVENTS.contains(&line.event.as_str()));
+    Some(refusal.unwrap_or(last))
+}
+
 fn timeline(explanation: &Explanation) -> Table {
     let start_s = explanation.lines.first().map_or(0.0, |line| line.time_s);
     let mut table = Table::new(&["AFTER S", "BOX", "EVENT", "FIELDS"]);
--- a/crates/gannetctl/tests/explain.rs
+++ b/crates/gannetctl/tests/explain.rs
@@ -19,6 +19,11 @@
 const ENTRY: &str = r#"{"box":"entry-1","event":"job submitted","items":2,"job":"j1","outcome":"accepted","part":"entry","shard":0,"t":100.6,"level":"info"}
 {"box":"entry-1","event":"try ended","left_ms":900,"outcome":"silent","part":"targets","request":"r1","t":101,"level":"info","target":"d1","took_ms":450}
 {"box":"entry-1","event":"request ended","config":3,"outcome":"not run","part":"entry","request":"r1","route":"plain","t":101.25,"level":"info","took_ms":700}
+{"box":"entry-1","config":4,"customer":"c1","event":"no target in the allowed regions","level":"info","outcome":"evacuated","part":"targets","regions":"durgapur","request":"r7","route":"plain","service":"desk","t":104}
+{"box":"entry-1","event":"request ended","config":4,"outcome":"not run","part":"entry","request":"r7","route":"plain","t":104,"level":"info","took_ms":0}
+{"box":"entry-1","event":"admission refused","level":"info","outcome":"queue full","part":"targets","request":"r8","t":105}
+{"box":"entry-1","event":"try ended","level":"info","outcome":"silent","part":"targets","request":"r8","t":105.5}
+{"box":"entry-1","event":"request ended","outcome":"unknown","part":"entry","request":"r8","t":106,"level":"info"}
 "#;
 
 fn explain(name: &str, flags: &[&str], id: &str) -> Output {
@@ -39,6 +44,18 @@
     assert_eq!(shown, expected);
 }
 
+/// Guards against an explanation that stops at the refusal and does not name its cause.
+#[test]
+fn request_refused_for_its_regions_is_decided_by_that_line() {
+    let shown = stdout_text(&explain("regions", &[], "r7"));
+    let decided = shown.lines().last().unwrap_or_default();
+    assert!(decided.contains("no target in the allowed regions"), "{shown}");
+    assert!(decided.contains("regions=durgapur") && decided.contains("evacuated"), "{shown}");
+    // A request that was refused and served later was decided by its end.
+    let shown = stdout_text(&explain("regions", &[], "r8"));
+    assert!(shown.lines().last().unwrap_or_default().contains("request ended"), "{shown}");
+}
+
 #[test]
 fn item_id_also_shows_its_job_and_shard() {
     let shown = stdout_text(&explain("item", &[], "i1"));
