--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -384,6 +384,11 @@
     if view.suspects().crash_count(requirements.work) > 0 {
         return PermitResult::NotNeeded;
     }
+    // Refused at once by this box's choice, which names the reason.
+    if scope.is_restricted() && view.target_table().available(view.now(), service, scope).is_empty()
+    {
+        return PermitResult::NotNeeded;
+    }
     let Some(links) = view.admission.links.get() else { return PermitResult::NotNeeded };
     let cell = pick_cell(view, service, scope);
     let Some(home) = select_home(view, service, &cell) else {
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -129,14 +129,16 @@
     scope: &RegionScope,
     requirements: &WorkRequirements<'_>,
 ) -> TargetChoice {
-    let others = route.backends.iter().filter(|backend| backend.weight > 0);
-    for other in others.filter(|backend| Some(&backend.service) != drawn) {
-        let choice = choose_now(view, Some(&other.service), scope, requirements, false);
+    let weighted = route.backends.iter().filter(|backend| backend.weight > 0);
+    let services: Vec<&ServiceName> = weighted.map(|backend| &backend.service).collect();
+    for other in services.iter().filter(|service| Some(**service) != drawn) {
+        let choice = choose_now(view, Some(other), scope, requirements, false);
         if let Some(choice @ (TargetChoice::Target(_) | TargetChoice::Quarantined)) = choice {
             return choice;
         }
     }
-    if has_target_in_regions(view, route, scope) {
+    if services.into_iter().chain(drawn).any(|service| has_target_in_regions(view, service, scope))
+    {
         return TargetChoice::None;
     }
     log_none_in_regions(view, route, drawn, scope, requirements);
@@ -145,12 +147,9 @@
 
 /// Whether a target in the allowed regions could serve a request now, if it had not been tried or
 /// run suspected work.
-fn has_target_in_regions(view: &NodeView, route: &Route, scope: &RegionScope) -> bool {
+fn has_target_in_regions(view: &NodeView, service: &ServiceName, scope: &RegionScope) -> bool {
     let requirements = TargetRequirements { regions: Some(scope), ..TargetRequirements::default() };
-    let targets = view.target_table();
-    let mut services = route.backends.iter().map(|backend| &backend.service);
-    services
-        .any(|service| targets.has_fitting(view.now(), service, &requirements, &mut rand::rng()))
+    view.target_table().has_fitting(view.now(), service, &requirements, &mut rand::rng())
 }
 
 fn log_none_in_regions(
