Job log: log lines for segments that a plan seals or drops

Cause: only pulled segments had a log line of their own.

Change: a box that writes a plan logs each segment that the plan adds or leaves out, with epoch, bytes and reason.

Ruled out: logging when a plan is read. Each box would repeat the line.

--- a/crates/shards/src/log/epoch_change.rs
+++ b/crates/shards/src/log/epoch_change.rs
@@ -17,7 +17,7 @@
 use crate::log::copying::{NewCopy, Relocation, write_segment};
 use crate::log::fetch::{MissingSegment, SegmentFetcher};
 use crate::log::log_writer::EpochLog;
-use crate::log::plan_store::{read_plan, record_plan, write_plan};
+use crate::log::plan_store::{log_segment_changes, read_plan, record_plan, write_plan};
 use crate::log::retry_delay::RetryDelay;
 
 /// How a box starts a new epoch.
@@ -81,7 +81,11 @@
             takeover.set_partners(ctx.choose_copies(keeper.shard()), oldest);
         }
         match takeover.step() {
-            TakeoverStep::Serve { revision, plan } => return runner.finish(revision, plan),
+            TakeoverStep::Serve { revision, plan } => {
+                let base = takeover.base().map(|base| &base.plan);
+                log_segment_changes(keeper.shard(), base, &plan);
+                return runner.finish(revision, plan);
+            }
             TakeoverStep::Fail(error) => return Err(error.into()),
             step if change == EpochChange::WhileServed && !is_possible_while_served(&step) => {
                 return Err(EpochChangeError::NotWhileServed);
--- a/crates/shards/src/log/plan_store.rs
+++ b/crates/shards/src/log/plan_store.rs
@@ -1,7 +1,7 @@
 //! Plans of shards in the platform's store.
 
 use ids::ShardIndex;
-use joblog::{PlanWriteOutcome, ShardPlan, VersionedPlan};
+use joblog::{PlanWriteOutcome, SealedSegment, ShardPlan, VersionedPlan};
 use node::assignments::{ObservedPlan, shard_object};
 use node::{NodeView, StoreCall};
 use platform::{Kind, StoreError};
@@ -45,6 +45,31 @@
     }
 }
 
+/// Logs the segments that a plan written by this box seals or drops.
+pub fn log_segment_changes(shard: ShardIndex, old: Option<&ShardPlan>, new: &ShardPlan) {
+    let earlier = old.map_or(&[][..], |old| &old.sealed);
+    let added = new.sealed.iter().filter(|segment| !contains(earlier, segment));
+    for segment in added {
+        log_segment(shard, segment, "epoch changed", "segment sealed");
+    }
+    for segment in earlier.iter().filter(|segment| !contains(&new.sealed, segment)) {
+        // Its jobs were dropped, or a snapshot contains them.
+        log_segment(shard, segment, "not needed", "segment dropped");
+    }
+}
+
+fn contains(segments: &[SealedSegment], segment: &SealedSegment) -> bool {
+    segments.iter().any(|other| other.epoch == segment.epoch)
+}
+
+fn log_segment(shard: ShardIndex, segment: &SealedSegment, reason: &str, event: &str) {
+    log::info!(
+        target: "shard", shard = shard.get(), epoch:% = segment.epoch, bytes = segment.len,
+        reason = reason;
+        "{event}"
+    );
+}
+
 /// Records a plan that the store holds.
 pub fn record_plan(view: &NodeView, shard: ShardIndex, read: VersionedPlan) {
     let observed = ObservedPlan { revision: read.revision, plan: read.plan, seen_at: view.now() };
--- a/crates/shards/src/plan_update.rs
+++ b/crates/shards/src/plan_update.rs
@@ -4,16 +4,14 @@
 use std::time::Duration;
 
 use ids::{BoxId, FencingToken};
-use joblog::{
-    EpochId, PlanWriteOutcome, ShardPlan, VersionedPlan, incomplete_segments, updated_plan,
-};
+use joblog::{PlanWriteOutcome, VersionedPlan, incomplete_segments, updated_plan};
 use node::assignments::ObservedPlan;
 use tokio::time;
 
 use crate::context::ShardContext;
 use crate::keeper::ShardKeeper;
 use crate::keepers::KeeperSet;
-use crate::log::plan_store::{read_plan, record_plan, write_plan};
+use crate::log::plan_store::{log_segment_changes, read_plan, record_plan, write_plan};
 
 /// Interval of the updates. Store writes are priced; one write covers all changes of a plan.
 const UPDATE_INTERVAL: Duration = Duration::from_secs(1);
@@ -56,7 +54,12 @@
     let Some(updated) = updated_plan(plan, oldest, holds) else { return incomplete };
     match write_plan(&ctx.view, shard, Some(observed.revision), &updated).await {
         PlanWriteOutcome::Done(revision) => {
-            log_update(keeper, plan, &updated, incomplete);
+            log_segment_changes(shard, Some(plan), &updated);
+            log::info!(
+                target: "shard", shard = shard.get(), epoch:% = updated.epoch,
+                sealed = updated.sealed.len(), incomplete = incomplete;
+                "copies of segments updated in the plan"
+            );
             record_plan(&ctx.view, shard, VersionedPlan { revision, plan: updated });
         }
         // Another plan is stored, or this one by an earlier attempt whose response was lost.
@@ -67,20 +70,3 @@
     }
     incomplete
 }
-
-fn log_update(keeper: &ShardKeeper, old: &ShardPlan, new: &ShardPlan, incomplete: usize) {
-    let shard = keeper.shard().get();
-    let is_kept = |epoch: &EpochId| new.sealed.iter().any(|segment| segment.epoch == *epoch);
-    for segment in old.sealed.iter().filter(|segment| !is_kept(&segment.epoch)) {
-        log::info!(
-            target: "shard", shard = shard, epoch:% = segment.epoch, bytes = segment.len,
-            reason = "no jobs";
-            "segment dropped"
-        );
-    }
-    log::info!(
-        target: "shard", shard = shard, epoch:% = new.epoch, sealed = new.sealed.len(),
-        incomplete = incomplete;
-        "copies of segments updated in the plan"
-    );
-}
