Takeover: only replace the epoch that the decision was about

Cause: two boxes decided to take over at the same time.

Change: a takeover reads the plan and fails if its epoch isn't the one whose server was found unresponsive; the box decides again from the new plan. Ruled out: a longer delay between ranks, which would delay every takeover.

The check of mutations names the line that replaced the retry of appends.

--- a/crates/shards/src/log/epoch_change.rs
+++ b/crates/shards/src/log/epoch_change.rs
@@ -21,13 +21,27 @@
 use crate::log::retry_delay::RetryDelay;
 
 /// How a box starts a new epoch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EpochChange {
     /// It serves the shard and continues with the jobs in memory. Jobs may change meanwhile, but no
     /// record is applied.
     WhileServed,
     /// It does not serve the shard.
-    TakeOver,
+    TakeOver {
+        /// The epoch whose server it replaces; `None` if the shard had none. If another epoch has
+        /// begun meanwhile, its server may be live, so the change fails.
+        replaced: Option<EpochId>,
+    },
+}
+
+impl EpochChange {
+    /// Returns whether the plan is still that of the replaced epoch.
+    fn replaces(&self, read: Option<&VersionedPlan>) -> bool {
+        match self {
+            Self::WhileServed => true,
+            Self::TakeOver { replaced } => read.map(|read| &read.plan.epoch) == replaced.as_ref(),
+        }
+    }
 }
 
 /// Why a new epoch was not started.
@@ -64,17 +78,16 @@
 ) -> Result<NewEpoch, EpochChangeError> {
     let number = u64::from(rand::rng().random::<u32>());
     let mut takeover = EpochTakeover::new(ctx.me.clone(), number, keeper.loaded());
+    let is_served = change == EpochChange::WhileServed;
     // The conditional write detects that the known plan is stale, so it need not be read again.
-    if change == EpochChange::WhileServed
-        && let Some(known) = known_plan(ctx, keeper)
-    {
+    if is_served && let Some(known) = known_plan(ctx, keeper) {
         takeover.plan_read(Ok(Some(known)));
     }
     let mut runner =
         ChangeRunner { ctx, keeper, copy: None, delay: RetryDelay::new(), confirmed_at: None };
     loop {
         if takeover.needs_partners() {
-            if change == EpochChange::TakeOver {
+            if !is_served {
                 keeper.jobs().suspend_appends();
             }
             let oldest = keeper.jobs().oldest_segment();
@@ -87,9 +100,16 @@
                 return runner.finish(revision, plan);
             }
             TakeoverStep::Fail(error) => return Err(error.into()),
-            step if change == EpochChange::WhileServed && !is_possible_while_served(&step) => {
+            step if is_served && !is_possible_while_served(&step) => {
                 return Err(EpochChangeError::NotWhileServed);
             }
+            TakeoverStep::ReadPlan => {
+                let read = read_plan(&ctx.view, keeper.shard()).await;
+                if read.as_ref().is_ok_and(|read| !change.replaces(read.as_ref())) {
+                    return Err(TakeoverError::Superseded.into());
+                }
+                takeover.plan_read(read);
+            }
             step => runner.perform(&mut takeover, step).await,
         }
     }
@@ -126,9 +146,6 @@
 impl ChangeRunner<'_> {
     async fn perform(&mut self, takeover: &mut EpochTakeover, step: TakeoverStep) {
         match step {
-            TakeoverStep::ReadPlan => {
-                takeover.plan_read(read_plan(&self.ctx.view, self.keeper.shard()).await);
-            }
             TakeoverStep::BeginEmpty => {
                 self.keeper.reset();
                 takeover.emptied();
@@ -162,7 +179,8 @@
                 }
                 takeover.plan_read(read);
             }
-            TakeoverStep::Serve { .. } | TakeoverStep::Fail(_) => {}
+            // The caller handles these steps.
+            TakeoverStep::ReadPlan | TakeoverStep::Serve { .. } | TakeoverStep::Fail(_) => {}
         }
     }
 
--- a/crates/shards/src/takeover.rs
+++ b/crates/shards/src/takeover.rs
@@ -37,7 +37,8 @@
         drop_superseded(&ctx, &keeper);
         clean_copies(&ctx, shard, &mut cleaned).await;
         if ctx.view.assignments().is_read() && should_take_over(&ctx, &keeper, &mut no_plan_since) {
-            match change_epoch(&ctx, &keeper, EpochChange::TakeOver).await {
+            let replaced = ctx.view.assignments().plan(shard).map(|plan| plan.plan.epoch.clone());
+            match change_epoch(&ctx, &keeper, EpochChange::TakeOver { replaced }).await {
                 Ok(new) => {
                     serve_epoch(&ctx, &keeper, new).await;
                     delay = RetryDelay::new();
--- a/crates/xtask/src/mutate.rs
+++ b/crates/xtask/src/mutate.rs
@@ -276,8 +276,8 @@
     Mutation {
         name: "platform: a slow copy ends the epoch during a store outage",
         file: "crates/shards/src/log/log_writer.rs",
-        from: "let retry = !refused && !ctx.view.store_state().up;",
-        to: "let retry = false && !refused;",
+        from: "_ => !store_responds(ctx, ShardIndex::new(append.shard)).await,",
+        to: "_ => false,",
         package: "platform-standin",
         test: "slow_copy_is_awaited_during_store_outage",
     },
