Regions and admission: clearer comments and names

Reasons are added for the reuse of computed cells, the reserved connection and the scope of routes with the same name. No behavior and no assertion is changed.

--- a/crates/admission/src/cells.rs
+++ b/crates/admission/src/cells.rs
@@ -1,8 +1,8 @@
 //! Division of a large service into cells, each with its own queue.
 //!
 //! All boxes must find the same cell for a target without agreeing on anything but the target list.
-//! A division by the hash of each target alone is uneven: with 16 targets and two cells, one cell
-//! often has 11, and its queue gets as many requests as that of the other five.
+//! A division by the hash of each target alone gives cells of different sizes, and each cell gets
+//! the same share of the requests, whatever its size.
 
 use std::collections::HashMap;
 
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,8 +4,9 @@
 //! one target. It refuses at once what can't be served in time, and [`ReturnSchedule`] tells refused
 //! callers when to return. [`TargetLimit`] adapts the number of permits of a target to what the
 //! target refuses and reports. [`CellLayout`] divides a large service into cells, and
-//! [`ReportBuffer`] holds a report until the home of its target's cell is asked. [`ShortageDetector`] tells a box when to ask for permits at all:
-//! without a shortage the queue would only add a hop.
+//! [`ReportBuffer`] holds a report until the home of its target's cell is asked.
+//! [`ShortageDetector`] tells a box when to ask for permits at all: without a shortage the queue
+//! would only add a hop.
 //!
 //! Nothing here does I/O or reads a clock; random numbers are passed in.
 
--- a/crates/admission/tests/cells.rs
+++ b/crates/admission/tests/cells.rs
@@ -1,4 +1,4 @@
-//! Cells of a large service, and the way of a report to the cell of its target.
+//! Cells of a large service, and the cell for which a report waits.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -86,6 +86,8 @@
     }
 }
 
+/// Guards against asks of unbounded size, and against old failures that are reported for a target
+/// that has recovered.
 #[test]
 fn waiting_reports_are_bounded_by_number_and_age() {
     let targets = targets(16);
--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -236,9 +236,9 @@
             .ok_or(ShardFault::OutsideRegions)
     }
 
-    /// Returns whether a shard other than `shard` holds this customer's job. It accepted the job under
-    /// an earlier scope; repeated in `shard`, the job would run twice. Queries the shards only if
-    /// some are bound to regions.
+    /// Returns whether a shard other than `shard` holds this customer's job, because it accepted the
+    /// job under an earlier scope. A submission to `shard` would then run the job twice. Queries the
+    /// shards only if some are bound to regions.
     async fn is_held_elsewhere(&self, id: &str, customer: &str, shard: ShardIndex) -> bool {
         let general = self.view.shards().unwrap_or_default();
         if self.view.job_shards().iter().all(|shard| shard.get() < general) {
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -32,7 +32,8 @@
 
 use crate::{LiveSettings, NodeView, WorkRequirements};
 
-/// How long the cells of a service are used before they are computed again from its targets.
+/// How long the cells of a service are used before they are computed again. Computing them sorts
+/// all targets of the service, which is too much work for each request.
 const CELLS_TTL: Duration = Duration::from_millis(50);
 /// Minimum wait for the first reply. Covers a short pause of a home whose CPU quota is used up.
 const MIN_REPLY_TIMEOUT: Duration = Duration::from_millis(40);
@@ -134,8 +135,8 @@
     shortage: ShortageDetector,
     /// Whether the last request needed a permit.
     is_shared: bool,
-    /// Cells of requests without restriction, and of each scope that restricted requests had since
-    /// the shortage began.
+    /// The cells by scope: that of unrestricted requests, and those of the restricted requests
+    /// since the shortage began.
     divisions: HashMap<RegionScope, CellDivision>,
     retries: RetryBudget,
 }
@@ -377,16 +378,16 @@
     PermitReport { target: report.target.to_string(), outcome: outcome.into(), load }
 }
 
-/// One of the parts into which the targets of a large service are divided. Restricted requests have
-/// cells of their own, which hold only the targets of their regions.
+/// One of the parts into which the targets of a large service are divided. Each scope has cells of
+/// its own, which hold only the targets that it allows.
 struct Cell<'a> {
     index: u32,
     count: u32,
     scope: &'a RegionScope,
 }
 
-/// Selects the home of a cell: the first storage box of its regions in rendezvous order that is not
-/// avoided.
+/// Selects the home of a cell: the first storage box in rendezvous order that is in the allowed
+/// regions and not avoided.
 fn select_home(view: &NodeView, service: &ServiceName, cell: &Cell<'_>) -> Option<StorageBox> {
     let key = match cell.scope {
         RegionScope::Any => format!("{service}/{}", cell.index),
@@ -420,7 +421,8 @@
     if view.suspects().crash_count(requirements.work) > 0 {
         return PermitResult::NotNeeded;
     }
-    // Refused at once by this box's choice, which names the reason.
+    // Without a target in the allowed regions, the choice of this box refuses the request at once
+    // and logs the reason.
     if scope.is_restricted() && view.target_table().available(view.now(), service, scope).is_empty()
     {
         return PermitResult::NotNeeded;
@@ -468,6 +470,7 @@
     }
 }
 
+/// Encodes a scope; `None` if it allows all regions.
 fn encode_scope(scope: &RegionScope) -> Option<peer::AdmissionScope> {
     let RegionScope::Only(regions) = scope else { return None };
     Some(peer::AdmissionScope { regions: regions.iter().map(RegionId::to_string).collect() })
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -130,8 +130,9 @@
     Some(TargetChoice::Target(SlotGuard::new(view, requirements.work, target).with_permit(permit)))
 }
 
-/// Chooses a target of another service of the route for a restricted request, if the service that
-/// was drawn has none in the allowed regions: a small share of the route may be the only one there.
+/// Chooses a target of another service of the route for a restricted request for which the service
+/// drawn by weight has none: a service with a small weight may be the only one in the allowed
+/// regions. Logs the refusal if no service has a target there that can serve a request now.
 fn choose_other_service(
     view: &Arc<NodeView>,
     route: &Route,
--- a/crates/node/src/regions.rs
+++ b/crates/node/src/regions.rs
@@ -1,4 +1,4 @@
-//! The regions in which jobs, and the calls made on their behalf, may be handled.
+//! The regions in which requests, jobs and the calls made on their behalf may be handled.
 
 use std::collections::HashSet;
 
@@ -26,8 +26,8 @@
     })
 }
 
-/// The request on whose behalf an internal call is made. Both have to stay in the allowed regions of
-/// both, since the call may contain parts of the request or of its response.
+/// The request on whose behalf an internal call is made. The call is restricted to the regions that
+/// are allowed for both, since it may contain parts of the request or of its response.
 #[derive(Debug, Clone, Copy)]
 pub struct ParentRequest<'a> {
     /// Host of the request.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -107,8 +107,8 @@
         &self.settings.regions
     }
 
-    /// Regions in which a request may be handled, by the configuration in force. While a request
-    /// runs its route may be removed; then the regions of the route that it was admitted on apply.
+    /// Regions in which a request may be handled, by the configuration in force. If the route is
+    /// removed while a request runs, the regions that it had when the request was admitted apply.
     pub fn region_scope(&self, route: &Route, customer: Option<&CustomerName>) -> RegionScope {
         let table = self.table();
         let scope = table.region_scope(&route.name, customer);
--- a/crates/node/tests/logs.rs
+++ b/crates/node/tests/logs.rs
@@ -11,7 +11,7 @@
 const CHILD_VARIABLE: &str = "GANNETWAY_TEST_LOG_CHILD";
 /// Start of the target of a log call in the source.
 const TARGET: &str = "target: \"";
-/// Crates of the product whose processes set up logging differently, or that are not part of it.
+/// Crates that are not part of the product, or whose processes set up logging differently.
 const OTHER_CRATES: [&str; 6] = ["gannetwayd", "gannetctl", "demo", "standins", "bench", "xtask"];
 
 fn rust_files(folder: &Path, files: &mut Vec<PathBuf>) {
--- a/crates/routing/src/regions.rs
+++ b/crates/routing/src/regions.rs
@@ -6,7 +6,7 @@
 
 use ids::{DomainId, RegionId};
 
-/// A text is not a region map.
+/// Why a text could not be parsed as a region map.
 #[derive(Debug, thiserror::Error)]
 #[error("not a JSON object that names the region of each failure domain: {0}")]
 pub struct RegionMapError(#[from] serde_json::Error);
@@ -77,12 +77,12 @@
         }
     }
 
-    /// Whether this excludes any place.
+    /// Whether only certain regions are allowed, also if these are all that exist.
     pub const fn is_restricted(&self) -> bool {
         matches!(self, Self::Only(_))
     }
 
-    /// The regions that both scopes allow.
+    /// Returns the scope that allows what both scopes allow.
     #[must_use]
     pub fn intersect(&self, other: &Self) -> Self {
         match (self, other) {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -148,6 +148,7 @@
     ) -> Self {
         let priorities = routes.iter().map(|route| (route.name.clone(), route.priority)).collect();
         let restricted = routes.iter().filter(|route| route.regions.is_restricted());
+        // Several routes may have the same name; the restrictions of all apply.
         let mut scopes: HashMap<RouteName, RegionScope> = HashMap::new();
         for route in restricted {
             let scope = scopes.entry(route.name.clone()).or_default();
@@ -239,6 +240,7 @@
 
     /// Whether a route is configured.
     pub fn has_route(&self, route: &RouteName) -> bool {
+        // Every route has a priority.
         self.priorities.contains_key(route)
     }
 
--- a/crates/routing/src/target_state.rs
+++ b/crates/routing/src/target_state.rs
@@ -31,7 +31,7 @@
     /// Used instead of `unit_time_ms` in services whose targets report their slowdown.
     pub speed: SpeedEstimate,
     pub failures: u32,
-    /// The last failure was that no connection could be opened.
+    /// Whether the last failure was that no connection could be opened.
     pub unreachable: bool,
     /// Refusals for lack of capacity since the last success.
     pub refusals: u32,
@@ -107,8 +107,8 @@
             return false;
         }
         let is_restricted = requirements.regions.is_some_and(RegionScope::is_restricted);
-        let skips_backoff = requirements.skip_backed_off || (is_restricted && self.unreachable);
-        if skips_backoff && now < self.backoff_until {
+        let skips_backed_off = requirements.skip_backed_off || (is_restricted && self.unreachable);
+        if skips_backed_off && now < self.backoff_until {
             return false;
         }
         // Work that can be deferred needs a free slot at a target that is not backed off.
--- a/crates/routing/src/target_table.rs
+++ b/crates/routing/src/target_table.rs
@@ -41,10 +41,9 @@
 /// Cost added to targets of other failure domains, in units of the load ratio. Traffic between
 /// domains costs more than a short wait.
 const REMOTE_DOMAIN_COST: f64 = 0.34;
-/// Cost added instead to targets of other regions, in the same units. Traffic between regions takes
-/// tens of milliseconds more, shares a link and is priced by the byte: at this cost an idle target of
-/// another region is chosen once the near ones have a request for each of their slots. Chosen by this
-/// rule, not measured.
+/// Cost added instead to targets of other regions, in the same units. Traffic between regions is
+/// slower, shares a link and is priced by the byte. At this cost an idle target of another region is
+/// chosen once the near targets have a request for each of their slots.
 const REMOTE_REGION_COST: f64 = 1.0;
 /// Weight of the load relative to the unit time for requests that prefer a fast target. Low,
 /// because a full batch slows its requests down less than a slow engine does.
@@ -395,7 +394,8 @@
         }
     }
 
-    /// Explains why no target is eligible: by the targets of the other regions if there are any.
+    /// Explains why no target is eligible. If targets outside of the allowed regions would be, the
+    /// restriction is the reason.
     fn no_eligible_reason(
         &self,
         service: &ServiceName,
@@ -442,11 +442,12 @@
 
     /// The cost added to targets of other regions; zero if either region is not known.
     fn region_cost(&self, state: &TargetState) -> f64 {
-        let own = self.region.as_ref().filter(|_| state.record.domain != self.domain);
-        let other = own.and_then(|own| {
-            self.regions.region_of(&state.record.domain).filter(|region| *region != own)
+        // Targets of this domain need no lookup.
+        let own_region = self.region.as_ref().filter(|_| state.record.domain != self.domain);
+        let other_region = own_region.and_then(|own_region| {
+            self.regions.region_of(&state.record.domain).filter(|region| *region != own_region)
         });
-        if other.is_some() { REMOTE_REGION_COST } else { 0.0 }
+        if other_region.is_some() { REMOTE_REGION_COST } else { 0.0 }
     }
 
     /// Whether a request running at `instance` should move: another target fits, is not backed off
--- a/crates/shards/src/admission.rs
+++ b/crates/shards/src/admission.rs
@@ -44,7 +44,8 @@
     service: ServiceName,
     cell: u32,
     cells: u32,
-    /// Regions of the targets. Requests of another scope have other targets, so their own queue.
+    /// Regions of the targets. Requests of another scope have other targets, so they have a queue
+    /// of their own.
     scope: RegionScope,
 }
 
@@ -373,7 +374,8 @@
     })
 }
 
-/// Names that are not valid are those of unknown regions, which contain nothing.
+/// Decodes a scope; a missing one allows all regions. A name that is not a valid id can't be that of
+/// a region in the settings, so it counts as a region that contains nothing.
 fn decode_scope(scope: Option<&peer::AdmissionScope>) -> RegionScope {
     let Some(scope) = scope else { return RegionScope::Any };
     RegionScope::Only(scope.regions.iter().filter_map(|name| name.parse().ok()).collect())
--- a/crates/standins/src/unreachable.rs
+++ b/crates/standins/src/unreachable.rs
@@ -7,9 +7,10 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time;
 
-/// Number of connections that the listener keeps unaccepted.
+/// Number of connections that the listener holds without accepting them; small, so that few
+/// connections fill it.
 const BACKLOG: u32 = 1;
-/// Connections that open within this time still found room in the backlog.
+/// How long to wait for a connection to open; one that isn't open by then found the backlog full.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Neither accepts nor refuses connections: attempts get no reaction.
--- a/crates/upstream/src/limit.rs
+++ b/crates/upstream/src/limit.rs
@@ -47,7 +47,8 @@
 
     /// Whether another item may be started at the current number of connections.
     pub fn has_capacity(&self) -> bool {
-        // A small limit reserves at least one connection, unless it is the only one.
+        // At least one connection is reserved, also under a small limit. A single connection is not
+        // reserved, or no item could ever start.
         let reserve = self.max_open.div_ceil(RESERVE_DIVISOR).min(self.max_open / 2);
         self.open() < self.max_open - reserve
     }
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -140,9 +140,9 @@
         self.send_by(address, request, Instant::now() + CONNECT_TIMEOUT).await
     }
 
-    /// Like [`Self::send`], but a connection that isn't open at `connect_by` is given up, and
-    /// nothing was sent. A timeout around [`Self::send`] can't tell this from a request that the
-    /// target may run.
+    /// Like [`Self::send`], but returns [`SendError::NotSent`] if a new connection is needed and not
+    /// open by `connect_by`. After a timeout around [`Self::send`] it is unknown whether the request
+    /// was sent.
     pub async fn send_by(
         &self,
         address: SocketAddr,
