Requests near their deadline blame no target; submissions look for an earlier holder before a refusal

A try with little time left for opening a connection recorded the target as unreachable; it is now reported as 'no time to connect' and changes nothing about the target. A repeated submission whose scope no shard satisfies any more was refused as not run although another shard may hold the job; the search comes first now, and the shard is chosen again after it.

Not tested on their own; the cluster tests of regions and cut domains pass.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -239,12 +239,12 @@
     /// Returns whether a shard other than `shard` holds this customer's job, because it accepted the
     /// job under an earlier scope. A submission to `shard` would then run the job twice. Queries the
     /// shards only if some are bound to regions.
-    async fn is_held_elsewhere(&self, id: &str, customer: &str, shard: ShardIndex) -> bool {
+    async fn is_held_elsewhere(&self, id: &str, customer: &str, shard: Option<ShardIndex>) -> bool {
         let general = self.view.shards().unwrap_or_default();
         if self.view.job_shards().iter().all(|shard| shard.get() < general) {
             return false;
         }
-        let Some(holder) = self.locate(id).await.filter(|holder| *holder != shard) else {
+        let Some(holder) = self.locate(id).await.filter(|holder| Some(*holder) != shard) else {
             return false;
         };
         let read = shard_request::Body::Read(JobRead {
@@ -405,15 +405,19 @@
     };
     let items = job.items.len();
     let scope = submit_scope(&client.view.table(), sender, &job);
-    let shard = match client.shard_for(sender.host, &job.model, &scope) {
-        Ok(shard) => shard,
-        Err(ShardFault::OutsideRegions) => return refuse_for_regions(client, id, items, &scope),
-        Err(_) => return response::not_run("shard not served", Some(id)),
-    };
-    if client.is_held_elsewhere(id, &job.customer, shard).await {
+    let searched_for = client.shard_for(sender.host, &job.model, &scope).ok();
+    // Checked before any refusal: a job that another shard holds may have run.
+    if client.is_held_elsewhere(id, &job.customer, searched_for).await {
         log::info!(target: "entry", job = id, outcome = "held under an earlier scope"; "job submitted");
         return accepted();
     }
+    // The configuration may have changed during the search.
+    let scope = submit_scope(&client.view.table(), sender, &job);
+    let shard = match client.shard_for(sender.host, &job.model, &scope) {
+        Ok(shard) if Some(shard) == searched_for => shard,
+        Err(ShardFault::OutsideRegions) => return refuse_for_regions(client, id, items, &scope),
+        Ok(_) | Err(_) => return response::not_run("shard not served", Some(id)),
+    };
     let call = shard_request::Body::Submit(JobSubmit { shard: shard.get(), job: Some(job) });
     let result = client.call(shard, id, SUBMIT_TIMEOUT, &call).await;
     if result.is_ok() {
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -12,8 +12,8 @@
 use http_body_util::{Either, Full};
 use ids::{InstanceId, WorkDigest};
 use node::{
-    CONNECT_MARGIN, NO_TARGET_IN_REGIONS, NodeView, SlotGuard, TargetChoice, WorkRequirements,
-    choose_target, record_disconnect, request_work, reuse_policy,
+    CONNECT_MARGIN, MIN_CONNECT_TIME, NO_TARGET_IN_REGIONS, NodeView, SlotGuard, TargetChoice,
+    WorkRequirements, choose_target, record_disconnect, request_work, reuse_policy,
 };
 use platform::headers;
 use routing::{ChosenTarget, Route, TargetFailure};
@@ -92,7 +92,9 @@
         let target_response = match sent {
             Ok(Ok(target_response)) => target_response,
             Ok(Err(SendError::NotSent(_))) => {
-                record_unreachable(view, target);
+                if time_left >= MIN_CONNECT_TIME {
+                    record_unreachable(view, target);
+                }
                 tried.push(target.instance.clone());
                 if view.admission.try_retry(&target.service) {
                     continue;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,7 +36,8 @@
 pub use disconnects::record_disconnect;
 pub use metrics::{NodeMetrics, StoreCall, log_counters, serve_metrics};
 pub use plain::{
-    CONNECT_MARGIN, NO_TARGET_IN_REGIONS, PlainCall, PlainOutcome, call_plain, reuse_policy,
+    CONNECT_MARGIN, MIN_CONNECT_TIME, NO_TARGET_IN_REGIONS, PlainCall, PlainOutcome, call_plain,
+    reuse_policy,
 };
 pub use probe::ProbeBackoff;
 pub use regions::{ParentRequest, job_scope};
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -31,6 +31,8 @@
 /// A connection must be open this long before the end of its try. Otherwise the request is not
 /// sent, and the caller still gets a response that says so.
 pub const CONNECT_MARGIN: Duration = Duration::from_millis(20);
+/// With less time for opening a connection, a failure to do so says nothing about the target.
+pub const MIN_CONNECT_TIME: Duration = Duration::from_millis(250);
 /// Pause before the next try when no target is available.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(20);
 
@@ -102,6 +104,8 @@
 enum TryOutcome {
     Answered,
     NotSent,
+    /// Too little time was left to open a connection.
+    NoTime,
     /// The box's connection limit is reached.
     NoRoom,
     Silent,
@@ -142,7 +146,7 @@
             | Self::Broken
             | Self::MismatchedResponse
             | Self::Unsigned => PermitOutcome::Broken,
-            Self::NoRoom | Self::NoMemory => return None,
+            Self::NoTime | Self::NoRoom | Self::NoMemory => return None,
         })
     }
 
@@ -150,6 +154,7 @@
         match self {
             Self::Answered => "answered",
             Self::NotSent => "not sent",
+            Self::NoTime => "no time to connect",
             Self::NoRoom => "no connection left",
             Self::Silent => "silent",
             Self::Broken => "broken",
@@ -299,8 +304,9 @@
     headers::set_instance(request.headers_mut(), &target.instance);
     set_engine_priority(view, call, target, request.headers_mut());
     let (started, sent_at) = (Instant::now(), view.now());
+    let connect_time = limit.saturating_sub(CONNECT_MARGIN);
     let sent = async {
-        let connect_by = started + limit.saturating_sub(CONNECT_MARGIN);
+        let connect_by = started + connect_time;
         let response = view.pool.send_by(target.address, request, connect_by).await?;
         let response = response.reusable_after(reuse_policy(view));
         response.read_full_by(MAX_RESPONSE_BYTES, started + limit).await
@@ -311,6 +317,11 @@
             view.pool.close_idle();
             (TryOutcome::Silent, TryResult::Broken)
         }
+        Ok(Err(ReadError::Send(SendError::NotSent(_))))
+            if connect_time < MIN_CONNECT_TIME && started.elapsed() >= connect_time =>
+        {
+            (TryOutcome::NoTime, TryResult::NotRun)
+        }
         Ok(Err(ReadError::Send(SendError::NotSent(_)))) => (TryOutcome::NotSent, TryResult::NotRun),
         Ok(Err(ReadError::Send(SendError::LimitReached))) => {
             (TryOutcome::NoRoom, TryResult::NotRun)
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -6,7 +6,7 @@
     Mutation {
         name: "regions: a job runs again in the shard of its later scope",
         file: "crates/front/src/jobs_api.rs",
-        from: "    if client.is_held_elsewhere(id, &job.customer, shard).await {",
+        from: "    if client.is_held_elsewhere(id, &job.customer, searched_for).await {",
         to: "    if false {",
         package: "platform-standin",
         test: "submitted_again_under_another_scope",
