Job log: comments and names that match segments and plan updates

Cause: some comments still described the log as one file per epoch. The crate page of joblog said that every new plan has a new epoch and that all copies of it hold every record; the comment at the first round said that nothing is served before it. Two reasons for a change of epoch and the wait before the first plan of a bound shard had no explanation.

Change: the comments and two pages state what the code does. Private names: the states of EpochTakeover say what happens in them, JobState::accepted_in is accepted_location, ShardKeeper::adopt is install_epoch. No change of behaviour, log lines, numbers or stored names.

--- a/crates/joblog/src/epoch_takeover.rs
+++ b/crates/joblog/src/epoch_takeover.rs
@@ -113,10 +113,10 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum TakeoverState {
-    Read,
+    ReadingPlan,
     Fetching,
-    Base,
-    Partners,
+    Loading,
+    ChoosingPartners,
     Copying,
     Writing { tries: u32 },
     Checking { tries: u32 },
@@ -148,16 +148,16 @@
             base: None,
             partners: Vec::new(),
             segment: NewSegment::EMPTY,
-            state: TakeoverState::Read,
+            state: TakeoverState::ReadingPlan,
         }
     }
 
     /// Returns the next step. [`TakeoverStep::Serve`] and [`TakeoverStep::Fail`] are final.
     pub fn step(&self) -> TakeoverStep {
         match &self.state {
-            TakeoverState::Read => TakeoverStep::ReadPlan,
+            TakeoverState::ReadingPlan => TakeoverStep::ReadPlan,
             TakeoverState::Fetching => TakeoverStep::FetchSegments(self.base_segments()),
-            TakeoverState::Base => match &self.base {
+            TakeoverState::Loading => match &self.base {
                 None => TakeoverStep::BeginEmpty,
                 Some(base) => TakeoverStep::CloseAndRead {
                     epoch: base.plan.epoch.clone(),
@@ -165,7 +165,7 @@
                 },
             },
             // The caller must call `set_partners` first, which leaves this state.
-            TakeoverState::Partners => TakeoverStep::Fail(TakeoverError::NoPartners),
+            TakeoverState::ChoosingPartners => TakeoverStep::Fail(TakeoverError::NoPartners),
             TakeoverState::Copying => TakeoverStep::Copy {
                 epoch: self.epoch(),
                 partners: self.partners.clone(),
@@ -187,7 +187,7 @@
 
     /// Returns whether [`Self::set_partners`] must be called now.
     pub fn needs_partners(&self) -> bool {
-        self.state == TakeoverState::Partners
+        self.state == TakeoverState::ChoosingPartners
     }
 
     fn base_segments(&self) -> Vec<SealedSegment> {
@@ -216,7 +216,7 @@
     /// Records the plan as read; `Err` if the store did not respond.
     pub fn plan_read(&mut self, read: Result<Option<VersionedPlan>, ()>) {
         match self.state {
-            TakeoverState::Read => self.handle_first_read(read),
+            TakeoverState::ReadingPlan => self.handle_first_read(read),
             TakeoverState::Checking { tries } => self.handle_check(read, tries),
             _ => {}
         }
@@ -231,11 +231,11 @@
         let epoch = base.as_ref().map(|base| &base.plan.epoch);
         let is_loaded = epoch.is_some() && epoch == self.loaded.as_ref().map(|log| &log.epoch);
         self.state = if is_loaded {
-            TakeoverState::Partners
+            TakeoverState::ChoosingPartners
         } else if base.as_ref().is_some_and(|base| !base.plan.sealed.is_empty()) {
             TakeoverState::Fetching
         } else {
-            TakeoverState::Base
+            TakeoverState::Loading
         };
         if !is_loaded {
             self.loaded = None;
@@ -287,7 +287,7 @@
     /// Records whether all sealed segments are on this box's disk.
     pub fn segments_fetched(&mut self, all: bool) {
         if all {
-            self.state = TakeoverState::Base;
+            self.state = TakeoverState::Loading;
         } else {
             self.fail(TakeoverError::NoSegment);
         }
@@ -296,14 +296,14 @@
     /// Records that the log in memory is empty.
     pub fn emptied(&mut self) {
         self.loaded = None;
-        self.state = TakeoverState::Partners;
+        self.state = TakeoverState::ChoosingPartners;
     }
 
     /// Records the log that was read; `None` if it can't be read.
     pub fn log_read(&mut self, loaded: Option<LoadedLog>) {
         if loaded.is_some() {
             self.loaded = loaded;
-            self.state = TakeoverState::Partners;
+            self.state = TakeoverState::ChoosingPartners;
         } else {
             self.fail(TakeoverError::NoCopy);
         }
--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -1,8 +1,10 @@
 //! The replicated log of a shard: copies, epochs, and write authority.
 //!
 //! A shard's log is replicated on several boxes. The platform's store holds one [`ShardPlan`] per
-//! shard: the epoch, the box that serves the shard, and the boxes with a copy. A plan changes only
-//! by conditional write, and each new plan has a new epoch with a higher token and new files.
+//! shard: the epoch, the box that serves the shard, the boxes with a copy, and the sealed segments of
+//! earlier epochs. A plan changes only by conditional write. A change of epoch has a higher token and
+//! opens a new segment, which is a new file on each box. An update of the sealed segments (their
+//! holders, or those no longer needed) keeps the epoch.
 //!
 //! Three rules preserve acknowledged records:
 //!
@@ -10,11 +12,12 @@
 //! 2. A copy accepts appends only while its epoch is open on that box. A box closes its copy
 //!    before it reads it to serve the shard itself, and a restarted box never reopens an old
 //!    epoch. One closed copy is therefore enough to stop the previous server.
-//! 3. A new plan is written only after all of its copies contain every record of the closed copy,
-//!    and the write is conditional on the plan that was read.
+//! 3. The plan of a new epoch is written only after each record of the closed copy that jobs in
+//!    memory need is either in a sealed segment, which all boxes that the segment names have, or on
+//!    all copies of the new epoch. The write is conditional on the plan that was read.
 //!
-//! If two boxes attempt a takeover, the store accepts one plan. Both candidates contain all
-//! acknowledged records, so either may win. The protocol compares no clocks.
+//! If two boxes attempt a takeover, the store accepts one plan. Both plans include all acknowledged
+//! records, so either may win. The protocol compares no clocks.
 
 mod copy;
 mod epoch_takeover;
--- a/crates/joblog/src/plan.rs
+++ b/crates/joblog/src/plan.rs
@@ -114,7 +114,8 @@
     }
 
     /// Returns whether neither this plan nor any later one can name a segment of `epoch`. Later
-    /// plans derive from this one by conditional writes and have higher tokens.
+    /// plans derive from this one by conditional writes: they have this epoch or higher tokens, and
+    /// of the earlier segments only those that this plan names.
     pub fn excludes(&self, epoch: &EpochId) -> bool {
         if epoch.token == self.epoch.token {
             return *epoch != self.epoch;
--- a/crates/jobs/src/segments.rs
+++ b/crates/jobs/src/segments.rs
@@ -34,7 +34,7 @@
 impl JobState {
     /// Returns the segment with the record that accepted the job; the lowest if it is unknown.
     fn segment(&self) -> FencingToken {
-        self.accepted_in.map_or(FencingToken::default(), |location| location.segment)
+        self.accepted_location.map_or(FencingToken::default(), |location| location.segment)
     }
 
     /// Returns the oldest segment that is needed to replay an item of this job.
@@ -53,7 +53,7 @@
     /// Applies `change` to the locations of all records.
     fn relocate(&mut self, change: impl Fn(&mut RecordLocation)) {
         let listed = self.listed.iter_mut().filter_map(|listed| listed.location.as_mut());
-        listed.chain(&mut self.accepted_in).for_each(change);
+        listed.chain(&mut self.accepted_location).for_each(change);
     }
 }
 
@@ -73,7 +73,7 @@
                     listed.location = Some(record.location);
                 }
             } else {
-                state.accepted_in = Some(record.location);
+                state.accepted_location = Some(record.location);
                 // A snapshot includes the text that earlier jobs left over.
                 state.items.iter_mut().for_each(|item| item.carried_from = None);
             }
--- a/crates/jobs/src/snapshot.rs
+++ b/crates/jobs/src/snapshot.rs
@@ -41,9 +41,8 @@
         SnapshotCursor { jobs, job: 0, record: 0 }
     }
 
-    /// Returns the next records of a snapshot, about `max_bytes` in total; none at the end, as
-    /// [`SnapshotCursor::is_done`] tells. No
-    /// record may be applied between two pieces.
+    /// Returns the next records of a snapshot, about `max_bytes` in total; none once
+    /// [`SnapshotCursor::is_done`]. No record may be applied between two pieces.
     pub fn snapshot_piece(&self, cursor: &mut SnapshotCursor, max_bytes: usize) -> SnapshotPiece {
         let mut piece = SnapshotPiece::default();
         let mut bytes = 0;
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -39,7 +39,7 @@
     pub job: Arc<Job>,
     pub accepted_at: Moment,
     /// Location of the record that accepted the job, if known.
-    pub accepted_in: Option<RecordLocation>,
+    pub accepted_location: Option<RecordLocation>,
     pub items: Vec<ItemState>,
     /// Indices of the items to start, in start order.
     pub waiting: VecDeque<u32>,
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -126,7 +126,7 @@
         let state = JobState {
             job,
             accepted_at: now,
-            accepted_in: location,
+            accepted_location: location,
             items,
             waiting: order.into(),
             listed: Vec::new(),
--- a/crates/shards/src/keeper.rs
+++ b/crates/shards/src/keeper.rs
@@ -56,7 +56,7 @@
     takeover_requested: Mutex<bool>,
     /// The log that the job table contains.
     log: Mutex<Option<KeptLog>>,
-    /// Set while copies of a new epoch are written.
+    /// Set while this box reads the log for a new epoch or writes copies of the new segment.
     taking_over: AtomicBool,
 }
 
@@ -123,12 +123,12 @@
         *lock(&self.log) = Some(KeptLog { loaded, segments });
     }
 
-    /// Returns whether copies of a new epoch are being written.
+    /// Returns whether this box reads the log for a new epoch or writes copies of its segment.
     pub fn is_taking_over(&self) -> bool {
         self.taking_over.load(Ordering::Relaxed)
     }
 
-    /// Sets whether copies of a new epoch are being written.
+    /// Sets whether this box reads the log for a new epoch or writes copies of its segment.
     pub fn set_taking_over(&self, taking_over: bool) {
         self.taking_over.store(taking_over, Ordering::Relaxed);
         // Other boxes skip their own takeover once they learn of this one.
@@ -144,7 +144,7 @@
     ) -> EpochLog {
         *lock(&self.confirmed_at) = new.confirmed_at;
         let served = ServedEpoch { epoch: new.log.epoch.clone(), log, ended };
-        let log = self.adopt(new);
+        let log = self.install_epoch(new);
         self.jobs().resume_appends();
         *lock(&self.serving) = Some(served);
         self.wake();
@@ -156,15 +156,16 @@
         if new.confirmed_at.is_some() {
             *lock(&self.confirmed_at) = new.confirmed_at;
         }
-        let log = self.adopt(new);
+        let log = self.install_epoch(new);
         if let Some(served) = lock(&self.serving).as_mut() {
             served.epoch = log.epoch.clone();
         }
         log
     }
 
-    /// Takes over the segments of a new epoch, and deletes the files that it made obsolete.
-    fn adopt(&self, new: NewEpoch) -> EpochLog {
+    /// Sets the log of a new epoch, updates the locations of moved records, and starts to delete the
+    /// files that the new plan excludes.
+    fn install_epoch(&self, new: NewEpoch) -> EpochLog {
         let mut jobs = self.jobs();
         match &new.moved {
             Relocation::None => {}
--- a/crates/shards/src/log/epoch_change.rs
+++ b/crates/shards/src/log/epoch_change.rs
@@ -71,6 +71,9 @@
 }
 
 /// Starts a new epoch that this box serves.
+///
+/// If the future is dropped, the plan of the new epoch may be in force. The same holds after a failure
+/// unless [`TakeoverError::is_before_plan_write`] returns true.
 pub async fn change_epoch(
     ctx: &Arc<ShardContext>,
     keeper: &Arc<ShardKeeper>,
--- a/crates/shards/src/log/fetch.rs
+++ b/crates/shards/src/log/fetch.rs
@@ -65,7 +65,8 @@
     /// Fetches one segment. Asks each source until one returns it completely.
     pub async fn fetch(&self, missing: &MissingSegment) -> Result<(), FetchError> {
         let segment = &missing.segment;
-        // An incomplete file of this epoch that accepts appends must not be replaced while it does.
+        // A box that missed the last appends of this epoch may still have its copy open. The file must
+        // not be replaced while it accepts appends.
         self.copies.close(self.shard, &segment.epoch).await;
         for source in &missing.sources {
             let started_at = Instant::now();
--- a/crates/shards/src/log/log_writer.rs
+++ b/crates/shards/src/log/log_writer.rs
@@ -22,7 +22,7 @@
 /// Timeout for all copies to write a round to disk. A slower box is replaced. A round takes one
 /// round trip (at most 60 ms between regions) and a synced write.
 pub const ROUND_TIMEOUT: Duration = Duration::from_millis(400);
-/// Delay after a change of epoch failed that is not urgent.
+/// Delay before a change of epoch that failed is tried again, if all copies still accept appends.
 const CHANGE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Delay before an append is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -56,10 +56,12 @@
     pub partners: Vec<StorageBox>,
 }
 
-/// Why the log of an epoch ended.
+/// Reason for a change of epoch: a copy did not accept an append. If the change fails, the shard is no
+/// longer served.
 const COPY_LOST: &str = "copy lost";
-/// Why an epoch changes although all copies accept appends.
+/// Reason for a change of epoch: the box of another copy is being retired.
 const PARTNER_LEAVES: &str = "partner leaves";
+/// Reason for a change of epoch: the open segment has [`SEGMENT_BYTES`].
 const SEGMENT_FULL: &str = "segment full";
 
 /// Writes rounds until the shard can't be served any longer or all senders are dropped; returns the
@@ -71,7 +73,8 @@
     mut log: EpochLog,
     mut work: mpsc::Receiver<LogWork>,
 ) -> &'static str {
-    // Confirm the epoch immediately: nothing may be served before.
+    // The first round confirms the epoch. It is written immediately, because the shard may not be
+    // confirmed before.
     let mut delay = Duration::ZERO;
     let mut change_due_at = ctx.view.now();
     loop {
@@ -129,7 +132,8 @@
     (len >= SEGMENT_BYTES).then_some(SEGMENT_FULL)
 }
 
-/// Starts a new epoch between two rounds, while the shard is served.
+/// Starts a new epoch between two rounds, while the shard is served. On failure `log` stays that of
+/// the earlier epoch.
 async fn change_served_epoch(
     ctx: &Arc<ShardContext>,
     keeper: &Arc<ShardKeeper>,
--- a/crates/shards/src/log/mod.rs
+++ b/crates/shards/src/log/mod.rs
@@ -1,4 +1,5 @@
-//! The logs of shards: copies on this box's disk, new segments, appends to all copies.
+//! The logs of shards: copies on this box's disk, changes of epoch, appends to all copies, and pulls
+//! of missing sealed segments.
 
 pub mod copies;
 pub mod copying;
--- a/crates/shards/src/log/plan_store.rs
+++ b/crates/shards/src/log/plan_store.rs
@@ -70,7 +70,7 @@
     );
 }
 
-/// Records a plan that the store holds.
+/// Records a plan that the store returned or accepted in this box's assignment table.
 pub fn record_plan(view: &NodeView, shard: ShardIndex, read: VersionedPlan) {
     let observed = ObservedPlan { revision: read.revision, plan: read.plan, seen_at: view.now() };
     view.assignments().put_plan(shard, observed);
--- a/crates/shards/src/takeover.rs
+++ b/crates/shards/src/takeover.rs
@@ -115,6 +115,8 @@
         *no_plan_since = None;
         Duration::ZERO
     } else {
+        // No entry box may report a job of a bound shard as unknown, so all boxes have to use the
+        // configuration that restricts regions before the shard gets a plan.
         let first_plan_delay =
             if hosts.is_bound() { ctx.view.settings.propagation_bound } else { Duration::ZERO };
         let since = *no_plan_since.get_or_insert(now) + first_plan_delay;
@@ -183,7 +185,7 @@
     ranked.iter().position(|copy| copy.box_id == ctx.me.box_id).unwrap_or(boxes.len())
 }
 
-/// Returns whether a higher-ranked box of the plan is writing new copies.
+/// Returns whether a higher-ranked box of the plan reads the log for a new epoch or writes copies.
 fn higher_rank_takes_over(ctx: &ShardContext, shard: ShardIndex, plan: &ShardPlan) -> bool {
     let rank = plan.rank(&ctx.me.box_id).unwrap_or_default();
     let now = ctx.view.now();
