Dispatch: items of cancelled runs start only after the log has applied their progress

Cause: if appends were stuck for longer than runs may go unconfirmed, the runs were cancelled while their progress waited in the log's queue. Once the epoch changed without the shard being stopped, items started again first, and the progress of the cancelled runs was applied after it: the text of an item joined two runs.

Change: after cancelling runs, the dispatcher waits for the log, in order, before it starts items. Ruled out: to end the epoch with the runs, which needs the store where the copy alone was late.

--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -40,9 +40,16 @@
     let mut view_changes = ctx.view.changes();
     let mut swept_at = time::Instant::now();
     let mut confirmed_at = time::Instant::now();
+    let mut runs_cancelled = false;
     loop {
         if keeper.is_confirmed() {
             confirmed_at = time::Instant::now();
+            if std::mem::take(&mut runs_cancelled) {
+                // The log may still hold progress of the cancelled runs. Applied after an item has
+                // started again, it would join the texts of two runs.
+                let _epoch_ended = keeper.append_and_wait(Vec::new()).await;
+                continue;
+            }
             start_items(&ctx, &keeper);
             if swept_at.elapsed() >= SWEEP_INTERVAL {
                 swept_at = time::Instant::now();
@@ -50,6 +57,7 @@
             }
         } else if confirmed_at.elapsed() >= RUN_CONFIRMATION_TIMEOUT {
             keeper.cancel_all_runs();
+            runs_cancelled = true;
         }
         tokio::select! {
             _ = changes.changed() => {}
