Links, watchers: log why a peer was rejected and where a first listing came from

A peer that closes its connection before it is authenticated, because the box was too slow for it, was reported as having the wrong key. The first listing of a kind now says whether it came from the feed or the store, and after how long. No change of behavior.

--- a/crates/links/src/server.rs
+++ b/crates/links/src/server.rs
@@ -84,9 +84,12 @@
     let _ignored = stream.set_nodelay(true);
     let mut transport = Framed::new(stream, FrameCodec::default());
     let authenticated = time::timeout(AUTH_TIMEOUT, authenticate_peer(&mut transport, &key)).await;
-    let Ok(Some(peer)) = authenticated else {
-        log::warn!(target: "links", "peer rejected: authentication with the deployment key failed");
-        return;
+    let peer = match authenticated.unwrap_or(Err(AuthError::TimedOut)) {
+        Ok(peer) => peer,
+        Err(error) => {
+            log::warn!(target: "links", error:% = error; "peer rejected");
+            return;
+        }
     };
     log::debug!(target: "links", peer:% = peer; "peer connected");
     let (sink, mut stream) = transport.split();
@@ -135,20 +138,35 @@
     closed.cancel();
 }
 
+/// Why a peer was not authenticated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum AuthError {
+    /// The peer gave up, or the connection failed. Frequent if this box responds too slowly.
+    #[error("the peer closed the connection before it was authenticated")]
+    Closed,
+    /// The peer did not respond to the challenge.
+    #[error("the peer did not authenticate in time")]
+    TimedOut,
+    /// The response is not one to the challenge, or was signed with another key.
+    #[error("authentication with the deployment key failed")]
+    Invalid,
+}
+
 async fn authenticate_peer(
     transport: &mut Framed<TcpStream, FrameCodec>,
     key: &DeploymentKey,
-) -> Option<BoxId> {
+) -> Result<BoxId, AuthError> {
     let mut nonce = vec![0; NONCE_LEN];
     rand::rng().fill_bytes(&mut nonce);
     let challenge = Body::Challenge(Challenge { nonce: nonce.clone() });
-    transport.send(Frame { call: 0, body: Some(challenge) }).await.ok()?;
-    let reply = transport.next().await?.ok()?;
+    let sent = transport.send(Frame { call: 0, body: Some(challenge) }).await;
+    sent.map_err(|_closed| AuthError::Closed)?;
+    let Some(Ok(reply)) = transport.next().await else { return Err(AuthError::Closed) };
     let Some(Body::ChallengeResponse(response)) = reply.body else {
-        return None;
+        return Err(AuthError::Invalid);
     };
-    let peer: BoxId = response.box_id.parse().ok()?;
-    key.verify(&nonce, &peer, &response.mac).then_some(peer)
+    let peer: BoxId = response.box_id.parse().map_err(|_invalid| AuthError::Invalid)?;
+    if key.verify(&nonce, &peer, &response.mac) { Ok(peer) } else { Err(AuthError::Invalid) }
 }
 
 /// Calls of one connection that are in flight, by call number.
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ids::whole_millis;
 use platform::{Changed, Kind, Listing, StoreError, WatchTime};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
@@ -55,6 +56,22 @@
     AwaitFeed,
 }
 
+/// Where an update came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UpdateSource {
+    Store,
+    Feed,
+}
+
+impl UpdateSource {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Feed => "feed",
+        }
+    }
+}
+
 /// Receives the objects and changes of one kind.
 pub trait KindSink: Send + 'static {
     /// Receives a complete listing. The default treats each object as a change, for kinds whose
@@ -94,6 +111,7 @@
     /// Delay between two watches, in which changes accumulate.
     batch_delay: Duration,
     sink: S,
+    created_at: Instant,
     start_mode: StartMode,
     /// Whether this box may learn of the store's recovery from another box.
     defers_probe: bool,
@@ -114,6 +132,7 @@
             kind,
             batch_delay,
             sink,
+            created_at: Instant::now(),
             start_mode,
             defers_probe: false,
             revision,
@@ -178,7 +197,7 @@
             let response = tokio::select! {
                 biased;
                 Some(update) = next_update(&mut updates) => {
-                    revision = Some(self.apply(update));
+                    revision = Some(self.apply(update, UpdateSource::Feed));
                     continue;
                 }
                 _ = served.changed(), if has_feed => {
@@ -202,7 +221,7 @@
                     backoff.record_response();
                     watch_time = self.default_watch_time();
                     let is_listing = matches!(update, FeedUpdate::Listed(_));
-                    let next_revision = self.apply(update);
+                    let next_revision = self.apply(update, UpdateSource::Store);
                     if is_listing && relists_targets {
                         self.view.feed.set_received_services(None);
                     }
@@ -217,7 +236,9 @@
                         && self.sink.is_large()
                         && let Some(update) = wait_for_feed_listing(&mut served, &mut updates).await
                     {
-                        revision = update.map(|update| self.apply(update)).or(revision);
+                        let feed_revision =
+                            update.map(|update| self.apply(update, UpdateSource::Feed));
+                        revision = feed_revision.or(revision);
                         continue;
                     }
                     log::info!(target: "node", kind:% = self.kind; "history compacted; listing again");
@@ -265,7 +286,7 @@
             update = next_update(updates) => update,
             _no_source = time::timeout(FIRST_UPDATE_TIMEOUT, self.view.feed.freshness().wait_for_no_source()) => None,
         };
-        let revision = self.apply(update?);
+        let revision = self.apply(update?, UpdateSource::Feed);
         // The feed counts as fresh once the tasks of all kinds have applied their updates.
         let mut served = self.view.feed.freshness().served_states();
         let _result = time::timeout(FEED_RESUME_TIMEOUT, served.wait_for(|served| *served)).await;
@@ -277,7 +298,7 @@
         self.view.metrics.store_call(self.kind, StoreCall::ListOld);
         match self.view.store.list_old(self.kind).await {
             Ok(listing) => {
-                let revision = self.apply(FeedUpdate::Listed(listing));
+                let revision = self.apply(FeedUpdate::Listed(listing), UpdateSource::Store);
                 time::sleep(STALE_LIST_DELAY).await;
                 Some(revision)
             }
@@ -289,7 +310,8 @@
     }
 
     /// Applies an update and returns the new revision.
-    fn apply(&mut self, update: FeedUpdate) -> u64 {
+    fn apply(&mut self, update: FeedUpdate, source: UpdateSource) -> u64 {
+        self.log_first_listing(&update, source);
         let revision = match update {
             FeedUpdate::Listed(listing) => {
                 self.sink.listed(&listing);
@@ -307,6 +329,20 @@
         revision
     }
 
+    /// Logs the first listing, which shows how a box got its state after a start.
+    fn log_first_listing(&self, update: &FeedUpdate, source: UpdateSource) {
+        let FeedUpdate::Listed(listing) = update else { return };
+        if *self.revision.borrow() > 0 {
+            return;
+        }
+        log::info!(
+            target: "node", kind:% = self.kind, source = source.as_str(),
+            objects = listing.objects.len(), revision = listing.revision,
+            took_ms = whole_millis(self.created_at.elapsed());
+            "first listing"
+        );
+    }
+
     fn default_watch_time(&self) -> WatchTime {
         match self.kind {
             kind if affects_callers(kind) => self.view.feed.times().proof,
