Feed: starting boxes get their listings from the feed in parts

What callers saw: after all processes of the whole fleet (985 boxes, 9,999 targets) had been killed, all requests were refused with 503; 18 s after the return 0 of 32 had been served.

Cause: a source sent a starting box all targets in one response. 163 followers of a domain times 0.8 to 2 MB take its link 2 s, but a follower waited 0.3 s, and a link counted as dead after 0.65 s without a complete frame: every response was discarded and requested again, at each storage box of the domain in turn. And a box without an update listed all targets from the store a second after its start: 50 pages for each of 985 boxes, of 2 MB, which also delayed the listing of the sources that it waited for.

Change: a listing is sent in parts of 64 KB, which the follower requests one after the other, also from different sources; a part that arrived is not requested again. A source that has not listed everything itself says that it is starting, and its followers wait for it. A starting box lists the targets itself only when no source exists or makes progress. While a box lacks listings it waits a second for a response.

--- a/crates/node/src/feed/cache.rs
+++ b/crates/node/src/feed/cache.rs
@@ -6,11 +6,12 @@
 //! revision.
 
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::ops::Bound;
 
 use bytes::Bytes;
 use platform::targets::target_service;
 use platform::{Changed, Changes, Kind, Listing, Stored};
-use wire::peer::FeedObject;
+use wire::peer::{FeedObject, ListingPosition};
 
 /// Minimum number of removals to retain.
 const MIN_REMOVALS: usize = 512;
@@ -20,7 +21,8 @@
 /// Changes of one kind since a revision.
 #[derive(Debug, Clone, PartialEq)]
 pub struct KindUpdate {
-    /// Whether `objects` is complete: any object not in it has been removed.
+    /// Whether `objects` is a complete listing, or a part of one: any object not in the listing has
+    /// been removed.
     pub full: bool,
     /// New and changed objects.
     pub objects: Vec<FeedObject>,
@@ -28,6 +30,8 @@
     pub removed: Vec<String>,
     /// The revision after these changes.
     pub revision: u64,
+    /// Where a complete listing continues, if `objects` is only a part of it.
+    pub continues_after: Option<ListingPosition>,
 }
 
 #[derive(Debug)]
@@ -198,18 +202,21 @@
 
     /// As [`Self::since`], limited to the targets that pass `filter`.
     pub fn since_filtered(&self, revision: u64, filter: ServiceFilter<'_>) -> Option<KindUpdate> {
+        self.since_limited(revision, filter, usize::MAX)
+    }
+
+    /// As [`Self::since_filtered`]. A complete listing ends after `max_bytes`.
+    pub fn since_limited(
+        &self,
+        revision: u64,
+        filter: ServiceFilter<'_>,
+        max_bytes: usize,
+    ) -> Option<KindUpdate> {
         if self.revision <= revision {
             return None;
         }
         if revision < self.floor || self.may_have_unseen_objects(revision) {
-            let objects = self.objects.values().filter(|object| filter.matches(object));
-            let objects = objects.map(|object| object.encoded.clone()).collect();
-            return Some(KindUpdate {
-                full: true,
-                objects,
-                removed: Vec::new(),
-                revision: self.revision,
-            });
+            return self.list_after(None, filter, max_bytes);
         }
         let changed = self.by_revision.range((revision + 1, String::new())..);
         let objects = changed.filter_map(|(_, name)| self.objects.get(name));
@@ -218,7 +225,50 @@
         let removed = self.removed.range((revision + 1, String::new())..);
         let removed: Vec<String> = removed.map(|(_, name)| name.clone()).collect();
         let has_changes = !objects.is_empty() || !removed.is_empty();
-        has_changes.then_some(KindUpdate { full: false, objects, removed, revision: self.revision })
+        has_changes.then_some(KindUpdate {
+            full: false,
+            objects,
+            removed,
+            revision: self.revision,
+            continues_after: None,
+        })
+    }
+
+    /// Returns the part of a complete listing that follows `position`, of about `max_bytes`, or
+    /// `None` before the first listing.
+    ///
+    /// Objects that change between two parts move to the end of the listing. Removals are not in
+    /// it; a box that has received all parts continues from the revision of the first one.
+    pub fn list_after(
+        &self,
+        position: Option<&ListingPosition>,
+        filter: ServiceFilter<'_>,
+        max_bytes: usize,
+    ) -> Option<KindUpdate> {
+        if self.revision == 0 {
+            return None;
+        }
+        let start = match position {
+            Some(position) => Bound::Excluded((position.changed_at, position.name.clone())),
+            None => Bound::Unbounded,
+        };
+        let mut objects = Vec::new();
+        let mut bytes = 0;
+        let mut continues_after = None;
+        let mut entries = self.by_revision.range((start, Bound::Unbounded)).peekable();
+        while let Some((changed_at, name)) = entries.next() {
+            let object = self.objects.get(name).filter(|object| filter.matches(object));
+            let Some(object) = object else { continue };
+            bytes += object.encoded.name.len() + object.encoded.value.len();
+            objects.push(object.encoded.clone());
+            if bytes >= max_bytes && entries.peek().is_some() {
+                let position = ListingPosition { changed_at: *changed_at, name: name.clone() };
+                continues_after = Some(position);
+                break;
+            }
+        }
+        let (removed, revision) = (Vec::new(), self.revision);
+        Some(KindUpdate { full: true, objects, removed, revision, continues_after })
     }
 }
 
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -16,11 +16,22 @@
     FeedCursor, FeedKind, FeedPage, FeedRead, ServiceSelection, shard_request, shard_response,
 };
 
+use super::freshness::SourceSearch;
+use super::listing::PartialListings;
 use super::{FreshnessProof, MAX_POLL_WAIT, kind_of, number_of};
 use crate::NodeView;
 
 /// Extra time for a response beyond the requested wait.
 const RESPONSE_SLACK: Duration = Duration::from_millis(300);
+/// As [`RESPONSE_SLACK`], while this box has not received all listings. The source may be receiving
+/// its own, and serves many other starting boxes.
+const LISTING_RESPONSE_SLACK: Duration = Duration::from_secs(1);
+/// Maximum size of one part of a listing. Small, so that each part arrives in time while hundreds of
+/// boxes share the link of a source.
+const MAX_LISTING_BYTES: u32 = 64 << 10;
+/// How long after its own start this box waits for a source that is starting as well. A listing of
+/// all targets takes a source a second or two.
+const SOURCE_START_TIMEOUT: Duration = Duration::from_secs(8);
 /// Backoff for a source that did not respond. Short, so that after a store outage the boxes of the
 /// domain do not all query the store instead of the source.
 const SOURCE_BACKOFF: Duration = Duration::from_millis(500);
@@ -69,6 +80,9 @@
         view: Arc::clone(&view),
         links,
         kinds,
+        listings: PartialListings::default(),
+        listed_services: None,
+        started_at: Instant::now(),
         failed_at: HashMap::new(),
         usage_reported_at: None,
     };
@@ -88,10 +102,27 @@
     );
 }
 
+/// What a page says about its source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PageState {
+    /// The updates are fresh enough to do without the store.
+    Fresh,
+    /// More parts of a listing follow.
+    Partial,
+    /// The source is about to serve this box.
+    Starting,
+    /// Another box may have newer updates.
+    Stale,
+}
+
 struct FeedClient {
     view: Arc<NodeView>,
     links: LinkPool,
     kinds: Vec<KindSubscription>,
+    listings: PartialListings,
+    /// The services selected in the listing of targets in progress.
+    listed_services: ReceivedServices,
+    started_at: Instant,
     /// When each box last failed to respond with fresh data.
     failed_at: HashMap<BoxId, Instant>,
     /// When usage was last reported to another domain.
@@ -100,12 +131,12 @@
 
 impl FeedClient {
     async fn run(&mut self) {
-        let started_at = Instant::now();
         let mut changes = self.view.changes();
+        let mut state = PageState::Stale;
         loop {
             let Some(source) = self.select_source() else {
-                if self.is_domain_source() || started_at.elapsed() >= SOURCE_DISCOVERY_TIMEOUT {
-                    self.view.feed.freshness().mark_no_source();
+                if let Some(search) = self.search_result() {
+                    self.view.feed.freshness().set_search(search);
                 }
                 self.report_usage_to_other_domain().await;
                 // Checks again after a change or a timeout.
@@ -113,39 +144,49 @@
                 continue;
             };
             let polled_at = Instant::now();
-            let wait = if self.view.feed.freshness().is_served_by_feed() {
+            let is_served = self.view.feed.freshness().is_served_by_feed();
+            let wait = if is_served || state == PageState::Starting {
                 MAX_POLL_WAIT
             } else {
                 Duration::ZERO
             };
-            if let Some((page, services)) = self.poll_source(&source, wait).await {
-                self.view.feed.freshness().record_response();
-                let is_empty = page.kinds.is_empty();
-                let is_fresh = self.apply_page(&source, polled_at, page).await;
-                if let Some(services) = services {
-                    self.view.feed.set_received_services(services);
-                }
-                if is_fresh {
-                    self.failed_at.remove(&source.box_id);
-                    if is_empty {
-                        // A source whose proof is aging responds without a wait.
-                        time::sleep_until(polled_at + MIN_POLL_INTERVAL).await;
-                    }
-                    continue;
-                }
-                // The updates are stale; another box may have newer ones.
-                self.view.metrics.count_outcome("feed", "old");
-                self.failed_at.insert(source.box_id, Instant::now());
-            } else {
+            let Some((page, services)) = self.poll_source(&source, wait).await else {
                 self.view.metrics.count_outcome("feed", "not told");
                 self.failed_at.insert(source.box_id, Instant::now());
+                continue;
+            };
+            self.view.feed.freshness().record_response();
+            let is_empty = page.kinds.is_empty();
+            state = self.apply_page(&source, polled_at, page).await;
+            if let Some(services) = services {
+                self.view.feed.set_received_services(services);
+            }
+            if matches!(state, PageState::Partial | PageState::Starting) {
+                self.view.feed.freshness().record_progress();
+            }
+            if state == PageState::Stale {
+                self.view.metrics.count_outcome("feed", "old");
+                self.failed_at.insert(source.box_id, Instant::now());
+                continue;
+            }
+            self.failed_at.remove(&source.box_id);
+            if is_empty {
+                // A source whose proof is aging responds without a wait.
+                time::sleep_until(polled_at + MIN_POLL_INTERVAL).await;
             }
         }
     }
 
-    /// Whether this box is the feed source of its domain.
-    fn is_domain_source(&self) -> bool {
-        self.ranked().first().is_some_and(|first| first.box_id == self.view.settings.box_id)
+    /// Result of the search for a source, when none can be polled; `None` while it may go on.
+    fn search_result(&self) -> Option<SourceSearch> {
+        let is_over = self.started_at.elapsed() >= SOURCE_DISCOVERY_TIMEOUT;
+        match self.ranked().first() {
+            Some(first) if first.box_id == self.view.settings.box_id => {
+                Some(SourceSearch::NoneExists)
+            }
+            Some(_) => is_over.then_some(SourceSearch::NoneResponds),
+            None => is_over.then_some(SourceSearch::NoneExists),
+        }
     }
 
     /// Selects the source: the same for all boxes of the domain while it responds.
@@ -175,18 +216,19 @@
     /// Polls a source. Returns its page and, once the targets of all wanted services have been
     /// received, these services.
     async fn poll_source(
-        &self,
+        &mut self,
         source: &StorageBox,
         wait: Duration,
     ) -> Option<(FeedPage, Option<ReceivedServices>)> {
         let wanted = self.view.wanted_services();
         let relist = self.view.feed.lacks_services(wanted.as_ref());
-        let cursors = self.kinds.iter().filter_map(|subscription| {
-            // Updates since a revision do not include targets that were filtered out before it.
-            let revision = *subscription.revision.borrow();
-            let revision = if relist && subscription.kind == Kind::Targets { 0 } else { revision };
-            Some(FeedCursor { kind: number_of(subscription.kind)?, revision })
-        });
+        if wanted != self.listed_services {
+            // The parts received so far lack the targets of other services.
+            self.listings.discard(Kind::Targets);
+            self.listed_services.clone_from(&wanted);
+        }
+        let cursors =
+            self.kinds.iter().filter_map(|subscription| self.cursor(subscription, relist));
         let services = wanted.as_ref().map(|wanted| ServiceSelection {
             names: wanted.iter().map(ToString::to_string).collect(),
         });
@@ -196,14 +238,18 @@
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
             usage,
             services,
+            max_listing_bytes: MAX_LISTING_BYTES,
         };
-        let time = wait + RESPONSE_SLACK;
+        let time = wait + self.response_slack();
         let body = shard_request::Body::Feed(read);
         match self.links.call_shard_unary(&source.address, time, body).await {
             Ok(shard_response::Body::Feed(page)) => {
                 self.record_usage_ack(source, version, &page);
-                let is_full_targets =
-                    |update: &FeedKind| update.full && self.is_current_target_update(update);
+                let is_full_targets = |update: &FeedKind| {
+                    update.full
+                        && update.continues_after.is_none()
+                        && self.is_current_target_update(update)
+                };
                 let has_targets = !relist || page.kinds.iter().any(is_full_targets);
                 Some((page, has_targets.then_some(wanted)))
             }
@@ -215,6 +261,35 @@
         }
     }
 
+    /// The position from which this box requests updates of a kind; `None` if it requests none.
+    fn cursor(&self, subscription: &KindSubscription, relist: bool) -> Option<FeedCursor> {
+        let kind = subscription.kind;
+        let is_unconfigured = self.view.feed.is_receive_only() && !self.view.is_configured();
+        if kind == Kind::Targets && is_unconfigured {
+            // The configuration selects the services whose targets are received.
+            return None;
+        }
+        // Updates since a revision do not include targets that were filtered out before it.
+        let relists_targets = relist && kind == Kind::Targets;
+        let revision = if relists_targets { 0 } else { *subscription.revision.borrow() };
+        let listed_to = self.listings.position(kind).cloned();
+        Some(FeedCursor { kind: number_of(kind)?, revision, listed_to })
+    }
+
+    /// Extra time for the response to a poll.
+    fn response_slack(&self) -> Duration {
+        if self.listings.is_empty() && self.is_all_listed() {
+            RESPONSE_SLACK
+        } else {
+            LISTING_RESPONSE_SLACK
+        }
+    }
+
+    /// Whether this box has a complete listing of each kind.
+    fn is_all_listed(&self) -> bool {
+        self.kinds.iter().all(|subscription| *subscription.revision.borrow() > 0)
+    }
+
     /// Whether an update contains targets and is not older than the known revision.
     fn is_current_target_update(&self, update: &FeedKind) -> bool {
         let mut target_subscriptions =
@@ -281,13 +356,13 @@
             .map(|candidate| (*candidate).clone())
     }
 
-    /// Applies a page. Returns `true` if it is fresh enough to do without the store.
+    /// Applies a page.
     async fn apply_page(
         &mut self,
         source: &StorageBox,
         polled_at: Instant,
         page: FeedPage,
-    ) -> bool {
+    ) -> PageState {
         let held = Duration::from_millis(u64::from(page.held_ms));
         let age = Duration::from_millis(u64::from(page.age_ms));
         // The response's network time counts as age.
@@ -295,12 +370,22 @@
         for kind in page.kinds {
             self.apply_kind(kind).await;
         }
-        let all_listed = self.kinds.iter().all(|subscription| *subscription.revision.borrow() > 0);
+        let all_listed = self.is_all_listed();
         let proof =
             proven_at.map(|proven_at| FreshnessProof { source: source.box_id.clone(), proven_at });
         let freshness = self.view.feed.freshness();
         let proof = proof.filter(|proof| all_listed && freshness.is_fresh(proof));
-        let Some(proof) = proof else { return false };
+        let Some(proof) = proof else {
+            let awaits_source = self.started_at.elapsed() < SOURCE_START_TIMEOUT;
+            if !self.listings.is_empty() {
+                return PageState::Partial;
+            }
+            return if page.starting && awaits_source {
+                PageState::Starting
+            } else {
+                PageState::Stale
+            };
+        };
         self.view.store_answered(Kind::Configuration, true);
         if self.view.feed.freshness().accept_proof(proof) {
             log::info!(
@@ -308,10 +393,10 @@
                 "regained"
             );
         }
-        true
+        PageState::Fresh
     }
 
-    async fn apply_kind(&self, update: FeedKind) {
+    async fn apply_kind(&mut self, update: FeedKind) {
         let subscription = kind_of(update.kind)
             .and_then(|kind| self.kinds.iter().find(|subscription| subscription.kind == kind));
         let Some(subscription) = subscription else { return };
@@ -332,14 +417,20 @@
                 }
             }
         }
-        let revision = update.revision;
+        let (revision, kind) = (update.revision, subscription.kind);
         let feed_update = if update.full {
-            FeedUpdate::Listed(Listing { objects, revision })
+            let listing = self.listings.add(kind, objects, revision, update.continues_after);
+            let Some(listing) = listing else { return };
+            FeedUpdate::Listed(listing)
         } else {
             let removed = update.removed.into_iter().map(Changed::Removed);
             let changes = removed.chain(objects.into_iter().map(Changed::Put)).collect();
             FeedUpdate::Changed(Changes { changes, revision })
         };
+        let revision = match &feed_update {
+            FeedUpdate::Listed(listing) => listing.revision,
+            FeedUpdate::Changed(changes) => changes.revision,
+        };
         let mut reached = subscription.revision.clone();
         // Waits until the task has applied the update, since polling earlier would return it again.
         // The wait is limited so that a stuck task does not delay other kinds; it receives the
@@ -350,7 +441,7 @@
             let _result = reached.wait_for(|reached| *reached >= revision).await;
         };
         if time::timeout(MAX_POLL_WAIT, applied).await.is_err() {
-            log::debug!(target: "node", kind:% = subscription.kind; "feed update not applied in time");
+            log::debug!(target: "node", kind:% = kind; "feed update not applied in time");
         }
     }
 }
--- a/crates/node/src/feed/freshness.rs
+++ b/crates/node/src/feed/freshness.rs
@@ -13,6 +13,21 @@
 /// stay unanswered.
 const RESPONSE_WINDOW: Duration = Duration::from_secs(1);
 
+/// How long a source that is starting, or has sent a part of a listing, is expected to continue.
+/// Longer than several requests to it may stay unanswered while it processes its own listing.
+const PROGRESS_WINDOW: Duration = Duration::from_secs(3);
+
+/// Result of the search for a feed source of a starting box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SourceSearch {
+    /// No source was found yet.
+    Ongoing,
+    /// Sources are registered, but none responds.
+    NoneResponds,
+    /// There is no source, for example because this box is the one of its domain.
+    NoneExists,
+}
+
 /// Evidence that a feed source had current data from the store.
 #[derive(Debug, Clone)]
 pub struct FreshnessProof {
@@ -29,8 +44,9 @@
     max_proof_age: Duration,
     last_proof: watch::Sender<Option<FreshnessProof>>,
     served: watch::Sender<bool>,
-    /// Whether no feed source exists for this box.
-    no_source: watch::Sender<bool>,
+    search: watch::Sender<SourceSearch>,
+    /// When a source last reported that it is starting, or sent a part of a listing.
+    progress_at: watch::Sender<Option<Instant>>,
     /// When a source last responded, with fresh or stale updates.
     responded_at: watch::Sender<Option<Instant>>,
 }
@@ -42,7 +58,8 @@
             max_proof_age,
             last_proof: watch::Sender::new(None),
             served: watch::Sender::new(false),
-            no_source: watch::Sender::new(false),
+            search: watch::Sender::new(SourceSearch::Ongoing),
+            progress_at: watch::Sender::new(None),
             responded_at: watch::Sender::new(None),
         }
     }
@@ -70,16 +87,44 @@
         self.responded_at.borrow().is_some_and(|at| at.elapsed() < RESPONSE_WINDOW)
     }
 
-    /// Records that no feed source exists for this box.
-    pub fn mark_no_source(&self) {
-        self.no_source.send_replace(true);
+    /// Records that a source will soon serve this box.
+    pub fn record_progress(&self) {
+        self.progress_at.send_replace(Some(Instant::now()));
+    }
+
+    /// Records the result of the search for a source.
+    pub fn set_search(&self, search: SourceSearch) {
+        self.search.send_replace(search);
     }
 
-    /// Waits until [`Self::mark_no_source`] is called; returns immediately if it was before.
-    pub async fn wait_for_no_source(&self) {
-        // Cannot fail: `self` owns the sender.
-        let mut no_source = self.no_source.subscribe();
-        let _result = no_source.wait_for(|no_source| *no_source).await;
+    /// Waits until no source responds, for at most `timeout`.
+    pub async fn wait_for_no_source(&self, timeout: Duration) {
+        let mut search = self.search.subscribe();
+        let found_none = search.wait_for(|search| *search != SourceSearch::Ongoing);
+        // The caller continues without a source in either case.
+        let _elapsed = time::timeout(timeout, found_none).await;
+    }
+
+    /// Waits until no source exists or can be expected to serve this box. `timeout` is the maximum
+    /// wait for the first sign of a source.
+    pub async fn wait_for_no_progress(&self, timeout: Duration) {
+        let mut search = self.search.subscribe();
+        tokio::select! {
+            // Cannot fail: `self` owns the sender.
+            _none_exists = search.wait_for(|search| *search == SourceSearch::NoneExists) => {}
+            () = self.wait_for_stall(Instant::now() + timeout) => {}
+        }
+    }
+
+    async fn wait_for_stall(&self, first_by: Instant) {
+        let mut progress = self.progress_at.subscribe();
+        loop {
+            let last = *progress.borrow_and_update();
+            let stalls_at = last.map_or(first_by, |at| at + PROGRESS_WINDOW);
+            if time::timeout_at(stalls_at, progress.changed()).await.is_err() {
+                return;
+            }
+        }
     }
 
     /// Whether the feed serves this box.
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -14,13 +14,14 @@
 mod cache;
 mod client;
 mod freshness;
+mod listing;
 mod serve;
 mod times;
 
 pub use cache::{KindCache, KindUpdate, ServiceFilter, encode_object};
 pub(crate) use client::FeedUpdate;
 pub use client::{KindSubscription, follow_feed};
-pub use freshness::{FeedFreshness, FreshnessProof};
+pub use freshness::{FeedFreshness, FreshnessProof, SourceSearch};
 pub use serve::serve_feed;
 pub use times::FeedTimes;
 
--- a/crates/node/src/feed/serve.rs
+++ b/crates/node/src/feed/serve.rs
@@ -22,20 +22,33 @@
     loop {
         let age = proof_age(view, read);
         let kinds = collect_updates(view, read, false);
-        if !kinds.is_empty() || age >= max_age || Instant::now() >= until {
+        let starting = is_starting(view, read);
+        let is_too_old = age >= max_age && !starting;
+        if !kinds.is_empty() || is_too_old || Instant::now() >= until {
             let agreed = view.usage.is_time_agreed();
             let cluster_ms = if agreed { view.usage.time_at(view.now()).millis() } else { 0 };
             let held_ms = millis(received_at.elapsed());
             let incarnation = view.usage.incarnation().get();
             let kinds = if kinds.is_empty() { collect_updates(view, read, true) } else { kinds };
-            return FeedPage { kinds, age_ms: millis(age), held_ms, cluster_ms, incarnation };
+            let age_ms = millis(age);
+            return FeedPage { kinds, age_ms, held_ms, cluster_ms, incarnation, starting };
         }
         let stale_at = Instant::now() + max_age.saturating_sub(age);
+        let recheck_at = if starting { until } else { until.min(stale_at) };
         // Re-evaluates after a change or a timeout.
-        let _elapsed = time::timeout_at(until.min(stale_at), changes.changed()).await;
+        let _elapsed = time::timeout_at(recheck_at, changes.changed()).await;
     }
 }
 
+/// Whether this box reaches the store, but has not listed all requested kinds yet.
+fn is_starting(view: &NodeView, read: &FeedRead) -> bool {
+    let caches = view.feed.caches();
+    let mut requested = read.cursors.iter().filter_map(|cursor| kind_of(cursor.kind));
+    let lacks_kind =
+        requested.any(|kind| caches.get(&kind).is_none_or(|cache| cache.revision() == 0));
+    lacks_kind && view.store_state().up
+}
+
 /// Returns the age of the oldest confirmation by the store among the requested kinds that affect
 /// callers. A box that is served by the feed has no proof of its own.
 fn proof_age(view: &NodeView, read: &FeedRead) -> Duration {
@@ -60,10 +73,18 @@
     let caches = view.feed.caches();
     let services = read.services.as_ref();
     let filter = services.map_or(ServiceFilter::ALL, |some| ServiceFilter::of(&some.names));
+    let max_bytes = match usize::try_from(read.max_listing_bytes) {
+        Ok(0) | Err(_) => usize::MAX,
+        Ok(max_bytes) => max_bytes,
+    };
     let kinds = read.cursors.iter().filter_map(|cursor| {
         let kind = kind_of(cursor.kind)?;
         let cache = caches.get(&kind)?;
-        if let Some(update) = cache.since_filtered(cursor.revision, filter) {
+        if let Some(position) = &cursor.listed_to {
+            let rest = cache.list_after(Some(position), filter, max_bytes)?;
+            return Some(update_to_wire(cursor.kind, rest));
+        }
+        if let Some(update) = cache.since_limited(cursor.revision, filter, max_bytes) {
             return Some(update_to_wire(cursor.kind, update));
         }
         let is_filtered = services.is_some() && kind == Kind::Targets;
@@ -82,5 +103,6 @@
         revision: update.revision,
         objects: update.objects,
         removed: update.removed,
+        continues_after: update.continues_after,
     }
 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -284,7 +284,7 @@
         let update = tokio::select! {
             biased;
             update = next_update(updates) => update,
-            _no_source = time::timeout(FIRST_UPDATE_TIMEOUT, self.view.feed.freshness().wait_for_no_source()) => None,
+            () = self.wait_for_no_feed() => None,
         };
         let revision = self.apply(update?, UpdateSource::Feed);
         // The feed counts as fresh once the tasks of all kinds have applied their updates.
@@ -293,6 +293,18 @@
         Some(revision)
     }
 
+    /// Waits until a starting box has to query the store itself.
+    async fn wait_for_no_feed(&self) {
+        let freshness = self.view.feed.freshness();
+        if self.kind == Kind::Targets {
+            // Many pages for each box: if all boxes of a deployment start at once, this would also
+            // delay the sources that list the targets for them.
+            freshness.wait_for_no_progress(FIRST_UPDATE_TIMEOUT).await;
+        } else {
+            freshness.wait_for_no_source(FIRST_UPDATE_TIMEOUT).await;
+        }
+    }
+
     /// Reads a listing that may be stale. Returns `None` if the call fails.
     async fn list_stale(&mut self) -> Option<u64> {
         self.view.metrics.store_call(self.kind, StoreCall::ListOld);
