--- a/crates/node/src/feed/listing.rs
+++ b/crates/node/src/feed/listing.rs
@@ -18,21 +18,21 @@
 
 /// Listings of which some parts are missing.
 #[derive(Debug, Default)]
-pub(super) struct PartialListings(HashMap<Kind, PartialListing>);
+pub struct PartialListings(HashMap<Kind, PartialListing>);
 
 impl PartialListings {
     /// Whether no listing is in progress.
-    pub(super) fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 
     /// The position after which a listing continues, if one is in progress.
-    pub(super) fn position(&self, kind: Kind) -> Option<&ListingPosition> {
+    pub fn position(&self, kind: Kind) -> Option<&ListingPosition> {
         self.0.get(&kind).map(|partial| &partial.continues_after)
     }
 
     /// Discards the parts of a listing.
-    pub(super) fn discard(&mut self, kind: Kind) {
+    pub fn discard(&mut self, kind: Kind) {
         self.0.remove(&kind);
     }
 
@@ -40,7 +40,7 @@
     ///
     /// Changes after the earliest revision of a part may be missing from the listing, so this is
     /// its revision.
-    pub(super) fn add(
+    pub fn add(
         &mut self,
         kind: Kind,
         objects: Vec<Stored>,
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) use client::FeedUpdate;
 pub use client::{KindSubscription, follow_feed};
 pub use freshness::{FeedFreshness, FreshnessProof, SourceSearch};
+pub use listing::PartialListings;
 pub use serve::serve_feed;
 pub use times::FeedTimes;
 
