Jobs: calls about accepted jobs are served after their route is removed

Cause: an entry box recognized calls about jobs by a route of jobs in the configuration in force, which says nothing about jobs accepted earlier. Now a call is one about a job also if no route at all matches it, and the job's shard decides. Requests that a route of another kind matches still go there if the host has no route of jobs: a job's path under such a route, for example one for all paths, remains unreadable, which is not solved here.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -168,7 +168,7 @@
         return Ok(response::not_run("no configuration yet", id.as_deref()));
     }
     if let Some(call) = calls::read_call(&head.method, path_of(&head))
-        && table.has_job_route(host_of(&head))
+        && table.allows_job_call(host_of(&head), path_of(&head))
     {
         return Ok(serve_job_call(&state, &table, &head, call, id.as_deref()).await);
     }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -213,8 +213,13 @@
         called.flat_map(|route| &route.backends).map(|backend| backend.service.clone()).collect()
     }
 
-    /// Whether `host` has a route for jobs.
-    pub fn has_job_route(&self, host: &str) -> bool {
+    /// Whether a call about a job may be one about an accepted job, and not a request to a service.
+    /// The route of an accepted job may have been removed since.
+    pub fn allows_job_call(&self, host: &str, path: &str) -> bool {
+        self.has_job_route(host) || self.find(host, path).is_none()
+    }
+
+    fn has_job_route(&self, host: &str) -> bool {
         let routes = self.hosts.get(&host.to_ascii_lowercase());
         routes.is_some_and(|routes| routes.iter().any(|route| route.kind == RouteKind::Jobs))
     }
