Upstream: reset a connection whose request is dropped

Cause: dropping a request closed its connection in order, so the kernel still delivered bytes that a network cut had held up. A connection dropped before its response is complete is now reset; complete ones close in order as before.

Ruled out: a zero linger time on all connections, which would also reset idle ones. Requests to the store, links between boxes and a box that loses power are not covered.

--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -51,15 +52,25 @@
 }
 
 pub(crate) struct Connection {
+    /// Closes the connection when it is dropped. The first field, so that the connection has not
+    /// ended by itself before.
+    #[expect(dead_code, reason = "held for its drop, which closes the connection")]
+    pub close_guard: DropGuard,
     pub sender: SendRequest<Full<Bytes>>,
     #[expect(dead_code, reason = "held for its drop, which releases the permit")]
     pub permit: ConnectionPermit,
-    /// Closes the connection when it is dropped.
-    #[expect(dead_code, reason = "held for its drop, which closes the connection")]
-    pub close_guard: DropGuard,
+    /// Whether a request or its response is outstanding.
+    in_use: Arc<AtomicBool>,
     idle_until: Instant,
 }
 
+impl Connection {
+    /// Records that the response was received completely.
+    pub fn complete(&self) {
+        self.in_use.store(false, Ordering::Relaxed);
+    }
+}
+
 type IdleConnections = Arc<Mutex<HashMap<SocketAddr, TargetConnections>>>;
 
 /// Idle connections to one target.
@@ -216,6 +227,7 @@
         let now = Instant::now();
         while let Some(connection) = connections.pop() {
             if now < connection.idle_until && connection.sender.is_ready() {
+                connection.in_use.store(true, Ordering::Relaxed);
                 return Some(connection);
             }
         }
@@ -231,6 +243,7 @@
     ) {
         let now = Instant::now();
         connection.idle_until = now + keep_alive.unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        connection.complete();
         let mut idle = self.lock();
         let connections = idle.entry(address).or_default();
         connections.idle.retain(|other| now < other.idle_until && !other.sender.is_closed());
@@ -270,12 +283,30 @@
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let closed = CancellationToken::new();
     let close_guard = closed.clone().drop_guard();
-    tokio::spawn(async move {
-        tokio::select! {
-            // The caller that waits for the response sees an error; an idle connection just ends.
-            _ended = connection => {}
-            () = closed.cancelled() => {}
-        }
-    });
-    Some(Connection { sender, permit, close_guard, idle_until: Instant::now() })
+    let in_use = Arc::new(AtomicBool::new(true));
+    tokio::spawn(run_connection(connection, closed, Arc::clone(&in_use)));
+    Some(Connection { close_guard, sender, permit, in_use, idle_until: Instant::now() })
+}
+
+/// Runs a connection until it ends or is closed.
+///
+/// A connection that is closed while in use is reset. Otherwise the kernel would still deliver a
+/// request that it could not send before, for example after a network cut, when nobody waits for
+/// the response any more.
+async fn run_connection(
+    mut connection: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    closed: CancellationToken,
+    in_use: Arc<AtomicBool>,
+) {
+    tokio::select! {
+        biased;
+        () = closed.cancelled() => {}
+        // The caller that waits for the response sees an error; an idle connection just ends.
+        _ended = &mut connection => return,
+    }
+    if in_use.load(Ordering::Relaxed) {
+        let stream = connection.into_parts().io.into_inner();
+        // On an error the connection closes in order.
+        let _ignored = stream.set_zero_linger();
+    }
 }
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -134,6 +134,7 @@
     /// Returns the connection to the pool, unless the status or the headers forbid it. The caller
     /// must have read the complete body and checked that the response belongs to the request.
     pub fn reuse(self) {
+        self.connection.complete();
         let text = |name: &str| self.headers.get(name).and_then(|value| value.to_str().ok());
         let closes = text("connection").is_some_and(|value| {
             value.split(',').any(|token| token.trim().eq_ignore_ascii_case("close"))
