Platform: objects stay JSON text until they are read

Cause: each object of the store was parsed to a tree, and encoded again for the feed.

Change: StoredValue holds the text of an object; reading a type from it parses just that. An object with an escape that can't be decoded now makes only itself unreadable, and not its page.

--- a/crates/node/src/feed/cache.rs
+++ b/crates/node/src/feed/cache.rs
@@ -8,7 +8,6 @@
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::ops::Bound;
 
-use bytes::Bytes;
 use platform::targets::target_service;
 use platform::{Changed, Changes, Kind, Listing, Stored};
 use wire::peer::{FeedObject, ListingPosition};
@@ -40,7 +39,7 @@
     /// The revision at which the object last changed.
     changed_at: u64,
     /// The service, for targets.
-    service: Option<Box<str>>,
+    service: Option<String>,
 }
 
 /// Selects targets by service.
@@ -153,7 +152,7 @@
         if let Some(at) = self.removed_at.remove(&stored.name) {
             self.removed.remove(&(at, stored.name.clone()));
         }
-        let service = target_service(stored).filter(|_| self.is_targets).map(Box::from);
+        let service = if self.is_targets { target_service(stored) } else { None };
         // An unreadable object has no revision of its own.
         let changed_at = if stored.revision > 0 { stored.revision } else { revision };
         let object = CachedObject { encoded: encode_object(stored), changed_at, service };
@@ -277,7 +276,6 @@
     FeedObject {
         name: stored.name.clone(),
         revision: stored.revision,
-        // A value that was parsed from JSON serializes without an error.
-        value: Bytes::from(serde_json::to_vec(&stored.value).unwrap_or_default()),
+        value: stored.value.json().clone(),
     }
 }
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -7,7 +7,7 @@
 use ids::{BoxId, Incarnation, ServiceName, whole_millis};
 use joblog::StorageBox;
 use links::LinkPool;
-use platform::{Changed, Changes, Kind, Listing, Stored};
+use platform::{Changed, Changes, Kind, Listing, Stored, StoredValue};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
@@ -405,18 +405,12 @@
         if update.revision < current || (update.revision == current && !update.full) {
             return;
         }
-        let mut objects = Vec::with_capacity(update.objects.len());
-        for object in update.objects {
-            match serde_json::from_slice(&object.value) {
-                Ok(value) => {
-                    objects.push(Stored { name: object.name, revision: object.revision, value });
-                }
-                Err(error) => {
-                    log::warn!(target: "node", kind:% = subscription.kind, error:% = error; "feed update refused");
-                    return;
-                }
-            }
-        }
+        let objects = update.objects.into_iter().map(|object| Stored {
+            name: object.name,
+            revision: object.revision,
+            value: StoredValue::copy_json(&object.value),
+        });
+        let objects: Vec<Stored> = objects.collect();
         let (revision, kind) = (update.revision, subscription.kind);
         let feed_update = if update.full {
             let listing = self.listings.add(kind, objects, revision, update.continues_after);
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -1,12 +1,12 @@
 //! Updates that a box's cache yields for one kind of object.
 
 use node::feed::{KindCache, ServiceFilter, encode_object};
-use platform::{Changed, Changes, Kind, Listing, Stored};
+use platform::{Changed, Changes, Kind, Listing, Stored, StoredValue};
 use serde_json::json;
 use wire::peer::FeedObject;
 
 fn stored(name: &str, revision: u64) -> Stored {
-    Stored { name: name.to_owned(), revision, value: json!({"at": revision}) }
+    Stored { name: name.to_owned(), revision, value: json!({"at": revision}).into() }
 }
 
 fn encoded(name: &str, revision: u64) -> FeedObject {
@@ -187,7 +187,7 @@
 }
 
 fn target(name: &str, revision: u64, service: &str) -> Stored {
-    Stored { value: json!({"service": service}), ..stored(name, revision) }
+    Stored { value: json!({"service": service}).into(), ..stored(name, revision) }
 }
 
 /// Guards against sending thousands of engines to entry boxes that use none of them.
@@ -226,7 +226,7 @@
 #[test]
 fn unreadable_object_is_propagated() {
     let mut cache = listed_cache();
-    let unreadable = Stored { name: "b".to_owned(), revision: 0, value: serde_json::Value::Null };
+    let unreadable = Stored { name: "b".to_owned(), revision: 0, value: StoredValue::default() };
     let changes = Changes { changes: vec![Changed::Put(unreadable.clone())], revision: 12 };
     cache.apply_changes(&changes);
     assert_eq!(cache.since(10).expect("an update").objects, [encode_object(&unreadable)]);
--- a/crates/node/tests/feed_listing.rs
+++ b/crates/node/tests/feed_listing.rs
@@ -14,7 +14,7 @@
 const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
 fn stored(name: &str, revision: u64) -> Stored {
-    Stored { name: name.to_owned(), revision, value: json!({"at": revision}) }
+    Stored { name: name.to_owned(), revision, value: json!({"at": revision}).into() }
 }
 
 fn large_cache(objects: u64) -> KindCache {
--- a/crates/upstream/tests/dropped_requests.rs
+++ b/crates/upstream/tests/dropped_requests.rs
@@ -37,7 +37,8 @@
 async fn accept_and_read_request(listener: &TcpListener) -> TcpStream {
     let (mut stream, _) = listener.accept().await.expect("a connection");
     let mut buffer = vec![0; 1 << 10];
-    stream.read(&mut buffer).await.expect("a request");
+    let read = stream.read(&mut buffer).await.expect("a request");
+    assert!(read > 0, "the connection ended");
     stream
 }
 
