Job log: missing segments are pulled within the time that a box has

Cause: a returned box pulled its sealed segments one at a time at a constant 4 MB/s, whatever was missing. Now up to four at a time, at the rate that pulls all of it in half of the time after which the box counts as present, of at most half of its link; both come from the deployment's settings (catch-up-s, link-mbps), without which the rate stays 4 MB/s. A log line says when it can't be met.

--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -4,6 +4,7 @@
 //! once, when parsed. Number IDs are plain wrappers. All IDs implement `Display` and `FromStr`, so
 //! settings, logs, paths and messages use the same format.
 
+mod byte_rate;
 mod digest;
 mod incarnation;
 mod location;
@@ -18,8 +19,8 @@
 pub use location::RecordLocation;
 pub use moment::{Moment, whole_millis};
 pub use number::{
-    FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion, Priority,
-    ShardIndex, SlotIndex, StartTime, StepNumber, TokenCount,
+    ByteRate, FencingToken, Generation, Incarnation, ModelVersion, NumberError, ObjectVersion,
+    Priority, ShardIndex, SlotIndex, StartTime, StepNumber, TokenCount,
 };
 pub use text::{
     BoxId, CustomerName, DomainId, IdError, InstanceId, ItemId, JobId, ModelName, PoolName,
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -123,6 +123,10 @@
     /// unknown.
     StartTime(u64), "start time"
 }
+number_id! {
+    /// A transfer rate in bytes per second.
+    ByteRate(u64), "rate in bytes per second"
+}
 number_id! {
     /// Priority of requests; zero is the highest.
     Priority(u8), "priority"
--- a/crates/joblog/src/lib.rs
+++ b/crates/joblog/src/lib.rs
@@ -23,6 +23,7 @@
 mod epoch_takeover;
 mod layout;
 mod plan;
+mod pull_rate;
 mod record;
 mod repair;
 mod segment_file;
@@ -36,6 +37,7 @@
 };
 pub use layout::ShardLayout;
 pub use plan::{EpochError, EpochId, SealedSegment, ShardPlan, StorageBox};
+pub use pull_rate::PullLimits;
 pub use record::{decode_records, encode_record};
 pub use repair::{
     RetryPause, incomplete_segments, missing_segments, order_partners, segment_sources,
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -142,6 +142,8 @@
         found.add_fixed("data-dir", &self.data_dir, &new.data_dir);
         found.add_fixed("losses", &self.copies, &new.copies);
         found.add_fixed("retention-s", &self.retention, &new.retention);
+        found.add_fixed("catch-up-s", &self.catch_up, &new.catch_up);
+        found.add_fixed("link-mbps", &self.link_rate, &new.link_rate);
         found.add_fixed("order-gap-ms", &self.order_gap, &new.order_gap);
         found.add_fixed("memory-mb for jobs", &self.job_bytes, &new.job_bytes);
         found.add_fixed("load-parts", &self.load_parts, &new.load_parts);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use clap::Args;
-use ids::{BoxId, DomainId};
+use ids::{BoxId, ByteRate, DomainId};
 use routing::{ColdBound, EngineChoice, RegionMap};
 use upstream::ByteCount;
 use usage::WindowLength;
@@ -144,6 +144,13 @@
     /// How long a completed job can be read, in seconds.
     #[arg(long, env = "GANNETWAY_RETENTION_S", default_value_t = 120.0)]
     pub retention_s: f64,
+    /// How long a box counts as lost after its return, in seconds: it should hold its copies again
+    /// within this time. Empty or 0: it pulls them at a low rate.
+    #[arg(long, env = "GANNETWAY_CATCH_UP_S", default_value = "")]
+    pub catch_up_s: String,
+    /// Rate of the box's link, in megabits per second; empty or 0 if it is unknown.
+    #[arg(long, env = "GANNETWAY_LINK_MBPS", default_value = "")]
+    pub link_mbps: String,
     /// Delay after the last order of one lease holder before another may order, in milliseconds.
     #[arg(long, env = "GANNETWAY_ORDER_GAP_MS", default_value_t = 3_000)]
     pub order_gap_ms: u64,
@@ -228,6 +235,10 @@
     pub copies: usize,
     /// How long a completed job is kept.
     pub retention: Duration,
+    /// Time after the return of a box in which it should hold its copies again; zero if unknown.
+    pub catch_up: Duration,
+    /// Rate of the box's link, if known.
+    pub link_rate: Option<ByteRate>,
     /// Minimum delay between orders of two lease holders.
     pub order_gap: Duration,
     /// Memory limit for jobs, in bytes.
@@ -251,6 +262,8 @@
 
 /// Default of [`StorageSettings::usage_late`].
 const DEFAULT_USAGE_LATE: Duration = Duration::from_secs(10);
+/// Bytes of a megabit.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Maximum of `grace_s`, in seconds.
 const MAX_GRACE_S: f64 = 600.0;
 /// Maximum number of shards; each needs a plan in the store.
@@ -288,6 +301,11 @@
     text.parse::<usize>().ok()?.checked_mul(1 << 20)
 }
 
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+fn rate_of_megabits(mbps: f64) -> ByteRate {
+    ByteRate::new((mbps * BYTES_PER_MEGABIT) as u64)
+}
+
 impl RawNodeSettings {
     /// Validates the bounds that the platform sets, and adds their faults to `faults`.
     fn check_platform_bounds(&self, faults: &mut Vec<String>) -> (bool, ColdBound) {
@@ -421,6 +439,20 @@
         if !(self.retention_s.is_finite() && self.retention_s > 0.0) {
             faults.push(format!("--retention-s is {}: give seconds over 0", self.retention_s));
         }
+        let catch_up = read_seconds(&self.catch_up_s);
+        if catch_up.is_none() {
+            faults.push(format!(
+                "--catch-up-s is `{}`: give seconds, or leave it empty",
+                self.catch_up_s
+            ));
+        }
+        let link_mbps = read_number(&self.link_mbps, 0.0);
+        if link_mbps.is_none() {
+            faults.push(format!(
+                "--link-mbps is `{}`: give megabits per second, or leave it empty",
+                self.link_mbps
+            ));
+        }
         if self.load_parts == 0 {
             faults.push("--load-parts is 0: give 1 or more".to_owned());
         }
@@ -457,6 +489,8 @@
             data_dir: self.data_dir.clone(),
             copies: self.losses + 1,
             retention: Duration::from_secs_f64(self.retention_s),
+            catch_up: catch_up.unwrap_or_default(),
+            link_rate: link_mbps.filter(|mbps| *mbps > 0.0).map(rate_of_megabits),
             order_gap: Duration::from_millis(self.order_gap_ms),
             job_bytes: memory.unwrap_or(DEFAULT_STORAGE_MEMORY) / JOB_MEMORY_DIVISOR,
             load_parts: self.load_parts,
--- a/crates/shards/src/log/fetch.rs
+++ b/crates/shards/src/log/fetch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures::{StreamExt, TryStreamExt, stream};
-use ids::{ShardIndex, whole_millis};
+use ids::{ByteRate, ShardIndex, whole_millis};
 use joblog::{EpochId, IncomingSegment, SealedSegment, StorageBox};
 use links::{CallError, LinkPool};
 use tokio::time::{self, Instant};
@@ -41,17 +41,17 @@
     copies: OpenCopies,
     links: LinkPool,
     shard: ShardIndex,
-    /// Bytes per second; `None` for no limit.
-    rate: Option<u32>,
+    /// Maximum rate; `None` for no limit.
+    rate: Option<ByteRate>,
 }
 
 impl SegmentFetcher {
-    /// Creates a fetcher of at most `rate` bytes per second, if given.
+    /// Creates a fetcher of at most this rate, if given.
     pub const fn new(
         copies: OpenCopies,
         links: LinkPool,
         shard: ShardIndex,
-        rate: Option<u32>,
+        rate: Option<ByteRate>,
     ) -> Self {
         Self { copies, links, shard, rate }
     }
@@ -95,8 +95,7 @@
             let piece = self.read_piece(source, segment, incoming.len()).await?;
             incoming = append(shard, incoming, piece.records).await?;
             if let Some(rate) = self.rate {
-                let paced = Duration::from_millis(incoming.len() * 1_000 / u64::from(rate));
-                time::sleep_until(started_at + paced).await;
+                time::sleep_until(started_at + rate.time_of(incoming.len())).await;
             }
         }
         let len = segment.len;
--- a/crates/shards/src/log/repair.rs
+++ b/crates/shards/src/log/repair.rs
@@ -4,22 +4,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ids::{ShardIndex, whole_millis};
-use joblog::{RetryPause, ShardPlan, StorageBox, missing_segments, segment_sources};
+use futures::future;
+use ids::{BoxId, ByteRate, ShardIndex, whole_millis};
+use joblog::{
+    PullLimits, RetryPause, SealedSegment, ShardPlan, StorageBox, missing_segments, segment_sources,
+};
 use links::LinkPool;
 use node::NodeView;
 use tokio::task;
 use tokio::time::{self, Instant};
 
 use crate::log::copies::OpenCopies;
-use crate::log::fetch::{MissingSegment, SegmentFetcher};
+use crate::log::fetch::{FetchError, MissingSegment, SegmentFetcher};
 use crate::log::held::{HeldReport, HeldTable};
 
 /// Interval at which the plans are compared with the disk.
 const SCAN_INTERVAL: Duration = Duration::from_millis(500);
-/// Bytes per second that are pulled in the background. A tenth of a storage box's link, so that
-/// appends are not delayed.
-const REPAIR_BYTES_PER_SECOND: u32 = 4_000_000;
+/// Number of segments that are pulled at the same time. Between regions, a round trip for each piece
+/// limits a single pull.
+const CONCURRENT_PULLS: usize = 4;
 
 /// Retries of one shard's pulls.
 #[derive(Debug, Default)]
@@ -46,6 +49,7 @@
     copies: OpenCopies,
     links: LinkPool,
     held: Arc<HeldTable>,
+    limits: PullLimits,
 }
 
 impl SegmentRepair {
@@ -56,8 +60,9 @@
         copies: OpenCopies,
         links: LinkPool,
         held: Arc<HeldTable>,
+        limits: PullLimits,
     ) -> Self {
-        Self { me, view, copies, links, held }
+        Self { me, view, copies, links, held, limits }
     }
 
     /// Runs until the box stops.
@@ -74,16 +79,43 @@
         }
     }
 
-    /// Pulls missing segments, one at a time.
+    /// Pulls missing segments, several at a time.
     async fn pull_missing(&self) {
         let mut retries = HashMap::new();
+        let mut missing_since = None;
         loop {
             let plans = self.plans();
             let held = self.scan(&plans).await;
-            match self.next_missing(&plans, &held, &retries) {
-                Some((shard, missing)) => self.pull(shard, &missing, &mut retries).await,
-                None => time::sleep(SCAN_INTERVAL).await,
+            let missing = all_missing(&plans, &held, &self.me.box_id);
+            if missing.is_empty() {
+                missing_since = None;
+                time::sleep(SCAN_INTERVAL).await;
+                continue;
             }
+            let bytes = missing.iter().map(|(_, segment)| segment.len).sum();
+            let since = *missing_since.get_or_insert_with(|| {
+                self.warn_if_insufficient(bytes);
+                Instant::now()
+            });
+            let due = self.due_pulls(&plans, &missing, &retries);
+            if due.is_empty() {
+                time::sleep(SCAN_INTERVAL).await;
+                continue;
+            }
+            let rate = self.limits.rate(bytes, since.elapsed()).divided_by(due.len());
+            let pulls = due.iter().map(|(shard, missing)| self.pull(*shard, missing, rate));
+            for (shard, outcome) in future::join_all(pulls).await {
+                record_outcome(&mut retries, shard, outcome);
+            }
+        }
+    }
+
+    fn warn_if_insufficient(&self, bytes: u64) {
+        if !self.limits.is_sufficient(bytes) {
+            log::warn!(
+                target: "shard", bytes = bytes, time_ms = whole_millis(self.limits.time());
+                "missing segments are too large to be pulled in time"
+            );
         }
     }
 
@@ -109,47 +141,72 @@
         scanned.await.unwrap_or_default()
     }
 
-    /// Returns the next segment to pull. Shards whose last pull failed wait for their pause.
-    fn next_missing(
+    /// Returns the segments to pull now. Shards whose last pull failed wait for their pause.
+    fn due_pulls(
         &self,
         plans: &BTreeMap<ShardIndex, ShardPlan>,
-        held: &BTreeMap<ShardIndex, HeldReport>,
+        missing: &[(ShardIndex, &SealedSegment)],
         retries: &HashMap<ShardIndex, ShardRetries>,
-    ) -> Option<(ShardIndex, MissingSegment)> {
+    ) -> Vec<(ShardIndex, MissingSegment)> {
         let now = Instant::now();
         let may_pull = |shard: &ShardIndex| {
             let not_before = retries.get(shard).and_then(|retries| retries.not_before);
             not_before.is_none_or(|not_before| now >= not_before)
         };
-        plans.iter().filter(|(shard, _)| may_pull(shard)).find_map(|(shard, plan)| {
-            let held = &held.get(shard)?.segments;
-            let segment = *missing_segments(plan, &self.me.box_id, held).first()?;
+        let due = missing.iter().filter(|(shard, _)| may_pull(shard)).take(CONCURRENT_PULLS);
+        let pulls = due.filter_map(|(shard, segment)| {
+            let plan = plans.get(shard)?;
             let sources = segment_sources(plan, segment, &self.me, &[]);
             let sources = sources.into_iter().cloned().collect();
-            Some((*shard, MissingSegment { segment: segment.clone(), sources }))
-        })
+            Some((*shard, MissingSegment { segment: (*segment).clone(), sources }))
+        });
+        pulls.collect()
     }
 
     async fn pull(
         &self,
         shard: ShardIndex,
         missing: &MissingSegment,
-        retries: &mut HashMap<ShardIndex, ShardRetries>,
-    ) {
+        rate: ByteRate,
+    ) -> (ShardIndex, Result<(), FetchError>) {
         let (copies, links) = (self.copies.clone(), self.links.clone());
-        let fetcher = SegmentFetcher::new(copies, links, shard, Some(REPAIR_BYTES_PER_SECOND));
-        match fetcher.fetch(missing).await {
-            Ok(()) => {
-                retries.remove(&shard);
-            }
-            Err(error) => {
-                let pause = retries.entry(shard).or_default().record_failure();
-                log::warn!(
-                    target: "shard", shard = shard.get(), error:% = error,
-                    pause_ms = whole_millis(pause);
-                    "segment not pulled"
-                );
-            }
+        let fetcher = SegmentFetcher::new(copies, links, shard, Some(rate));
+        (shard, fetcher.fetch(missing).await)
+    }
+}
+
+/// Returns the segments of all shards that box `me` lacks.
+fn all_missing<'a>(
+    plans: &'a BTreeMap<ShardIndex, ShardPlan>,
+    held: &BTreeMap<ShardIndex, HeldReport>,
+    me: &BoxId,
+) -> Vec<(ShardIndex, &'a SealedSegment)> {
+    let mut missing = Vec::new();
+    for (shard, plan) in plans {
+        let Some(report) = held.get(shard) else { continue };
+        let segments = missing_segments(plan, me, &report.segments);
+        missing.extend(segments.into_iter().map(|segment| (*shard, segment)));
+    }
+    missing
+}
+
+/// Records whether a pull of a shard's segment failed.
+fn record_outcome(
+    retries: &mut HashMap<ShardIndex, ShardRetries>,
+    shard: ShardIndex,
+    outcome: Result<(), FetchError>,
+) {
+    match outcome {
+        Ok(()) => {
+            retries.remove(&shard);
+        }
+        Err(error) => {
+            let pause = retries.entry(shard).or_default().record_failure();
+            log::warn!(
+                target: "shard", shard = shard.get(), error:% = error,
+                pause_ms = whole_millis(pause);
+                "segment not pulled"
+            );
         }
     }
 }
--- a/crates/shards/src/role.rs
+++ b/crates/shards/src/role.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ids::{BoxId, whole_millis};
-use joblog::CopyFolder;
+use joblog::{CopyFolder, PullLimits};
 use links::{LinkPool, LinkSettings, serve_links};
 use node::assignments::{AssignmentSink, box_object};
 use node::feed::follow_feed;
@@ -98,6 +98,7 @@
         ctx.copies.clone(),
         ctx.links.clone(),
         Arc::clone(&ctx.held),
+        PullLimits::new(ctx.settings.catch_up, ctx.settings.link_rate),
     )
 }
 
