Feed: boxes that start during a store outage wait for their source too

Now its wait for a source begins once it knows the cluster state, without which it cannot list anything else either. A source may also take 20 s in place of 8 for its listing, since 50 pages take 12 s while the store is 60 times as slow.

--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -30,8 +30,8 @@
 /// boxes share the link of a source.
 const MAX_LISTING_BYTES: u32 = 64 << 10;
 /// How long after its own start this box waits for a source that is starting as well. A listing of
-/// all targets takes a source a second or two.
-const SOURCE_START_TIMEOUT: Duration = Duration::from_secs(8);
+/// all targets takes a source a second or two, and tens of times as long while the store is slow.
+const SOURCE_START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Backoff for a source that did not respond. Short, so that after a store outage the boxes of the
 /// domain do not all query the store instead of the source.
 const SOURCE_BACKOFF: Duration = Duration::from_millis(500);
@@ -185,6 +185,10 @@
                 Some(SourceSearch::NoneExists)
             }
             Some(_) => is_over.then_some(SourceSearch::NoneResponds),
+            None if !self.view.assignments().is_read() => {
+                // Sources may be registered all the same.
+                is_over.then_some(SourceSearch::NoneResponds)
+            }
             None => is_over.then_some(SourceSearch::NoneExists),
         }
     }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -298,13 +298,23 @@
         let freshness = self.view.feed.freshness();
         if self.kind == Kind::Targets {
             // Many pages for each box: if all boxes of a deployment start at once, this would also
-            // delay the sources that list the targets for them.
+            // delay the sources that list the targets for them. The cluster state names the sources;
+            // while it can't be listed, nothing can.
+            self.wait_for_cluster_state().await;
             freshness.wait_for_no_progress(FIRST_UPDATE_TIMEOUT).await;
         } else {
             freshness.wait_for_no_source(FIRST_UPDATE_TIMEOUT).await;
         }
     }
 
+    async fn wait_for_cluster_state(&self) {
+        let mut changes = self.view.changes();
+        while !self.view.assignments().is_read() {
+            // Cannot fail: the view owns the sender.
+            let _changed = changes.changed().await;
+        }
+    }
+
     /// Reads a listing that may be stale. Returns `None` if the call fails.
     async fn list_stale(&mut self) -> Option<u64> {
         self.view.metrics.store_call(self.kind, StoreCall::ListOld);
