--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -102,19 +102,27 @@
     );
 }
 
-/// What a page says about its source.
+/// How a page leaves this box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PageState {
-    /// The updates are fresh enough to do without the store.
+    /// The box's state is fresh enough to do without the store.
     Fresh,
-    /// More parts of a listing follow.
+    /// The page brought updates, and more are needed: parts of a listing, or other kinds.
     Partial,
-    /// The source is about to serve this box.
+    /// The source will soon serve this box.
     Starting,
     /// Another box may have newer updates.
     Stale,
 }
 
+/// Result of applying a page.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PageOutcome {
+    state: PageState,
+    /// Whether the page contained updates that this box lacked.
+    has_updates: bool,
+}
+
 struct FeedClient {
     view: Arc<NodeView>,
     links: LinkPool,
@@ -153,11 +161,12 @@
             let Some((page, services)) = self.poll_source(&source, wait).await else {
                 self.view.metrics.count_outcome("feed", "not told");
                 self.failed_at.insert(source.box_id, Instant::now());
+                state = PageState::Stale;
                 continue;
             };
             self.view.feed.freshness().record_response();
-            let is_empty = page.kinds.is_empty();
-            state = self.apply_page(&source, polled_at, page).await;
+            let outcome = self.apply_page(&source, polled_at, page).await;
+            state = outcome.state;
             if let Some(services) = services {
                 self.view.feed.set_received_services(services);
             }
@@ -170,8 +179,9 @@
                 continue;
             }
             self.failed_at.remove(&source.box_id);
-            if is_empty {
-                // A source whose proof is aging responds without a wait.
+            if !outcome.has_updates {
+                // A source whose proof is aging responds without a wait, and one that is behind this
+                // box repeats its listing.
                 time::sleep_until(polled_at + MIN_POLL_INTERVAL).await;
             }
         }
@@ -366,13 +376,14 @@
         source: &StorageBox,
         polled_at: Instant,
         page: FeedPage,
-    ) -> PageState {
+    ) -> PageOutcome {
         let held = Duration::from_millis(u64::from(page.held_ms));
         let age = Duration::from_millis(u64::from(page.age_ms));
         // The response's network time counts as age.
         let proven_at = (polled_at + held).checked_sub(age);
+        let mut has_updates = false;
         for kind in page.kinds {
-            self.apply_kind(kind).await;
+            has_updates |= self.apply_kind(kind).await;
         }
         let all_listed = self.is_all_listed();
         let proof =
@@ -380,15 +391,16 @@
         let freshness = self.view.feed.freshness();
         let proof = proof.filter(|proof| all_listed && freshness.is_fresh(proof));
         let Some(proof) = proof else {
+            let is_incomplete = !all_listed || !self.listings.is_empty();
             let awaits_source = self.started_at.elapsed() < SOURCE_START_TIMEOUT;
-            if !self.listings.is_empty() {
-                return PageState::Partial;
-            }
-            return if page.starting && awaits_source {
+            let state = if has_updates && is_incomplete {
+                PageState::Partial
+            } else if page.starting && awaits_source {
                 PageState::Starting
             } else {
                 PageState::Stale
             };
+            return PageOutcome { state, has_updates };
         };
         self.view.store_answered(Kind::Configuration, true);
         if self.view.feed.freshness().accept_proof(proof) {
@@ -397,17 +409,18 @@
                 "regained"
             );
         }
-        PageState::Fresh
+        PageOutcome { state: PageState::Fresh, has_updates }
     }
 
-    async fn apply_kind(&mut self, update: FeedKind) {
+    /// Applies an update of one kind. Returns whether this box lacked it.
+    async fn apply_kind(&mut self, update: FeedKind) -> bool {
         let subscription = kind_of(update.kind)
             .and_then(|kind| self.kinds.iter().find(|subscription| subscription.kind == kind));
-        let Some(subscription) = subscription else { return };
+        let Some(subscription) = subscription else { return false };
         let current = *subscription.revision.borrow();
         // A full update at the same revision may contain objects that were filtered out before.
         if update.revision < current || (update.revision == current && !update.full) {
-            return;
+            return false;
         }
         let objects = update.objects.into_iter().map(|object| Stored {
             name: object.name,
@@ -418,7 +431,7 @@
         let (revision, kind) = (update.revision, subscription.kind);
         let feed_update = if update.full {
             let listing = self.listings.add(kind, objects, revision, update.continues_after);
-            let Some(listing) = listing else { return };
+            let Some(listing) = listing else { return true };
             FeedUpdate::Listed(listing)
         } else {
             let removed = update.removed.into_iter().map(Changed::Removed);
@@ -441,5 +454,6 @@
         if time::timeout(MAX_POLL_WAIT, applied).await.is_err() {
             log::debug!(target: "node", kind:% = kind; "feed update not applied in time");
         }
+        true
     }
 }
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -222,8 +222,8 @@
     Mutation {
         name: "platform: a starting box does not wait for a starting source",
         file: "crates/node/src/feed/client.rs",
-        from: "            return if page.starting && awaits_source {",
-        to: "            return if page.starting && awaits_source && false {",
+        from: "            } else if page.starting && awaits_source {",
+        to: "            } else if page.starting && awaits_source && false {",
         package: "platform-standin",
         test: "starting_box_waits_for_starting_source",
     },
