--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use clap::Parser;
+use ids::ByteRate;
 use node::feed::FeedTimes;
 use node::{NodeSettings, RawNodeSettings, RawStorageSettings, SettingsError, StorageSettings};
 use routing::ColdBound;
@@ -76,6 +77,15 @@
     assert_eq!(check_storage(&["--memory-mb", ""]).job_bytes, (256 << 20) / 3);
 }
 
+#[test]
+fn time_and_link_for_pulls_are_optional() {
+    let settings = check_storage(&["--catch-up-s", "4.6", "--link-mbps", "600.0"]);
+    assert_eq!(settings.catch_up, Duration::from_millis(4_600));
+    assert_eq!(settings.link_rate, Some(ByteRate::new(75_000_000)));
+    let settings = check_storage(&["--catch-up-s", "", "--link-mbps", ""]);
+    assert_eq!((settings.catch_up, settings.link_rate), (Duration::ZERO, None));
+}
+
 #[test]
 fn empty_platform_settings_use_defaults() {
     let settings = check(&["--evacuate-ms", "", "--cold-excess", "", "--cold-slack", ""])
