Feed: boxes without a configuration are served by sources without one

Cause, by reading: until the operator's first configuration, entry boxes requested no targets from the feed, so they were not served by it and watched the store themselves. Now only the first request goes without targets.

--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -83,6 +83,7 @@
         listings: PartialListings::default(),
         listed_services: None,
         started_at: Instant::now(),
+        has_received: false,
         failed_at: HashMap::new(),
         usage_reported_at: None,
     };
@@ -131,6 +132,8 @@
     /// The services selected in the listing of targets in progress.
     listed_services: ReceivedServices,
     started_at: Instant,
+    /// Whether a source has responded.
+    has_received: bool,
     /// When each box last failed to respond with fresh data.
     failed_at: HashMap<BoxId, Instant>,
     /// When usage was last reported to another domain.
@@ -165,6 +168,7 @@
                 continue;
             };
             self.view.feed.freshness().record_response();
+            self.has_received = true;
             let outcome = self.apply_page(&source, polled_at, page).await;
             state = outcome.state;
             if let Some(services) = services {
@@ -279,8 +283,9 @@
     fn cursor(&self, subscription: &KindSubscription, relist: bool) -> Option<FeedCursor> {
         let kind = subscription.kind;
         let is_unconfigured = self.view.feed.is_receive_only() && !self.view.is_configured();
-        if kind == Kind::Targets && is_unconfigured {
-            // The configuration selects the services whose targets are received.
+        if kind == Kind::Targets && is_unconfigured && !self.has_received {
+            // The configuration selects the services whose targets are received. A source that has
+            // none yet serves this box without targets.
             return None;
         }
         // Updates since a revision do not include targets that were filtered out before it.
