Feed: a listing in parts contains no object newer than its revision

A later part may contain an object that was created after the first part. If it was then removed, and the next source had skipped its history by a listing, that source did not know the object and could not report its removal: the follower kept a target that is gone. Newer objects are now left out; they come with the changes since.

A target that changes while a running box lists anew is missing there until the next response.

--- a/crates/node/src/feed/listing.rs
+++ b/crates/node/src/feed/listing.rs
@@ -39,7 +39,8 @@
     /// Adds a part. Returns the listing if this was the last one.
     ///
     /// Changes after the earliest revision of a part may be missing from the listing, so this is
-    /// its revision.
+    /// its revision. Newer objects are left out: they come with the changes since, while a source
+    /// that never had them could not report their removal.
     pub fn add(
         &mut self,
         kind: Kind,
@@ -48,7 +49,7 @@
         continues_after: Option<ListingPosition>,
     ) -> Option<Listing> {
         let part = Listing { objects, revision };
-        let listing = match self.0.remove(&kind) {
+        let mut listing = match self.0.remove(&kind) {
             Some(PartialListing { mut listing, .. }) => {
                 listing.objects.extend(part.objects);
                 listing.revision = listing.revision.min(revision);
@@ -56,7 +57,11 @@
             }
             None => part,
         };
-        let Some(continues_after) = continues_after else { return Some(listing) };
+        let Some(continues_after) = continues_after else {
+            let revision = listing.revision;
+            listing.objects.retain(|object| object.revision <= revision);
+            return Some(listing);
+        };
         self.0.insert(kind, PartialListing { listing, continues_after });
         None
     }
