--- a/crates/joblog/src/pull_rate.rs
+++ b/crates/joblog/src/pull_rate.rs
@@ -8,7 +8,7 @@
 
 use ids::ByteRate;
 
-/// Lowest rate. A tenth of a storage box's link, which delays no appends.
+/// Lowest rate, also used if the time or the link is unknown.
 const MIN_RATE: ByteRate = ByteRate::new(4_000_000);
 /// Share of the link that pulls may take, as a divisor.
 const LINK_DIVISOR: u64 = 2;
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -29,8 +29,8 @@
 /// Maximum size of one part of a listing. Small, so that each part arrives in time while hundreds of
 /// boxes share the link of a source.
 const MAX_LISTING_BYTES: u32 = 64 << 10;
-/// How long after its own start this box waits for a source that is starting as well. A listing of
-/// all targets takes a source a second or two, and tens of times as long while the store is slow.
+/// How long after its own start this box waits for a source that is starting as well. Longer than a
+/// source takes to list many pages of targets while the store is slow.
 const SOURCE_START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Backoff for a source that did not respond. Short, so that after a store outage the boxes of the
 /// domain do not all query the store instead of the source.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod probe;
 mod regions;
 mod reload;
+mod setting_text;
 mod settings;
 mod settings_file;
 pub mod sinks;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -13,6 +13,7 @@
 use usage::WindowLength;
 use wire::DeploymentKey;
 
+use crate::setting_text::{read_megabits, read_megabytes, read_number, read_seconds};
 use crate::{AdmissionMode, ClockSource, LiveSettings};
 
 /// Unvalidated settings of both roles.
@@ -262,50 +263,14 @@
 
 /// Default of [`StorageSettings::usage_late`].
 const DEFAULT_USAGE_LATE: Duration = Duration::from_secs(10);
-/// Bytes of a megabit.
-const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Maximum of `grace_s`, in seconds.
 const MAX_GRACE_S: f64 = 600.0;
 /// Maximum number of shards; each needs a plan in the store.
 const MAX_SHARDS: u32 = 256;
 
-/// Parses seconds. Empty text, as left by templates, is zero. Returns `None` if invalid.
-fn read_seconds(text: &str) -> Option<Duration> {
-    let text = text.trim();
-    if text.is_empty() {
-        return Some(Duration::ZERO);
-    }
-    let seconds: f64 = text.parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
-}
-
-/// Parses a non-negative number. Empty text, as left by templates, is `default`. Returns `None` if
-/// invalid.
-fn read_number(text: &str, default: f64) -> Option<f64> {
-    let text = text.trim();
-    if text.is_empty() {
-        return Some(default);
-    }
-    text.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
-}
-
 /// Share of the box's memory for buffered requests and responses, as a divisor.
 const BUFFER_MEMORY_DIVISOR: usize = 4;
 
-/// Parses megabytes to bytes. Empty text, as left by templates, is zero. Returns `None` if invalid.
-fn read_megabytes(text: &str) -> Option<usize> {
-    let text = text.trim();
-    if text.is_empty() {
-        return Some(0);
-    }
-    text.parse::<usize>().ok()?.checked_mul(1 << 20)
-}
-
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
-fn rate_of_megabits(mbps: f64) -> ByteRate {
-    ByteRate::new((mbps * BYTES_PER_MEGABIT) as u64)
-}
-
 impl RawNodeSettings {
     /// Validates the bounds that the platform sets, and adds their faults to `faults`.
     fn check_platform_bounds(&self, faults: &mut Vec<String>) -> (bool, ColdBound) {
@@ -446,8 +411,8 @@
                 self.catch_up_s
             ));
         }
-        let link_mbps = read_number(&self.link_mbps, 0.0);
-        if link_mbps.is_none() {
+        let link_rate = read_megabits(&self.link_mbps);
+        if link_rate.is_none() {
             faults.push(format!(
                 "--link-mbps is `{}`: give megabits per second, or leave it empty",
                 self.link_mbps
@@ -490,7 +455,7 @@
             copies: self.losses + 1,
             retention: Duration::from_secs_f64(self.retention_s),
             catch_up: catch_up.unwrap_or_default(),
-            link_rate: link_mbps.filter(|mbps| *mbps > 0.0).map(rate_of_megabits),
+            link_rate: link_rate.filter(|rate| rate.get() > 0),
             order_gap: Duration::from_millis(self.order_gap_ms),
             job_bytes: memory.unwrap_or(DEFAULT_STORAGE_MEMORY) / JOB_MEMORY_DIVISOR,
             load_parts: self.load_parts,
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -243,6 +243,14 @@
         package: "node",
         test: "follower_reaches_the_state_of_the_store",
     },
+    Mutation {
+        name: "node: a listing in parts contains objects newer than its revision",
+        file: "crates/node/src/feed/listing.rs",
+        from: "            listing.objects.retain(|object| object.revision <= revision);",
+        to: "            listing.objects.retain(|object| object.revision <= revision || true);",
+        package: "node",
+        test: "follower_reaches_the_state_of_the_store",
+    },
     Mutation {
         name: "upstream: a connection closes in order while a request is outstanding",
         file: "crates/upstream/src/pool.rs",
