--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -17,6 +17,7 @@
 //! This crate does no I/O and reads no clock.
 
 mod record;
+mod suspect;
 mod table;
 mod verdict;
 
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -5,7 +5,8 @@
 
 use ids::{InstanceId, Moment, ServiceName, SoftwareVersion, TargetIncarnation, WorkDigest};
 
-use crate::verdict::{SETTLE_WINDOW, UNEXPLAINED_CRASHES, versions_to_quarantine};
+use crate::suspect::{StoredRecord, Suspect, Trial};
+use crate::verdict::{SETTLE_WINDOW, versions_to_quarantine};
 use crate::{MAX_CRASHES, QUARANTINE_CRASHES, SuspectRecord, TargetCrash};
 
 /// Number of crashes from which work runs only at targets without other suspects. Otherwise several
@@ -22,15 +23,6 @@
 /// An incarnation that is still listed this long after it refused a connection has not crashed: its
 /// entry would have expired.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(6);
-/// How long crashes are kept for work below the quarantine threshold.
-const SUSPECT_TTL: Duration = Duration::from_mins(10);
-/// How long crashes are kept for work at or above the quarantine threshold.
-const QUARANTINE_TTL: Duration = Duration::from_hours(24);
-/// Delays after the last crash or trial before quarantined work may run once more, in case the
-/// cause (such as an unavailable dependency) is gone. The number of trials is limited, since each
-/// may crash a target.
-const TRIAL_DELAYS: [Duration; 3] =
-    [Duration::from_mins(3), Duration::from_mins(10), Duration::from_mins(45)];
 /// Extra delay before a storage box clears records that other boxes published. Boxes that only drop
 /// their local entry wait twice as long.
 const CLEAR_DELAY: Duration = Duration::from_mins(1);
@@ -69,139 +61,6 @@
     pub held: bool,
 }
 
-/// State of a trial run of quarantined work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Trial {
-    None,
-    /// Due, but not yet confirmed by the store. The conditional write ensures that only one box
-    /// runs it.
-    Requested,
-    /// This box may run the trial.
-    Granted,
-}
-
-/// Summary of the stored record of a work digest.
-#[derive(Debug, Clone, Copy)]
-struct StoredRecord {
-    revision: u64,
-    crashes: usize,
-}
-
-#[derive(Debug)]
-struct Suspect {
-    service: ServiceName,
-    /// Crashes that this box observed.
-    local_crashes: Vec<TargetCrash>,
-    /// Crashes in the stored record.
-    stored_crashes: Vec<TargetCrash>,
-    /// Disconnects whose target may have crashed.
-    disconnects: Vec<(TargetCrash, Moment)>,
-    last_crash_at: Moment,
-    /// When the quarantine threshold was reached.
-    threshold_at: Option<Moment>,
-    /// A full listing of the store, which includes the reports of other boxes, contained enough
-    /// crashes for quarantine.
-    settled: bool,
-    /// The caller got no response and may retry at another box.
-    caller_unanswered: bool,
-    stored: Option<StoredRecord>,
-    trial: Trial,
-    trials: u32,
-    last_trial_at: Moment,
-    /// Targets at which this box currently runs the work.
-    running_at: Vec<InstanceId>,
-}
-
-impl Suspect {
-    fn new(now: Moment, service: ServiceName) -> Self {
-        Self {
-            service,
-            local_crashes: Vec::new(),
-            stored_crashes: Vec::new(),
-            disconnects: Vec::new(),
-            last_crash_at: now,
-            threshold_at: None,
-            settled: false,
-            caller_unanswered: false,
-            stored: None,
-            trial: Trial::None,
-            trials: 0,
-            last_trial_at: now,
-            running_at: Vec::new(),
-        }
-    }
-
-    fn crashes(&self) -> Vec<TargetCrash> {
-        let unstored =
-            self.local_crashes.iter().filter(|crash| !self.stored_crashes.contains(crash));
-        self.stored_crashes.iter().chain(unstored).take(MAX_CRASHES).cloned().collect()
-    }
-
-    /// Incarnations that crashed, or may have crashed, while running this work.
-    fn incarnations(&self) -> impl Iterator<Item = &TargetIncarnation> {
-        let crashes = self.local_crashes.iter().chain(&self.stored_crashes);
-        crashes.chain(self.disconnects.iter().map(|(crash, _)| crash)).map(|crash| &crash.life)
-    }
-
-    fn has_crash_of(&self, incarnation: &TargetIncarnation) -> bool {
-        self.local_crashes
-            .iter()
-            .chain(&self.stored_crashes)
-            .any(|crash| crash.life == *incarnation)
-    }
-
-    /// Whether this work, rather than `other` with the given crashes, may have caused their common
-    /// crashes. This holds if it has at least as many crashes, or enough for quarantine with
-    /// `UNEXPLAINED_CRASHES` not shared with `other`. The second rule clears work that ran beside
-    /// two poison requests in turn and so has as many crashes as either.
-    fn explains(&self, other: &Self, crashes: &[TargetCrash]) -> bool {
-        let unshared = || {
-            let own = self.crashes();
-            own.iter().filter(|crash| crashes.iter().all(|other| other.life != crash.life)).count()
-        };
-        let count = self.count();
-        count >= other.count() || (count >= QUARANTINE_CRASHES && unshared() >= UNEXPLAINED_CRASHES)
-    }
-
-    fn count(&self) -> usize {
-        let unstored =
-            self.local_crashes.iter().filter(|crash| !self.stored_crashes.contains(crash));
-        self.stored_crashes.len() + unstored.count()
-    }
-
-    /// Updates the timestamps after a crash was added.
-    fn crash_added(&mut self, now: Moment) {
-        self.last_crash_at = now;
-        if self.count() >= QUARANTINE_CRASHES {
-            self.threshold_at.get_or_insert(now);
-        }
-    }
-
-    fn trial_due(&self, now: Moment) -> bool {
-        let delay = TRIAL_DELAYS.get(self.trials as usize);
-        delay.is_some_and(|delay| now.since(self.last_crash_at.max(self.last_trial_at)) >= *delay)
-    }
-
-    fn record(&self) -> SuspectRecord {
-        let requested = u32::from(self.trial == Trial::Requested);
-        let trials = self.trials + requested;
-        SuspectRecord { service: self.service.clone(), ends: self.crashes(), trials }
-    }
-
-    fn ttl(&self) -> Duration {
-        if self.count() >= QUARANTINE_CRASHES { QUARANTINE_TTL } else { SUSPECT_TTL }
-    }
-
-    /// Whether the record should be published: after a second crash, after the first if the caller
-    /// may retry at any box, or to request a trial.
-    fn needs_publish(&self) -> bool {
-        let count = self.count().min(MAX_CRASHES);
-        let worth_publishing = count >= 2 || (count == 1 && self.caller_unanswered);
-        let changed = self.stored.is_none_or(|stored| stored.crashes < count);
-        (worth_publishing && changed) || self.trial == Trial::Requested
-    }
-}
-
 /// Table of the work under which targets crashed, as observed by one box.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
--- a/crates/xtask/src/mutate/targets.rs
+++ b/crates/xtask/src/mutate/targets.rs
@@ -29,7 +29,7 @@
     },
     Mutation {
         name: "suspects: only work with as many crashes explains a crash",
-        file: "crates/suspects/src/table.rs",
+        file: "crates/suspects/src/suspect.rs",
         from: "count >= other.count() || (count >= QUARANTINE_CRASHES && unshared() >= UNEXPLAINED_CRASHES)",
         to: "count >= other.count() || (false && unshared() >= UNEXPLAINED_CRASHES)",
         package: "suspects",
