Suspects: owed items are spaced after crashes, never quarantined

Cause: three crashes under one item quarantine it like a request that crashes targets, and its first trial comes after three minutes, longer than a job lasts. Reward calls are refused in the same way.

Change: items and reward calls are owed and never such requests. Evidence that would quarantine other work now only spaces their runs: 4.5 s after the last crash, half a second if other targets of the service crashed at the same time. A box that knows the crashes from records alone counts from when it first wants to run the item. What the crashes mean for other work stays: those of a spaced item explain as if it were quarantined, also after it has succeeded, and its later crashes explain nothing. A reward call prefers a target without other suspects and no longer needs one. Requests of callers are judged as before; no test of poison:: changed.

Ruled out: ignoring quarantine altogether. The crash of an item that then succeeds is forgotten, and innocent work beside it is quarantined for the same crashes.

Tests: cluster owed:: (four) time out before, pass now; suspects owed (six).

--- a/crates/bench/src/suspects.rs
+++ b/crates/bench/src/suspects.rs
@@ -47,7 +47,7 @@
     });
     let started = Instant::now();
     for number in 0..VERDICTS {
-        black_box(suspect_table.suspected_versions(work_digest(number as usize), &service));
+        black_box(suspect_table.quarantined_versions(at, work_digest(number as usize), &service));
     }
     let verdict = started.elapsed() / VERDICTS;
     let body = vec![7_u8; 1 << 10];
--- a/crates/front/src/plain.rs
+++ b/crates/front/src/plain.rs
@@ -123,7 +123,7 @@
         headers: sent_headers,
         body,
         deadline,
-        is_background: false,
+        is_owed: false,
         customer: admitted.caller.customer().cloned(),
         parent: None,
     };
@@ -134,6 +134,9 @@
             let retry_after = retry_after.unwrap_or(response::RETRY_DELAY);
             ("not run", response::not_run_until(reason, retry_after, Some(&id)))
         }
+        Ok(PlainOutcome::Delayed(delay)) => {
+            ("not run", response::not_run_until("targets have just failed", delay, Some(&id)))
+        }
         Ok(PlainOutcome::Quarantined) => ("condemned", response::quarantined(&id)),
         Ok(PlainOutcome::Unknown(reason)) => (
             "unknown",
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -60,13 +60,13 @@
             work,
             tried: &tried,
             allow_tried: false,
-            is_background: false,
+            is_owed: false,
             deadline,
             parent: None,
         };
         let slot = match choose_target(view, route, &requirements).await {
             TargetChoice::Target(slot) => slot,
-            TargetChoice::None => break,
+            TargetChoice::None | TargetChoice::Delayed(_) => break,
             TargetChoice::NoneInRegions => return not_run(view, route, &id, NO_TARGET_IN_REGIONS),
             TargetChoice::Quarantined => return quarantined(view, route, &id, work),
             TargetChoice::Refused(refusal) => {
--- a/crates/gannetctl/src/step_timings.rs
+++ b/crates/gannetctl/src/step_timings.rs
@@ -7,7 +7,7 @@
 use crate::log_lines::LogLine;
 
 /// Log fields with the time that items of a step were blocked, and the reasons as printed.
-const BLOCK_REASONS: [(&str, &str); 11] = [
+const BLOCK_REASONS: [(&str, &str); 12] = [
     ("old_ms", "engine of an older version"),
     ("loading_ms", "engines that load"),
     ("resting_ms", "engines at rest"),
@@ -17,6 +17,8 @@
     ("regions_ms", "engines of the allowed regions"),
     ("no_route_ms", "a route"),
     ("connections_ms", "connections of its server"),
+    ("crash_spacing_ms", "an item whose engines crashed"),
+    // Of earlier releases.
     ("condemned_ms", "an item that ends engines"),
     ("yielded_ms", "more urgent items of other shards"),
 ];
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ids::{FencingToken, JobId, Moment};
 use wire::peer::log_record::Body;
@@ -122,8 +123,8 @@
     },
     /// No usable response arrived, or no target accepted the call.
     Missed,
-    /// The call is quarantined because it crashes its targets; it was not made.
-    Quarantined,
+    /// Targets have just crashed under the call; it was not made, and may be made after this time.
+    Delayed(Duration),
 }
 
 /// Why an item is given up.
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -10,7 +10,7 @@
 use ids::{InstanceId, JobId, Moment};
 
 use crate::item::ItemPhase;
-use crate::table::QUARANTINE_RETRY_DELAY;
+use crate::table::SPACED_RETRY_DELAY;
 use crate::{BlockReason, ItemRef, JobTable, RunSpec, Urgency};
 
 /// The next startable item of one job.
@@ -35,7 +35,8 @@
 impl JobTable {
     /// Starts the items that may start now, most urgent first. `start` returns the target that it
     /// chose for the item, or `None` if only the reward call is missing. If it finds no target for
-    /// a run, the other runs of that job are blocked too, except when the item is quarantined.
+    /// a run, the other runs of that job are blocked too, except when the item is spaced after
+    /// crashes.
     pub fn start_ready(
         &mut self,
         now: Moment,
@@ -65,9 +66,9 @@
             };
             let target = match start(spec) {
                 Ok(target) => target,
-                Err(BlockReason::Quarantined) => {
-                    state.trace.set_block_reason(now, Some(BlockReason::Quarantined));
-                    state.items[index as usize].not_before = now + QUARANTINE_RETRY_DELAY;
+                Err(BlockReason::CrashSpacing) => {
+                    state.trace.set_block_reason(now, Some(BlockReason::CrashSpacing));
+                    state.items[index as usize].not_before = now + SPACED_RETRY_DELAY;
                     candidates.extend(self.candidate(now, next.job, next.offset + 1, next.blocked));
                     continue;
                 }
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -24,8 +24,8 @@
 /// Delay before a failed item is started again: gives a failing target time to recover, or the
 /// target list time to drop it.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
-/// Delay before the quarantine of an item is checked again.
-pub(crate) const QUARANTINE_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Interval at which an item whose runs are spaced after crashes is offered again.
+pub(crate) const SPACED_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Added to the route's maximum wait before an item is given up, so that a fast clock does not
 /// give up early.
 const GIVE_UP_MARGIN: Duration = Duration::from_secs(1);
@@ -385,8 +385,8 @@
                 entry.reward_failures += 1;
                 entry.reward_attempts = attempts;
             }
-            RewardOutcome::Quarantined => {
-                self.requeue(now, item, QUARANTINE_RETRY_DELAY);
+            RewardOutcome::Delayed(delay) => {
+                self.requeue(now, item, delay);
                 return None;
             }
             RewardOutcome::Missed => {}
--- a/crates/jobs/src/trace.rs
+++ b/crates/jobs/src/trace.rs
@@ -31,8 +31,8 @@
     OutsideRegions,
     /// This box has reached its connection limit.
     NoConnections,
-    /// The item is quarantined because it crashes its targets. It doesn't block other items.
-    Quarantined,
+    /// Engines have just crashed under the item. It doesn't block other items.
+    CrashSpacing,
     /// Free slots are left to more urgent items of another shard.
     Yielded,
 }
@@ -49,7 +49,7 @@
         Self::Evacuated,
         Self::OutsideRegions,
         Self::NoConnections,
-        Self::Quarantined,
+        Self::CrashSpacing,
         Self::Yielded,
     ];
 }
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -30,8 +30,8 @@
     pub tried: &'a [InstanceId],
     /// Whether a tried target may be chosen if there is no other.
     pub allow_tried: bool,
-    /// Whether no caller waits for this call.
-    pub is_background: bool,
+    /// Whether the work is owed: a reward call, for which no caller waits.
+    pub is_owed: bool,
     /// When the request arrived; its goal counts from then.
     pub received: Instant,
     /// When the caller stops waiting.
@@ -56,6 +56,9 @@
     None,
     /// The request is restricted to regions, and none of their targets can serve it now.
     NoneInRegions,
+    /// The work is owed, and not to run before this time has passed: targets have just crashed under
+    /// it.
+    Delayed(Duration),
     /// The work is quarantined because it crashes targets.
     Quarantined,
     /// The service is short of slots, and the work would not be served in time.
@@ -211,10 +214,15 @@
 ) -> Option<TargetChoice> {
     let mut rng = rand::rng();
     let Some(service) = service else { return Some(TargetChoice::None) };
-    let WorkAdmission::Open(excluded) =
-        view.admit_work(requirements.work, service, requirements.is_background)
-    else {
-        return Some(TargetChoice::Quarantined);
+    let admission = if requirements.is_owed {
+        view.admit_owed(requirements.work, service)
+    } else {
+        view.admit_work(requirements.work, service)
+    };
+    let excluded = match admission {
+        WorkAdmission::Open(excluded) => excluded,
+        WorkAdmission::Delayed(delay) => return Some(TargetChoice::Delayed(delay)),
+        WorkAdmission::Quarantined => return Some(TargetChoice::Quarantined),
     };
     let anti_affinity = view.suspects().anti_affinity(view.now(), requirements.work);
     if anti_affinity.held {
@@ -234,14 +242,15 @@
         targets.choose(now, service, &target_requirements, &mut rng)
     };
     // Prefers untried targets without other suspected work, then other untried ones, then tried
-    // ones.
+    // ones. Isolation is mandatory only for work that may be quarantined.
+    let is_isolated = anti_affinity.required && !requirements.is_owed;
     let excluded_or_suspect = [&excluded, anti_affinity.targets.as_slice()].concat();
     let mut chosen = choose(&[requirements.tried, &excluded_or_suspect].concat());
-    if !anti_affinity.required {
+    if !is_isolated {
         chosen = chosen.or_else(|| choose(&[requirements.tried, &excluded].concat()));
     }
     if requirements.allow_tried {
-        let avoid = if anti_affinity.required { &excluded_or_suspect } else { &excluded };
+        let avoid = if is_isolated { &excluded_or_suspect } else { &excluded };
         chosen = chosen.or_else(|| choose(avoid));
     }
     if let Some(target) = chosen {
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -59,8 +59,9 @@
     pub body: Bytes,
     /// When the caller stops waiting or the route's timeout ends, whichever is first.
     pub deadline: Instant,
-    /// Whether no caller waits for this call, so that it is repeated until it gets a response.
-    pub is_background: bool,
+    /// Whether this call is owed: no caller waits for it, and it is repeated until it gets a
+    /// response.
+    pub is_owed: bool,
     /// The customer, for usage counts; the headers name it to the target.
     pub customer: Option<CustomerName>,
     /// The request on whose behalf this internal call is made; its restriction to regions applies to
@@ -86,6 +87,9 @@
         /// How long the caller should wait before it returns; `None` for the default.
         retry_after: Option<Duration>,
     },
+    /// Targets have just crashed under this owed call. It has not run, and may be made again after
+    /// this time.
+    Delayed(Duration),
     /// The request is quarantined because it crashes targets. No target has run it during this
     /// call, and none will.
     Quarantined,
@@ -187,7 +191,7 @@
             work,
             tried: &tried,
             allow_tried: true,
-            is_background: call.is_background,
+            is_owed: call.is_owed,
             deadline: call.deadline,
             parent: call.parent,
         };
@@ -205,6 +209,7 @@
                 time::sleep(NO_TARGET_PAUSE).await;
                 continue;
             }
+            TargetChoice::Delayed(delay) if run_count == 0 => return PlainOutcome::Delayed(delay),
             // Checked before each try, since earlier tries may have caused the quarantine.
             TargetChoice::Quarantined if run_count == 0 => {
                 return refuse_quarantined(view, &call, work);
@@ -218,9 +223,10 @@
                 let retry_after = Some(retry_after.unwrap_or(REGIONS_RETRY_DELAY));
                 return PlainOutcome::NotRun { reason: NO_TARGET_IN_REGIONS, retry_after };
             }
-            TargetChoice::Quarantined | TargetChoice::Refused(_) | TargetChoice::NoneInRegions => {
-                break;
-            }
+            TargetChoice::Delayed(_)
+            | TargetChoice::Quarantined
+            | TargetChoice::Refused(_)
+            | TargetChoice::NoneInRegions => break,
         };
         let is_last = run_count + 1 >= call.route.attempts || !repeatable;
         let result = try_once(view, &call, work, slot.target(), is_last).await;
@@ -258,14 +264,14 @@
 }
 
 /// Reports that the request may have run. The caller may repeat it at any box, so the suspicion is
-/// published after a single crash; a background call is repeated here and needs no report.
+/// published after a single crash; an owed call is repeated here and needs no report.
 fn give_up(
     view: &NodeView,
     call: &PlainCall<'_>,
     work: WorkDigest,
     reason: &'static str,
 ) -> PlainOutcome {
-    if !call.is_background {
+    if !call.is_owed {
         view.suspects().caller_unanswered(work);
     }
     view.suspects_changed();
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -39,24 +39,26 @@
 pub enum WorkAdmission {
     /// All targets except these.
     Open(Vec<InstanceId>),
+    /// None before this time has passed: targets have just crashed under this owed work.
+    Delayed(Duration),
     /// None: the work crashes the targets of its service.
     Quarantined,
 }
 
 impl NodeView {
-    /// Decides where work may run. Background work is already blocked while it is suspected, since
-    /// other boxes may still report a better explanation of its crashes.
-    pub fn admit_work(
-        &self,
-        work: WorkDigest,
-        service: &ServiceName,
-        is_background: bool,
-    ) -> WorkAdmission {
-        let quarantined = if is_background {
-            self.suspects().suspected_versions(work, service)
+    /// Decides when owed work may run. It is never quarantined.
+    pub fn admit_owed(&self, work: WorkDigest, service: &ServiceName) -> WorkAdmission {
+        let delay = self.suspects().space_owed(self.now(), work, service);
+        if delay.is_zero() {
+            WorkAdmission::Open(Vec::new())
         } else {
-            self.suspects().quarantined_versions(self.now(), work, service)
-        };
+            WorkAdmission::Delayed(delay)
+        }
+    }
+
+    /// Decides where work may run.
+    pub fn admit_work(&self, work: WorkDigest, service: &ServiceName) -> WorkAdmission {
+        let quarantined = self.suspects().quarantined_versions(self.now(), work, service);
         if quarantined.is_empty() {
             return WorkAdmission::Open(Vec::new());
         }
--- a/crates/shards/src/dispatch.rs
+++ b/crates/shards/src/dispatch.rs
@@ -187,9 +187,9 @@
     regions: &RegionScope,
 ) -> Result<NextStep, BlockReason> {
     let work = spec_work(spec);
-    let WorkAdmission::Open(excluded) = ctx.view.admit_work(work, service, true) else {
-        return Err(BlockReason::Quarantined);
-    };
+    if let WorkAdmission::Delayed(_) = ctx.view.admit_owed(work, service) {
+        return Err(BlockReason::CrashSpacing);
+    }
     let anti_affinity = ctx.view.suspects().anti_affinity(ctx.view.now(), work);
     let model: Option<ModelName> = spec.job.model.parse().ok();
     let floor = ModelVersion::new(spec.job.min_version);
@@ -201,7 +201,7 @@
         fast: true,
         work: Some(predicted),
         sender: Some(ColdSender { shard, shards: ctx.view.cold_senders() }),
-        avoid: &excluded,
+        avoid: &[],
         regions: Some(regions),
     };
     let now = ctx.view.now();
@@ -217,8 +217,7 @@
         return Err(BlockReason::Yielded);
     }
     // Prefer targets that run no other suspect work.
-    let preferred = [excluded.as_slice(), anti_affinity.targets.as_slice()].concat();
-    let preferred = TargetRequirements { avoid: &preferred, ..requirements };
+    let preferred = TargetRequirements { avoid: &anti_affinity.targets, ..requirements };
     let slot = targets.choose(now, service, &preferred, &mut rng);
     let slot = slot.or_else(|| targets.choose(now, service, &requirements, &mut rng));
     if let Some(slot) = slot {
--- a/crates/shards/src/reward.rs
+++ b/crates/shards/src/reward.rs
@@ -114,7 +114,7 @@
         headers: header_map,
         body: Bytes::from(reward.body.clone()),
         deadline,
-        is_background: true,
+        is_owed: true,
         // An internal call: it needs neither a key nor a customer.
         customer: None,
         parent: Some(parent),
@@ -129,14 +129,15 @@
         PlainOutcome::Answered(response) if response.status.as_u16() == 500 => {
             RewardOutcome::Failed { attempts }
         }
-        PlainOutcome::Quarantined => RewardOutcome::Quarantined,
+        PlainOutcome::Delayed(delay) => RewardOutcome::Delayed(delay),
         PlainOutcome::NotRun { retry_after: Some(delay), .. } => {
             // Without the delay, the item would ask for another permit right away.
             time::sleep_until(deadline.min(Instant::now() + delay)).await;
             RewardOutcome::Missed
         }
-        PlainOutcome::Answered(_) | PlainOutcome::NotRun { .. } | PlainOutcome::Unknown(_) => {
-            RewardOutcome::Missed
-        }
+        PlainOutcome::Answered(_)
+        | PlainOutcome::NotRun { .. }
+        | PlainOutcome::Quarantined
+        | PlainOutcome::Unknown(_) => RewardOutcome::Missed,
     }
 }
--- a/crates/shards/src/timings.rs
+++ b/crates/shards/src/timings.rs
@@ -42,7 +42,7 @@
         regions_ms = blocked(BlockReason::OutsideRegions),
         no_route_ms = blocked(BlockReason::NoRoute),
         connections_ms = blocked(BlockReason::NoConnections),
-        condemned_ms = blocked(BlockReason::Quarantined),
+        crash_spacing_ms = blocked(BlockReason::CrashSpacing),
         yielded_ms = blocked(BlockReason::Yielded);
         "step timings"
     );
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -14,8 +14,12 @@
 //!   crash before quarantine this becomes mandatory.
 //! - Quarantine is per service and software version, and expires.
 //!
+//! Owed work, items of jobs and their reward calls, is never quarantined: it only waits after a crash
+//! (module `owed`).
+//!
 //! This crate does no I/O and reads no clock.
 
+mod owed;
 mod record;
 mod suspect;
 mod table;
--- a/crates/suspects/src/suspect.rs
+++ b/crates/suspects/src/suspect.rs
@@ -56,6 +56,8 @@
     pub(crate) trial: Trial,
     pub(crate) trials: u32,
     pub(crate) last_trial_at: Moment,
+    /// Since when this box has run the work although its crashes would quarantine it: it is owed.
+    pub(crate) spaced_since: Option<Moment>,
     /// Targets at which this box currently runs the work.
     pub(crate) running_at: Vec<InstanceId>,
 }
@@ -75,6 +77,7 @@
             trial: Trial::None,
             trials: 0,
             last_trial_at: now,
+            spaced_since: None,
             running_at: Vec::new(),
         }
     }
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -5,6 +5,7 @@
 
 use ids::{InstanceId, Moment, ServiceName, SoftwareVersion, TargetIncarnation, WorkDigest};
 
+use crate::owed::RecentCrash;
 use crate::suspect::{StoredRecord, Suspect, Trial};
 use crate::verdict::{SETTLE_WINDOW, versions_to_quarantine};
 use crate::{MAX_CRASHES, QUARANTINE_CRASHES, SuspectRecord, TargetCrash};
@@ -64,7 +65,7 @@
 /// Table of the work under which targets crashed, as observed by one box.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
-    suspects: HashMap<WorkDigest, Suspect>,
+    pub(crate) suspects: HashMap<WorkDigest, Suspect>,
     /// Cleared work whose stored record is yet to be deleted, with its revision.
     cleared: HashMap<WorkDigest, u64>,
     /// Incarnations that disconnected and whose probe has not ended.
@@ -72,6 +73,8 @@
     /// Incarnations that refused connections after a disconnect, and when. A network partition may
     /// look the same.
     refused: HashMap<TargetIncarnation, Moment>,
+    /// Crashes observed within the last seconds.
+    pub(crate) recent_crashes: HashMap<TargetIncarnation, RecentCrash>,
 }
 
 impl SuspectTable {
@@ -148,18 +151,25 @@
     }
 
     fn confirm_crash(&mut self, now: Moment, incarnation: &TargetIncarnation) {
-        for suspect in self.suspects.values_mut() {
+        let mut crashed = Vec::new();
+        for (work, suspect) in &mut self.suspects {
             let Some(at) =
                 suspect.disconnects.iter().position(|(crash, _)| crash.life == *incarnation)
             else {
                 continue;
             };
             let (crash, _) = suspect.disconnects.swap_remove(at);
-            if suspect.local_crashes.len() < MAX_CRASHES {
+            crashed.push((*work, suspect.service.clone()));
+            if suspect.is_spaced() {
+                suspect.last_crash_at = now;
+            } else if suspect.local_crashes.len() < MAX_CRASHES {
                 suspect.local_crashes.push(crash);
                 suspect.crash_added(now);
             }
         }
+        for (work, service) in crashed {
+            self.record_recent_crash(now, incarnation, work, service);
+        }
     }
 
     /// Removes and returns the incarnations whose refusal is older than `REFUSAL_TIMEOUT`.
@@ -189,8 +199,12 @@
         self.cleared.extend(cleared);
     }
 
-    /// Clears work that completed successfully: it caused none of its crashes.
+    /// Clears work that completed successfully: it caused none of its crashes. The crashes of spaced
+    /// work are kept, since they explain those of other work.
     pub fn succeeded(&mut self, work: WorkDigest) {
+        if self.suspects.get(&work).is_some_and(Suspect::is_spaced) {
+            return;
+        }
         let stored = self.suspects.remove(&work).and_then(|suspect| suspect.stored);
         if let Some(stored) = stored {
             self.cleared.insert(work, stored.revision);
@@ -297,9 +311,8 @@
         }
     }
 
-    /// Like [`Self::quarantined_versions`], without waiting for reports of other boxes. For work
-    /// that can be delayed.
-    pub fn suspected_versions(
+    /// Like [`Self::quarantined_versions`], without waiting for reports of other boxes.
+    pub(crate) fn suspected_versions(
         &self,
         work: WorkDigest,
         service: &ServiceName,
@@ -387,6 +400,7 @@
     /// Drops expired entries. With `clears_others` (a storage box), also deletes stored records
     /// whose publishers did not.
     pub fn expire(&mut self, now: Moment, clears_others: bool) {
+        self.expire_recent_crashes(now);
         let mut expired = Vec::new();
         for (work, suspect) in &mut self.suspects {
             suspect.disconnects.retain(|(_, at)| now.since(*at) < DISCONNECT_TTL);
--- a/crates/xtask/src/mutate/jobs.rs
+++ b/crates/xtask/src/mutate/jobs.rs
@@ -148,12 +148,12 @@
         test: "a_reward_call_does_not_wait",
     },
     Mutation {
-        name: "suspects: a quarantined item blocks its job",
+        name: "suspects: a spaced item blocks its job",
         file: "crates/jobs/src/scheduling.rs",
         from: "                    candidates.extend(self.candidate(now, next.job, next.offset + 1, next.blocked));",
         to: "                    candidates.extend(self.candidate(now, next.job, next.offset + 1, true));",
         package: "jobs",
-        test: "a_quarantined_item_waits_without_blocking_others",
+        test: "a_spaced_item_waits_without_blocking_others",
     },
     Mutation {
         name: "uneven: hints are taken for numbers of events",
--- a/crates/xtask/src/mutate/targets.rs
+++ b/crates/xtask/src/mutate/targets.rs
@@ -101,7 +101,7 @@
     },
     Mutation {
         name: "suspects: crashes are not published to other boxes",
-        file: "crates/suspects/src/table.rs",
+        file: "crates/suspects/src/suspect.rs",
         from: "        (worth_publishing && changed) || self.trial",
         to: "        (worth_publishing && changed && count > 99) || self.trial",
         package: "platform-standin",
