Upstream: bytes that a target sends without end are read up to a limit

Cause: informational responses, zeros before and blanks after the size of a chunk were read as long as they came; the time of the request was the only bound, and a box reads a whole link in it.

Change: the bytes read from a connection are counted from each request, response head and part of a body on; beyond 256 KiB without progress the connection fails. A head may have 64 KiB. Such requests end with SendError::TooLong and a line `response too long`; they count as broken, and no probe follows, since the box itself closed. Runs end when no event arrives for 10 s, when 64 KiB arrive without an event, and when a text exceeds 4 MiB or, beyond 64 KiB, the memory budget.

Ruled out: limits in the HTTP library. It has them for heads, chunk extensions and trailers, but not for the places above.

--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -107,7 +107,7 @@
                 record_disconnect(view, target, work);
                 return unknown_outcome(view, &id, work);
             }
-            Err(_elapsed) => {
+            Ok(Err(SendError::TooLong(_))) | Err(_) => {
                 record_broken(view, target);
                 return unknown_outcome(view, &id, work);
             }
@@ -219,6 +219,9 @@
                     "stream ended"
                 );
             }
+            StreamEnd::TooLong => {
+                record_failure(&view, slot.target(), TargetFailure::Broken);
+            }
             StreamEnd::Broken => {
                 record_failure(&view, slot.target(), TargetFailure::Broken);
                 record_disconnect(&view, slot.target(), work);
@@ -243,6 +246,8 @@
     CallerDisconnected,
     /// A chunk did not fit into the memory budget.
     NoMemory,
+    /// The target sent more bytes than a response may have.
+    TooLong,
     Broken,
 }
 
@@ -269,9 +274,12 @@
                 target_response.reuse();
                 return StreamEnd::Complete;
             }
-            Err(_broken) => {
+            Err(error) => {
                 chunks.abort(StreamBroken);
-                return StreamEnd::Broken;
+                return match error {
+                    SendError::TooLong(_) => StreamEnd::TooLong,
+                    _ => StreamEnd::Broken,
+                };
             }
         }
     }
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -114,6 +114,8 @@
     NoRoom,
     Silent,
     Broken,
+    /// The target sent more bytes than a response may have.
+    TooLong,
     /// The response belongs to another request, or comes from another server.
     MismatchedResponse,
     /// Another target, or another incarnation of it, has the address.
@@ -132,6 +134,7 @@
             self,
             Self::Answered
                 | Self::Broken
+                | Self::TooLong
                 | Self::MismatchedResponse
                 | Self::Unsigned
                 | Self::NoMemory
@@ -148,6 +151,7 @@
             Self::NotSent
             | Self::Silent
             | Self::Broken
+            | Self::TooLong
             | Self::MismatchedResponse
             | Self::Unsigned => PermitOutcome::Broken,
             Self::NoTime | Self::NoRoom | Self::NoMemory => return None,
@@ -162,6 +166,7 @@
             Self::NoRoom => "no connection left",
             Self::Silent => "silent",
             Self::Broken => "broken",
+            Self::TooLong => "too long",
             Self::MismatchedResponse => "answer to another request",
             Self::OtherTarget => "another target",
             Self::Full => "full",
@@ -333,6 +338,7 @@
             (TryOutcome::NoRoom, TryResult::NotRun)
         }
         Ok(Err(ReadError::Send(SendError::Broken(_)))) => (TryOutcome::Broken, TryResult::Broken),
+        Ok(Err(ReadError::Send(SendError::TooLong(_)))) => (TryOutcome::TooLong, TryResult::Broken),
         Ok(Err(ReadError::NoMemory)) => (TryOutcome::NoMemory, TryResult::Broken),
         Ok(Ok(response)) => {
             let info = headers::response_info(&response.headers);
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -8,14 +8,14 @@
 use ids::{CustomerName, ModelName, ModelVersion, WorkDigest, whole_millis};
 use jobs::{LengthForecast, RunEvent, RunResult, RunSpec};
 use node::{SlotGuard, record_disconnect};
-use platform::events::EventReader;
+use platform::events::{EventError, EventReader};
 use platform::headers;
 use routing::{
     ChosenTarget, MoveEstimate, PredictedWork, RegionScope, RunProgress, TargetRequirements,
     WorkUnits,
 };
 use tokio::time::{self, Instant};
-use upstream::{SendError, TargetResponse};
+use upstream::{ByteCount, MemoryUse, Reservation, SendError, TargetResponse};
 
 use crate::context::ShardContext;
 use crate::dispatch::item_scope;
@@ -24,6 +24,12 @@
 
 /// Timeout for the response head and for each chunk of the body.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Timeout for each event. An engine may send other bytes meanwhile.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of the text of one run, in bytes.
+const MAX_TEXT_BYTES: usize = 4 << 20;
+/// Number of bytes of a text that are not reserved in the memory budget; most texts are shorter.
+const UNRESERVED_TEXT_BYTES: usize = 64 << 10;
 /// Number of events per progress record in the log. Most texts are shorter and are logged once,
 /// when their result is listed.
 const PROGRESS_EVENTS: usize = 16;
@@ -47,6 +53,7 @@
     model: Option<ModelName>,
     version: Option<u64>,
     events: Vec<RunEvent>,
+    text: RunText,
     /// Number of events sent to the log.
     logged: usize,
     /// Time and event count of the last rate measurement.
@@ -58,6 +65,28 @@
     moved: Option<MoveEstimate>,
 }
 
+/// Size of the text of a run.
+struct RunText {
+    bytes: usize,
+    /// The bytes beyond [`UNRESERVED_TEXT_BYTES`].
+    held: Reservation,
+}
+
+impl RunText {
+    fn new(ctx: &ShardContext) -> Self {
+        Self { bytes: 0, held: ctx.view.memory.reserve_nothing() }
+    }
+
+    /// Adds the bytes of an event. Returns `false` if the text is too long, or does not fit into
+    /// the memory budget.
+    fn try_add(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let unreserved = self.bytes.saturating_sub(UNRESERVED_TEXT_BYTES + self.held.bytes().get());
+        let reserved = self.held.try_grow(MemoryUse::Response, ByteCount::new(unreserved));
+        self.bytes <= MAX_TEXT_BYTES && reserved.is_ok()
+    }
+}
+
 /// Returns the predicted work of a text with `events` events.
 pub fn predicted_work(forecast: &LengthForecast, events: u32) -> PredictedWork {
     PredictedWork {
@@ -82,6 +111,7 @@
         model: spec.job.model.parse().ok(),
         version: None,
         events: Vec::new(),
+        text: RunText::new(ctx),
         logged: 0,
         rate_measured_at: None,
         started: Instant::now(),
@@ -138,6 +168,7 @@
             }
             Ok(Err(SendError::NotSent(_))) => return RunReason::NotSent,
             Ok(Err(SendError::LimitReached)) => return RunReason::ConnectionLimit,
+            Ok(Err(SendError::TooLong(_))) => return RunReason::TooLong,
             Ok(Err(SendError::Broken(_))) => return RunReason::BrokenBeforeHead,
             Ok(Ok(response)) => response,
         };
@@ -183,16 +214,24 @@
 
     async fn read_events(&mut self, mut response: TargetResponse) -> RunReason {
         let mut reader = EventReader::default();
+        let mut event_due = Instant::now() + EVENT_TIMEOUT;
         loop {
-            let bytes = match time::timeout(SILENCE_TIMEOUT, response.next()).await {
+            let next_due = event_due.min(Instant::now() + SILENCE_TIMEOUT);
+            let bytes = match time::timeout_at(next_due, response.next()).await {
                 Err(_elapsed) => return RunReason::BodyTimeout,
+                Ok(Err(SendError::TooLong(_))) => return RunReason::TooLong,
                 Ok(Err(_broken)) => return RunReason::Broken,
                 Ok(Ok(None)) => break,
                 Ok(Ok(Some(bytes))) => bytes,
             };
-            let Ok(events) = reader.push(&bytes) else {
-                return RunReason::InvalidEvents;
+            let events = match reader.push(&bytes) {
+                Err(EventError::Malformed) => return RunReason::InvalidEvents,
+                Err(EventError::TooLong) => return RunReason::TooLong,
+                Ok(events) => events,
             };
+            if !events.is_empty() {
+                event_due = Instant::now() + EVENT_TIMEOUT;
+            }
             for event in events {
                 let expected = self.spec.events + u32::try_from(self.events.len()).unwrap_or(0) + 1;
                 if event.id != Some(expected) {
@@ -205,6 +244,9 @@
                 let Some(version) = self.version else {
                     return RunReason::NoVersion;
                 };
+                if !self.text.try_add(event.data.len()) {
+                    return RunReason::TooLong;
+                }
                 self.events.push(RunEvent { data: event.data, version });
             }
             self.log_progress();
--- a/crates/shards/src/run_reason.rs
+++ b/crates/shards/src/run_reason.rs
@@ -16,6 +16,8 @@
     ConnectionLimit,
     TimeoutBeforeHead,
     BrokenBeforeHead,
+    /// The engine sent more bytes than a response may have.
+    TooLong,
     /// The response belongs to another request, or comes from another server.
     WrongRequestId,
     /// The address belongs to another incarnation or another target.
@@ -51,6 +53,7 @@
             Self::SlowEngine => RunOutcome::Moved,
             Self::TimeoutBeforeHead
             | Self::BrokenBeforeHead
+            | Self::TooLong
             | Self::WrongRequestId
             | Self::UnexpectedStatus
             | Self::Unsigned
@@ -86,6 +89,7 @@
             Self::ConnectionLimit => "no connection left",
             Self::TimeoutBeforeHead => "silent before the head",
             Self::BrokenBeforeHead => "broken before the head",
+            Self::TooLong => "too long",
             Self::WrongRequestId => "answer to another request",
             Self::OtherTarget => "another target",
             Self::FullOrLoading => "full or loading",
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,11 +6,15 @@
 //! disconnect) the connection is closed. Late bytes of one request are thus never mistaken for the
 //! response to another.
 //!
+//! Bytes that a target sends without end are read up to a limit (module `read_limit`); then the
+//! connection is closed and the request fails.
+//!
 //! Bytes of responses are reserved in the box's [`MemoryBudget`] while they are buffered.
 
 mod limit;
 mod memory;
 mod pool;
+mod read_limit;
 mod response;
 
 pub use limit::{ConnectionLimit, ConnectionPermit};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of idle connections, by target address.
 
 use std::collections::HashMap;
+use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,6 +18,7 @@
 use tokio::time::{self, Instant};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use crate::read_limit::{LimitedStream, MAX_HEAD_BYTES, ReadLimit};
 use crate::{ConnectionLimit, ConnectionPermit, MemoryBudget, TargetResponse};
 
 /// Timeout for opening a connection; shorter than the retransmission delay of a lost SYN packet.
@@ -35,6 +37,9 @@
     /// This box has reached its connection limit; nothing was sent.
     #[error("the connection limit is reached, nothing was sent: retry later, or raise `--max-fds`")]
     LimitReached,
+    /// The target sent more bytes than a response may have. The request was sent and may have run.
+    #[error("the target at {0} sent more bytes than a response may have: the request may have run")]
+    TooLong(SocketAddr),
     /// The request was sent and may have run.
     #[error("the connection to the target broke ({0}): the request may have run")]
     Broken(String),
@@ -59,6 +64,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     #[expect(dead_code, reason = "held for its drop, which releases the permit")]
     pub permit: ConnectionPermit,
+    /// Limit on the bytes received without progress.
+    pub read_limit: ReadLimit,
     /// Whether a request or its response is outstanding.
     in_use: Arc<AtomicBool>,
     idle_until: Instant,
@@ -69,6 +76,23 @@
     pub fn complete(&self) {
         self.in_use.store(false, Ordering::Relaxed);
     }
+
+    /// Returns why a request on this connection failed after it was sent.
+    pub fn failure(&self, address: SocketAddr, error: &hyper::Error) -> SendError {
+        if self.read_limit.is_reached() || is_too_long(error) {
+            log::warn!(target: "targets", address:% = address, error:% = error; "response too long");
+            return SendError::TooLong(address);
+        }
+        SendError::Broken(error.to_string())
+    }
+}
+
+/// Whether a part of a response exceeds a limit of the HTTP library. It reports extensions and
+/// trailers that are too long as invalid data.
+fn is_too_long(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref::<std::io::Error>());
+    error.is_parse_too_large()
+        || source.is_some_and(|source| source.kind() == ErrorKind::InvalidData)
 }
 
 type IdleConnections = Arc<Mutex<HashMap<SocketAddr, TargetConnections>>>;
@@ -166,7 +190,7 @@
                 Ok(response) => return Ok(self.target_response(address, connection, response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::Broken(error.into_error().to_string())),
+                    None => return Err(connection.failure(address, &error.into_error())),
                 },
             }
         }
@@ -198,7 +222,7 @@
             Ok(response) => Ok(self.target_response(address, connection, response)),
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => Err(SendError::NotSent(address)),
-                None => Err(SendError::Broken(error.into_error().to_string())),
+                None => Err(connection.failure(address, &error.into_error())),
             },
         }
     }
@@ -218,6 +242,7 @@
         connection: Connection,
         response: Response<Incoming>,
     ) -> TargetResponse {
+        connection.read_limit.reset();
         TargetResponse::new(self.clone(), address, connection, response)
     }
 
@@ -228,6 +253,7 @@
         while let Some(connection) = connections.pop() {
             if now < connection.idle_until && connection.sender.is_ready() {
                 connection.in_use.store(true, Ordering::Relaxed);
+                connection.read_limit.reset();
                 return Some(connection);
             }
         }
@@ -280,12 +306,17 @@
 async fn connect(address: SocketAddr, permit: ConnectionPermit) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let read_limit = ReadLimit::default();
+    let stream = LimitedStream::new(stream, read_limit.clone());
+    let mut client = http1::Builder::new();
+    client.max_buf_size(MAX_HEAD_BYTES);
+    let (sender, connection) = client.handshake(TokioIo::new(stream)).await.ok()?;
     let closed = CancellationToken::new();
     let close_guard = closed.clone().drop_guard();
     let in_use = Arc::new(AtomicBool::new(true));
     tokio::spawn(run_connection(connection, closed, Arc::clone(&in_use)));
-    Some(Connection { close_guard, sender, permit, in_use, idle_until: Instant::now() })
+    let idle_until = Instant::now();
+    Some(Connection { close_guard, sender, permit, read_limit, in_use, idle_until })
 }
 
 /// Runs a connection until it ends or is closed.
@@ -294,7 +325,7 @@
 /// request that it could not send before, for example after a network cut, when nobody waits for
 /// the response any more.
 async fn run_connection(
-    mut connection: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    mut connection: http1::Connection<TokioIo<LimitedStream>, Full<Bytes>>,
     closed: CancellationToken,
     in_use: Arc<AtomicBool>,
 ) {
@@ -305,7 +336,7 @@
         _ended = &mut connection => return,
     }
     if in_use.load(Ordering::Relaxed) {
-        let stream = connection.into_parts().io.into_inner();
+        let stream = connection.into_parts().io.into_inner().into_inner();
         // On an error the connection closes in order.
         let _ignored = stream.set_zero_linger();
     }
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -120,10 +120,11 @@
         loop {
             match self.body.frame().await {
                 None => return Ok(None),
-                Some(Err(error)) => return Err(SendError::Broken(error.to_string())),
+                Some(Err(error)) => return Err(self.connection.failure(self.address, &error)),
                 Some(Ok(frame)) => {
                     // Trailers are not forwarded.
                     if let Ok(data) = frame.into_data() {
+                        self.connection.read_limit.reset();
                         return Ok(Some(data));
                     }
                 }
@@ -184,7 +185,8 @@
         while let Some(chunk) = self.next().await? {
             let length = body.len() + chunk.len();
             if length > max_bytes {
-                return Err(SendError::Broken("the response is too long".to_owned()).into());
+                log::warn!(target: "targets", address:% = self.address, max_bytes = max_bytes; "response too long");
+                return Err(SendError::TooLong(self.address).into());
             }
             self.reserve(&mut held, length, give_up_at).await?;
             body.extend_from_slice(&chunk);
