Front: jobs are found although another route has their path

What callers saw: an accepted job is answered by a plain service, with a success or a 404 of its own, once the route of jobs is removed and a route of another kind on the host has the paths of calls about jobs.

Change: the shards are asked first. Where another route has the path, the request goes to it only if no shard holds such a job for the caller's customer; while that is not known, the answer is 503. Hosts with a route of jobs, and paths without any route, are served as before. A caller without a valid key whose path another route has is left to that route.

Ruled out: remembering which hosts had routes of jobs. A box that starts later does not know it.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -488,13 +488,27 @@
     response::refuse(StatusCode::BAD_GATEWAY, "outcome unknown", remedy, id)
 }
 
+/// The shards hold no job with this id for the customer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnknownJob;
+
+/// Creates the response to a call about a job or an item that does not exist.
+pub fn not_found() -> Response<FrontBody> {
+    response::refuse(
+        StatusCode::NOT_FOUND,
+        "not found",
+        "check the ids: nothing is held under them",
+        None,
+    )
+}
+
 /// Serves a call about a job on behalf of `customer`.
 pub async fn serve_call(
     client: &ShardClient,
     call: JobCall,
     customer: Option<&CustomerName>,
     wait: Option<Duration>,
-) -> Response<FrontBody> {
+) -> Result<Response<FrontBody>, UnknownJob> {
     let customer = customer.map_or("", CustomerName::as_str);
     match call {
         JobCall::Read { job, from } => read(client, customer, &job, from, wait).await,
@@ -509,7 +523,7 @@
     job: &str,
     from: u32,
     wait: Option<Duration>,
-) -> Response<FrontBody> {
+) -> Result<Response<FrontBody>, UnknownJob> {
     let wait = wait.unwrap_or_default().min(MAX_READ_WAIT);
     let body = |shard: ShardIndex| {
         shard_request::Body::Read(JobRead {
@@ -540,7 +554,7 @@
                 target: "entry", job = job, from = from, results = results, bytes = page.len();
                 "page read"
             );
-            response::full(StatusCode::OK, "application/json", Bytes::from(page))
+            Ok(response::full(StatusCode::OK, "application/json", Bytes::from(page)))
         }
         Ok(_) => failed_call(client, "read", job, ShardFault::Unknown),
         Err(fault) => failed_call(client, "read", job, fault),
@@ -552,21 +566,25 @@
     customer: &str,
     job: &str,
     item: &str,
-) -> Response<FrontBody> {
+) -> Result<Response<FrontBody>, UnknownJob> {
     let body = |shard: ShardIndex| {
         let (job, item, customer) = (job.to_owned(), item.to_owned(), customer.to_owned());
         shard_request::Body::ItemBodyRead(ItemBodyRead { shard: shard.get(), job, item, customer })
     };
     match client.call_for_job(job, CALL_TIMEOUT, body).await {
         Ok(shard_response::Body::Bytes(bytes)) => {
-            response::full(StatusCode::OK, "application/octet-stream", Bytes::from(bytes.body))
+            Ok(response::full(StatusCode::OK, "application/octet-stream", Bytes::from(bytes.body)))
         }
         Ok(_) => failed_call(client, "body", job, ShardFault::Unknown),
         Err(fault) => failed_call(client, "body", job, fault),
     }
 }
 
-async fn end_job(client: &ShardClient, customer: &str, job: &str) -> Response<FrontBody> {
+async fn end_job(
+    client: &ShardClient,
+    customer: &str,
+    job: &str,
+) -> Result<Response<FrontBody>, UnknownJob> {
     let body = |shard: ShardIndex| {
         let (job, customer) = (job.to_owned(), customer.to_owned());
         shard_request::Body::End(JobEnd { shard: shard.get(), job, customer })
@@ -574,7 +592,7 @@
     match client.call_for_job(job, CALL_TIMEOUT, body).await {
         Ok(_) => {
             log::info!(target: "entry", job = job, outcome = "ended"; "job end requested");
-            response::full(StatusCode::OK, "application/json", Bytes::from_static(b"{}"))
+            Ok(response::full(StatusCode::OK, "application/json", Bytes::from_static(b"{}")))
         }
         Err(fault) => failed_call(client, "end", job, fault),
     }
@@ -586,17 +604,13 @@
     operation: &'static str,
     job: &str,
     fault: ShardFault,
-) -> Response<FrontBody> {
+) -> Result<Response<FrontBody>, UnknownJob> {
     client.view.metrics.count_outcome("job_call", operation);
     log::info!(target: "entry", job = job, call = operation, fault:? = fault; "job call failed");
     match fault {
-        ShardFault::NoJob | ShardFault::NoItem => response::refuse(
-            StatusCode::NOT_FOUND,
-            "not found",
-            "check the ids: nothing is held under them",
-            None,
-        ),
-        ShardFault::Unknown if operation == "end" => unknown_outcome(None),
-        _ => response::not_run("shard not served", None),
+        ShardFault::NoJob => Err(UnknownJob),
+        ShardFault::NoItem => Ok(not_found()),
+        ShardFault::Unknown if operation == "end" => Ok(unknown_outcome(None)),
+        _ => Ok(response::not_run("shard not served", None)),
     }
 }
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -25,7 +25,7 @@
 use crate::admission::{admit, host_of, identify, path_of};
 use crate::caller_stream::CallerStream;
 use crate::callers::{Caller, CallerTable};
-use crate::jobs_api::{self, ShardClient};
+use crate::jobs_api::{self, ShardClient, UnknownJob};
 use crate::plain::{BodyError, body_error_response, read_body, serve_plain};
 use crate::response::{self, FrontBody, ServeResult};
 use crate::stream::serve_stream;
@@ -167,10 +167,15 @@
     if table.version.get() == 0 {
         return Ok(response::not_run("no configuration yet", id.as_deref()));
     }
-    if let Some(call) = calls::read_call(&head.method, path_of(&head))
-        && table.allows_job_call(host_of(&head), path_of(&head))
-    {
-        return Ok(serve_job_call(&state, &table, &head, call, id.as_deref()).await);
+    if let Some(call) = calls::read_call(&head.method, path_of(&head)) {
+        match serve_job_call(&state, &table, &head, call, id.as_deref()).await {
+            Ok(response) => return Ok(response),
+            Err(UnknownJob) if table.reserves_job_call(host_of(&head), path_of(&head)) => {
+                return Ok(jobs_api::not_found());
+            }
+            // The request is one to the route of another kind that has the path.
+            Err(UnknownJob) => {}
+        }
     }
     if let Err(refusal) = admit(&state.view, &head) {
         return Ok(*refusal);
@@ -210,19 +215,22 @@
     head: &Parts,
     call: JobCall,
     id: Option<&str>,
-) -> Response<FrontBody> {
+) -> Result<Response<FrontBody>, UnknownJob> {
     let memory = &state.view.memory;
     // Jobs belong to customers, so the key is required even on public routes.
     let caller = match identify(&state.view, table, head, false) {
         Ok(caller) => caller,
-        Err(refusal) => return *refusal,
+        Err(refusal) if table.reserves_job_call(host_of(head), path_of(head)) => {
+            return Ok(*refusal);
+        }
+        Err(_) => return Err(UnknownJob),
     };
     if let Err(error) = memory.check_room(MemoryUse::RequestBody, ByteCount::new(1)) {
-        return refuse_body(state, error.into(), head, id);
+        return Ok(refuse_body(state, error.into(), head, id));
     }
     let wait = headers::read_wait(&head.headers);
-    let response = jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await;
-    response::reserve_body(response, memory)
+    let response = jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await?;
+    Ok(response::reserve_body(response, memory))
 }
 
 /// Refuses a request whose body was not read completely.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -213,9 +213,9 @@
         called.flat_map(|route| &route.backends).map(|backend| backend.service.clone()).collect()
     }
 
-    /// Whether a call about a job may be one about an accepted job, and not a request to a service.
-    /// The route of an accepted job may have been removed since.
-    pub fn allows_job_call(&self, host: &str, path: &str) -> bool {
+    /// Whether a call about a job can be nothing else. Otherwise a route of another kind has its path:
+    /// it is a request to that route unless there is such a job, whose own route was removed.
+    pub fn reserves_job_call(&self, host: &str, path: &str) -> bool {
         self.has_job_route(host) || self.find(host, path).is_none()
     }
 
