Runs: the text of an item is bounded over all its runs

Found in the read-through: a run ended at 4 MiB of text, but its events stay and the next run continues after them, so the text of an item grew with each run of a target that sends valid events without end.

The size of the text so far is part of the run's specification; the bound is 1 MiB in all, about the page in which a caller reads a result. Cluster endless:: text_with_endless_events_is_bounded passes; its mutation (the size counts from zero in each run) is listed.

Calls about jobs: whether a route of another kind has the path is decided once, and only a caller without a valid key is left to that route. A box whose settings may be old says 503, as elsewhere: it had left the caller to the route, which may answer 404.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -167,15 +167,10 @@
     if table.version.get() == 0 {
         return Ok(response::not_run("no configuration yet", id.as_deref()));
     }
-    if let Some(call) = calls::read_call(&head.method, path_of(&head)) {
-        match serve_job_call(&state, &table, &head, call, id.as_deref()).await {
-            Ok(response) => return Ok(response),
-            Err(UnknownJob) if table.reserves_job_call(host_of(&head), path_of(&head)) => {
-                return Ok(jobs_api::not_found());
-            }
-            // The request is one to the route of another kind that has the path.
-            Err(UnknownJob) => {}
-        }
+    if let Some(call) = calls::read_call(&head.method, path_of(&head))
+        && let Some(response) = serve_job_call(&state, &table, &head, call, id.as_deref()).await
+    {
+        return Ok(response);
     }
     if let Err(refusal) = admit(&state.view, &head) {
         return Ok(*refusal);
@@ -209,28 +204,34 @@
 }
 
 /// Serves a call that concerns an accepted job.
+/// Serves a call about a job. Returns `None` if it is a request to a route of another kind instead.
 async fn serve_job_call(
     state: &FrontState,
     table: &RouteTable,
     head: &Parts,
     call: JobCall,
     id: Option<&str>,
-) -> Result<Response<FrontBody>, UnknownJob> {
+) -> Option<Response<FrontBody>> {
     let memory = &state.view.memory;
+    let is_reserved = table.reserves_job_call(host_of(head), path_of(head));
     // Jobs belong to customers, so the key is required even on public routes.
     let caller = match identify(&state.view, table, head, false) {
         Ok(caller) => caller,
-        Err(refusal) if table.reserves_job_call(host_of(head), path_of(head)) => {
-            return Ok(*refusal);
+        // Nobody without a valid key has a job. Any other refusal says nothing about the job.
+        Err(refusal) if refusal.status() == StatusCode::UNAUTHORIZED && !is_reserved => {
+            return None;
         }
-        Err(_) => return Err(UnknownJob),
+        Err(refusal) => return Some(*refusal),
     };
     if let Err(error) = memory.check_room(MemoryUse::RequestBody, ByteCount::new(1)) {
-        return Ok(refuse_body(state, error.into(), head, id));
+        return Some(refuse_body(state, error.into(), head, id));
     }
     let wait = headers::read_wait(&head.headers);
-    let response = jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await?;
-    Ok(response::reserve_body(response, memory))
+    match jobs_api::serve_call(&state.shards, call, caller.customer(), wait).await {
+        Ok(response) => Some(response::reserve_body(response, memory)),
+        Err(UnknownJob) if is_reserved => Some(jobs_api::not_found()),
+        Err(UnknownJob) => None,
+    }
 }
 
 /// Refuses a request whose body was not read completely.
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -28,6 +28,8 @@
     pub job: Arc<Job>,
     /// Number of events already in the text; the run continues after them.
     pub events: u32,
+    /// Size of the text so far, in bytes.
+    pub text_bytes: usize,
     /// Newest weight version in the text so far.
     pub newest: Option<u64>,
     /// Whether the text is complete and only the reward call is missing.
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -58,6 +58,7 @@
                 item: ItemRef { job: next.job.clone(), index },
                 job: Arc::clone(&state.job),
                 events: item.events,
+                text_bytes: item.text.len(),
                 newest: item.versions.last().copied(),
                 complete: item.complete,
                 run: item.run + 1,
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -26,8 +26,8 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Timeout for each event. An engine may send other bytes meanwhile.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum size of the text of one run, in bytes.
-const MAX_TEXT_BYTES: usize = 4 << 20;
+/// Maximum size of a text, in bytes. A caller reads it in a page of one megabyte.
+const MAX_TEXT_BYTES: usize = 1 << 20;
 /// Number of bytes of a text that are not reserved in the memory budget; most texts are shorter.
 const UNRESERVED_TEXT_BYTES: usize = 64 << 10;
 /// Number of events per progress record in the log. Most texts are shorter and are logged once,
@@ -65,7 +65,7 @@
     moved: Option<MoveEstimate>,
 }
 
-/// Size of the text of a run.
+/// Size of the text of an item during a run, with that of earlier runs.
 struct RunText {
     bytes: usize,
     /// The bytes beyond [`UNRESERVED_TEXT_BYTES`].
@@ -73,8 +73,8 @@
 }
 
 impl RunText {
-    fn new(ctx: &ShardContext) -> Self {
-        Self { bytes: 0, held: ctx.view.memory.reserve_nothing() }
+    fn new(ctx: &ShardContext, spec: &RunSpec) -> Self {
+        Self { bytes: spec.text_bytes, held: ctx.view.memory.reserve_nothing() }
     }
 
     /// Adds the bytes of an event. Returns `false` if the text is too long, or does not fit into
@@ -111,7 +111,7 @@
         model: spec.job.model.parse().ok(),
         version: None,
         events: Vec::new(),
-        text: RunText::new(ctx),
+        text: RunText::new(ctx, spec),
         logged: 0,
         rate_measured_at: None,
         started: Instant::now(),
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -262,8 +262,8 @@
     Mutation {
         name: "front: a call about a job needs a route of jobs",
         file: "crates/front/src/server.rs",
-        from: "    if let Some(call) = calls::read_call(&head.method, path_of(&head)) {",
-        to: "    if let Some(call) = calls::read_call(&head.method, path_of(&head))\n        && table.routes().any(|route| route.kind == RouteKind::Jobs)\n    {",
+        from: "    if let Some(call) = calls::read_call(&head.method, path_of(&head))\n",
+        to: "    if let Some(call) = calls::read_call(&head.method, path_of(&head))\n        && table.routes().any(|route| route.kind == RouteKind::Jobs)\n",
         package: "platform-standin",
         test: "accepted_job_is_served_after_its_route_is_removed",
     },
--- a/crates/xtask/src/mutate/targets.rs
+++ b/crates/xtask/src/mutate/targets.rs
@@ -59,6 +59,14 @@
         package: "upstream",
         test: "endless_informational_responses",
     },
+    Mutation {
+        name: "platform: each run of an item may add a text of the maximum size",
+        file: "crates/shards/src/run.rs",
+        from: "bytes: spec.text_bytes, held",
+        to: "bytes: spec.text_bytes.min(0), held",
+        package: "platform-standin",
+        test: "text_with_endless_events_is_bounded",
+    },
     Mutation {
         name: "suspects: only work with as many crashes explains a crash",
         file: "crates/suspects/src/suspect.rs",
