Shards: a box being retired serves, and holds copies, until others can

Cause: boxes being retired were never chosen for copies, and refused them, also when no others were left.

Change: copies go to boxes that stay, and to boxes being retired only while those are too few; the epoch changes to move them once others can hold them. A box takes no copies from the moment at which it checks that no plan names it, and doesn't report completion while it has a copy that a later plan may name.

--- a/crates/shards/src/handler.rs
+++ b/crates/shards/src/handler.rs
@@ -398,7 +398,7 @@
             let message = "this box is outside of the shard's region: configure the same regions on all boxes";
             return Err(refused(RefusedKind::NotRun, reason::OUTSIDE_REGIONS, message));
         }
-        if self.ctx.is_leaving() {
+        if !self.ctx.accepts_copies() {
             return Err(refused(
                 RefusedKind::NotRun,
                 "leaving",
--- a/crates/shards/src/log/copies.rs
+++ b/crates/shards/src/log/copies.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use ids::ShardIndex;
+use ids::{FencingToken, ShardIndex};
 use joblog::{CopyError, CopyFolder, EpochId, LogCopyFile, ShardPlan};
 use tokio::task;
 
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Returns whether this box has a copy that a plan later than `token` may name.
+    pub fn has_later(&self, shard: ShardIndex, token: FencingToken) -> bool {
+        let is_later = |(of, epoch): &(ShardIndex, EpochId)| *of == shard && epoch.token > token;
+        lock(&self.open).keys().any(is_later) || lock(&self.receiving).keys().any(is_later)
+    }
+
     /// Closes a copy: it accepts no more appends. Waits for an append in flight.
     pub async fn close(&self, shard: ShardIndex, epoch: &EpochId) {
         let copy = lock(&self.open).remove(&(shard, epoch.clone()));
--- a/crates/shards/src/log/log_writer.rs
+++ b/crates/shards/src/log/log_writer.rs
@@ -93,7 +93,7 @@
             changes += 1;
         }
         round.finish(&keeper, &log);
-        let Some(why) = change_reason(&ctx, &log) else { continue };
+        let Some(why) = change_reason(&ctx, keeper.shard(), &log) else { continue };
         if ctx.view.now() < change_due_at {
             continue;
         }
@@ -130,9 +130,13 @@
 struct NoSender;
 
 /// Returns why the epoch should change although all copies accept appends.
-fn change_reason(ctx: &ShardContext, log: &EpochLog) -> Option<&'static str> {
-    let retiring = ctx.retiring();
-    if log.partners.iter().any(|copy| retiring.contains(&copy.box_id)) {
+fn change_reason(ctx: &ShardContext, shard: ShardIndex, log: &EpochLog) -> Option<&'static str> {
+    let partner_leaves = {
+        let retiring = ctx.retiring();
+        log.partners.iter().any(|copy| retiring.contains(&copy.box_id))
+    };
+    // Without other boxes, the new epoch would have the same ones.
+    if partner_leaves && ctx.has_staying_hosts(shard, log.partners.len()) {
         return Some(PARTNER_LEAVES);
     }
     let len = log.file.as_ref().map_or(0, LogCopyFile::len);
