Jobs: a large job is in memory once on each box, not five times

Cause: copies. On the entry box the document, its texts, the decoded bodies, a copy for each call and its repeat, the frame encoded and copied; on the server the frame, the job, the record, the round, a copy of the round for each box and each one's frame.

The wire format and the files are the same.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -14,9 +14,11 @@
 use links::{CallError, LinkPool};
 use node::{NodeView, job_scope};
 use platform::calls::{self, JobCall, JobSender};
+use prost::Message;
 use rand::seq::SliceRandom;
 use routing::{RegionMap, RegionScope, RouteTable};
 use tokio::time;
+use upstream::ByteCount;
 use wire::peer::{
     ItemBodyRead, Job, JobEnd, JobRead, JobSubmit, RefusedKind, ServedQuery, ShardResponse,
     response_item, shard_request, shard_response,
@@ -393,9 +395,9 @@
     client: &ShardClient,
     sender: JobSender<'_>,
     id: &str,
-    body: &Bytes,
+    body: Bytes,
 ) -> Response<FrontBody> {
-    let job = match calls::read_job(id, sender, body) {
+    let job = match calls::read_job(id, sender, &body) {
         Ok(job) => job,
         Err(error) => {
             log::warn!(target: "entry", request = id, error:% = error; "job refused");
@@ -403,6 +405,10 @@
             return response::refuse(StatusCode::BAD_REQUEST, "bad_job", remedy, Some(id));
         }
     };
+    // The document is no longer needed. From now on the job's bytes are reserved in its place.
+    drop(body);
+    let held = ByteCount::new(job.encoded_len());
+    let _held = client.view.memory.reserve_held(held);
     let items = job.items.len();
     let scope = submit_scope(&client.view.table(), sender, &job);
     let searched_for = client.shard_for(sender.host, &job.model, &scope).ok();
@@ -573,7 +579,7 @@
     };
     match client.call_for_job(job, CALL_TIMEOUT, body).await {
         Ok(shard_response::Body::Bytes(bytes)) => {
-            Ok(response::full(StatusCode::OK, "application/octet-stream", Bytes::from(bytes.body)))
+            Ok(response::full(StatusCode::OK, "application/octet-stream", bytes.body))
         }
         Ok(_) => failed_call(client, "body", job, ShardFault::Unknown),
         Err(fault) => failed_call(client, "body", job, fault),
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -201,7 +201,7 @@
         RouteKind::Jobs if head.method == Method::POST => {
             let customer = admitted.caller.customer();
             let sender = JobSender { host: host_of(&head), route: &admitted.route, customer };
-            jobs_api::submit(&state.shards, sender, &id.unwrap_or_default(), &body).await
+            jobs_api::submit(&state.shards, sender, &id.unwrap_or_default(), body).await
         }
         RouteKind::Streaming => {
             serve_stream(&state.view, &admitted, &connection, head, body, received).await
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -40,4 +40,5 @@
 pub use keeper::ShardKeeper;
 pub use loads::{LoadTable, apply_loads};
 pub use log::held::HeldReport;
+pub use log::work_queue::{LogWork, NoSender, WorkQueue};
 pub use role::run_storage;
--- a/crates/shards/src/log/copies.rs
+++ b/crates/shards/src/log/copies.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use bytes::Bytes;
 use ids::{FencingToken, ShardIndex};
 use joblog::{CopyError, CopyFolder, EpochId, LogCopyFile, ShardPlan};
 use tokio::task;
@@ -55,7 +56,7 @@
         shard: ShardIndex,
         epoch: &EpochId,
         offset: u64,
-        records: Vec<u8>,
+        records: Bytes,
     ) -> Option<Result<u64, CopyError>> {
         let key = (shard, epoch.clone());
         let copy = self.open.lock().unwrap_or_else(PoisonError::into_inner).get(&key).cloned()?;
@@ -90,7 +91,7 @@
         epoch: EpochId,
         first: bool,
         last: bool,
-        records: Vec<u8>,
+        records: Bytes,
     ) -> Option<Result<u64, CopyError>> {
         let key = (shard, epoch.clone());
         let (folder, receiving) = (self.folder.clone(), Arc::clone(&self.receiving));
--- a/crates/shards/src/reward.rs
+++ b/crates/shards/src/reward.rs
@@ -2,7 +2,6 @@
 
 use std::sync::{Mutex, PoisonError};
 
-use bytes::Bytes;
 use coord::retry::RetryBudget;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -112,7 +111,7 @@
         method: Method::POST,
         uri,
         headers: header_map,
-        body: Bytes::from(reward.body.clone()),
+        body: reward.body.clone(),
         deadline,
         is_owed: true,
         // An internal call: it needs neither a key nor a customer.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,8 +1,8 @@
 //! Encoding of frames on a byte stream.
 
-use std::io;
+use std::io::{self, ErrorKind};
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
@@ -11,6 +11,11 @@
 /// Maximum length of a frame, in bytes. The prompts of a step and a plain request body fit.
 pub const MAX_FRAME: usize = 16 << 20;
 
+/// Length of the number before each frame, in bytes.
+const HEAD_BYTES: usize = 4;
+/// A larger empty buffer is released before the next frame is encoded.
+const MAX_KEPT_BUFFER: usize = 1 << 20;
+
 /// Errors that close the connection.
 #[derive(Debug, thiserror::Error)]
 pub enum CodecError {
@@ -51,7 +56,17 @@
     type Error = CodecError;
 
     fn encode(&mut self, item: Frame, dst: &mut BytesMut) -> Result<(), CodecError> {
-        self.frames.encode(Bytes::from(item.encode_to_vec()), dst)?;
+        let length = item.encoded_len();
+        if length > MAX_FRAME {
+            return Err(io::Error::new(ErrorKind::InvalidInput, "frame too long").into());
+        }
+        if dst.is_empty() && dst.capacity() > MAX_KEPT_BUFFER {
+            *dst = BytesMut::new();
+        }
+        // The frame is encoded in place: a second copy of a large job would count twice.
+        dst.reserve(HEAD_BYTES + length);
+        dst.put_u32(u32::try_from(length).unwrap_or(u32::MAX));
+        item.encode(dst).map_err(io::Error::other)?;
         Ok(())
     }
 }
