Jobs: what fits into no frame ends no link and no shard

Found while large jobs were mended; nobody reported it.

What callers saw, or would have: a job longer than a frame (16 MB) ended the link to the shard's server, with all calls on it, at each try, and got 502 without end. A job of 14.7 to 16 MB that follows other records in one round of the log would have made the round longer than a frame: each copy given up in turn, then the shard.

Cause: the codec's limit fails the connection, and nothing before it looked at sizes.

Change: an entry box refuses such a job with 413; the limit leaves room for what shares a frame with its record.

--- a/crates/front/src/jobs_api.rs
+++ b/crates/front/src/jobs_api.rs
@@ -19,6 +19,7 @@
 use routing::{RegionMap, RegionScope, RouteTable};
 use tokio::time;
 use upstream::ByteCount;
+use wire::MAX_RECORD;
 use wire::peer::{
     ItemBodyRead, Job, JobEnd, JobRead, JobSubmit, RefusedKind, ServedQuery, ShardResponse,
     response_item, shard_request, shard_response,
@@ -45,6 +46,9 @@
 /// Maximum size of the texts in one page, in bytes. It leaves room for ids and JSON escapes within
 /// a page of one megabyte.
 const MAX_PAGE_BYTES: u32 = 600_000;
+/// Maximum size of a job as it is sent to the shard's server. A longer frame would end the link and
+/// all calls on it.
+const MAX_JOB_BYTES: usize = MAX_RECORD - (1 << 10);
 /// Reason and outcome of a job for which no shard is within the allowed regions.
 const OUTSIDE_REGIONS: &str = "outside the allowed regions";
 
@@ -409,6 +413,11 @@
     drop(body);
     let held = ByteCount::new(job.encoded_len());
     let _held = client.view.memory.reserve_held(held);
+    if held > ByteCount::new(MAX_JOB_BYTES) {
+        log::warn!(target: "entry", request = id, bytes = held.get(); "job too large");
+        let remedy = "send its items in several jobs";
+        return response::refuse(StatusCode::PAYLOAD_TOO_LARGE, "job_too_large", remedy, Some(id));
+    }
     let items = job.items.len();
     let scope = submit_scope(&client.view.table(), sender, &job);
     let searched_for = client.shard_for(sender.host, &job.model, &scope).ok();
--- a/crates/shards/tests/work_queue.rs
+++ b/crates/shards/tests/work_queue.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use shards::{LogWork, NoSender, WorkQueue};
 use tokio::sync::mpsc;
+use wire::MAX_RECORD;
 use wire::peer::{Job, JobItem, LogRecord, log_record};
 
 const DELAY: Duration = Duration::from_millis(10);
@@ -31,9 +32,17 @@
     sizes
 }
 
+/// Guards against a round that fits into no frame to the other copies, because a large job follows
+/// other records. The server would give up each copy for it, and then the shard.
+#[tokio::test]
+async fn large_job_does_not_share_a_round_that_it_overfills() {
+    let sizes = round_sizes([work(1_900_000), work(MAX_RECORD - 1_024), work(10)]).await;
+    assert_eq!(sizes, [1, 1, 1]);
+}
+
 #[tokio::test]
 async fn small_records_share_a_round_with_a_large_one() {
-    assert_eq!(round_sizes([work(10), work(20), work(15_000_000)]).await, [3]);
+    assert_eq!(round_sizes([work(10), work(20), work(MAX_RECORD - 1_024)]).await, [3]);
 }
 
 #[tokio::test]
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -11,6 +11,9 @@
 /// Maximum length of a frame, in bytes. The prompts of a step and a plain request body fit.
 pub const MAX_FRAME: usize = 16 << 20;
 
+/// Maximum length of a record of a job log, in bytes. Further records of up to a megabyte may share its
+/// frame.
+pub const MAX_RECORD: usize = MAX_FRAME - (1 << 20) - (128 << 10);
 /// Length of the number before each frame, in bytes.
 const HEAD_BYTES: usize = 4;
 /// A larger empty buffer is released before the next frame is encoded.
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -299,6 +299,22 @@
         package: "platform-standin",
         test: "epoch_stays_while_a_retired_box",
     },
+    Mutation {
+        name: "shards: a round may be longer than a frame",
+        file: "crates/shards/src/log/work_queue.rs",
+        from: "const MAX_ROUND_BYTES: usize = MAX_FRAME - (64 << 10);",
+        to: "const MAX_ROUND_BYTES: usize = MAX_FRAME * 9;",
+        package: "shards",
+        test: "large_job_does_not_share_a_round",
+    },
+    Mutation {
+        name: "entry: a job may be longer than a frame",
+        file: "crates/front/src/jobs_api.rs",
+        from: "const MAX_JOB_BYTES: usize = MAX_RECORD - (1 << 10);",
+        to: "const MAX_JOB_BYTES: usize = MAX_RECORD * 9;",
+        package: "platform-standin",
+        test: "job_that_fits_into_no_frame_is_refused",
+    },
     Mutation {
         name: "upstream: a connection closes in order while a request is outstanding",
         file: "crates/upstream/src/pool.rs",
