Shards: large jobs are accepted one after the other

What callers would see: three batch jobs of 20 MB at the same time took the shard's server over its 130 MB, ten times in 28 s; each end cost the calls of all trainers.

Cause: the limit for jobs counts what is kept. While its record is written to all copies a job takes several times its size, and nothing bounded how many are.

Change: jobs that are being accepted together may have a quarter of the memory for jobs, or be a single one; an arriving job counts twice against the limit. Others are refused truly, with 503, and come again.

--- a/crates/shards/src/context.rs
+++ b/crates/shards/src/context.rs
@@ -14,6 +14,7 @@
 use wire::peer::{HeldLease, shard_request, shard_response};
 
 use crate::admission::AdmissionHome;
+use crate::arriving::ArrivingBytes;
 use crate::backlog::BacklogTable;
 use crate::hosts::ShardHosts;
 use crate::job_order::{UrgencyTable, start_order};
@@ -55,6 +56,8 @@
     pub stopping: CancellationToken,
     /// Sealed segments on this box's disk.
     pub held: Arc<HeldTable>,
+    /// Bytes of jobs that are being accepted.
+    pub arriving: ArrivingBytes,
     retiring: Mutex<HashSet<BoxId>>,
     /// Whether the retirement of this box is, or is about to be, reported as complete.
     released: AtomicBool,
@@ -93,6 +96,7 @@
             usage_sync: UsageSync::default(),
             stopping: CancellationToken::new(),
             held: Arc::default(),
+            arriving: ArrivingBytes::default(),
             retiring: Mutex::default(),
             released: AtomicBool::new(false),
             leases: Mutex::default(),
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod accounting;
 mod admission;
+mod arriving;
 mod backlog;
 mod claim;
 mod context;
@@ -34,6 +35,7 @@
 mod takeover;
 mod timings;
 
+pub use arriving::{ArrivingBytes, ArrivingJob};
 pub use backlog::BacklogTable;
 pub use context::ShardContext;
 pub use job_order::UrgencyTable;
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -299,6 +299,14 @@
         package: "platform-standin",
         test: "epoch_stays_while_a_retired_box",
     },
+    Mutation {
+        name: "shards: large jobs are accepted at the same time",
+        file: "crates/shards/src/arriving.rs",
+        from: "(others == 0 || others + bytes <= max)",
+        to: "(others + bytes <= max.max(usize::MAX))",
+        package: "shards",
+        test: "large_jobs_are_accepted_one_after_the_other",
+    },
     Mutation {
         name: "shards: a round may be longer than a frame",
         file: "crates/shards/src/log/work_queue.rs",
