Front: a stopping box finishes its responses to their last byte

Cause: a request counted as in flight until it had a response head. Nothing waited for the task that copies a stream, nor for bytes that the caller has yet to take. The line `stopped` says in_flight 0 while all six targets still send.

A graceful shutdown closes idle ones at once, so each of the others still owes a part of a response; its end comes after the last flush. The wait ends where it did before, 0.5 s before the grace period.

Ruled out: callers that hold a kept or an unused connection (closed at once), that never read (the box exits before the grace period ends), that pipeline (the first response says `Connection: close`, the second request is not passed on), requests that come on kept connections just as the stop begins (answered whole, or not passed on): a test each, which passed before and after.

Tests stopping_box_finishes_its_streams and ..._responses_of_slow_callers failed on the code before. The new mutation is noticed.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -26,6 +26,7 @@
     /// Milliseconds from `opened` to the start of the current stall, plus one; 0 if there is none.
     stalled_ms: AtomicU64,
     discards_input: AtomicBool,
+    has_sent_request: AtomicBool,
     /// Cancelled to disconnect the caller.
     pub disconnected: CancellationToken,
 }
@@ -37,10 +38,16 @@
             opened: Instant::now(),
             stalled_ms: AtomicU64::new(0),
             discards_input: AtomicBool::new(false),
+            has_sent_request: AtomicBool::new(false),
             disconnected: CancellationToken::new(),
         }
     }
 
+    /// Records that a request of the caller is being served.
+    pub fn record_request(&self) {
+        self.has_sent_request.store(true, Ordering::Relaxed);
+    }
+
     /// Records that the box waits for the caller to take or to send bytes.
     pub fn record_stall(&self) {
         if self.stalled_ms.load(Ordering::Relaxed) == 0 {
@@ -99,6 +106,13 @@
         CallerGuard { table: Arc::clone(self), id, caller }
     }
 
+    /// Number of connections that have carried a request. While the box stops, idle connections are
+    /// closed, so these still owe a part of a response.
+    pub fn unfinished(&self) -> usize {
+        let map = self.lock();
+        map.callers.values().filter(|it| it.has_sent_request.load(Ordering::Relaxed)).count()
+    }
+
     /// Returns the caller to disconnect, if any.
     fn choose(&self, policy: &ReaderPolicy, view: &NodeView) -> Option<Arc<Caller>> {
         let map = self.lock();
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -39,7 +39,7 @@
 const SEND_BUFFER_BYTES: u32 = 64 << 10;
 /// Number of connections that wait to be accepted; the value that the runtime uses.
 const ACCEPT_BACKLOG: u32 = 1_024;
-/// How often a stopping box checks whether all requests have ended.
+/// How often a stopping box checks whether all responses have been sent.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Listening sockets of an entry box.
@@ -151,7 +151,7 @@
 }
 
 /// Reports the box as not ready, closes callers' connections after their current request, and waits
-/// for the requests in flight.
+/// until the responses in flight have been sent to their last byte.
 async fn stop_gracefully(state: &FrontState) {
     let started = Instant::now();
     let settings = &state.view.settings;
@@ -161,11 +161,14 @@
     let deadline = started + grace.saturating_sub(STOP_MARGIN);
     while Instant::now() < deadline {
         let notice_given = started.elapsed() >= READINESS_NOTICE_TIME;
-        if notice_given && state.in_flight() == 0 {
+        if notice_given && state.callers.unfinished() == 0 {
             break;
         }
         time::sleep(STOP_POLL_INTERVAL).await;
     }
     wait_for_usage_report(state, deadline).await;
-    log::info!(target: "entry", in_flight = state.in_flight(); "stopped");
+    log::info!(
+        target: "entry", in_flight = state.in_flight(), unfinished = state.callers.unfinished();
+        "stopped"
+    );
 }
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -61,7 +61,7 @@
         Self { view, shards, stopping, callers: Arc::default(), counts: Arc::default() }
     }
 
-    /// Number of requests in flight.
+    /// Number of requests that have no response head yet.
     pub fn in_flight(&self) -> usize {
         self.counts.requests.load(Ordering::Relaxed)
     }
@@ -160,6 +160,7 @@
 ) -> ServeResult {
     let received = Instant::now();
     let _guard = RequestGuard::new(&state);
+    connection.record_request();
     let (head, body) = request.into_parts();
     let id = headers::request_id(&head.headers).map(str::to_owned);
     let table = state.view.table();
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -251,6 +251,14 @@
         package: "node",
         test: "follower_reaches_the_state_of_the_store",
     },
+    Mutation {
+        name: "entry: a stopping box waits for requests without a response head only",
+        file: "crates/front/src/role.rs",
+        from: "if notice_given && state.callers.unfinished() == 0 {",
+        to: "if notice_given && state.in_flight() == 0 {",
+        package: "platform-standin",
+        test: "stopping_box_finishes",
+    },
     Mutation {
         name: "upstream: a connection closes in order while a request is outstanding",
         file: "crates/upstream/src/pool.rs",
