Front: a stopping box serves connections that still come

What callers saw: while the platform still sends callers to a box that was asked to stop, new connections were closed without a response, now and then.

Cause: the HTTP library's graceful shutdown closes a connection on which nothing has been read yet, and a stopping box asks for it at once; which of the two comes first was left to chance.

Ruled out: to close the listener, since the platform sends callers for two more seconds and they would find a closed port.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -130,8 +130,12 @@
         service_fn(move |request| serve(state.clone(), Arc::clone(&caller), request))
     };
     let stream = TokioIo::new(CallerStream::new(stream, Arc::clone(caller)));
+    // The platform sends callers to a stopping box for a while. A graceful shutdown would close a
+    // connection before its first request.
+    let is_last_request = state.stopping.is_cancelled();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .keep_alive(!is_last_request)
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER) * 2)
         .serve_connection(stream, service);
@@ -140,7 +144,7 @@
         tokio::select! {
             // The caller may disconnect at any time, which cancels its request.
             _ended = connection.as_mut() => {}
-            () = state.stopping.cancelled() => {
+            () = state.stopping.cancelled(), if !is_last_request => {
                 // Responses now carry `Connection: close`.
                 connection.as_mut().graceful_shutdown();
                 let _ended = connection.as_mut().await;
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -259,6 +259,14 @@
         package: "platform-standin",
         test: "stopping_box_finishes",
     },
+    Mutation {
+        name: "entry: a stopping box closes new connections",
+        file: "crates/front/src/server.rs",
+        from: "() = state.stopping.cancelled(), if !is_last_request => {",
+        to: "() = state.stopping.cancelled() => {",
+        package: "platform-standin",
+        test: "stopping_box_serves_new_connections",
+    },
     Mutation {
         name: "upstream: a connection closes in order while a request is outstanding",
         file: "crates/upstream/src/pool.rs",
