Upstream: a refused request isn't sent again on its connection

Cause: while boxes share admission, a refusal leaves its connection usable, and the refused request could take it again to the same target. A target that answers a refusal twice sends the second answer where the next one is due; its id is that of the request, so it was taken for the answer to the second send, which the target ran.

The same class: a connection was put back after a complete response to another request, so it stayed one response behind; now it is reset.

Ruled out: to close the connection after each refusal (a full target would see a connection a refusal); a hash that ties two ids together only costs another connection.

--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -7,7 +7,7 @@
 
 use ids::{CustomerName, ModelName, ModelVersion, Moment, ServiceName, ShardIndex};
 use joblog::ShardLayout;
-use platform::{Kind, ObjectStore};
+use platform::{Kind, ObjectStore, headers};
 use routing::{ColdLimit, RegionMap, RegionScope, Route, RouteTable, TargetTable};
 use suspects::SuspectTable;
 use tokio::sync::{Notify, watch};
@@ -78,7 +78,9 @@
         Self {
             settings,
             store,
-            pool: TargetPool::new(limit).with_memory(Arc::clone(&memory)),
+            pool: TargetPool::new(limit)
+                .with_memory(Arc::clone(&memory))
+                .with_id_header(headers::REQUEST_ID),
             memory,
             metrics: NodeMetrics::default(),
             feed,
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,6 +6,9 @@
 //! disconnect) the connection is closed. Late bytes of one request are thus never mistaken for the
 //! response to another.
 //!
+//! A request is not sent again on the connection on which it was answered or refused (module
+//! `request_tag`): the target may answer it there a second time, late.
+//!
 //! Bytes that a target sends without end are read up to a limit (module `read_limit`); then the
 //! connection is closed and the request fails.
 //!
@@ -15,6 +18,7 @@
 mod memory;
 mod pool;
 mod read_limit;
+mod request_tag;
 mod response;
 
 pub use limit::{ConnectionLimit, ConnectionPermit};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{HeaderMap, HeaderName};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -19,6 +20,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::read_limit::{LimitedStream, MAX_HEAD_BYTES, ReadLimit};
+use crate::request_tag::{AnsweredTags, RequestTag};
 use crate::{ConnectionLimit, ConnectionPermit, MemoryBudget, TargetResponse};
 
 /// Timeout for opening a connection; shorter than the retransmission delay of a lost SYN packet.
@@ -66,6 +68,8 @@
     pub permit: ConnectionPermit,
     /// Limit on the bytes received without progress.
     pub read_limit: ReadLimit,
+    /// Requests that the target has answered on this connection.
+    pub answered: AnsweredTags,
     /// Whether a request or its response is outstanding.
     in_use: Arc<AtomicBool>,
     idle_until: Instant,
@@ -115,6 +119,7 @@
     idle: IdleConnections,
     limit: Arc<ConnectionLimit>,
     memory: Arc<MemoryBudget>,
+    id_header: Option<HeaderName>,
 }
 
 impl std::fmt::Debug for TargetPool {
@@ -135,6 +140,12 @@
         Self { memory, ..self }
     }
 
+    /// Names the header that identifies a request and that its response repeats.
+    #[must_use]
+    pub fn with_id_header(self, id_header: HeaderName) -> Self {
+        Self { id_header: Some(id_header), ..self }
+    }
+
     /// The budget for buffered bytes.
     pub const fn memory(&self) -> &Arc<MemoryBudget> {
         &self.memory
@@ -185,9 +196,12 @@
         connect_by: Instant,
     ) -> Result<TargetResponse, SendError> {
         let mut request = request;
-        while let Some(mut connection) = self.take_idle(address) {
+        let tag = self.tag(request.headers());
+        while let Some(mut connection) = self.take_idle(address, tag) {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.target_response(address, connection, response)),
+                Ok(response) => {
+                    return Ok(self.target_response(address, connection, response, tag));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(connection.failure(address, &error.into_error())),
@@ -213,13 +227,14 @@
         connect_by: Instant,
     ) -> Result<TargetResponse, SendError> {
         let Some(permit) = self.acquire_permit() else { return Err(SendError::LimitReached) };
+        let tag = self.tag(request.headers());
         let connect_by = connect_by.min(Instant::now() + CONNECT_TIMEOUT);
         let connected = time::timeout_at(connect_by, connect(address, permit)).await;
         let Ok(Some(mut connection)) = connected else {
             return Err(SendError::NotSent(address));
         };
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(self.target_response(address, connection, response)),
+            Ok(response) => Ok(self.target_response(address, connection, response, tag)),
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => Err(SendError::NotSent(address)),
                 None => Err(connection.failure(address, &error.into_error())),
@@ -241,16 +256,26 @@
         address: SocketAddr,
         connection: Connection,
         response: Response<Incoming>,
+        tag: Option<RequestTag>,
     ) -> TargetResponse {
         connection.read_limit.reset();
-        TargetResponse::new(self.clone(), address, connection, response)
+        TargetResponse::new(self.clone(), address, connection, response, tag)
+    }
+
+    /// Returns the tag of the request or response with these headers; `None` without an id.
+    pub(crate) fn tag(&self, headers: &HeaderMap) -> Option<RequestTag> {
+        let id = headers.get(self.id_header.as_ref()?)?;
+        Some(RequestTag::of(id))
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes an idle connection on which no late answer can be taken for the response.
+    fn take_idle(&self, address: SocketAddr, tag: Option<RequestTag>) -> Option<Connection> {
         let mut idle = self.lock();
         let connections = &mut idle.get_mut(&address)?.idle;
         let now = Instant::now();
-        while let Some(connection) = connections.pop() {
+        while let Some(index) = connections.iter().rposition(|other| !other.answered.contains(tag))
+        {
+            let connection = connections.remove(index);
             if now < connection.idle_until && connection.sender.is_ready() {
                 connection.in_use.store(true, Ordering::Relaxed);
                 connection.read_limit.reset();
@@ -316,7 +341,8 @@
     let in_use = Arc::new(AtomicBool::new(true));
     tokio::spawn(run_connection(connection, closed, Arc::clone(&in_use)));
     let idle_until = Instant::now();
-    Some(Connection { close_guard, sender, permit, read_limit, in_use, idle_until })
+    let answered = AnsweredTags::default();
+    Some(Connection { close_guard, sender, permit, read_limit, answered, in_use, idle_until })
 }
 
 /// Runs a connection until it ends or is closed.
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -10,6 +10,7 @@
 use tokio::time::{self, Instant};
 
 use crate::pool::Connection;
+use crate::request_tag::RequestTag;
 use crate::{ByteCount, MemoryUse, Reservation, SendError, TargetPool};
 
 /// Margin subtracted from the time for which a target keeps an idle connection. It covers the round
@@ -26,6 +27,8 @@
     headers: HeaderMap,
     body: Incoming,
     policy: ReusePolicy,
+    /// The request that was sent.
+    tag: Option<RequestTag>,
 }
 
 impl std::fmt::Debug for TargetResponse {
@@ -86,6 +89,7 @@
         address: SocketAddr,
         connection: Connection,
         response: Response<Incoming>,
+        tag: Option<RequestTag>,
     ) -> Self {
         let (head, body) = response.into_parts();
         Self {
@@ -96,6 +100,7 @@
             headers: head.headers,
             body,
             policy: ReusePolicy::Successes,
+            tag,
         }
     }
 
@@ -132,9 +137,13 @@
         }
     }
 
-    /// Returns the connection to the pool, unless the status or the headers forbid it. The caller
-    /// must have read the complete body and checked that the response belongs to the request.
-    pub fn reuse(self) {
+    /// Returns the connection to the pool, unless the status or the headers forbid it, or the
+    /// response names another request: then the one to this request is still due. The caller must
+    /// have read the complete body.
+    pub fn reuse(mut self) {
+        if self.pool.tag(&self.headers) != self.tag {
+            return;
+        }
         self.connection.complete();
         let text = |name: &str| self.headers.get(name).and_then(|value| value.to_str().ok());
         let closes = text("connection").is_some_and(|value| {
@@ -143,6 +152,11 @@
         if closes || !self.policy.allows(self.status, &self.headers) {
             return;
         }
+        if self.status.is_success() {
+            self.connection.answered.record_success(self.tag);
+        } else if !self.connection.answered.record_refusal(self.tag) {
+            return;
+        }
         let keep_alive = text("keep-alive").and_then(keep_alive_time);
         if keep_alive.is_some_and(|keep_alive| keep_alive.is_zero()) {
             return;
--- a/crates/upstream/tests/misbehaving_targets.rs
+++ b/crates/upstream/tests/misbehaving_targets.rs
@@ -7,10 +7,11 @@
 
 use bytes::Bytes;
 use http::Request;
+use http::header::HeaderName;
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use upstream::{FullResponse, SendError, TargetPool};
+use upstream::{FullResponse, ReusePolicy, SendError, TargetPool};
 
 const MAX_BODY: usize = 1 << 16;
 const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
@@ -25,11 +26,15 @@
 
 /// Starts a target that sends `responses` in order, one per request, on any connection. Also
 /// returns the number of accepted connections.
-async fn target(responses: Vec<(&'static str, AfterResponse)>) -> (SocketAddr, Arc<AtomicUsize>) {
+async fn target<T: Into<String>>(
+    responses: Vec<(T, AfterResponse)>,
+) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
     let connections = Arc::new(AtomicUsize::new(0));
     let counter = Arc::clone(&connections);
+    let responses: Vec<_> =
+        responses.into_iter().map(|(response, after)| (response.into(), after)).collect();
     let responses = Arc::new(std::sync::Mutex::new(responses.into_iter()));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
@@ -41,7 +46,7 @@
     (address, connections)
 }
 
-type ScriptedResponses = std::sync::Mutex<std::vec::IntoIter<(&'static str, AfterResponse)>>;
+type ScriptedResponses = std::sync::Mutex<std::vec::IntoIter<(String, AfterResponse)>>;
 
 async fn serve(mut stream: TcpStream, responses: &ScriptedResponses) {
     let mut buffer = vec![0; 4_096];
@@ -176,3 +181,92 @@
     drop(listener);
     assert!(matches!(send(&TargetPool::default(), address).await, Err(SendError::NotSent(_))));
 }
+
+const ID: HeaderName = HeaderName::from_static("id");
+const REFUSAL: &str =
+    "HTTP/1.1 503 Full\r\nid: q-1\r\nnot-run: full\r\ncontent-length: 2\r\n\r\nno";
+
+async fn send_as(pool: &TargetPool, address: SocketAddr, id: &str) -> FullResponse {
+    let request = Request::post("/x").header("host", "h").header(ID, id);
+    let request = request.body(Full::new(Bytes::from_static(b"q"))).expect("a request");
+    let response = pool.send(address, request).await.expect("a response");
+    let policy = ReusePolicy::SuccessesAndRefusals("not-run");
+    response.reusable_after(policy).read_full(MAX_BODY).await.expect("a complete response")
+}
+
+/// Guards against a refusal that counts for two sends: the target answers the first one twice, the
+/// second time when the request is sent again, and runs it then.
+#[tokio::test]
+async fn refused_request_is_not_sent_again_on_its_connection() {
+    let (address, connections) = target(vec![
+        (REFUSAL, AfterResponse::KeepsOpen),
+        // On the connection of the refusal, its second copy would arrive here.
+        ("HTTP/1.1 200 OK\r\nid: q-1\r\ncontent-length: 2\r\n\r\nok", AfterResponse::KeepsOpen),
+        ("HTTP/1.1 200 OK\r\nid: q-2\r\ncontent-length: 2\r\n\r\nok", AfterResponse::KeepsOpen),
+        ("HTTP/1.1 200 OK\r\nid: q-3\r\ncontent-length: 2\r\n\r\nok", AfterResponse::KeepsOpen),
+    ])
+    .await;
+    let pool = TargetPool::default().with_id_header(ID);
+    assert_eq!(send_as(&pool, address, "q-1").await.status, 503);
+    tokio::task::yield_now().await;
+    assert_eq!(send_as(&pool, address, "q-1").await.status, 200);
+    assert_eq!(connections.load(Ordering::Relaxed), 2, "the refused request uses another one");
+    tokio::task::yield_now().await;
+    // Other requests use both.
+    for id in ["q-2", "q-3"] {
+        assert_eq!(send_as(&pool, address, id).await.status, 200);
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(connections.load(Ordering::Relaxed), 2);
+}
+
+/// Guards against a connection that stays one response behind: the response to the request that got
+/// a foreign one would be taken for that of the next.
+#[tokio::test]
+async fn connection_is_not_reused_after_a_response_to_another_request() {
+    let foreign = "HTTP/1.1 200 OK\r\nid: q-0\r\ncontent-length: 2\r\n\r\nok";
+    let own = "HTTP/1.1 200 OK\r\nid: q-2\r\ncontent-length: 2\r\n\r\nok";
+    let (address, connections) =
+        target(vec![(foreign, AfterResponse::KeepsOpen), (own, AfterResponse::KeepsOpen)]).await;
+    let pool = TargetPool::default().with_id_header(ID);
+    send_as(&pool, address, "q-1").await;
+    tokio::task::yield_now().await;
+    assert_eq!(send_as(&pool, address, "q-2").await.status, 200);
+    assert_eq!(connections.load(Ordering::Relaxed), 2);
+}
+
+/// Guards against a late second answer to a request that succeeded: callers may use an id again, and
+/// the next request would get the response to the one before.
+#[tokio::test]
+async fn answered_request_is_not_sent_again_on_its_connection() {
+    let own = "HTTP/1.1 200 OK\r\nid: q-1\r\ncontent-length: 2\r\n\r\nok";
+    let next = "HTTP/1.1 200 OK\r\nid: q-2\r\ncontent-length: 2\r\n\r\nok";
+    let (address, connections) = target(vec![
+        (own, AfterResponse::KeepsOpen),
+        (own, AfterResponse::KeepsOpen),
+        (next, AfterResponse::KeepsOpen),
+    ])
+    .await;
+    let pool = TargetPool::default().with_id_header(ID);
+    for id in ["q-1", "q-1", "q-2"] {
+        assert_eq!(send_as(&pool, address, id).await.status, 200);
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(connections.load(Ordering::Relaxed), 2, "the same id uses another one");
+}
+
+/// Guards against a connection that is remembered with more and more refusals.
+#[tokio::test]
+async fn connection_is_closed_after_many_refusals() {
+    const MAX_REFUSALS: usize = 32;
+    let refusal = |number| REFUSAL.replace("q-1", &format!("q-{number}"));
+    let script = (0..=MAX_REFUSALS).map(|number| (refusal(number), AfterResponse::KeepsOpen));
+    let (address, connections) = target(script.collect()).await;
+    let pool = TargetPool::default().with_id_header(ID);
+    for number in 0..=MAX_REFUSALS {
+        assert_eq!(send_as(&pool, address, &format!("q-{number}")).await.status, 503);
+        tokio::task::yield_now().await;
+        let opened = if number < MAX_REFUSALS { 1 } else { 2 };
+        assert_eq!(connections.load(Ordering::Relaxed), opened, "after {number} refusals");
+    }
+}
