Front: a stream ends at its deadline, or when its caller leaves

Cause: the deadline bounded the wait for the head alone. The task that copies the body waited for the next part, and for its caller to take one, without a limit, and looked for its caller only when it had a part to send.

The end of the caller's connection ends the copying at once. The caller's connection ends without the end of the body.

Six tests in responses::silence: four failed on the code before, two guards (silence before a head, in a plain body) passed before and after. One new mutation, noticed.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -29,6 +29,8 @@
     has_sent_request: AtomicBool,
     /// Cancelled to disconnect the caller.
     pub disconnected: CancellationToken,
+    /// Cancelled when the connection has ended.
+    pub ended: CancellationToken,
 }
 
 impl Caller {
@@ -40,6 +42,7 @@
             discards_input: AtomicBool::new(false),
             has_sent_request: AtomicBool::new(false),
             disconnected: CancellationToken::new(),
+            ended: CancellationToken::new(),
         }
     }
 
@@ -141,6 +144,7 @@
 
 impl Drop for CallerGuard {
     fn drop(&mut self) {
+        self.caller.ended.cancel();
         self.table.lock().callers.remove(&self.id);
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -15,6 +15,7 @@
 mod search;
 mod server;
 mod stream;
+mod stream_copy;
 
 pub use isolation::ReachabilityAlarm;
 pub use role::{EntryListeners, run_entry};
--- a/crates/front/src/plain.rs
+++ b/crates/front/src/plain.rs
@@ -101,6 +101,12 @@
     received + route.timeout.map_or(caller, |timeout| timeout.min(caller))
 }
 
+/// Like [`deadline`], but without a default for callers that send no timeout.
+pub fn stated_deadline(head: &Parts, route: &Route, received: Instant) -> Option<Instant> {
+    let stated = headers::time_left(&head.headers).into_iter().chain(route.timeout);
+    stated.min().map(|timeout| received + timeout)
+}
+
 /// Serves a plain request on its route.
 pub async fn serve_plain(
     view: &Arc<NodeView>,
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -203,7 +203,9 @@
             let sender = JobSender { host: host_of(&head), route: &admitted.route, customer };
             jobs_api::submit(&state.shards, sender, &id.unwrap_or_default(), &body).await
         }
-        RouteKind::Streaming => serve_stream(&state.view, &admitted, head, body, received).await,
+        RouteKind::Streaming => {
+            serve_stream(&state.view, &admitted, &connection, head, body, received).await
+        }
         _ => serve_plain(&state.view, &admitted, head, body, received).await,
     })
 }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -7,10 +7,10 @@
 use admission::PermitOutcome;
 use bytes::Bytes;
 use http::request::Parts;
-use http::{Request, Response, StatusCode};
-use http_body_util::channel::{Channel, Sender};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::channel::Channel;
 use http_body_util::{Either, Full};
-use ids::{InstanceId, WorkDigest};
+use ids::{InstanceId, WorkDigest, whole_millis};
 use node::{
     CONNECT_MARGIN, MIN_CONNECT_TIME, NO_TARGET_IN_REGIONS, NodeView, SlotGuard, TargetChoice,
     WorkRequirements, choose_target, record_disconnect, request_work, reuse_policy,
@@ -18,11 +18,13 @@
 use platform::headers;
 use routing::{ChosenTarget, Route, TargetFailure};
 use tokio::time::{self, Instant};
-use upstream::{ByteCount, MemoryBudget, SendError, TargetResponse};
+use upstream::{SendError, TargetResponse};
 
 use crate::admission::AdmittedRequest;
-use crate::plain::deadline;
-use crate::response::{self, FrontBody, StreamBroken};
+use crate::callers::Caller;
+use crate::plain::{deadline, stated_deadline};
+use crate::response::{self, FrontBody};
+use crate::stream_copy::{ChunkSender, StreamEnd, StreamLimits, copy_stream};
 
 /// Maximum number of targets that are tried for one stream.
 const MAX_TARGETS_TRIED: u32 = 4;
@@ -32,14 +34,12 @@
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
 /// Maximum number of body chunks buffered for a slow caller.
 const STREAM_BUFFER_CHUNKS: usize = 16;
-/// Maximum wait for the memory of a chunk. Targets abort a response that is left unread for some
-/// seconds.
-const CHUNK_MEMORY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Serves a streaming request on its route.
 pub async fn serve_stream(
     view: &Arc<NodeView>,
     admitted: &AdmittedRequest,
+    caller: &Arc<Caller>,
     head: Parts,
     body: Bytes,
     received: Instant,
@@ -79,38 +79,20 @@
         if tried.is_empty() {
             view.admission.record_request(&target.service);
         }
-        let mut request = Request::new(Full::new(body.clone()));
-        *request.method_mut() = head.method.clone();
-        *request.uri_mut() = head.uri.clone();
-        *request.headers_mut() = sent_headers.clone();
         let time_left = deadline.saturating_duration_since(Instant::now());
-        headers::set_time_left(request.headers_mut(), time_left);
+        let mut request = target_request(&head, &sent_headers, &body, time_left);
         headers::set_instance(request.headers_mut(), &target.instance);
-        let connect_by = deadline - CONNECT_MARGIN;
-        let response = view.pool.send_by(target.address, request, connect_by);
-        let sent = time::timeout_at(deadline, response).await;
-        let target_response = match sent {
-            Ok(Ok(target_response)) => target_response,
-            Ok(Err(SendError::NotSent(_))) => {
-                if time_left >= MIN_CONNECT_TIME {
-                    record_unreachable(view, target);
-                }
+        let target_response = match send(view, target, request, work, deadline).await {
+            Ok(target_response) => target_response,
+            Err(SendFailure::NotSent) => {
                 tried.push(target.instance.clone());
                 if view.admission.try_retry(&target.service) {
                     continue;
                 }
                 break;
             }
-            Ok(Err(SendError::LimitReached)) => break,
-            Ok(Err(SendError::Broken(_))) => {
-                record_broken(view, target);
-                record_disconnect(view, target, work);
-                return unknown_outcome(view, &id, work);
-            }
-            Ok(Err(SendError::TooLong(_))) | Err(_) => {
-                record_broken(view, target);
-                return unknown_outcome(view, &id, work);
-            }
+            Err(SendFailure::LimitReached) => break,
+            Err(SendFailure::Unknown) => return unknown_outcome(view, &id, work),
         };
         let info = headers::response_info(target_response.headers());
         if !info.responds_to(&id) {
@@ -139,11 +121,71 @@
         if let Some(customer) = admitted.caller.customer() {
             view.usage.count(view.now(), customer);
         }
-        return forward_stream(view, slot, target_response, work);
+        let limits = StreamLimits {
+            deadline: stated_deadline(&head, route, received),
+            caller: Arc::clone(caller),
+        };
+        let task = StreamTask { view: Arc::clone(view), request_id: id, slot, work, limits };
+        return task.forward(target_response);
     }
     not_run(view, route, &id, "no target free")
 }
 
+/// Why a target gave no response.
+enum SendFailure {
+    /// Nothing was sent.
+    NotSent,
+    /// The box can open no connection; nothing was sent.
+    LimitReached,
+    /// The target may have run the request.
+    Unknown,
+}
+
+/// Sends a request and records a failure of its target.
+async fn send(
+    view: &Arc<NodeView>,
+    target: &ChosenTarget,
+    request: Request<Full<Bytes>>,
+    work: WorkDigest,
+    deadline: Instant,
+) -> Result<TargetResponse, SendFailure> {
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    let response = view.pool.send_by(target.address, request, deadline - CONNECT_MARGIN);
+    match time::timeout_at(deadline, response).await {
+        Ok(Ok(target_response)) => Ok(target_response),
+        Ok(Err(SendError::NotSent(_))) => {
+            if time_left >= MIN_CONNECT_TIME {
+                record_unreachable(view, target);
+            }
+            Err(SendFailure::NotSent)
+        }
+        Ok(Err(SendError::LimitReached)) => Err(SendFailure::LimitReached),
+        Ok(Err(SendError::Broken(_))) => {
+            record_broken(view, target);
+            record_disconnect(view, target, work);
+            Err(SendFailure::Unknown)
+        }
+        Ok(Err(SendError::TooLong(_))) | Err(_) => {
+            record_broken(view, target);
+            Err(SendFailure::Unknown)
+        }
+    }
+}
+
+fn target_request(
+    head: &Parts,
+    sent_headers: &HeaderMap,
+    body: &Bytes,
+    time_left: Duration,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body.clone()));
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = head.uri.clone();
+    *request.headers_mut() = sent_headers.clone();
+    headers::set_time_left(request.headers_mut(), time_left);
+    request
+}
+
 fn not_run(view: &NodeView, route: &Route, id: &str, reason: &str) -> Response<FrontBody> {
     view.metrics.count_outcome("stream", "not run");
     log::info!(target: "entry", request = id, route:% = route.name, outcome = "not run"; "request ended");
@@ -191,46 +233,77 @@
     view.target_table().failed(view.now(), &target.instance, failure);
 }
 
-fn forward_stream(
-    view: &Arc<NodeView>,
+/// A stream whose head is forwarded.
+struct StreamTask {
+    view: Arc<NodeView>,
+    request_id: String,
     slot: SlotGuard,
-    target_response: TargetResponse,
     work: WorkDigest,
-) -> Response<FrontBody> {
-    let (chunks, body) = Channel::new(STREAM_BUFFER_CHUNKS);
-    let mut response = Response::new(Either::Right(body));
-    *response.status_mut() = target_response.status();
-    *response.headers_mut() = target_response.headers().clone();
-    response::strip_target_headers(response.headers_mut());
-    let view = Arc::clone(view);
-    let mut slot = slot;
-    tokio::spawn(async move {
-        match copy_chunks(target_response, chunks, &view.memory).await {
+    limits: StreamLimits,
+}
+
+impl StreamTask {
+    /// Copies the body in a task of its own and returns the response to the caller.
+    fn forward(self, target_response: TargetResponse) -> Response<FrontBody> {
+        let (chunks, body) = Channel::new(STREAM_BUFFER_CHUNKS);
+        let mut response = Response::new(Either::Right(body));
+        *response.status_mut() = target_response.status();
+        *response.headers_mut() = target_response.headers().clone();
+        response::strip_target_headers(response.headers_mut());
+        let chunks = ChunkSender::new(chunks);
+        tokio::spawn(async move {
+            let end = copy_stream(target_response, chunks, &self.view.memory, &self.limits).await;
+            let limits = self.limits.clone();
+            self.record(end);
+            if matches!(end, StreamEnd::TargetSilent { .. } | StreamEnd::CallerSlow) {
+                limits.disconnect_after_flush().await;
+            }
+        });
+        response
+    }
+
+    /// Records how the stream ended, and releases its slot.
+    fn record(mut self, end: StreamEnd) {
+        let view = &self.view;
+        match end {
             StreamEnd::Complete => {
-                slot.mark_served();
-                view.suspects().succeeded(work);
+                self.slot.mark_served();
+                view.suspects().succeeded(self.work);
             }
             StreamEnd::CallerDisconnected => {}
+            StreamEnd::TargetSilent { silent } => {
+                view.metrics.count_outcome("stream", "target silent");
+                self.log("target silent", silent);
+            }
+            StreamEnd::CallerSlow => {
+                view.metrics.count_outcome("stream", "caller slow");
+                self.log("caller slow", Duration::ZERO);
+            }
             StreamEnd::NoMemory => {
                 view.metrics.count_outcome("memory", "stream ended");
-                log::info!(
-                    target: "entry", work:% = work, reserved = view.memory.reserved().get(),
-                    limit = view.memory.limit().get(), outcome = "no memory";
-                    "stream ended"
-                );
+                self.log("no memory", Duration::ZERO);
             }
             StreamEnd::TooLong => {
-                record_failure(&view, slot.target(), TargetFailure::Broken);
+                record_failure(view, self.slot.target(), TargetFailure::Broken);
             }
             StreamEnd::Broken => {
-                record_failure(&view, slot.target(), TargetFailure::Broken);
-                record_disconnect(&view, slot.target(), work);
-                view.suspects().caller_unanswered(work);
+                record_failure(view, self.slot.target(), TargetFailure::Broken);
+                record_disconnect(view, self.slot.target(), self.work);
+                view.suspects().caller_unanswered(self.work);
                 view.suspects_changed();
             }
         }
-    });
-    response
+    }
+
+    fn log(&self, outcome: &str, silent: Duration) {
+        log::info!(
+            target: "entry", request = self.request_id.as_str(), work:% = self.work,
+            target:% = self.slot.target().instance, silent_ms = whole_millis(silent),
+            reserved = self.view.memory.reserved().get(), limit = self.view.memory.limit().get(),
+            outcome = outcome;
+            "stream ended"
+        );
+    }
 }
 
 /// Reads the rest of a refusal, so that its connection can be used again.
@@ -239,48 +312,3 @@
     // Without the rest the connection closes.
     let _drained = time::timeout(REFUSAL_TIMEOUT, rest).await;
 }
-
-/// How forwarding a response body ended.
-enum StreamEnd {
-    Complete,
-    CallerDisconnected,
-    /// A chunk did not fit into the memory budget.
-    NoMemory,
-    /// The target sent more bytes than a response may have.
-    TooLong,
-    Broken,
-}
-
-/// Forwards a body until it ends. Stops early if the caller disconnects; dropping the response then
-/// closes the target's connection.
-async fn copy_chunks(
-    mut target_response: TargetResponse,
-    mut chunks: Sender<Bytes, StreamBroken>,
-    memory: &Arc<MemoryBudget>,
-) -> StreamEnd {
-    loop {
-        match target_response.next().await {
-            Ok(Some(chunk)) => {
-                let held = memory.reserve_response(ByteCount::new(chunk.len()));
-                let Ok(held) = time::timeout(CHUNK_MEMORY_TIMEOUT, held).await else {
-                    chunks.abort(StreamBroken);
-                    return StreamEnd::NoMemory;
-                };
-                if chunks.send_data(held.attach(chunk)).await.is_err() {
-                    return StreamEnd::CallerDisconnected;
-                }
-            }
-            Ok(None) => {
-                target_response.reuse();
-                return StreamEnd::Complete;
-            }
-            Err(error) => {
-                chunks.abort(StreamBroken);
-                return match error {
-                    SendError::TooLong(_) => StreamEnd::TooLong,
-                    _ => StreamEnd::Broken,
-                };
-            }
-        }
-    }
-}
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -267,6 +267,14 @@
         package: "platform-standin",
         test: "stopping_box_serves_new_connections",
     },
+    Mutation {
+        name: "entry: the deadline of a stream ends with its head",
+        file: "crates/front/src/stream_copy.rs",
+        from: "self.deadline.unwrap_or_else(|| Instant::now() + MAX_STEP_TIME)",
+        to: "self.deadline.map_or(Instant::now(), |_| Instant::now()) + MAX_STEP_TIME",
+        package: "platform-standin",
+        test: "silent_stream_ends",
+    },
     Mutation {
         name: "upstream: a connection closes in order while a request is outstanding",
         file: "crates/upstream/src/pool.rs",
