Upstream: a status that no final response may have is a broken response

What callers saw: reported of other systems, a client got a status of 000 as an answer. Here 000, 001, 099, 20, 2000, 0200, -01, +00 and blanks gave 502 before. But a final 101 that nobody asked for was passed on, which ends HTTP on the caller's connection, and so were 600, 700 and 999; with the header of a refusal the caller got 503, a promise that was not checked. An order to an engine answered so counted as refused, a run as not begun, and a usage report as rejected for good, so it was dropped.

Cause: the HTTP library returns 101 and each number of three digits from 200 on; only the statuses that the code looks for were told apart.

Change: the pool of connections to targets, through which plain requests, streams, items, reward calls, reports and orders go, takes a status outside 200 to 599 for what it is: bytes that are no response. The connection is closed, the target recorded, the outcome unknown, never "not run". The accounting client sends its report again. The daemon's own clients for targets have the same check. The store's client needed none: what is no success and none of 404, 409, 410, 429 and 503 was an unknown outcome already. Boxes speak no HTTP to each other.

Ruled out: an error variant of its own, since what follows is that of a broken connection everywhere; to refuse 1xx, since informational responses before a whole one go on as they do.

--- a/crates/targets/src/engine_client.rs
+++ b/crates/targets/src/engine_client.rs
@@ -5,6 +5,7 @@
 use bytes::{Buf, BytesMut};
 use reqwest::{Client, Response, StatusCode};
 
+use crate::final_status::send;
 use crate::{
     EngineLine, EngineState, GenerateRequest, NOT_RUN_HEADER, OrderRequest, OrderResponse,
     REQUEST_ID_HEADER, TRACEPARENT_HEADER, TargetError,
@@ -36,14 +37,13 @@
         request: &GenerateRequest,
         traceparent: &str,
     ) -> Result<EngineStream, TargetError> {
-        let response = self
+        let sent = self
             .client
             .post(format!("{}/v1/generate", self.base))
             .header(REQUEST_ID_HEADER, request.request_id.as_str())
             .header(TRACEPARENT_HEADER, traceparent)
-            .json(request)
-            .send()
-            .await?;
+            .json(request);
+        let response = send(sent).await?;
         if response.headers().contains_key(NOT_RUN_HEADER) {
             return Err(TargetError::Refused(response.text().await.unwrap_or_default()));
         }
@@ -56,26 +56,25 @@
     /// Cancels a request; an unknown request id is not an error.
     pub async fn cancel(&self, request_id: &ids::RequestId) -> Result<(), TargetError> {
         let url = format!("{}/v1/cancel/{request_id}", self.base);
-        self.client.post(url).timeout(STATE_TIMEOUT).send().await?;
+        send(self.client.post(url).timeout(STATE_TIMEOUT)).await?;
         Ok(())
     }
 
     /// Reads the current state of the engine.
     pub async fn state(&self) -> Result<EngineState, TargetError> {
         let url = format!("{}/v1/state", self.base);
-        let response = self.client.get(url).timeout(STATE_TIMEOUT).send().await?;
+        let response = send(self.client.get(url).timeout(STATE_TIMEOUT)).await?;
         Ok(response.error_for_status()?.json().await?)
     }
 
     /// Sends an order and waits for its final response.
     pub async fn order(&self, order: &OrderRequest) -> Result<OrderResponse, TargetError> {
-        let response = self
+        let sent = self
             .client
             .post(format!("{}/v1/orders", self.base))
             .timeout(Duration::from_millis(order.life_ms))
-            .json(order)
-            .send()
-            .await?;
+            .json(order);
+        let response = send(sent).await?;
         Ok(response.error_for_status()?.json().await?)
     }
 }
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod engine_client;
 mod error;
+mod final_status;
 mod plain;
 
 pub use engine::{
--- a/crates/targets/src/plain.rs
+++ b/crates/targets/src/plain.rs
@@ -7,6 +7,7 @@
 use reqwest::{Client, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use crate::final_status::send;
 use crate::{DIGEST_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, TRACEPARENT_HEADER, TargetError};
 
 /// Timeout of score requests.
@@ -77,15 +78,14 @@
             reqwest::Method::from_bytes(request.method.as_bytes()).map_err(|_invalid| {
                 TargetError::Refused(format!("invalid HTTP method {}", request.method))
             })?;
-        let response = self
+        let sent = self
             .client
             .request(method, format!("{}{}", self.base, request.path))
             .header(REQUEST_ID_HEADER, request.request_id.as_str())
             .header(TRACEPARENT_HEADER, traceparent)
             .timeout(request.timeout)
-            .body(request.body.clone())
-            .send()
-            .await?;
+            .body(request.body.clone());
+        let response = send(sent).await?;
         let status = response.status();
         if status == StatusCode::SERVICE_UNAVAILABLE
             && response.headers().contains_key(NOT_RUN_HEADER)
@@ -107,13 +107,12 @@
 
     /// Requests a score; safe to repeat.
     pub async fn score(&self, request: &ScoreRequest) -> Result<ScoreResponse, TargetError> {
-        let response = self
+        let sent = self
             .client
             .post(format!("{}/v1/score", self.base))
             .timeout(SCORE_TIMEOUT)
-            .json(request)
-            .send()
-            .await?;
+            .json(request);
+        let response = send(sent).await?;
         Ok(response.error_for_status()?.json().await?)
     }
 }
--- a/crates/targets/tests/clients.rs
+++ b/crates/targets/tests/clients.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use axum::Router;
+use axum::http::StatusCode;
 use ids::{FencingToken, Incarnation, ModelVersion, RequestId, TokenCount};
 use standins::engine::{EngineFaults, EngineStandin, router as engine_router};
 use standins::engine_model::EngineSettings;
 use standins::plain::{PlainFaults, PlainState, router as plain_router};
 use targets::{
-    EngineClient, EngineLine, GenerateRequest, OrderRequest, OrderResponse, PlainClient,
-    PlainRequest, TargetError,
+    EngineClient, EngineLine, GenerateRequest, NOT_RUN_HEADER, OrderRequest, OrderResponse,
+    PlainClient, PlainRequest, TargetError,
 };
 use tokio::net::TcpListener;
 
@@ -142,3 +143,29 @@
     let client = PlainClient::new(&address, reqwest::Client::new());
     assert_eq!(client.call(&plain("r"), "").await, Err(TargetError::NotSent));
 }
+
+/// Guards against a status above those of the protocol that counts as a response, or as a refusal.
+#[tokio::test]
+async fn invalid_final_status_says_nothing_about_the_work() {
+    for status in [600, 700, 999] {
+        let status = StatusCode::from_u16(status).expect("three digits");
+        let respond = move || async move { (status, [(NOT_RUN_HEADER, "1")], "{}") };
+        let address = serve(Router::new().fallback(respond)).await;
+        let plain_client = PlainClient::new(&address, reqwest::Client::new());
+        let engine_client = EngineClient::new(&address, reqwest::Client::new());
+        let order = OrderRequest {
+            version: ModelVersion::new(2),
+            token: FencingToken::new(1),
+            life_ms: 5_000,
+        };
+        let errors = [
+            plain_client.call(&plain("odd"), "").await.expect_err("no response"),
+            lines(&engine_client).await.expect_err("no response"),
+            engine_client.state().await.expect_err("no response"),
+            engine_client.order(&order).await.expect_err("no response"),
+        ];
+        for error in errors {
+            assert!(matches!(error, TargetError::Broken(_)), "{status}: {error}");
+        }
+    }
+}
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -4,6 +4,7 @@
 use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -30,6 +31,10 @@
 /// Default maximum number of idle connections per target; further ones are closed after use.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
+/// Statuses of final responses. The library returns others: 101, which would end HTTP on the
+/// connection although nobody asked for it, and any number of three digits above.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Why a request got no response.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
@@ -200,7 +205,7 @@
         while let Some(mut connection) = self.take_idle(address, tag) {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    return Ok(self.target_response(address, connection, response, tag));
+                    return self.target_response(address, connection, response, tag);
                 }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -234,7 +239,7 @@
             return Err(SendError::NotSent(address));
         };
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(self.target_response(address, connection, response, tag)),
+            Ok(response) => self.target_response(address, connection, response, tag),
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => Err(SendError::NotSent(address)),
                 None => Err(connection.failure(address, &error.into_error())),
@@ -251,15 +256,21 @@
         }
     }
 
+    /// Returns the response, unless its status is not one of a final response.
     fn target_response(
         &self,
         address: SocketAddr,
         connection: Connection,
         response: Response<Incoming>,
         tag: Option<RequestTag>,
-    ) -> TargetResponse {
+    ) -> Result<TargetResponse, SendError> {
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            log::warn!(target: "targets", address:% = address, status = status; "invalid response status");
+            return Err(SendError::Broken(format!("status {status} ends no request")));
+        }
         connection.read_limit.reset();
-        TargetResponse::new(self.clone(), address, connection, response, tag)
+        Ok(TargetResponse::new(self.clone(), address, connection, response, tag))
     }
 
     /// Returns the tag of the request or response with these headers; `None` without an id.
--- a/crates/upstream/tests/misbehaving_targets.rs
+++ b/crates/upstream/tests/misbehaving_targets.rs
@@ -270,3 +270,22 @@
         assert_eq!(connections.load(Ordering::Relaxed), opened, "after {number} refusals");
     }
 }
+
+/// Guards against a response that no request may have: 101 changes the protocol, and above 599 the
+/// protocol has none.
+#[tokio::test]
+async fn invalid_final_status_is_a_broken_response() {
+    for status in ["101", "600", "700", "999"] {
+        let invalid = format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok");
+        let script = vec![
+            (invalid, AfterResponse::KeepsOpen),
+            (OK_RESPONSE.to_owned(), AfterResponse::KeepsOpen),
+        ];
+        let (address, connections) = target(script).await;
+        let pool = TargetPool::default();
+        let failed = send(&pool, address).await;
+        assert!(matches!(failed, Err(SendError::Broken(_))), "{status}: {failed:?}");
+        assert_eq!(send(&pool, address).await.expect("a response").status, 200);
+        assert_eq!(connections.load(Ordering::Relaxed), 2, "the connection is closed");
+    }
+}
--- a/crates/xtask/src/mutate/targets.rs
+++ b/crates/xtask/src/mutate/targets.rs
@@ -83,6 +83,14 @@
         package: "upstream",
         test: "connection_is_not_reused_after_a_response_to_another_request",
     },
+    Mutation {
+        name: "upstream: any status is one of a final response",
+        file: "crates/upstream/src/pool.rs",
+        from: "if !FINAL_STATUSES.contains(&status) {",
+        to: "if !FINAL_STATUSES.contains(&status) && status == 0 {",
+        package: "upstream",
+        test: "invalid_final_status",
+    },
     Mutation {
         name: "platform: each run of an item may add a text of the maximum size",
         file: "crates/shards/src/run.rs",
