Tests: responses that break off in their head or body are never whole

Reported of other systems: a target stopped in the middle of a head and closed, and clients got a 200 with an empty or short body, framed as whole. It can't happen here; all of the following held on the code before, so these tests stay as guards.

Frames between boxes: wire truncated_stream_yields_only_complete_frames was there.

Two new mutations (a broken response ends a text; an aborted stream ends in order), noticed.

--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -267,6 +267,14 @@
         package: "platform-standin",
         test: "stopping_box_serves_new_connections",
     },
+    Mutation {
+        name: "entry: a stream that breaks off ends in order",
+        file: "crates/front/src/stream_copy.rs",
+        from: "sender.abort(StreamBroken);",
+        to: "drop(sender);",
+        package: "platform-standin",
+        test: "cut_body_does_not_look_complete",
+    },
     Mutation {
         name: "entry: the deadline of a stream ends with its head",
         file: "crates/front/src/stream_copy.rs",
--- a/crates/xtask/src/mutate/jobs.rs
+++ b/crates/xtask/src/mutate/jobs.rs
@@ -3,6 +3,14 @@
 use super::Mutation;
 
 pub(super) const MUTATIONS: &[Mutation] = &[
+    Mutation {
+        name: "a response that breaks off ends the text of its item",
+        file: "crates/shards/src/run.rs",
+        from: "Ok(Err(_broken)) => return RunReason::Broken,",
+        to: "Ok(Err(_broken)) => break,",
+        package: "platform-standin",
+        test: "cut_run_yields_no_short_text",
+    },
     Mutation {
         name: "1: a missing stamp is treated as the last version",
         file: "crates/ledger/src/chunks.rs",
