Runs: the wait for a silent engine grows with an item's silent runs

What callers would see: items whose engines are sound but pause for more than 2.5 s, before the head, the first event or a later one, were never done: each run was ended in the pause, and the next one too, until the job gave the item up.

Cause: a run ends when no byte comes for 2.5 s, always.

Change: the job table counts the runs of an item since its last event that were ended for silence. The first two wait 2.5 s as before, since two engines in a row may be silent for another reason, after that the wait doubles up to 10 s, the limit between events.

Ruled out: 10 s from the first run on, since dark engines would hold an item four times as long.

One new mutation.

--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -36,6 +36,8 @@
     pub complete: bool,
     /// Number of this run of the item; results of earlier runs are ignored.
     pub run: u32,
+    /// Number of runs since the last event that were ended since their target was silent.
+    pub silent_runs: u32,
     /// Predicted length of the text.
     pub forecast: LengthForecast,
     /// Urgency of the item; `None` if items are ordered by acceptance.
@@ -46,7 +48,8 @@
     /// Returns the record for the events that a cut or moved run has not logged. The next run
     /// starts after them, and its records must continue the logged text without a gap.
     pub fn unlogged_progress(&self, result: &RunResult) -> Option<LogRecord> {
-        let continues = matches!(result.outcome, RunOutcome::Cut | RunOutcome::Moved);
+        let continues =
+            matches!(result.outcome, RunOutcome::Cut | RunOutcome::Silent | RunOutcome::Moved);
         let has_unlogged = result.events.len() > result.logged && !self.job.single_version;
         (continues && has_unlogged).then(|| self.progress(&result.events, result.logged))
     }
@@ -80,8 +83,10 @@
 pub enum RunOutcome {
     /// The response ended correctly after its last event.
     Complete,
-    /// The response broke off or timed out; another target continues after the last complete event.
+    /// The response broke off; another target continues after the last complete event.
     Cut,
+    /// The target was silent for too long; another target continues as for [`Self::Cut`].
+    Silent,
     /// This box ended the run to continue it on a faster target immediately.
     Moved,
     /// The target did not accept the work.
@@ -167,6 +172,8 @@
     pub phase: ItemPhase,
     /// Number of the last run.
     pub run: u32,
+    /// Number of runs since the last event that were ended since their target was silent.
+    pub silent_runs: u32,
     pub not_before: Moment,
     /// Start of the last run.
     pub started_at: Moment,
@@ -189,6 +196,7 @@
         Self {
             phase: ItemPhase::Waiting,
             run: 0,
+            silent_runs: 0,
             not_before: Moment::START,
             started_at: Moment::START,
             failures: 0,
--- a/crates/jobs/src/scheduling.rs
+++ b/crates/jobs/src/scheduling.rs
@@ -62,6 +62,7 @@
                 newest: item.versions.last().copied(),
                 complete: item.complete,
                 run: item.run + 1,
+                silent_runs: item.silent_runs,
                 forecast: self.lengths.forecast(hint),
                 urgency: state.ranks.urgency(index),
             };
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -325,6 +325,12 @@
             return false;
         }
         state.trace.run_ended(now, item.index);
+        entry.silent_runs = match run.outcome {
+            RunOutcome::Silent if run.events.is_empty() => entry.silent_runs + 1,
+            // Says nothing about how long a target takes.
+            RunOutcome::NotRun => entry.silent_runs,
+            _ => 0,
+        };
         if entry.events < spec.events {
             entry.clear_text();
         } else {
@@ -355,7 +361,9 @@
                 self.requeue(now, item, Duration::ZERO)
             }
             RunOutcome::Moved => self.requeue(now, item, Duration::ZERO),
-            RunOutcome::Cut | RunOutcome::NotRun => self.requeue(now, item, RETRY_DELAY),
+            RunOutcome::Cut | RunOutcome::Silent | RunOutcome::NotRun => {
+                self.requeue(now, item, RETRY_DELAY)
+            }
         }
     }
 
--- a/crates/jobs/tests/table.rs
+++ b/crates/jobs/tests/table.rs
@@ -151,6 +151,32 @@
     assert_eq!(start_all(&mut table, at(900)).remove(0).events, 0);
 }
 
+/// Guards against runs that wait no longer for a slow target however often it was silent, or that
+/// wait longer after a target that got on.
+#[test]
+fn silent_runs_are_counted_since_the_last_event() {
+    let mut table = table();
+    table.apply(at(0), accepted(job("j", 1)));
+    let ends = [
+        (RunOutcome::Silent, 0, 1),
+        (RunOutcome::Silent, 0, 2),
+        (RunOutcome::NotRun, 0, 2),
+        (RunOutcome::Silent, 2, 0),
+        (RunOutcome::Silent, 0, 1),
+        (RunOutcome::Cut, 0, 0),
+    ];
+    let mut text_events = 0;
+    for (round, (outcome, count, silent_runs)) in (1..).zip(ends) {
+        let spec = start_all(&mut table, at(round * 1_000)).remove(0);
+        let ended = run(outcome, events(text_events + 1, count, 3));
+        table.run_ended(at(round * 1_000 + 1), &spec, &ended);
+        text_events += count;
+        let next = start_all(&mut table, at(round * 1_000 + 500)).remove(0);
+        assert_eq!((next.silent_runs, next.events), (silent_runs, text_events), "round {round}");
+        table.run_ended(at(round * 1_000 + 501), &next, &run(RunOutcome::NotRun, Vec::new()));
+    }
+}
+
 #[test]
 fn no_item_starts_or_is_listed_after_the_job_ends() {
     let mut table = table();
--- a/crates/shards/src/run.rs
+++ b/crates/shards/src/run.rs
@@ -22,8 +22,11 @@
 use crate::keeper::ShardKeeper;
 use crate::run_reason::RunReason;
 
-/// Timeout for the response head and for each chunk of the body.
+/// Timeout for the response head and for each chunk of the body, in the first runs of an item.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Number of silent runs after which the timeout doubles with each: targets that take longer would
+/// never complete the item. Two targets in a row may be silent for another reason.
+const SHORT_SILENT_RUNS: u32 = 1;
 /// Timeout for each event. An engine may send other bytes meanwhile.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum size of a text, in bytes. A caller reads it in a page of one megabyte.
@@ -44,6 +47,12 @@
 /// Number of events from which a text counts as long.
 const LONG_EVENTS: u32 = 32;
 
+/// Returns the timeout for the response head and for each chunk of the body.
+fn silence_timeout(silent_runs: u32) -> Duration {
+    let doublings = silent_runs.saturating_sub(SHORT_SILENT_RUNS).min(u32::BITS - 1);
+    SILENCE_TIMEOUT.saturating_mul(1 << doublings).min(EVENT_TIMEOUT)
+}
+
 struct RunState<'a> {
     ctx: &'a ShardContext,
     keeper: &'a ShardKeeper,
@@ -161,7 +170,7 @@
             return RunReason::InvalidRequest;
         };
         let send = self.ctx.view.pool.send(self.slot.address, request);
-        let response = match time::timeout(SILENCE_TIMEOUT, send).await {
+        let response = match time::timeout(silence_timeout(self.spec.silent_runs), send).await {
             Err(_elapsed) => {
                 self.ctx.view.pool.close_idle();
                 return RunReason::TimeoutBeforeHead;
@@ -214,9 +223,10 @@
 
     async fn read_events(&mut self, mut response: TargetResponse) -> RunReason {
         let mut reader = EventReader::default();
+        let silence_timeout = silence_timeout(self.spec.silent_runs);
         let mut event_due = Instant::now() + EVENT_TIMEOUT;
         loop {
-            let next_due = event_due.min(Instant::now() + SILENCE_TIMEOUT);
+            let next_due = event_due.min(Instant::now() + silence_timeout);
             let bytes = match time::timeout_at(next_due, response.next()).await {
                 Err(_elapsed) => return RunReason::BodyTimeout,
                 Ok(Err(SendError::TooLong(_))) => return RunReason::TooLong,
--- a/crates/shards/src/run_reason.rs
+++ b/crates/shards/src/run_reason.rs
@@ -51,14 +51,13 @@
             | Self::WeightsTooOld => RunOutcome::NotRun,
             Self::TargetError => RunOutcome::Failed,
             Self::SlowEngine => RunOutcome::Moved,
-            Self::TimeoutBeforeHead
-            | Self::BrokenBeforeHead
+            Self::TimeoutBeforeHead | Self::BodyTimeout => RunOutcome::Silent,
+            Self::BrokenBeforeHead
             | Self::TooLong
             | Self::WrongRequestId
             | Self::UnexpectedStatus
             | Self::Unsigned
             | Self::NoVersion
-            | Self::BodyTimeout
             | Self::Broken
             | Self::InvalidEvents
             | Self::EventMissing
@@ -74,7 +73,9 @@
             // Nothing was sent to the engine.
             Self::ConnectionLimit => None,
             _ => match self.outcome() {
-                RunOutcome::Cut | RunOutcome::NotRun => Some(TargetFailure::Broken),
+                RunOutcome::Cut | RunOutcome::Silent | RunOutcome::NotRun => {
+                    Some(TargetFailure::Broken)
+                }
                 _ => None,
             },
         }
--- a/crates/xtask/src/mutate/jobs.rs
+++ b/crates/xtask/src/mutate/jobs.rs
@@ -3,6 +3,14 @@
 use super::Mutation;
 
 pub(super) const MUTATIONS: &[Mutation] = &[
+    Mutation {
+        name: "the wait for a silent target never grows",
+        file: "crates/shards/src/run.rs",
+        from: "silent_runs.saturating_sub(SHORT_SILENT_RUNS)",
+        to: "silent_runs.min(0)",
+        package: "platform-standin",
+        test: "slow_to_begin",
+    },
     Mutation {
         name: "a response that breaks off ends the text of its item",
         file: "crates/shards/src/run.rs",
