Front: a request that outlasts a stop gets a response

What callers would see: a request whose target is still at work at the end of its box's grace period lost its connection without a response. And since a stopping box waits for its streams now, one that comes late is accepted and likely to be cut. Found while the stop was read; nobody reported either.

Cause: the process just ended. Streams were accepted as long as it ran.

Change: the stop has three phases with a token each. 0.5 s before the end of the grace period, where responses were cut, requests without a response get 502, "it may have run", and the box stays up to 0.2 s for callers to take it. Once the platform has had the time to redirect callers, streams are refused as not run, with a time to come back; other requests are served, since they end soon.

Ruled out: to close the listener after the notice, since callers whose zone has few boxes still come and would find a closed port; to refuse plain requests too.

--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -28,9 +28,11 @@
 const ASSIGNMENT_BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Time that the platform needs to redirect new callers after a request to stop.
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_500);
-/// Time reserved at the end of the grace period; requests still in flight are cut off when it
-/// starts.
+/// Time reserved at the end of the grace period; requests still in flight get their last response
+/// when it starts.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Maximum wait for callers to take the last responses.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(200);
 /// Maximum wait for the final usage counts to be reported: the long poll of the feed and its
 /// transit time.
 const USAGE_REPORT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -93,7 +95,7 @@
     tokio::spawn(sync_suspects(Arc::clone(&view), false, shutdown.clone()));
     let shards = ShardClient::new(Arc::clone(&view), links);
     tokio::spawn(watch_isolation(Arc::clone(&view), shards.clone(), shutdown.clone()));
-    let state = FrontState::new(view, shards, CancellationToken::new());
+    let state = FrontState::new(view, shards);
     let callers = Arc::clone(&state.callers);
     tokio::spawn(disconnect_slow_callers(Arc::clone(&state.view), callers, shutdown.clone()));
     let front_server = serve_front(state.clone(), front, shutdown.clone());
@@ -150,6 +152,13 @@
     }
 }
 
+/// Waits until the responses in flight have been sent to their last byte, or until `deadline`.
+async fn wait_for_responses(state: &FrontState, deadline: Instant) {
+    while Instant::now() < deadline && state.callers.unfinished() > 0 {
+        time::sleep(STOP_POLL_INTERVAL).await;
+    }
+}
+
 /// Reports the box as not ready, closes callers' connections after their current request, and waits
 /// until the responses in flight have been sent to their last byte.
 async fn stop_gracefully(state: &FrontState) {
@@ -157,14 +166,14 @@
     let settings = &state.view.settings;
     let grace = settings.live.grace(settings.grace);
     log::info!(target: "entry", in_flight = state.in_flight(); "stopping");
-    state.stopping.cancel();
+    state.stop.requested.cancel();
     let deadline = started + grace.saturating_sub(STOP_MARGIN);
-    while Instant::now() < deadline {
-        let notice_given = started.elapsed() >= READINESS_NOTICE_TIME;
-        if notice_given && state.callers.unfinished() == 0 {
-            break;
-        }
-        time::sleep(STOP_POLL_INTERVAL).await;
+    time::sleep_until(deadline.min(started + READINESS_NOTICE_TIME)).await;
+    state.stop.redirected.cancel();
+    wait_for_responses(state, deadline).await;
+    if state.callers.unfinished() > 0 {
+        state.stop.ending.cancel();
+        wait_for_responses(state, deadline + LAST_RESPONSE_TIME).await;
     }
     wait_for_usage_report(state, deadline).await;
     log::info!(
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -35,6 +35,17 @@
 /// Minimum read buffer size that the HTTP library accepts, in bytes.
 const MIN_READ_BUFFER: usize = 8 << 10;
 
+/// The phases of a stop; each token is cancelled when its phase begins.
+#[derive(Debug, Clone, Default)]
+pub struct StopPhases {
+    /// The box is asked to stop.
+    pub requested: CancellationToken,
+    /// The platform has had the time to redirect new callers.
+    pub redirected: CancellationToken,
+    /// The process ends soon: requests in flight get their last response.
+    pub ending: CancellationToken,
+}
+
 /// State shared by all connections of an entry box.
 #[derive(Debug, Clone)]
 pub struct FrontState {
@@ -42,8 +53,8 @@
     pub view: Arc<NodeView>,
     /// Client for the job shards.
     pub shards: ShardClient,
-    /// Cancelled when the box is asked to stop.
-    pub stopping: CancellationToken,
+    /// The phases of a stop.
+    pub stop: StopPhases,
     /// The connected callers.
     pub callers: Arc<CallerTable>,
     counts: Arc<FrontCounts>,
@@ -57,8 +68,9 @@
 
 impl FrontState {
     /// Creates the state of a box without connections.
-    pub fn new(view: Arc<NodeView>, shards: ShardClient, stopping: CancellationToken) -> Self {
-        Self { view, shards, stopping, callers: Arc::default(), counts: Arc::default() }
+    pub fn new(view: Arc<NodeView>, shards: ShardClient) -> Self {
+        let stop = StopPhases::default();
+        Self { view, shards, stop, callers: Arc::default(), counts: Arc::default() }
     }
 
     /// Number of requests that have no response head yet.
@@ -68,11 +80,11 @@
 
     fn is_ready(&self) -> bool {
         let is_operational = self.view.is_configured() && !self.view.is_isolated();
-        let ready = is_operational && !self.stopping.is_cancelled();
+        let ready = is_operational && !self.stop.requested.is_cancelled();
         if self.counts.ready.swap(ready, Ordering::Relaxed) != ready {
             log::info!(
                 target: "entry", ready = ready, config = self.view.table().version.get(),
-                isolated = self.view.is_isolated(), stopping = self.stopping.is_cancelled();
+                isolated = self.view.is_isolated(), stopping = self.stop.requested.is_cancelled();
                 "readiness changed"
             );
         }
@@ -132,7 +144,7 @@
     let stream = TokioIo::new(CallerStream::new(stream, Arc::clone(caller)));
     // The platform sends callers to a stopping box for a while. A graceful shutdown would close a
     // connection before its first request.
-    let is_last_request = state.stopping.is_cancelled();
+    let is_last_request = state.stop.requested.is_cancelled();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .keep_alive(!is_last_request)
@@ -144,7 +156,7 @@
         tokio::select! {
             // The caller may disconnect at any time, which cancels its request.
             _ended = connection.as_mut() => {}
-            () = state.stopping.cancelled(), if !is_last_request => {
+            () = state.stop.requested.cancelled(), if !is_last_request => {
                 // Responses now carry `Connection: close`.
                 connection.as_mut().graceful_shutdown();
                 let _ended = connection.as_mut().await;
@@ -157,14 +169,35 @@
     }
 }
 
+/// Serves a request until the process is about to end.
 async fn serve(
     state: FrontState,
     connection: Arc<Caller>,
     request: Request<Incoming>,
 ) -> ServeResult {
-    let received = Instant::now();
     let _guard = RequestGuard::new(&state);
     connection.record_request();
+    let id = headers::request_id(request.headers()).map(str::to_owned);
+    tokio::select! {
+        result = serve_request(&state, connection, request) => result,
+        () = state.stop.ending.cancelled() => {
+            log::info!(
+                target: "entry", request = id.as_deref().unwrap_or(""), outcome = "box stops";
+                "request ended"
+            );
+            let remedy = "it may have run: send it again only if it may be repeated";
+            let status = StatusCode::BAD_GATEWAY;
+            Ok(response::close_after(response::refuse(status, "box stops", remedy, id.as_deref())))
+        }
+    }
+}
+
+async fn serve_request(
+    state: &FrontState,
+    connection: Arc<Caller>,
+    request: Request<Incoming>,
+) -> ServeResult {
+    let received = Instant::now();
     let (head, body) = request.into_parts();
     let id = headers::request_id(&head.headers).map(str::to_owned);
     let table = state.view.table();
@@ -173,7 +206,7 @@
         return Ok(response::not_run("no configuration yet", id.as_deref()));
     }
     if let Some(call) = calls::read_call(&head.method, path_of(&head))
-        && let Some(response) = serve_job_call(&state, &table, &head, call, id.as_deref()).await
+        && let Some(response) = serve_job_call(state, &table, &head, call, id.as_deref()).await
     {
         return Ok(response);
     }
@@ -184,7 +217,7 @@
     let body = match read_body(body, table.limits.body_bytes, memory, &connection).await {
         Ok(body) => body,
         Err(error) => {
-            let refusal = refuse_body(&state, error, &head, id.as_deref());
+            let refusal = refuse_body(state, error, &head, id.as_deref());
             if !has_body {
                 return Ok(refusal);
             }
@@ -203,6 +236,10 @@
             let sender = JobSender { host: host_of(&head), route: &admitted.route, customer };
             jobs_api::submit(&state.shards, sender, &id.unwrap_or_default(), &body).await
         }
+        // The box may end before the stream, and another one can serve it whole.
+        RouteKind::Streaming if state.stop.redirected.is_cancelled() => {
+            response::not_run("box stops", id.as_deref())
+        }
         RouteKind::Streaming => {
             serve_stream(&state.view, &admitted, &connection, head, body, received).await
         }
