Upstream: a connection has a module of its own

The connection moves to `connection`, with functions for what the pool did to it: to rest, to resume, to expire. No behavior changes; the tests of upstream pass, and the edit of one mutation follows its code.

--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -14,6 +14,7 @@
 //!
 //! Bytes of responses are reserved in the box's [`MemoryBudget`] while they are buffered.
 
+mod connection;
 mod limit;
 mod memory;
 mod pool;
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{self, Instant};
 
-use crate::pool::Connection;
+use crate::connection::Connection;
 use crate::request_tag::RequestTag;
 use crate::{ByteCount, MemoryUse, Reservation, SendError, TargetPool};
 
--- a/crates/xtask/src/mutate/boxes.rs
+++ b/crates/xtask/src/mutate/boxes.rs
@@ -285,7 +285,7 @@
     },
     Mutation {
         name: "upstream: a connection closes in order while a request is outstanding",
-        file: "crates/upstream/src/pool.rs",
+        file: "crates/upstream/src/connection.rs",
         from: "    if in_use.load(Ordering::Relaxed) {",
         to: "    if false {",
         package: "upstream",
