Upstream: a target that answers other requests gets a connection for each

Cause: a connection whose target may send one more answer stayed in the pool, whatever the target had done before.

Change: when the head of a response names another request, the target's idle connections are closed and for 30 s each connection to it carries a single request. A late answer then arrives on a connection that nobody reads any more. One log line for each such response. A response without an id, or with an empty one, belongs to a request without one.

Ruled out: to read on for the response that is due, which the HTTP library can't; to close connections after refusals only, since the answers to other requests may be doubled as well.

Test: upstream target_that_answered_another_request_gets_a_connection_each; its mutation is noticed.

--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -23,6 +23,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long a connection may stay idle if the target's response states no keep-alive timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
+/// How long each connection to a target carries a single request, after the target has sent a
+/// response to another request.
+const SINGLE_USE_TIME: Duration = Duration::from_secs(30);
 /// Default maximum number of idle connections per target; further ones are closed after use.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
@@ -64,11 +67,19 @@
 struct TargetConnections {
     idle: Vec<Connection>,
     max_idle: usize,
+    /// Until when connections are closed after one request.
+    single_use_until: Option<Instant>,
 }
 
 impl Default for TargetConnections {
     fn default() -> Self {
-        Self { idle: Vec::new(), max_idle: MAX_IDLE_PER_TARGET }
+        Self { idle: Vec::new(), max_idle: MAX_IDLE_PER_TARGET, single_use_until: None }
+    }
+}
+
+impl TargetConnections {
+    fn is_single_use(&self, now: Instant) -> bool {
+        self.single_use_until.is_some_and(|until| now < until)
     }
 }
 
@@ -224,12 +235,15 @@
             return Err(SendError::Broken(format!("status {status} ends no request")));
         }
         connection.read_limit.reset();
+        if self.tag(response.headers()) != tag {
+            self.record_foreign_response(address);
+        }
         Ok(TargetResponse::new(self.clone(), address, connection, response, tag))
     }
 
     /// Returns the tag of the request or response with these headers; `None` without an id.
     pub(crate) fn tag(&self, headers: &HeaderMap) -> Option<RequestTag> {
-        let id = headers.get(self.id_header.as_ref()?)?;
+        let id = headers.get(self.id_header.as_ref()?).filter(|id| !id.is_empty())?;
         Some(RequestTag::of(id))
     }
 
@@ -259,11 +273,22 @@
         let mut idle = self.lock();
         let connections = idle.entry(address).or_default();
         connections.idle.retain(|other| !other.is_expired(now));
-        if connections.idle.len() < connections.max_idle {
+        if connections.idle.len() < connections.max_idle && !connections.is_single_use(now) {
             connections.idle.push(connection);
         }
     }
 
+    /// Records that a target has sent a response to another request. It may do so again wherever a
+    /// response is due, which costs another request its own.
+    fn record_foreign_response(&self, address: SocketAddr) {
+        let mut idle = self.lock();
+        let connections = idle.entry(address).or_default();
+        connections.idle.clear();
+        connections.single_use_until = Some(Instant::now() + SINGLE_USE_TIME);
+        drop(idle);
+        log::warn!(target: "targets", address:% = address; "response to another request");
+    }
+
     /// Limits the idle connections to a target until it has none. A target accepts a limited number
     /// of connections from all boxes together.
     pub fn limit_idle(&self, address: SocketAddr, max_idle: usize) {
@@ -276,7 +301,11 @@
     /// Closes all idle connections. If one connection became unresponsive, others may have failed
     /// for the same reason, and each would delay a request until its timeout.
     pub fn close_idle(&self) {
-        self.lock().clear();
+        let now = Instant::now();
+        self.lock().retain(|_, connections| {
+            connections.idle.clear();
+            connections.is_single_use(now)
+        });
     }
 
     /// Closes connections that have been idle for too long.
@@ -284,7 +313,7 @@
         let now = Instant::now();
         self.lock().retain(|_, connections| {
             connections.idle.retain(|other| !other.is_expired(now));
-            !connections.idle.is_empty()
+            !connections.idle.is_empty() || connections.is_single_use(now)
         });
     }
 }
--- a/crates/upstream/tests/misbehaving_targets.rs
+++ b/crates/upstream/tests/misbehaving_targets.rs
@@ -289,3 +289,21 @@
         assert_eq!(connections.load(Ordering::Relaxed), 2, "the connection is closed");
     }
 }
+
+/// Guards against a target that sends late answers again and again, each of which costs another
+/// request its response.
+#[tokio::test]
+async fn target_that_answered_another_request_gets_a_connection_each() {
+    let response = |id: &str| format!("HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 2\r\n\r\nok");
+    let ids = ["q-1", "q-2", "q-4", "q-5", "q-6"];
+    let script =
+        ["q-1", "q-0", "q-4", "q-5", "q-6"].map(|id| (response(id), AfterResponse::KeepsOpen));
+    let (address, connections) = target(script.to_vec()).await;
+    let pool = TargetPool::default().with_id_header(ID);
+    for (id, opened) in ids.into_iter().zip([1, 1, 2, 3, 4]) {
+        assert_eq!(send_as(&pool, address, id).await.status, 200);
+        assert_eq!(connections.load(Ordering::Relaxed), opened, "{id}");
+        tokio::task::yield_now().await;
+        pool.sweep();
+    }
+}
--- a/crates/xtask/src/mutate/targets.rs
+++ b/crates/xtask/src/mutate/targets.rs
@@ -83,6 +83,14 @@
         package: "upstream",
         test: "connection_is_not_reused_after_a_response_to_another_request",
     },
+    Mutation {
+        name: "upstream: a target that answers other requests keeps its connections",
+        file: "crates/upstream/src/pool.rs",
+        from: "connections.max_idle && !connections.is_single_use(now) {",
+        to: "connections.max_idle {",
+        package: "upstream",
+        test: "gets_a_connection_each",
+    },
     Mutation {
         name: "upstream: any status is one of a final response",
         file: "crates/upstream/src/pool.rs",
@@ -126,8 +134,8 @@
     Mutation {
         name: "platform: idle connections are reused after one became unresponsive",
         file: "crates/upstream/src/pool.rs",
-        from: "self.lock().clear();",
-        to: "let _ = self.lock();",
+        from: "self.lock().retain(|_, connections| {\n            connections.idle.clear();",
+        to: "self.lock().retain(|_, connections| {\n            return connections.max_idle > 0;",
         package: "upstream",
         test: "close_idle_prevents_reuse",
     },
