--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -25,7 +25,7 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// How long each connection to a target carries a single request, after the target has sent a
 /// response to another request.
-const SINGLE_USE_TIME: Duration = Duration::from_secs(30);
+const SINGLE_USE_TIME: Duration = Duration::from_secs(10);
 /// Default maximum number of idle connections per target; further ones are closed after use.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
