--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -247,7 +247,6 @@
     })
 }
 
-/// Serves a call that concerns an accepted job.
 /// Serves a call about a job. Returns `None` if it is a request to a route of another kind instead.
 async fn serve_job_call(
     state: &FrontState,
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -7,8 +7,8 @@
 //! response to another.
 //!
 //! A request is not sent again on the connection on which it was answered or refused (module
-//! `request_tag`): the target may answer it there a second time, late. While a target does such a
-//! thing, each connection to it carries a single request.
+//! `request_tag`): the target may answer it there a second time, late. For a while after a
+//! response to another request, each connection to its target carries a single request.
 //!
 //! Bytes that a target sends without end are read up to a limit (module `read_limit`); then the
 //! connection is closed and the request fails.
